build: add the build, the schemas, the model and the message codec

Cause: an empty repository; every library needs the same resources, ids, messages and checks. Conclusion: the shared headers are fixed enough for the libraries to be written side by side.

--- /dev/null
+++ b/src/messages/envelope.cpp
@@ -0,0 +1,69 @@
+#include "messages/envelope.h"
+
+#include <array>
+#include <utility>
+
+namespace cyclamenhatch {
+namespace {
+
+finding malformed(std::string problem) {
+    return {.path = "envelope",
+            .problem = std::move(problem),
+            .remedy = "check that both nodes run the same protocol version"};
+}
+
+/// Unpacks the union's member when it is of the type at Index in peer_message.
+template <std::size_t Index> bool unpack_as(const msg::envelope& from, peer_message& to) {
+    using message_type = std::variant_alternative_t<Index, peer_message>;
+    using table_type = typename message_type::TableType;
+    if (from.body_type() != msg::bodyUnionTraits<message_type>::enum_value) {
+        return false;
+    }
+    static_cast<const table_type*>(from.body())->UnPackTo(&to.emplace<Index>());
+    return true;
+}
+
+template <std::size_t... Indexes>
+bool unpack_any(const msg::envelope& from, peer_message& to, std::index_sequence<Indexes...>) {
+    return (unpack_as<Indexes>(from, to) || ...);
+}
+
+} // namespace
+
+std::string encode_envelope(const node_id& from, const peer_message& message) {
+    flatbuffers::FlatBufferBuilder builder;
+    const auto sender = builder.CreateString(from.value);
+    const auto packed = std::visit(
+        [&](const auto& each) {
+            using table_type = typename std::decay_t<decltype(each)>::TableType;
+            return table_type::Pack(builder, &each).Union();
+        },
+        message);
+    const auto kind = std::visit(
+        [](const auto& each) {
+            return msg::bodyUnionTraits<std::decay_t<decltype(each)>>::enum_value;
+        },
+        message);
+    builder.Finish(msg::Createenvelope(builder, sender, kind, packed));
+    return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
+}
+
+result<incoming> decode_envelope(std::string_view bytes) {
+    const auto* data = reinterpret_cast<const std::uint8_t*>(bytes.data());
+    flatbuffers::Verifier verifier(data, bytes.size());
+    if (!msg::VerifyenvelopeBuffer(verifier)) {
+        return findings{malformed("the bytes are not an envelope")};
+    }
+    const auto* read = msg::Getenvelope(data);
+    incoming to;
+    if (read->from() != nullptr) {
+        to.from = node_id{read->from()->str()};
+    }
+    constexpr auto kinds = std::make_index_sequence<std::variant_size_v<peer_message>>{};
+    if (read->body() == nullptr || !unpack_any(*read, to.message, kinds)) {
+        return findings{malformed("the envelope holds no message of a known kind")};
+    }
+    return to;
+}
+
+} // namespace cyclamenhatch
--- /dev/null
+++ b/src/model/resources.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "model/ids.h"
+#include "model/time.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// The resources that operators write, with strong types. schema/resources.fbs holds their stored
+/// and transmitted form; resource_codec.h converts.
+namespace cyclamenhatch {
+
+/// Which accepted change last wrote a resource. Set by the system, never by operators.
+struct provenance {
+    config_version revision;
+    operation_id operation;
+
+    friend bool operator==(const provenance&, const provenance&) = default;
+};
+
+/// A service: the owner that pays for it and the upstream version that serves its calls.
+struct service {
+    service_id name;
+    owner_id owner;
+    /// Receives all calls while no move is under way.
+    version_id version;
+    /// Weight of the owner in fair sharing, in slots.
+    std::uint32_t reserved_slots = 1;
+    provenance written;
+
+    friend bool operator==(const service&, const service&) = default;
+};
+
+/// Directs calls to a service by host and longest path prefix.
+struct route {
+    route_id name;
+    service_id service;
+    /// Empty matches every host.
+    std::string host;
+    std::string path_prefix;
+    /// Whether a dispatched call may be sent again.
+    bool idempotent = false;
+    milliseconds timeout{1000};
+    provenance written;
+
+    friend bool operator==(const route&, const route&) = default;
+};
+
+/// A version of a service's upstream that endpoints may announce.
+struct upstream_version {
+    version_id name;
+    service_id service;
+    provenance written;
+
+    friend bool operator==(const upstream_version&, const upstream_version&) = default;
+};
+
+enum class little_traffic_policy { take_back, done };
+
+enum class move_outcome { done, taken_back };
+
+/// The single closing record of a move.
+struct move_ending {
+    move_outcome outcome = move_outcome::taken_back;
+    std::string reason;
+    instant in_force_at;
+    instant recorded_at;
+    std::uint64_t calls_on_new = 0;
+    std::uint64_t errors_on_new = 0;
+
+    friend bool operator==(const move_ending&, const move_ending&) = default;
+};
+
+/// Directs a service's traffic from one upstream version to another by a deadline.
+struct move {
+    move_id name;
+    service_id service;
+    version_id from;
+    version_id to;
+    instant deadline;
+    /// The move does not begin before; absent starts at once.
+    std::optional<instant> start;
+    /// Largest share of calls in the first stage, in thousandths.
+    std::uint32_t first_share_permille = 10;
+    /// Fewest calls on the new version for a verdict on one stage.
+    std::uint32_t min_calls = 200;
+    /// How long all traffic stays on the new version before the move is done.
+    seconds bake{30};
+    little_traffic_policy on_little_traffic = little_traffic_policy::take_back;
+    /// Set by an operator to have the move taken back.
+    bool cancel = false;
+    std::uint32_t attempt = 1;
+    /// Present once the move has ended.
+    std::optional<move_ending> ending;
+    provenance written;
+
+    friend bool operator==(const move&, const move&) = default;
+};
+
+/// One service with all that refers to it: the unit that is stored and put in force whole.
+struct section {
+    struct service service;
+    std::vector<route> routes;
+    std::vector<upstream_version> versions;
+    std::vector<move> moves;
+
+    friend bool operator==(const section&, const section&) = default;
+};
+
+/// The move of a section that has not ended, or null. A valid section has at most one.
+[[nodiscard]] const move* find_open_move(const section& part);
+
+} // namespace cyclamenhatch
