build: fix the interfaces between the libraries

Cause: the libraries are written side by side and need each other's types. Conclusion: decisions exchange plain data only; clocks and sockets stay outside.

--- /dev/null
+++ b/src/call/routing_view.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "messages/peer_message.h"
+#include "model/ids.h"
+#include "model/snapshot.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace cyclamenhatch::call {
+
+/// One upstream with the node beside it, as a candidate for calls.
+struct endpoint {
+    node_id node;
+    peer_address link;
+    region_id region;
+    data_centre_id data_centre;
+    version_id version;
+    msg::upstream_state state = msg::upstream_state::none;
+    std::uint32_t slots = 0;
+    /// Changes when the node beside the upstream restarts or its record changes.
+    std::uint64_t incarnation = 0;
+    bool is_suspect = false;
+};
+
+/// How the calls of a service with an open move are divided.
+struct version_share {
+    version_id from;
+    version_id to;
+    /// Share of calls that go to `to`, in thousandths.
+    std::uint32_t permille = 0;
+    move_id move;
+    std::uint32_t attempt = 1;
+};
+
+/// All that the call path reads of the control side. Immutable; replaced whole and shared between
+/// threads.
+struct routing_view {
+    snapshot_ptr config;
+    std::map<service_id, std::vector<endpoint>> endpoints;
+    std::map<service_id, version_share> shares;
+    /// This node has the configuration and may take calls.
+    bool is_ready = false;
+    /// This node is leaving: new calls are refused.
+    bool is_draining = false;
+};
+
+using routing_view_ptr = std::shared_ptr<const routing_view>;
+
+} // namespace cyclamenhatch::call
--- /dev/null
+++ b/src/distribution/distribution.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "membership/membership.h"
+#include "messages/peer_message.h"
+#include "model/log_event.h"
+#include "model/random.h"
+#include "model/snapshot.h"
+#include "model/time.h"
+#include "settings_generated.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+/// Spreads configuration: eager deltas over a few links, notices, pulls and a periodic exchange
+/// with a random member; combines acknowledgements into what is in force where. A version held is
+/// never replaced by a lower one, whoever sends it. Pure decisions.
+namespace cyclamenhatch::distribution {
+
+/// What a step wants done.
+struct actions {
+    std::vector<outgoing> sends;
+    std::vector<log_event> logs;
+};
+
+/// A rejected version with its findings, as some node reported it.
+struct rejection {
+    node_id node;
+    config_version version;
+    std::vector<std::string> findings;
+};
+
+/// What one data centre holds, combined by its aggregator.
+struct data_centre_status {
+    data_centre_id data_centre;
+    node_id aggregator;
+    std::uint64_t sequence = 0;
+    config_version lowest;
+    config_version newest;
+    std::uint32_t nodes = 0;
+    std::uint32_t nodes_at_newest = 0;
+    /// Bounded; the slowest first.
+    std::vector<node_id> laggards;
+    std::vector<rejection> rejections;
+    instant heard;
+};
+
+/// When a version was first held here and when it was in force everywhere.
+struct version_progress {
+    config_version version;
+    instant accepted;
+    /// Epoch until every live member of every data centre holds it.
+    instant in_force;
+    std::uint32_t nodes = 0;
+    node_id slowest;
+    std::vector<operation_id> operations;
+};
+
+/// State of one node. Plain data; the caller serialises access.
+struct state {
+    msg::distribution_settings_msg settings;
+    /// Null until the first configuration is held; version 0 with no sections is a configuration.
+    snapshot_ptr held;
+    std::map<data_centre_id, data_centre_status> data_centres;
+    /// The latest versions, oldest first; bounded.
+    std::vector<version_progress> progress;
+    /// Set by make_state and after a pause; cleared once this node has compared what it holds with
+    /// several members or the store. A node takes no calls while it is set.
+    bool needs_refresh = true;
+    std::uint64_t control_bytes_sent = 0;
+};
+
+[[nodiscard]] state make_state(const msg::distribution_settings_msg& settings, instant now);
+
+/// Offers a configuration that came from the store, or that this node wrote. Lower or equal
+/// versions are dropped. A head in the store below what is held is logged as an error, once per
+/// head.
+void offer(state& self, const membership::table& members, const snapshot_ptr& found, instant now,
+           random_source& random, actions& wanted);
+
+/// Reports a configuration from the store that this node had to reject.
+void reject(state& self, const membership::table& members, config_version version,
+            const findings& found, instant now, actions& wanted);
+
+/// Call about every 100 ms: notices, exchange, reports to the aggregator, summaries.
+void on_tick(state& self, const membership::table& members, instant now, random_source& random,
+             actions& wanted);
+
+/// Handles config_* and in_force_* messages; other kinds are ignored.
+void on_message(state& self, const membership::table& members, const incoming& from, instant now,
+                random_source& random, actions& wanted);
+
+/// Marks this node as in need of a refresh after a pause.
+void on_pause(state& self, instant now);
+
+/// Whether this node holds a configuration that it has compared with others since start or pause.
+[[nodiscard]] bool is_ready(const state& self);
+
+/// Whether this node should watch the store's head now.
+[[nodiscard]] bool is_store_watcher(const state& self, const membership::table& members);
+
+} // namespace cyclamenhatch::distribution
--- /dev/null
+++ b/src/document/schema_reader.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "document/document.h"
+#include "model/finding.h"
+#include "model/resources.h"
+#include "resources_generated.h"
+#include "settings_generated.h"
+
+#include <string>
+#include <vector>
+
+/// Reads documents into the types of the schemas, guided by the schemas' own field names and types.
+/// Unknown keys, wrong types and numbers out of their type's range are findings; all are collected.
+namespace cyclamenhatch {
+
+/// Any number of resources, each with the place that it came from, for findings of later checks.
+struct resource_set {
+    std::vector<service> services;
+    std::vector<route> routes;
+    std::vector<upstream_version> versions;
+    std::vector<move> moves;
+};
+
+/// Reads and checks settings: required fields, ranges, addresses. Every sub-table is present in the
+/// result, with defaults where the document leaves one out.
+[[nodiscard]] result<msg::settings_msg> read_settings(const document& from);
+
+/// Reads resources as an operator writes them: [[service]], [[route]], [[upstream_version]] and
+/// [[move]] tables. Fields that the system sets (revision, operation, attempt, ending) are
+/// findings.
+[[nodiscard]] result<resource_set> read_resources(const document& from);
+
+/// The whole resource with all fields, those the system sets included.
+[[nodiscard]] document write_resource(const service& from);
+[[nodiscard]] document write_resource(const route& from);
+[[nodiscard]] document write_resource(const upstream_version& from);
+[[nodiscard]] document write_resource(const move& from);
+
+/// A JSON array of findings: file, line, column, path, problem, remedy.
+[[nodiscard]] document write_findings(const findings& found);
+
+} // namespace cyclamenhatch
--- /dev/null
+++ b/src/membership/membership.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "messages/peer_message.h"
+#include "model/ids.h"
+#include "model/random.h"
+#include "model/time.h"
+#include "settings_generated.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+/// Who is alive, where, and with which upstream in which state. Probes with suspicion and
+/// refutation; table changes ride on probes. Pure decisions: time, randomness and messages are
+/// arguments.
+namespace cyclamenhatch::membership {
+
+/// One member as this node knows it.
+struct member {
+    msg::member_record_msg record;
+    /// When the present liveness was learnt.
+    instant since;
+};
+
+struct probe_in_flight {
+    std::uint64_t sequence = 0;
+    node_id target;
+    instant sent;
+    bool is_indirect = false;
+};
+
+/// A record that still has to be told to others.
+struct pending_update {
+    node_id about;
+    std::uint32_t times_sent = 0;
+};
+
+/// A probe that was made for another member, so that its answer can be passed on.
+struct relayed_probe {
+    std::uint64_t sequence = 0;
+    std::uint64_t original_sequence = 0;
+    node_id asker;
+    instant sent;
+};
+
+/// The member table of one node. Plain data; the caller serialises access.
+struct table {
+    msg::membership_settings_msg settings;
+    /// This node's own record; it alone raises its incarnation.
+    msg::member_record_msg self;
+    /// All others, dead and departed ones included until they are forgotten.
+    std::map<node_id, member> members;
+    std::vector<peer_address> contacts;
+    std::vector<node_id> probe_order;
+    std::size_t probe_position = 0;
+    std::uint64_t next_sequence = 1;
+    std::vector<probe_in_flight> probes;
+    std::vector<relayed_probe> relayed;
+    std::vector<pending_update> updates;
+    instant last_tick;
+    instant next_probe;
+    instant next_join;
+    /// Set once a full member table has been received from someone, or nobody is to be found.
+    bool has_joined = false;
+    /// Raised at each change of any record; readers compare it to see whether to rebuild views.
+    std::uint64_t generation = 1;
+    /// How often a pause of this process was noticed.
+    std::uint64_t pauses = 0;
+};
+
+/// A table that knows only this node. `self.incarnation` must exceed that of any earlier process
+/// with the same node id: use the start time in milliseconds.
+[[nodiscard]] table make_table(const msg::membership_settings_msg& settings,
+                               msg::member_record_msg self, std::vector<peer_address> contacts,
+                               instant now);
+
+/// Call about every 100 ms. Sends probes, times out, suspects, declares dead, forgets, joins.
+[[nodiscard]] std::vector<outgoing> on_tick(table& state, instant now, random_source& random);
+
+/// Handles probe, probe_ack, member_sync and member_page; other kinds are ignored.
+[[nodiscard]] std::vector<outgoing> on_message(table& state, const incoming& from, instant now,
+                                               random_source& random);
+
+/// Announces the upstream beside this node, or its change of state.
+void set_upstream(table& state, const msg::upstream_record_msg& upstream, instant now);
+
+/// Marks this node as left and tells some members at once. Nothing is sent after that but answers.
+[[nodiscard]] std::vector<outgoing> leave(table& state, instant now, random_source& random);
+
+/// Adds contacts found elsewhere, as in the store. Duplicates and this node's own are left out.
+void add_contacts(table& state, const std::vector<peer_address>& contacts);
+
+/// The record of a member, this node included; null when unknown.
+[[nodiscard]] const msg::member_record_msg* find_record(const table& state, const node_id& node);
+
+/// Where a member's links are reached.
+[[nodiscard]] peer_address link_address(const msg::member_record_msg& record);
+
+/// Members that are alive or suspect, this node included, in order of id.
+[[nodiscard]] std::vector<const msg::member_record_msg*> live_records(const table& state);
+
+} // namespace cyclamenhatch::membership
--- /dev/null
+++ b/src/model/log_event.cpp
@@ -0,0 +1,35 @@
+#include "model/log_event.h"
+
+#include <string_view>
+
+namespace cyclamenhatch {
+namespace {
+
+bool needs_quotes(std::string_view value) {
+    return value.empty() || value.find_first_of(" \"=\n\r\t") != std::string_view::npos;
+}
+
+std::string quote(std::string_view value) {
+    std::string text = "\"";
+    for (const char each : value) {
+        if (each == '"' || each == '\\') {
+            text += '\\';
+        }
+        const bool is_line_break = each == '\n' || each == '\r';
+        text += is_line_break ? ' ' : each;
+    }
+    return text + "\"";
+}
+
+} // namespace
+
+std::string to_line(const log_event& event) {
+    std::string line = "event=" + event.name;
+    for (const auto& field : event.fields) {
+        line += " " + field.key + "=";
+        line += needs_quotes(field.value) ? quote(field.value) : field.value;
+    }
+    return line;
+}
+
+} // namespace cyclamenhatch
--- /dev/null
+++ b/src/move/move_table.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "call/call_sample.h"
+#include "call/routing_view.h"
+#include "membership/membership.h"
+#include "messages/peer_message.h"
+#include "model/log_event.h"
+#include "model/random.h"
+#include "model/resources.h"
+#include "model/snapshot.h"
+#include "model/time.h"
+#include "settings_generated.h"
+#include "store/change.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// Moves of traffic on one node: permits and vetoes as monotone values, evidence from this entry
+/// and from others, the controller's decisions where this node has that duty, and the closing
+/// change.
+namespace cyclamenhatch::moves {
+
+/// Names one attempt of one move.
+struct attempt_key {
+    service_id service;
+    move_id name;
+    std::uint32_t attempt = 1;
+
+    friend auto operator<=>(const attempt_key&, const attempt_key&) = default;
+};
+
+/// What a step wants done.
+struct actions {
+    std::vector<outgoing> sends;
+    std::vector<log_event> logs;
+    /// Changes to write; each is proposed again until the configuration shows the ending.
+    std::vector<store::move_close> closes;
+};
+
+/// State of one node. Plain data; the caller serialises access.
+struct state {
+    msg::move_settings_msg settings;
+};
+
+[[nodiscard]] state make_state(const msg::move_settings_msg& settings, instant now);
+
+/// Adds what calls through this entry showed. Cheap; samples of services without an open move are
+/// dropped.
+void record(state& self, const std::vector<call::call_sample>& samples, instant now);
+
+/// Tells of the configuration in force here: new moves, cancelled ones, ended ones.
+void on_config(state& self, const membership::table& members, const snapshot_ptr& held, instant now,
+               actions& wanted);
+
+/// Call about every 100 ms: local veto, evidence reports, the controller's decisions, spreading.
+void on_tick(state& self, const membership::table& members, instant now, random_source& random,
+             actions& wanted);
+
+/// Handles move_evidence and move_state; other kinds are ignored.
+void on_message(state& self, const membership::table& members, const incoming& from, instant now,
+                random_source& random, actions& wanted);
+
+/// How calls are divided now, for each service with an open move; a vetoed move has 0 permille, one
+/// whose last stage is permitted 1000.
+[[nodiscard]] std::map<service_id, call::version_share> shares(const state& self, instant now);
+
+/// What is known of one move, for status pages.
+struct move_status {
+    attempt_key key;
+    version_id from;
+    version_id to;
+    instant deadline;
+    /// waiting, ramping, baking, closing, done or taken_back.
+    std::string phase;
+    std::uint32_t stage = 0;
+    std::uint32_t permille = 0;
+    std::uint64_t calls_on_new = 0;
+    std::uint64_t errors_on_new = 0;
+    std::string veto_reason;
+    bool is_controller = false;
+    std::optional<move_ending> ending;
+};
+
+[[nodiscard]] std::vector<move_status> list_status(const state& self, instant now);
+
+} // namespace cyclamenhatch::moves
--- /dev/null
+++ b/src/store/change.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "model/finding.h"
+#include "model/resources.h"
+#include "model/snapshot.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// Changes of the configuration as data, so that a writer can apply them again to a newer
+/// configuration after a lost race.
+namespace cyclamenhatch::store {
+
+enum class resource_kind { service, route, upstream_version, move };
+
+struct resource_key {
+    resource_kind kind = resource_kind::service;
+    service_id service;
+    /// The resource's own name; the service's name for a service.
+    std::string name;
+
+    friend auto operator<=>(const resource_key&, const resource_key&) = default;
+};
+
+/// Holds when the resource was last written by this version; absent means that it must not exist.
+struct precondition {
+    resource_key key;
+    std::optional<config_version> expected;
+};
+
+/// Creates or replaces resources and deletes others, all or nothing.
+struct resource_write {
+    std::vector<service> services;
+    std::vector<route> routes;
+    std::vector<upstream_version> versions;
+    std::vector<move> moves;
+    std::vector<resource_key> deletes;
+    std::vector<precondition> preconditions;
+};
+
+/// Ends a move. Refused as a conflict when that attempt already has an ending. An ending of done
+/// also sets the service's version to the move's target.
+struct move_close {
+    service_id service;
+    move_id name;
+    std::uint32_t attempt = 1;
+    move_ending ending;
+};
+
+using change = std::variant<resource_write, move_close>;
+
+enum class refusal_kind { invalid, conflict };
+
+struct change_refused {
+    refusal_kind kind = refusal_kind::invalid;
+    findings found;
+};
+
+/// The sections after the change, stamped with the version and operation, or why not. Does not
+/// alter its input. Sections that do not change keep their pointers.
+[[nodiscard]] std::variant<std::map<service_id, section_ptr>, change_refused>
+apply_change(const std::map<service_id, section_ptr>& before, const change& wanted,
+             config_version version, const operation_id& operation);
+
+} // namespace cyclamenhatch::store
--- /dev/null
+++ b/src/store/kv.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include "model/time.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// The platform's key-value service as the product uses it: requests and responses as plain data.
+/// Decisions return requests; the store client, or a fake in tests, carries them out and hands the
+/// responses back under the same id.
+namespace cyclamenhatch::store {
+
+struct kv_entry {
+    std::string key;
+    std::string value;
+    /// Revision of the service that last wrote the key.
+    std::int64_t mod_revision = 0;
+};
+
+/// Reads one key, or all keys with a prefix.
+struct kv_range {
+    std::string key;
+    bool is_prefix = false;
+};
+
+/// Holds when the key's last revision is this one; 0 means that the key is absent.
+struct kv_compare {
+    std::string key;
+    std::int64_t mod_revision = 0;
+};
+
+struct kv_put {
+    std::string key;
+    std::string value;
+    /// 0 attaches no lease.
+    std::int64_t lease = 0;
+};
+
+/// Writes all or nothing, only when every comparison holds.
+struct kv_transaction {
+    std::vector<kv_compare> compares;
+    std::vector<kv_put> puts;
+    std::vector<std::string> deletes;
+};
+
+struct kv_lease_grant {
+    seconds ttl{0};
+};
+
+struct kv_lease_keepalive {
+    std::int64_t lease = 0;
+};
+
+struct kv_lease_revoke {
+    std::int64_t lease = 0;
+};
+
+/// Reports changes of a key or prefix until it fails or is cancelled; many responses for one
+/// request.
+struct kv_watch {
+    std::string key;
+    bool is_prefix = false;
+    /// First revision to report; 0 starts at the present.
+    std::int64_t from_revision = 0;
+};
+
+/// Ends the watch with this request id. There is no response.
+struct kv_watch_cancel {
+    std::uint64_t watch = 0;
+};
+
+using kv_operation = std::variant<kv_range, kv_transaction, kv_lease_grant, kv_lease_keepalive,
+                                  kv_lease_revoke, kv_watch, kv_watch_cancel>;
+
+/// Request ids are unique within one node's process: each issuer counts up from its own base.
+constexpr std::uint64_t writer_request_base = 1ULL << 56U;
+constexpr std::uint64_t reader_request_base = 2ULL << 56U;
+constexpr std::uint64_t contact_request_base = 3ULL << 56U;
+
+struct kv_request {
+    std::uint64_t id = 0;
+    kv_operation operation;
+};
+
+struct kv_entries {
+    std::int64_t revision = 0;
+    std::vector<kv_entry> entries;
+};
+
+struct kv_transaction_done {
+    std::int64_t revision = 0;
+    /// False when a comparison did not hold; then nothing was written.
+    bool succeeded = false;
+};
+
+struct kv_lease {
+    std::int64_t lease = 0;
+    /// Zero when the lease has lapsed.
+    seconds ttl{0};
+};
+
+struct kv_change {
+    kv_entry entry;
+    bool is_delete = false;
+};
+
+struct kv_changes {
+    std::int64_t revision = 0;
+    std::vector<kv_change> changes;
+};
+
+enum class kv_failure_kind {
+    /// Proven: the request was not carried out.
+    not_run,
+    /// It may or may not have taken effect.
+    unknown,
+    /// The watch ended; changes may have been missed.
+    watch_closed,
+    /// The watch's first revision is gone; read again, then watch from there.
+    compacted,
+};
+
+struct kv_failure {
+    kv_failure_kind kind = kv_failure_kind::unknown;
+    std::string reason;
+};
+
+struct kv_response {
+    std::uint64_t id = 0;
+    std::variant<kv_entries, kv_transaction_done, kv_lease, kv_changes, kv_failure> outcome;
+};
+
+} // namespace cyclamenhatch::store
