wire: add framed links between nodes

Cause: nodes exchange envelopes over TCP and must notice links that go silent. Change: frame reader, link health decisions, and a pool that dials on demand, checks the cluster key, pings, closes silent and idle links, paces dialling and returns messages of which nothing was sent. Conclusion: 'undelivered' is proof that a call was not run; a lost link is not.

--- /dev/null
+++ b/src/wire/link_health.cpp
@@ -0,0 +1,55 @@
+#include "wire/link_health.h"
+
+#include <algorithm>
+
+namespace cyclamenhatch::wire {
+namespace {
+
+constexpr milliseconds first_reconnect_delay{100};
+constexpr std::uint32_t max_doublings = 10;
+
+} // namespace
+
+link_step next_step(const link_times& times, const msg::link_settings_msg& settings, instant now) {
+    if (!times.is_established) {
+        const bool is_late = now - times.opened > milliseconds{settings.connect_timeout_ms};
+        return is_late ? link_step::close_unconnected : link_step::none;
+    }
+    if (now - times.last_used > seconds{settings.idle_timeout_s}) {
+        return link_step::close_idle;
+    }
+    const bool carries_calls =
+        times.last_call != instant{} && now - times.last_call <= seconds{settings.idle_timeout_s};
+    if (!carries_calls && times.last_sent <= times.last_received) {
+        return link_step::none;
+    }
+    const auto waited = now - std::max(times.last_received, times.opened);
+    if (waited > milliseconds{settings.silence_timeout_ms} &&
+        times.last_ping > times.last_received) {
+        return link_step::close_silent;
+    }
+    const milliseconds interval{settings.ping_interval_ms};
+    return waited > interval && now - times.last_ping > interval ? link_step::ping
+                                                                 : link_step::none;
+}
+
+void on_dial_failed(reconnect_pacing& pacing, const msg::link_settings_msg& settings, instant now,
+                    random_source& random) {
+    const auto doublings = std::min(pacing.failures, max_doublings);
+    const auto limit = milliseconds{settings.max_reconnect_delay_ms};
+    const auto delay = std::min(limit, first_reconnect_delay * (1U << doublings));
+    // Half of the delay is random, so that nodes that lost a peer together do not return together.
+    std::uniform_int_distribution<milliseconds::rep> jitter(delay.count() / 2, delay.count());
+    pacing.not_before = now + milliseconds{jitter(random)};
+    ++pacing.failures;
+}
+
+void on_dial_succeeded(reconnect_pacing& pacing) {
+    pacing = {};
+}
+
+bool may_dial(const reconnect_pacing& pacing, instant now) {
+    return now >= pacing.not_before;
+}
+
+} // namespace cyclamenhatch::wire
--- /dev/null
+++ b/src/wire/link_io.cpp
@@ -0,0 +1,312 @@
+#include "messages/envelope.h"
+#include "wire/link_pool_state.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+
+namespace cyclamenhatch::wire {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using error_code = boost::system::error_code;
+
+constexpr std::size_t max_queued_bytes = 8U * 1024U * 1024U;
+constexpr std::size_t max_frames_per_write = 64;
+constexpr std::uint32_t protocol_version = 1;
+
+bool is_call_message(const peer_message& message) {
+    return std::holds_alternative<msg::call_open_msg>(message) ||
+           std::holds_alternative<msg::call_data_msg>(message) ||
+           std::holds_alternative<msg::call_credit_msg>(message) ||
+           std::holds_alternative<msg::call_answer_msg>(message) ||
+           std::holds_alternative<msg::call_refused_msg>(message) ||
+           std::holds_alternative<msg::call_cancel_msg>(message);
+}
+
+/// Whether the peer's silence after this message would mean something.
+bool is_link_message(const peer_message& message) {
+    return std::holds_alternative<msg::hello_msg>(message) ||
+           std::holds_alternative<msg::ping_msg>(message) ||
+           std::holds_alternative<msg::pong_msg>(message);
+}
+
+/// Compares in a time that does not depend on where the texts differ.
+bool is_equal_secret(const std::string& left, const std::string& right) {
+    std::size_t difference = left.size() ^ right.size();
+    for (std::size_t i = 0; i < left.size(); ++i) {
+        const char other = i < right.size() ? right[i] : '\0';
+        difference |= static_cast<std::size_t>(static_cast<unsigned char>(left[i] ^ other));
+    }
+    return difference == 0;
+}
+
+void forget_link(link_pool& pool, const link_ptr& closed) {
+    pool.links.erase(std::remove(pool.links.begin(), pool.links.end(), closed), pool.links.end());
+    const auto named = pool.by_node.find(closed->peer);
+    if (named != pool.by_node.end() && named->second == closed) {
+        pool.by_node.erase(named);
+    }
+    const auto addressed = pool.by_address.find(closed->address);
+    if (addressed != pool.by_address.end() && addressed->second == closed) {
+        pool.by_address.erase(addressed);
+    }
+}
+
+void start_write(const pool_ptr& pool, const link_ptr& writer);
+
+void on_written(const pool_ptr& pool, const link_ptr& writer, const error_code& error) {
+    if (writer->is_closed) {
+        return;
+    }
+    writer->is_writing = false;
+    if (error) {
+        close_link(*pool, writer);
+        return;
+    }
+    for (std::size_t i = 0; i < writer->in_write; ++i) {
+        writer->queued_bytes -= writer->queue.front().bytes.size();
+        writer->queue.pop_front();
+    }
+    writer->in_write = 0;
+    start_write(pool, writer);
+}
+
+void start_write(const pool_ptr& pool, const link_ptr& writer) {
+    if (writer->is_writing || writer->is_closed || writer->queue.empty() ||
+        !writer->socket.is_open()) {
+        return;
+    }
+    // Until the peer has answered our hello nothing else is written, so that all of it can go back.
+    const bool only_hello = !writer->times.is_established;
+    if (only_hello && !writer->queue.front().is_link_message) {
+        return;
+    }
+    std::vector<asio::const_buffer> buffers;
+    const std::size_t most = only_hello ? 1 : max_frames_per_write;
+    for (const auto& frame : writer->queue) {
+        if (buffers.size() == most) {
+            break;
+        }
+        buffers.emplace_back(frame.bytes.data(), frame.bytes.size());
+    }
+    writer->in_write = buffers.size();
+    writer->is_writing = true;
+    asio::async_write(writer->socket, buffers,
+                      [pool, writer](const error_code& error, std::size_t /*bytes*/) {
+                          on_written(pool, writer, error);
+                      });
+}
+
+void count_sent(link_pool& pool, const peer_message& message, std::size_t bytes) {
+    auto& counter =
+        is_call_message(message) ? pool.counts.call_bytes_sent : pool.counts.control_bytes_sent;
+    counter.fetch_add(bytes, std::memory_order_relaxed);
+    pool.counts.messages_sent.fetch_add(1, std::memory_order_relaxed);
+}
+
+void send_hello(const pool_ptr& pool, const link_ptr& writer) {
+    msg::hello_msg hello;
+    hello.node = pool->settings.identity->node;
+    hello.data_centre = pool->settings.identity->data_centre;
+    hello.cluster_key = pool->settings.cluster->key;
+    hello.protocol = protocol_version;
+    hello.link_port = pool->settings.listen->link_port;
+    send_link_message(pool, writer, hello);
+}
+
+/// Checks the peer's hello. Returns false when the link must be closed.
+bool accept_hello(const pool_ptr& pool, const link_ptr& from, const msg::hello_msg& hello) {
+    const bool is_known_key = is_equal_secret(hello.cluster_key, pool->settings.cluster->key);
+    if (!is_known_key || hello.protocol != protocol_version || hello.node.empty()) {
+        pool->counts.links_refused.fetch_add(1, std::memory_order_relaxed);
+        log_link(*pool, log_level::warning, "link_refused", *from,
+                 is_known_key ? "other protocol version or no node name" : "wrong cluster key");
+        return false;
+    }
+    from->peer = node_id{hello.node};
+    if (!from->is_dialled) {
+        from->address.port = hello.link_port;
+        send_hello(pool, from);
+    }
+    from->times.is_established = true;
+    pool->by_node[from->peer] = from;
+    if (from->is_dialled) {
+        on_dial_succeeded(pool->pacing[from->address]);
+    }
+    start_write(pool, from);
+    return true;
+}
+
+/// Handles one message. Returns false when the link must be closed.
+bool handle_message(const pool_ptr& pool, const link_ptr& from, incoming message) {
+    if (const auto* hello = std::get_if<msg::hello_msg>(&message.message)) {
+        return from->times.is_established || accept_hello(pool, from, *hello);
+    }
+    if (!from->times.is_established) {
+        pool->counts.links_refused.fetch_add(1, std::memory_order_relaxed);
+        log_link(*pool, log_level::warning, "link_refused", *from, "first message is no hello");
+        return false;
+    }
+    if (const auto* ping = std::get_if<msg::ping_msg>(&message.message)) {
+        msg::pong_msg pong;
+        pong.sequence = ping->sequence;
+        send_link_message(pool, from, pong);
+        // Answering must not make us expect an answer in turn.
+        from->times.last_sent = instant{};
+        return true;
+    }
+    if (std::holds_alternative<msg::pong_msg>(message.message)) {
+        return true;
+    }
+    from->times.last_used = now_of_pool();
+    if (is_call_message(message.message)) {
+        from->times.last_call = from->times.last_used;
+    }
+    // The sender is who the link was opened with, whatever the envelope says.
+    message.from = from->peer;
+    pool->events.on_message(std::move(message));
+    return true;
+}
+
+/// Handles all whole frames that have arrived. Returns false when the link must be closed.
+bool handle_frames(const pool_ptr& pool, const link_ptr& from) {
+    while (const auto frame = next_frame(from->reader)) {
+        auto decoded = decode_envelope(*frame);
+        if (const auto* found = std::get_if<findings>(&decoded)) {
+            pool->counts.frames_broken.fetch_add(1, std::memory_order_relaxed);
+            log_link(*pool, log_level::warning, "frame_refused", *from, found->front().problem);
+            return false;
+        }
+        auto& message = std::get<incoming>(decoded);
+        auto& counter = is_call_message(message.message) ? pool->counts.call_bytes_received
+                                                         : pool->counts.control_bytes_received;
+        counter.fetch_add(frame->size() + frame_header_bytes, std::memory_order_relaxed);
+        pool->counts.messages_received.fetch_add(1, std::memory_order_relaxed);
+        if (!handle_message(pool, from, std::move(message))) {
+            return false;
+        }
+    }
+    if (from->reader.is_broken) {
+        pool->counts.frames_broken.fetch_add(1, std::memory_order_relaxed);
+        log_link(*pool, log_level::warning, "frame_refused", *from, "length out of range");
+    }
+    return !from->reader.is_broken;
+}
+
+void start_read(const pool_ptr& pool, const link_ptr& reader) {
+    reader->socket.async_read_some(asio::buffer(reader->input),
+                                   [pool, reader](const error_code& error, std::size_t bytes) {
+                                       if (reader->is_closed) {
+                                           return;
+                                       }
+                                       if (error) {
+                                           close_link(*pool, reader);
+                                           return;
+                                       }
+                                       reader->times.last_received = now_of_pool();
+                                       append(reader->reader, {reader->input.data(), bytes});
+                                       if (!handle_frames(pool, reader)) {
+                                           close_link(*pool, reader);
+                                           return;
+                                       }
+                                       start_read(pool, reader);
+                                   });
+}
+
+} // namespace
+
+instant now_of_pool() {
+    static const auto wall_start = std::chrono::system_clock::now();
+    static const auto steady_start = std::chrono::steady_clock::now();
+    return std::chrono::time_point_cast<microseconds>(
+        wall_start + std::chrono::duration_cast<std::chrono::system_clock::duration>(
+                         std::chrono::steady_clock::now() - steady_start));
+}
+
+void log_link(link_pool& pool, log_level level, const char* name, const link& about,
+              const std::string& detail) {
+    pool.events.on_log({level,
+                        name,
+                        {{"peer", about.peer.value},
+                         {"address", about.address.ip + ":" + std::to_string(about.address.port)},
+                         {"detail", detail}}});
+}
+
+void return_undelivered(link_pool& pool, outgoing message) {
+    pool.counts.messages_undelivered.fetch_add(1, std::memory_order_relaxed);
+    pool.events.on_undelivered(std::move(message));
+}
+
+void close_link(link_pool& pool, const link_ptr& closing) {
+    if (closing->is_closed) {
+        return;
+    }
+    closing->is_closed = true;
+    error_code ignored;
+    closing->socket.close(ignored);
+    forget_link(pool, closing);
+    auto unsent = std::move(closing->queue);
+    closing->queue.clear();
+    for (std::size_t i = closing->in_write; i < unsent.size(); ++i) {
+        if (!unsent[i].is_link_message) {
+            return_undelivered(pool, std::move(unsent[i].message));
+        }
+    }
+    if (closing->times.is_established) {
+        pool.events.on_link_lost(closing->peer);
+    }
+}
+
+void enqueue(const pool_ptr& pool, const link_ptr& writer, outgoing message, std::string frame) {
+    if (writer->queued_bytes + frame.size() > max_queued_bytes) {
+        return_undelivered(*pool, std::move(message));
+        return;
+    }
+    const auto now = now_of_pool();
+    const bool is_own = is_link_message(message.message);
+    writer->times.last_sent = now;
+    if (!is_own) {
+        writer->times.last_used = now;
+    }
+    if (is_call_message(message.message)) {
+        writer->times.last_call = now;
+    }
+    count_sent(*pool, message.message, frame.size());
+    writer->queued_bytes += frame.size();
+    queued_frame queued{std::move(frame), std::move(message), is_own};
+    const bool is_first_word = is_own && !writer->times.is_established;
+    if (is_first_word) {
+        writer->queue.push_front(std::move(queued));
+    } else {
+        writer->queue.push_back(std::move(queued));
+    }
+    start_write(pool, writer);
+}
+
+void send_link_message(const pool_ptr& pool, const link_ptr& writer, peer_message message) {
+    auto frame = make_frame(encode_envelope(node_id{pool->settings.identity->node}, message));
+    enqueue(pool, writer, {writer->peer, writer->address, std::move(message)}, std::move(frame));
+}
+
+link_ptr add_link(link_pool& pool) {
+    auto added = std::make_shared<link>(pool.context);
+    const auto now = now_of_pool();
+    added->times.opened = now;
+    added->times.last_used = now;
+    added->reader.max_frame_bytes = pool.settings.link->max_frame_bytes;
+    pool.links.push_back(added);
+    return added;
+}
+
+void begin_link(const pool_ptr& pool, const link_ptr& opened) {
+    error_code ignored;
+    opened->socket.set_option(tcp::no_delay(true), ignored);
+    pool->counts.links_opened.fetch_add(1, std::memory_order_relaxed);
+    if (opened->is_dialled) {
+        send_hello(pool, opened);
+    }
+    start_read(pool, opened);
+}
+
+} // namespace cyclamenhatch::wire
--- /dev/null
+++ b/src/wire/link_pool.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "messages/peer_message.h"
+#include "model/log_event.h"
+#include "settings_generated.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <vector>
+
+/// Links to other nodes: length-framed TCP carrying envelopes, dialled on demand, shared by both
+/// directions, closed when silent or idle and dialled again at a limited pace.
+namespace cyclamenhatch::wire {
+
+/// Called from the pool's thread; must not block.
+struct link_events {
+    std::function<void(incoming)> on_message;
+    /// An established link to this node ended; what was sent may or may not have arrived.
+    std::function<void(const node_id&)> on_link_lost;
+    /// Proven: no byte of the message was handed to the network.
+    std::function<void(outgoing)> on_undelivered;
+    std::function<void(log_event)> on_log;
+};
+
+/// Counts since the start of the pool.
+struct link_counters {
+    std::uint64_t control_bytes_sent = 0;
+    std::uint64_t control_bytes_received = 0;
+    std::uint64_t call_bytes_sent = 0;
+    std::uint64_t call_bytes_received = 0;
+    std::uint64_t messages_sent = 0;
+    std::uint64_t messages_received = 0;
+    std::uint64_t messages_undelivered = 0;
+    std::uint64_t links_opened = 0;
+    std::uint64_t links_silent = 0;
+    std::uint64_t links_refused = 0;
+    std::uint64_t frames_broken = 0;
+};
+
+/// One link, for the dump.
+struct link_status {
+    node_id peer;
+    peer_address address;
+    bool is_established = false;
+    bool is_dialled = false;
+    std::uint64_t age_ms = 0;
+    std::uint64_t last_received_ms = 0;
+    std::uint64_t queued_bytes = 0;
+};
+
+/// Opaque; made by start_link_pool.
+struct link_pool;
+
+/// Listens on listen.ip:link_port and starts the pool's thread. Throws std::runtime_error when the
+/// port cannot be had.
+[[nodiscard]] std::shared_ptr<link_pool> start_link_pool(const msg::settings_msg& settings,
+                                                         link_events events);
+
+/// Queues a message for its node, dialling if need be. Thread safe; never blocks.
+void send(link_pool& pool, outgoing message);
+
+/// Thread safe.
+[[nodiscard]] link_counters counters(const link_pool& pool);
+
+/// At most `limit` links. Thread safe; waits for the pool's thread.
+[[nodiscard]] std::vector<link_status> list_links(link_pool& pool, std::size_t limit);
+
+/// Flushes what is queued for a short time, closes all links and joins the thread.
+void stop(link_pool& pool);
+
+} // namespace cyclamenhatch::wire
--- /dev/null
+++ b/src/wire/link_pool_state.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "model/random.h"
+#include "wire/link.h"
+#include "wire/link_pool.h"
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <thread>
+#include <vector>
+
+namespace cyclamenhatch::wire {
+
+/// link_counters while they are being counted.
+struct atomic_counters {
+    std::atomic<std::uint64_t> control_bytes_sent{0};
+    std::atomic<std::uint64_t> control_bytes_received{0};
+    std::atomic<std::uint64_t> call_bytes_sent{0};
+    std::atomic<std::uint64_t> call_bytes_received{0};
+    std::atomic<std::uint64_t> messages_sent{0};
+    std::atomic<std::uint64_t> messages_received{0};
+    std::atomic<std::uint64_t> messages_undelivered{0};
+    std::atomic<std::uint64_t> links_opened{0};
+    std::atomic<std::uint64_t> links_silent{0};
+    std::atomic<std::uint64_t> links_refused{0};
+    std::atomic<std::uint64_t> frames_broken{0};
+};
+
+/// All members below `counts` are used from the pool's thread only.
+struct link_pool : std::enable_shared_from_this<link_pool> {
+    link_pool(const msg::settings_msg& from, link_events handlers)
+        : settings(from), events(std::move(handlers)), acceptor(context), timer(context),
+          random(std::random_device{}()) {}
+
+    msg::settings_msg settings;
+    link_events events;
+    boost::asio::io_context context{1};
+    atomic_counters counts;
+    boost::asio::ip::tcp::acceptor acceptor;
+    boost::asio::steady_timer timer;
+    random_source random;
+    std::vector<link_ptr> links;
+    std::map<node_id, link_ptr> by_node;
+    std::map<peer_address, link_ptr> by_address;
+    std::map<peer_address, reconnect_pacing> pacing;
+    bool is_stopping = false;
+    std::thread thread;
+};
+
+using pool_ptr = std::shared_ptr<link_pool>;
+
+/// The pool's time: steady, in microseconds since the Unix epoch.
+[[nodiscard]] instant now_of_pool();
+
+/// Adds a closed socket's link to the pool's list.
+[[nodiscard]] link_ptr add_link(link_pool& pool);
+
+/// Starts reading on a connected link and, when it was dialled, says hello.
+void begin_link(const pool_ptr& pool, const link_ptr& opened);
+
+/// Queues a frame and starts to write. Until the peer has said hello only hello is written, so that
+/// all other messages of a link that never stood can be returned as undelivered.
+void enqueue(const pool_ptr& pool, const link_ptr& writer, outgoing message, std::string frame);
+
+/// Queues a message of the link layer itself.
+void send_link_message(const pool_ptr& pool, const link_ptr& writer, peer_message message);
+
+/// Closes a link once: frames of which nothing was written go back to their senders.
+void close_link(link_pool& pool, const link_ptr& closing);
+
+/// Hands a message back to its sender.
+void return_undelivered(link_pool& pool, outgoing message);
+
+/// Logs an event about a link.
+void log_link(link_pool& pool, log_level level, const char* name, const link& about,
+              const std::string& detail);
+
+} // namespace cyclamenhatch::wire
