control: join the decision libraries into one stepped state

Cause: the node and the scenarios must run the same decisions. Change: control::state with tick, message, store response, write and leave steps; no clock or socket. A starting node learns the configuration from its peers and reads the store only when it is alone or they had their chance, so that a returning herd leaves the store alone. Conclusion: one composition serves both worlds.

--- a/src/control/control.h
+++ b/src/control/control.h
@@ -11,6 +11,7 @@
 #include "store/contacts.h"
 #include "store/head_reader.h"
 
+#include <map>
 #include <vector>
 
 /// The control side of one node: all decision libraries joined into one state that is stepped by
@@ -36,11 +37,17 @@
     store::head_reader reader;
     store::contact_keeper contacts;
     moves::state moves;
+    /// Milliseconds since the Unix epoch at which this process started; its first incarnation.
+    std::uint64_t start_ms = 0;
     bool is_leaving = false;
     instant started;
+    std::uint64_t pauses_seen = 0;
+    /// When to read the store next while nothing else has made this node ready.
+    instant next_fallback_read;
+    /// The configuration that the other libraries were last told of.
+    snapshot_ptr told;
     /// When a move's ending was last proposed, so that it is not proposed on every tick.
     std::map<moves::attempt_key, instant> close_proposed;
-    std::uint64_t next_operation = 1;
 };
 
 /// `seed` decides all randomness; `now` becomes the incarnation.
