node: wire the control state to links, store, calls and operators; test the links

Cause: the decisions need sockets, a clock and threads around them, and the links need proof. Conclusion: links refuse strangers and broken streams and return what was never sent.

--- /dev/null
+++ b/src/node/log_writer.cpp
@@ -0,0 +1,89 @@
+#include "node/log_writer.h"
+
+#include "model/time.h"
+#include "node/node_clock.h"
+
+#include <glog/logging.h>
+#include <map>
+#include <mutex>
+#include <optional>
+
+namespace cyclamenhatch::node {
+namespace {
+
+constexpr std::uint32_t max_lines_per_second = 20;
+
+/// Lines of one event name within the present second.
+struct event_rate {
+    instant window_start;
+    std::uint32_t written = 0;
+    std::uint32_t suppressed = 0;
+};
+
+struct log_limits {
+    std::mutex lock;
+    std::map<std::string, event_rate> rates;
+};
+
+log_limits& limits() {
+    static log_limits shared;
+    return shared;
+}
+
+void write_line(log_level level, const std::string& line) {
+    switch (level) {
+    case log_level::info:
+        LOG(INFO) << line;
+        return;
+    case log_level::warning:
+        LOG(WARNING) << line;
+        return;
+    case log_level::error:
+        LOG(ERROR) << line;
+        return;
+    }
+}
+
+/// A report of suppressed lines from the window before, when there were any.
+std::optional<log_event> open_window(event_rate& rate, const std::string& name, instant at) {
+    if (at - rate.window_start < seconds{1}) {
+        return std::nullopt;
+    }
+    const auto suppressed = rate.suppressed;
+    rate = {.window_start = at};
+    if (suppressed == 0) {
+        return std::nullopt;
+    }
+    return log_event{log_level::warning,
+                     "events_suppressed",
+                     {{"of", name}, {"count", std::to_string(suppressed)}}};
+}
+
+} // namespace
+
+void start_logging(msg::log_level lowest) {
+    FLAGS_logtostderr = true;
+    FLAGS_minloglevel = static_cast<int>(lowest);
+    google::InitGoogleLogging("cyclamenhatch");
+}
+
+void write_log(const log_event& event) {
+    std::optional<log_event> report;
+    bool is_written = false;
+    {
+        const std::lock_guard<std::mutex> guard(limits().lock);
+        auto& rate = limits().rates[event.name];
+        report = open_window(rate, event.name, now());
+        is_written = rate.written < max_lines_per_second;
+        auto& count = is_written ? rate.written : rate.suppressed;
+        ++count;
+    }
+    if (report) {
+        write_line(report->level, to_line(*report));
+    }
+    if (is_written) {
+        write_line(event.level, to_line(event));
+    }
+}
+
+} // namespace cyclamenhatch::node
--- /dev/null
+++ b/src/node/node_runtime.cpp
@@ -0,0 +1,198 @@
+#include "node/node_runtime.h"
+
+#include "node/log_writer.h"
+#include "node/node_clock.h"
+
+#include <random>
+#include <utility>
+
+namespace cyclamenhatch::node {
+namespace {
+
+/// An upstream that does not renew its announcement for this long counts as gone.
+constexpr milliseconds announcement_ttl{3000};
+/// Evidence beyond this many calls between two ticks is dropped.
+constexpr std::size_t max_samples = 100'000;
+
+/// A reply with those who wait for it.
+struct matched_reply {
+    store::write_reply reply;
+    std::vector<write_callback> callbacks;
+};
+
+std::vector<matched_reply> match_replies(node_runtime& node,
+                                         std::vector<store::write_reply>&& replies) {
+    std::vector<matched_reply> matched;
+    for (auto& reply : replies) {
+        matched_reply each{std::move(reply), {}};
+        const auto [first, last] = node.waiting_writes.equal_range(each.reply.operation);
+        for (auto waiting = first; waiting != last; ++waiting) {
+            each.callbacks.push_back(std::move(waiting->second));
+        }
+        node.waiting_writes.erase(first, last);
+        matched.push_back(std::move(each));
+    }
+    return matched;
+}
+
+/// Publishes a new view when anything that it is built from has changed.
+void refresh_view(node_runtime& node, instant at) {
+    const bool is_ready = distribution::is_ready(node.control.spread);
+    const bool has_moves = !moves::shares(node.control.moves, at).empty();
+    const bool is_same = node.view_generation == node.control.members.generation &&
+                         node.view_config == node.control.spread.held &&
+                         node.view_is_ready == is_ready;
+    if (is_same && !has_moves && !node.control.is_leaving) {
+        return;
+    }
+    node.view_generation = node.control.members.generation;
+    node.view_config = node.control.spread.held;
+    node.view_is_ready = is_ready;
+    auto built =
+        std::make_shared<const call::routing_view>(control::make_routing_view(node.control, at));
+    const std::lock_guard<std::mutex> guard(node.view_lock);
+    node.view = std::move(built);
+}
+
+void carry_out(node_runtime& node, control::actions&& wanted,
+               std::vector<matched_reply>&& replies) {
+    for (auto& message : wanted.sends) {
+        wire::send(*node.links, std::move(message));
+    }
+    for (const auto& request : wanted.requests) {
+        store::execute(*node.store, request);
+    }
+    for (const auto& event : wanted.logs) {
+        write_log(event);
+    }
+    for (const auto& each : replies) {
+        for (const auto& callback : each.callbacks) {
+            callback(each.reply);
+        }
+    }
+}
+
+/// The upstream is taken for gone when it has stopped to renew its announcement.
+void expire_announcement(node_runtime& node, instant at, control::actions& wanted) {
+    const auto& upstream = node.control.members.self.upstream;
+    const bool is_present = upstream && upstream->state != msg::upstream_state::none &&
+                            upstream->state != msg::upstream_state::gone;
+    if (!is_present || at - node.last_announcement <= announcement_ttl) {
+        return;
+    }
+    auto expired = *upstream;
+    expired.state = msg::upstream_state::gone;
+    control::set_upstream(node.control, expired, at, wanted);
+    wanted.logs.push_back({log_level::warning, "upstream_expired", {{"service", expired.service}}});
+}
+
+bool is_call_kind(const peer_message& message) {
+    return std::holds_alternative<msg::call_open_msg>(message) ||
+           std::holds_alternative<msg::call_data_msg>(message) ||
+           std::holds_alternative<msg::call_credit_msg>(message) ||
+           std::holds_alternative<msg::call_answer_msg>(message) ||
+           std::holds_alternative<msg::call_refused_msg>(message) ||
+           std::holds_alternative<msg::call_cancel_msg>(message);
+}
+
+/// What the gate would have said, had it refused.
+peer_message make_refusal(const msg::call_open_msg& open) {
+    msg::call_refused_msg refused;
+    refused.call = std::make_unique<msg::call_key>(*open.call);
+    refused.outcome = msg::call_outcome::not_run;
+    refused.reason = msg::refusal_reason::upstream_unreachable;
+    refused.retry_helps = true;
+    return refused;
+}
+
+} // namespace
+
+node_runtime::node_runtime(const msg::settings_msg& from)
+    : settings(from), control(control::make_state(from, std::random_device{}(), now())),
+      view(std::make_shared<const call::routing_view>(control::make_routing_view(control, now()))) {
+}
+
+void step(node_runtime& node, const std::function<void(instant, control::actions&)>& event) {
+    control::actions wanted;
+    std::vector<matched_reply> replies;
+    {
+        const std::lock_guard<std::mutex> guard(node.control_lock);
+        const auto at = now();
+        event(at, wanted);
+        refresh_view(node, at);
+        replies = match_replies(node, std::exchange(wanted.replies, {}));
+    }
+    carry_out(node, std::move(wanted), std::move(replies));
+}
+
+void tick(node_runtime& node) {
+    std::vector<call::call_sample> samples;
+    {
+        const std::lock_guard<std::mutex> guard(node.samples_lock);
+        samples.swap(node.samples);
+    }
+    step(node, [&](instant at, control::actions& wanted) {
+        control::record_samples(node.control, samples, at);
+        expire_announcement(node, at, wanted);
+        control::on_tick(node.control, at, wanted);
+    });
+}
+
+void dispatch(node_runtime& node, incoming message) {
+    if (is_call_kind(message.message)) {
+        edge::on_message(*node.calls, message);
+        return;
+    }
+    step(node, [&](instant at, control::actions& wanted) {
+        control::on_message(node.control, message, at, wanted);
+    });
+}
+
+void handle_undelivered(node_runtime& node, const outgoing& message) {
+    if (!is_call_kind(message.message)) {
+        return; // Control messages are repeated by those who need them.
+    }
+    const auto* open = std::get_if<msg::call_open_msg>(&message.message);
+    if (open != nullptr && open->call && !open->reattach) {
+        edge::on_message(*node.calls, {message.to, make_refusal(*open)});
+        return;
+    }
+    edge::on_link_lost(*node.calls, message.to);
+}
+
+void write(node_runtime& node, store::write_request request, write_callback reply) {
+    step(node, [&](instant at, control::actions& wanted) {
+        node.waiting_writes.emplace(request.operation, std::move(reply));
+        control::submit_write(node.control, std::move(request), at, wanted);
+    });
+}
+
+findings announce(node_runtime& node, const admin::announcement& announced) {
+    bool is_news = false;
+    step(node, [&](instant at, control::actions& wanted) {
+        node.last_announcement = at;
+        const auto& known = node.control.members.self.upstream;
+        is_news = !known || *known != announced.upstream;
+        if (is_news) {
+            control::set_upstream(node.control, announced.upstream, at, wanted);
+        }
+    });
+    edge::set_upstream(*node.calls, announced.upstream, announced.port);
+    return {};
+}
+
+call::routing_view_ptr current_view(const node_runtime& node) {
+    const std::lock_guard<std::mutex> guard(node.view_lock);
+    return node.view;
+}
+
+void record_samples(node_runtime& node, std::vector<call::call_sample> samples) {
+    const std::lock_guard<std::mutex> guard(node.samples_lock);
+    if (node.samples.size() + samples.size() > max_samples) {
+        return;
+    }
+    node.samples.insert(node.samples.end(), std::make_move_iterator(samples.begin()),
+                        std::make_move_iterator(samples.end()));
+}
+
+} // namespace cyclamenhatch::node
--- /dev/null
+++ b/src/node/node_runtime.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "admin/backend.h"
+#include "call/routing_view.h"
+#include "control/control.h"
+#include "edge/call_path.h"
+#include "store/store_client.h"
+#include "wire/link_pool.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+/// One running node: the control state behind a lock, and the parts that touch the outside.
+namespace cyclamenhatch::node {
+
+using write_callback = std::function<void(store::write_reply)>;
+
+/// Lock order: control_lock, then samples_lock or view_lock; none of them is held while a part of
+/// the outside (links, store, callers, operators) is called. Members without a lock are set before
+/// the threads start and do not change.
+struct node_runtime {
+    explicit node_runtime(const msg::settings_msg& from);
+
+    msg::settings_msg settings;
+
+    std::mutex control_lock;
+    control::state control;
+    /// Operators that wait for a write, by operation id.
+    std::multimap<operation_id, write_callback> waiting_writes;
+    /// When the upstream beside this node last announced itself.
+    instant last_announcement;
+    /// What the published view was built from.
+    std::uint64_t view_generation = 0;
+    snapshot_ptr view_config;
+    bool view_is_ready = false;
+
+    std::mutex samples_lock;
+    std::vector<call::call_sample> samples;
+
+    mutable std::mutex view_lock;
+    call::routing_view_ptr view;
+
+    std::shared_ptr<wire::link_pool> links;
+    std::shared_ptr<store::store_client> store;
+    std::shared_ptr<edge::call_path> calls;
+};
+
+/// One step of the control state: runs it under the lock, then carries out what it wants.
+void step(node_runtime& node, const std::function<void(instant, control::actions&)>& event);
+
+/// The control tick, to be called about every 100 ms.
+void tick(node_runtime& node);
+
+/// Gives a message from another node to the part that handles it. Thread safe.
+void dispatch(node_runtime& node, incoming message);
+
+/// Handles a message of which no byte was handed to the network. Thread safe.
+void handle_undelivered(node_runtime& node, const outgoing& message);
+
+/// Queues a write and calls back once with its outcome. Thread safe.
+void write(node_runtime& node, store::write_request request, write_callback reply);
+
+/// Takes an announcement of the upstream beside this node. Thread safe.
+[[nodiscard]] findings announce(node_runtime& node, const admin::announcement& announced);
+
+/// The present view for the call path. Thread safe; never null.
+[[nodiscard]] call::routing_view_ptr current_view(const node_runtime& node);
+
+/// Adds ends of calls as evidence for moves. Thread safe.
+void record_samples(node_runtime& node, std::vector<call::call_sample> samples);
+
+} // namespace cyclamenhatch::node
--- /dev/null
+++ b/src/node/run_node.cpp
@@ -0,0 +1,152 @@
+#include "node/run_node.h"
+
+#include "admin/server.h"
+#include "node/log_writer.h"
+#include "node/node_clock.h"
+#include "node/node_runtime.h"
+#include "node/state_document.h"
+
+#include <atomic>
+#include <csignal>
+#include <exception>
+#include <thread>
+
+namespace cyclamenhatch::node {
+namespace {
+
+constexpr milliseconds tick_interval{100};
+
+using runtime_ptr = std::shared_ptr<node_runtime>;
+
+/// SIGTERM and SIGINT are taken by wait_for_stop alone; a broken connection is no signal.
+void block_signals() {
+    sigset_t stops{};
+    sigemptyset(&stops);
+    sigaddset(&stops, SIGTERM);
+    sigaddset(&stops, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &stops, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+int wait_for_stop() {
+    sigset_t stops{};
+    sigemptyset(&stops);
+    sigaddset(&stops, SIGTERM);
+    sigaddset(&stops, SIGINT);
+    int number = 0;
+    sigwait(&stops, &number);
+    return number;
+}
+
+wire::link_events make_link_events(const runtime_ptr& node) {
+    return {
+        .on_message = [node](incoming message) { dispatch(*node, std::move(message)); },
+        .on_link_lost = [node](const node_id& peer) { edge::on_link_lost(*node->calls, peer); },
+        .on_undelivered = [node](const outgoing& message) { handle_undelivered(*node, message); },
+        .on_log = [](const log_event& event) { write_log(event); }};
+}
+
+edge::surroundings make_surroundings(const runtime_ptr& node) {
+    return {.send = [node](outgoing message) { wire::send(*node->links, std::move(message)); },
+            .view = [node] { return current_view(*node); },
+            .record =
+                [node](std::vector<call::call_sample> samples) {
+                    record_samples(*node, std::move(samples));
+                }};
+}
+
+admin::backend make_backend(const runtime_ptr& node) {
+    admin::backend made;
+    made.configuration = [node] { return current_view(*node)->config; };
+    made.write = [node](store::write_request request, write_callback reply) {
+        write(*node, std::move(request), std::move(reply));
+    };
+    made.progress = [node] {
+        const std::lock_guard<std::mutex> guard(node->control_lock);
+        return node->control.spread.progress;
+    };
+    made.move_statuses = [node] {
+        const std::lock_guard<std::mutex> guard(node->control_lock);
+        return moves::list_status(node->control.moves, now());
+    };
+    made.status = [node] { return describe_fleet(*node); };
+    made.dump = [node] { return dump_state(*node); };
+    made.usage = [node] { return edge::usage(*node->calls); };
+    made.metrics = [node] { return metrics_text(*node); };
+    made.announce = [node](const admin::announcement& announced) {
+        return announce(*node, announced);
+    };
+    return made;
+}
+
+/// Starts what touches the outside. Links are opened first, so that the others may send, and
+/// started last, since they deliver to the others.
+std::shared_ptr<admin::admin_server> start_parts(const runtime_ptr& node) {
+    node->store = store::start_store_client(
+        *node->settings.store, [node](const store::kv_response& response) {
+            step(*node, [&](instant at, control::actions& wanted) {
+                control::on_store_response(node->control, response, at, wanted);
+            });
+        });
+    node->links = wire::open_link_pool(node->settings, make_link_events(node));
+    node->calls = edge::start_call_path(node->settings, make_surroundings(node));
+    wire::start(*node->links);
+    return admin::start_admin_server(node->settings, make_backend(node));
+}
+
+/// Waits until no call is under way, or the drain timeout has passed.
+void wait_for_calls(node_runtime& node) {
+    const auto give_up = now() + milliseconds{node.settings.call->drain_timeout_ms};
+    while (edge::count_in_flight(*node.calls) > 0 && now() < give_up) {
+        std::this_thread::sleep_for(milliseconds{20});
+    }
+}
+
+void shut_down(node_runtime& node) {
+    edge::begin_drain(*node.calls);
+    step(node,
+         [&](instant at, control::actions& wanted) { control::leave(node.control, at, wanted); });
+    wait_for_calls(node);
+}
+
+} // namespace
+
+int run_node(const msg::settings_msg& settings) {
+    block_signals();
+    start_logging(settings.process->log_level);
+    const auto node = std::make_shared<node_runtime>(settings);
+    std::shared_ptr<admin::admin_server> operators;
+    try {
+        operators = start_parts(node);
+    } catch (const std::exception& failed) {
+        write_log({log_level::error, "node_start_failed", {{"reason", failed.what()}}});
+        return 1;
+    }
+    write_log({log_level::info,
+               "node_started",
+               {{"node", settings.identity->node},
+                {"data_centre", settings.identity->data_centre},
+                {"release", CYCLAMENHATCH_VERSION}}});
+    std::atomic<bool> is_stopping{false};
+    std::thread ticker([&] {
+        while (!is_stopping) {
+            tick(*node);
+            std::this_thread::sleep_for(tick_interval);
+        }
+    });
+    const int signal_number = wait_for_stop();
+    write_log({log_level::info, "node_draining", {{"signal", std::to_string(signal_number)}}});
+    shut_down(*node);
+    is_stopping = true;
+    ticker.join();
+    admin::stop(*operators);
+    const auto cut_off = edge::stop(*node->calls);
+    wire::stop(*node->links);
+    store::stop(*node->store);
+    write_log({cut_off == 0 ? log_level::info : log_level::warning,
+               "node_stopped",
+               {{"calls_cut_off", std::to_string(cut_off)}}});
+    return 0;
+}
+
+} // namespace cyclamenhatch::node
--- /dev/null
+++ b/src/node/state_document.cpp
@@ -0,0 +1,282 @@
+#include "node/state_document.h"
+
+#include "membership/duty.h"
+#include "node/node_clock.h"
+
+#include <algorithm>
+
+namespace cyclamenhatch::node {
+namespace {
+
+constexpr std::size_t max_members = 2000;
+constexpr std::size_t max_links = 200;
+constexpr std::size_t max_versions = 20;
+
+document number(std::uint64_t value) {
+    return static_cast<std::int64_t>(value);
+}
+
+document text_list(const std::vector<std::string>& texts) {
+    document::array items;
+    for (const auto& each : texts) {
+        items.emplace_back(each);
+    }
+    return items;
+}
+
+std::vector<std::string> names(const std::vector<node_id>& nodes) {
+    std::vector<std::string> texts;
+    for (const auto& each : nodes) {
+        texts.push_back(each.value);
+    }
+    return texts;
+}
+
+document describe_upstream(const msg::member_record_msg& record) {
+    if (!record.upstream) {
+        return {};
+    }
+    return document::table{{"service", record.upstream->service},
+                           {"version", record.upstream->version},
+                           {"state", msg::EnumNameupstream_state(record.upstream->state)},
+                           {"slots", number(record.upstream->slots)}};
+}
+
+document describe_member(const msg::member_record_msg& record) {
+    return document::table{{"node", record.node},
+                           {"region", record.region},
+                           {"data_centre", record.data_centre},
+                           {"address", record.ip + ":" + std::to_string(record.link_port)},
+                           {"incarnation", number(record.incarnation)},
+                           {"state", msg::EnumNameliveness(record.state)},
+                           {"upstream", describe_upstream(record)}};
+}
+
+document describe_members(const membership::table& members) {
+    document::array items{describe_member(members.self)};
+    for (const auto& [name, each] : members.members) {
+        if (items.size() == max_members) {
+            break;
+        }
+        items.push_back(describe_member(each.record));
+    }
+    return items;
+}
+
+document describe_configuration(const control::state& from) {
+    const auto& held = from.spread.held;
+    document::array services;
+    if (held) {
+        for (const auto& [name, part] : held->sections) {
+            services.push_back(document::table{{"service", name.value},
+                                               {"digest", part->digest.value},
+                                               {"bytes", number(part->encoded.size())}});
+        }
+    }
+    return document::table{{"version", number(held ? held->version.value : 0)},
+                           {"digest", held ? held->digest.value : ""},
+                           {"is_ready", distribution::is_ready(from.spread)},
+                           {"sections", std::move(services)}};
+}
+
+document describe_rejections(const std::vector<distribution::rejection>& rejections) {
+    document::array items;
+    for (const auto& each : rejections) {
+        items.push_back(document::table{{"node", each.node.value},
+                                        {"version", number(each.version.value)},
+                                        {"findings", text_list(each.findings)}});
+    }
+    return items;
+}
+
+document describe_data_centres(const distribution::state& spread) {
+    document::array items;
+    for (const auto& [name, each] : spread.data_centres) {
+        items.push_back(document::table{{"data_centre", name.value},
+                                        {"aggregator", each.aggregator.value},
+                                        {"nodes", number(each.nodes)},
+                                        {"lowest", number(each.lowest.value)},
+                                        {"newest", number(each.newest.value)},
+                                        {"nodes_at_newest", number(each.nodes_at_newest)},
+                                        {"laggards", text_list(names(each.laggards))},
+                                        {"rejections", describe_rejections(each.rejections)}});
+    }
+    return items;
+}
+
+document describe_progress(const distribution::state& spread) {
+    document::array items;
+    const auto& all = spread.progress;
+    const auto skipped = all.size() > max_versions ? all.size() - max_versions : 0;
+    for (auto each = all.begin() + static_cast<std::ptrdiff_t>(skipped); each != all.end();
+         ++each) {
+        const bool is_in_force = each->in_force != instant{};
+        items.push_back(
+            document::table{{"version", number(each->version.value)},
+                            {"accepted", format_rfc3339(each->accepted)},
+                            {"in_force", is_in_force ? format_rfc3339(each->in_force) : ""},
+                            {"nodes", number(each->nodes)},
+                            {"slowest", each->slowest.value}});
+    }
+    return items;
+}
+
+document describe_move(const moves::move_status& each) {
+    return document::table{{"service", each.key.service.value},
+                           {"move", each.key.name.value},
+                           {"attempt", number(each.key.attempt)},
+                           {"from", each.from.value},
+                           {"to", each.to.value},
+                           {"deadline", format_rfc3339(each.deadline)},
+                           {"phase", each.phase},
+                           {"stage", number(each.stage)},
+                           {"permille", number(each.permille)},
+                           {"calls_on_new", number(each.calls_on_new)},
+                           {"errors_on_new", number(each.errors_on_new)},
+                           {"veto_reason", each.veto_reason},
+                           {"is_controller", each.is_controller}};
+}
+
+document describe_moves(const control::state& from, instant at) {
+    document::array items;
+    for (const auto& each : moves::list_status(from.moves, at)) {
+        items.push_back(describe_move(each));
+    }
+    return items;
+}
+
+document describe_store(const node_runtime& node) {
+    const auto& reader = node.control.reader;
+    const auto counts = store::counters(*node.store);
+    return document::table{{"is_down", reader.is_store_down},
+                           {"is_watching", reader.is_watching},
+                           {"reads", number(counts.reads)},
+                           {"writes", number(counts.writes)},
+                           {"failures", number(counts.failures)}};
+}
+
+document describe_links(const node_runtime& node) {
+    document::array items;
+    for (const auto& each : wire::list_links(*node.links, max_links)) {
+        items.push_back(
+            document::table{{"peer", each.peer.value},
+                            {"address", each.address.ip + ":" + std::to_string(each.address.port)},
+                            {"is_established", each.is_established},
+                            {"is_dialled", each.is_dialled},
+                            {"age_ms", number(each.age_ms)},
+                            {"last_received_ms", number(each.last_received_ms)},
+                            {"queued_bytes", number(each.queued_bytes)}});
+    }
+    return items;
+}
+
+document describe_counters(const wire::link_counters& counts) {
+    return document::table{{"control_bytes_sent", number(counts.control_bytes_sent)},
+                           {"control_bytes_received", number(counts.control_bytes_received)},
+                           {"call_bytes_sent", number(counts.call_bytes_sent)},
+                           {"call_bytes_received", number(counts.call_bytes_received)},
+                           {"messages_sent", number(counts.messages_sent)},
+                           {"messages_received", number(counts.messages_received)},
+                           {"messages_undelivered", number(counts.messages_undelivered)},
+                           {"links_opened", number(counts.links_opened)},
+                           {"links_silent", number(counts.links_silent)},
+                           {"links_refused", number(counts.links_refused)},
+                           {"frames_broken", number(counts.frames_broken)}};
+}
+
+document describe_duties(const control::state& from) {
+    const data_centre_id own{from.settings.identity->data_centre};
+    document::array held;
+    if (distribution::is_store_watcher(from.spread, from.members)) {
+        held.emplace_back("store-watcher");
+    }
+    if (membership::has_duty(from.members, "in-force", 1, own)) {
+        held.emplace_back("in-force");
+    }
+    if (membership::has_duty(from.members, "contact", 3, own)) {
+        held.emplace_back("contact");
+    }
+    return held;
+}
+
+void add_line(std::string& text, const char* name, std::uint64_t value) {
+    text += std::string("cyclamenhatch_") + name + " " + std::to_string(value) + "\n";
+}
+
+} // namespace
+
+document dump_state(node_runtime& node) {
+    document::table whole;
+    {
+        const std::lock_guard<std::mutex> guard(node.control_lock);
+        const auto at = now();
+        const auto& from = node.control;
+        whole = {{"node", node.settings.identity->node},
+                 {"release", CYCLAMENHATCH_VERSION},
+                 {"time", format_rfc3339(at)},
+                 {"started", format_rfc3339(from.started)},
+                 {"is_leaving", from.is_leaving},
+                 {"pauses", number(from.members.pauses)},
+                 {"configuration", describe_configuration(from)},
+                 {"data_centres", describe_data_centres(from.spread)},
+                 {"progress", describe_progress(from.spread)},
+                 {"moves", describe_moves(from, at)},
+                 {"duties", describe_duties(from)},
+                 {"store", describe_store(node)},
+                 {"members", describe_members(from.members)}};
+    }
+    whole.push_back({"links", describe_links(node)});
+    whole.push_back({"counters", describe_counters(wire::counters(*node.links))});
+    whole.push_back({"calls", edge::dump(*node.calls)});
+    return whole;
+}
+
+document describe_fleet(node_runtime& node) {
+    const std::lock_guard<std::mutex> guard(node.control_lock);
+    const auto at = now();
+    const auto& from = node.control;
+    const auto live = membership::live_records(from.members);
+    const auto suspects =
+        std::count_if(live.begin(), live.end(), [](const msg::member_record_msg* each) {
+            return each->state == msg::liveness::suspect;
+        });
+    return document::table{
+        {"node", node.settings.identity->node},
+        {"time", format_rfc3339(at)},
+        {"version", number(from.spread.held ? from.spread.held->version.value : 0)},
+        {"is_ready", distribution::is_ready(from.spread)},
+        {"live_nodes", number(live.size())},
+        {"suspect_nodes", static_cast<std::int64_t>(suspects)},
+        {"data_centres", describe_data_centres(from.spread)},
+        {"moves", describe_moves(from, at)},
+        {"store_is_down", from.reader.is_store_down},
+        {"progress", describe_progress(from.spread)}};
+}
+
+std::string metrics_text(node_runtime& node) {
+    std::string text;
+    {
+        const std::lock_guard<std::mutex> guard(node.control_lock);
+        const auto& from = node.control;
+        add_line(text, "config_version", from.spread.held ? from.spread.held->version.value : 0);
+        add_line(text, "is_ready", distribution::is_ready(from.spread) ? 1 : 0);
+        add_line(text, "live_nodes", membership::live_records(from.members).size());
+        add_line(text, "store_is_down", from.reader.is_store_down ? 1 : 0);
+        add_line(text, "process_pauses_total", from.members.pauses);
+    }
+    const auto links = wire::counters(*node.links);
+    add_line(text, "control_bytes_sent_total", links.control_bytes_sent);
+    add_line(text, "control_bytes_received_total", links.control_bytes_received);
+    add_line(text, "call_bytes_sent_total", links.call_bytes_sent);
+    add_line(text, "call_bytes_received_total", links.call_bytes_received);
+    add_line(text, "links_silent_total", links.links_silent);
+    add_line(text, "links_refused_total", links.links_refused);
+    add_line(text, "frames_broken_total", links.frames_broken);
+    const auto kv = store::counters(*node.store);
+    add_line(text, "store_reads_total", kv.reads);
+    add_line(text, "store_writes_total", kv.writes);
+    add_line(text, "store_failures_total", kv.failures);
+    return text + edge::metrics_text(*node.calls);
+}
+
+} // namespace cyclamenhatch::node
--- a/src/wire/link_io.cpp
+++ b/src/wire/link_io.cpp
@@ -11,7 +11,7 @@
 using asio::ip::tcp;
 using error_code = boost::system::error_code;
 
-constexpr std::size_t max_queued_bytes = 8U * 1024U * 1024U;
+constexpr std::size_t max_queued_bytes = 8ULL * 1024 * 1024;
 constexpr std::size_t max_frames_per_write = 64;
 constexpr std::uint32_t protocol_version = 1;
 
--- a/src/wire/link_pool.cpp
+++ b/src/wire/link_pool.cpp
@@ -46,7 +46,7 @@
     if (error || address.port == 0 || !may_dial(pool->pacing[address], now_of_pool())) {
         return nullptr;
     }
-    const auto dialled = add_link(*pool);
+    auto dialled = add_link(*pool);
     dialled->is_dialled = true;
     dialled->address = address;
     pool->by_address[address] = dialled;
@@ -132,6 +132,7 @@
     pool.acceptor.set_option(tcp::acceptor::reuse_address(true));
     pool.acceptor.bind(at);
     pool.acceptor.listen();
+    pool.settings.listen->link_port = pool.acceptor.local_endpoint().port();
 }
 
 link_status describe(const link& from, instant now) {
@@ -167,7 +168,7 @@
 
 } // namespace
 
-std::shared_ptr<link_pool> start_link_pool(const msg::settings_msg& settings, link_events events) {
+std::shared_ptr<link_pool> open_link_pool(const msg::settings_msg& settings, link_events events) {
     auto pool = std::make_shared<link_pool>(settings, std::move(events));
     try {
         listen(*pool);
@@ -177,10 +178,17 @@
     }
     start_accept(pool);
     start_health_timer(pool);
-    pool->thread = std::thread([pool] { pool->context.run(); });
     return pool;
 }
 
+std::uint16_t link_port(const link_pool& pool) {
+    return pool.settings.listen->link_port;
+}
+
+void start(link_pool& pool) {
+    pool.thread = std::thread([owner = pool.shared_from_this()] { owner->context.run(); });
+}
+
 void send(link_pool& pool, outgoing message) {
     // Encoding here keeps that work off the pool's one thread.
     auto frame =
--- a/src/wire/link_pool.h
+++ b/src/wire/link_pool.h
@@ -49,13 +49,19 @@
     std::uint64_t queued_bytes = 0;
 };
 
-/// Opaque; made by start_link_pool.
+/// Opaque; made by open_link_pool.
 struct link_pool;
 
-/// Listens on listen.ip:link_port and starts the pool's thread. Throws std::runtime_error when the
-/// port cannot be had.
-[[nodiscard]] std::shared_ptr<link_pool> start_link_pool(const msg::settings_msg& settings,
-                                                         link_events events);
+/// Listens on listen.ip:link_port, or on a free port when that is 0. Nothing is sent or delivered
+/// before start. Throws std::runtime_error when the port cannot be had.
+[[nodiscard]] std::shared_ptr<link_pool> open_link_pool(const msg::settings_msg& settings,
+                                                        link_events events);
+
+/// The port that the pool listens on. Thread safe.
+[[nodiscard]] std::uint16_t link_port(const link_pool& pool);
+
+/// Starts the pool's thread. Call once.
+void start(link_pool& pool);
 
 /// Queues a message for its node, dialling if need be. Thread safe; never blocks.
 void send(link_pool& pool, outgoing message);
@@ -66,7 +72,8 @@
 /// At most `limit` links. Thread safe; waits for the pool's thread.
 [[nodiscard]] std::vector<link_status> list_links(link_pool& pool, std::size_t limit);
 
-/// Flushes what is queued for a short time, closes all links and joins the thread.
+/// Flushes what is queued for a short time, closes all links and joins the thread. Call after
+/// start.
 void stop(link_pool& pool);
 
 } // namespace cyclamenhatch::wire
--- /dev/null
+++ b/tests/wire/link_health_test.cpp
@@ -0,0 +1,75 @@
+#include "wire/link_health.h"
+
+#include <gtest/gtest.h>
+
+namespace cyclamenhatch::wire {
+namespace {
+
+constexpr int never = -1;
+
+/// Times are milliseconds before now; `never` leaves the time unset.
+struct health_row {
+    const char* name;
+    bool is_established;
+    int opened;
+    int received;
+    int used;
+    int sent;
+    int called;
+    int pinged;
+    link_step expected;
+};
+
+class link_health : public testing::TestWithParam<health_row> {};
+
+TEST_P(link_health, decides) {
+    const auto now = from_unix_ms(1'000'000'000);
+    const auto before = [now](int ms) { return ms == never ? instant{} : now - milliseconds{ms}; };
+    const auto& row = GetParam();
+    const link_times times{.opened = before(row.opened),
+                           .last_received = before(row.received),
+                           .last_used = before(row.used),
+                           .last_call = before(row.called),
+                           .last_sent = before(row.sent),
+                           .last_ping = before(row.pinged),
+                           .is_established = row.is_established};
+    EXPECT_EQ(next_step(times, msg::link_settings_msg{}, now), row.expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, link_health,
+    testing::Values(
+        health_row{"connecting", false, 500, never, 500, never, never, never, link_step::none},
+        health_row{"never_connected", false, 1500, never, 1500, never, never, never,
+                   link_step::close_unconnected},
+        health_row{"idle_costs_nothing", true, 30000, 20000, 20000, 25000, never, never,
+                   link_step::none},
+        health_row{"unused", true, 90000, 70000, 70000, 70500, never, never, link_step::close_idle},
+        health_row{"just_sent", true, 5000, 900, 100, 100, never, never, link_step::none},
+        health_row{"unanswered", true, 5000, 1200, 1100, 1100, never, never, link_step::ping},
+        health_row{"pinged_just_now", true, 5000, 1900, 1800, 800, never, 800, link_step::none},
+        health_row{"silent", true, 9000, 3200, 3100, 100, never, 100, link_step::close_silent},
+        health_row{"call_awaited_after_a_pong", true, 9000, 1200, 2000, 2000, 2000, never,
+                   link_step::ping},
+        health_row{"call_link_gone_silent", true, 9000, 3500, 9000, 500, 9000, 500,
+                   link_step::close_silent}),
+    [](const auto& each) { return std::string(each.param.name); });
+
+TEST(reconnect_pacing, doubles_with_jitter_up_to_its_limit) {
+    const msg::link_settings_msg settings;
+    random_source random{1};
+    reconnect_pacing pacing;
+    const auto now = from_unix_ms(0);
+    for (int failures = 1; failures <= 12; ++failures) {
+        on_dial_failed(pacing, settings, now, random);
+        const auto full = std::min<std::int64_t>(100LL << std::min(failures - 1, 10),
+                                                 settings.max_reconnect_delay_ms);
+        EXPECT_FALSE(may_dial(pacing, now + milliseconds{full / 2} - milliseconds{1}));
+        EXPECT_TRUE(may_dial(pacing, now + milliseconds{full}));
+    }
+    on_dial_succeeded(pacing);
+    EXPECT_TRUE(may_dial(pacing, now));
+}
+
+} // namespace
+} // namespace cyclamenhatch::wire
--- /dev/null
+++ b/tests/wire/link_pool_test.cpp
@@ -0,0 +1,114 @@
+#include "wire/link_pool.h"
+
+#include "wire/frame_reader.h"
+
+#include <boost/asio.hpp>
+#include <future>
+#include <gtest/gtest.h>
+
+namespace cyclamenhatch::wire {
+namespace {
+
+namespace asio = boost::asio;
+
+msg::settings_msg make_settings(const std::string& node, const std::string& key) {
+    msg::settings_msg settings;
+    settings.identity = std::make_unique<msg::identity_settings_msg>();
+    settings.identity->node = node;
+    settings.listen = std::make_unique<msg::listen_settings_msg>();
+    settings.listen->ip = "127.0.0.1";
+    settings.listen->link_port = 0;
+    settings.cluster = std::make_unique<msg::cluster_settings_msg>();
+    settings.cluster->key = key;
+    settings.link = std::make_unique<msg::link_settings_msg>();
+    return settings;
+}
+
+/// A pool with what it reported first of each kind.
+struct test_pool {
+    test_pool(const std::string& node, const std::string& key)
+        : settings(make_settings(node, key)) {
+        pool = open_link_pool(
+            settings,
+            {.on_message = [this](incoming message) { received.set_value(std::move(message)); },
+             .on_link_lost = [](const node_id&) {},
+             .on_undelivered = [this](outgoing message) { returned.set_value(std::move(message)); },
+             .on_log = [this](const log_event& event) { logged.set_value(event); }});
+        start(*pool);
+    }
+    test_pool(const test_pool&) = delete;
+    test_pool& operator=(const test_pool&) = delete;
+    ~test_pool() { stop(*pool); }
+
+    [[nodiscard]] peer_address address() const { return {"127.0.0.1", link_port(*pool)}; }
+
+    msg::settings_msg settings;
+    std::promise<incoming> received;
+    std::promise<outgoing> returned;
+    std::promise<log_event> logged;
+    std::shared_ptr<link_pool> pool;
+};
+
+msg::probe_msg make_probe() {
+    msg::probe_msg probe;
+    probe.sequence = 5;
+    return probe;
+}
+
+TEST(link_pool, delivers_with_the_sender_of_the_link_and_answers_on_the_same_link) {
+    test_pool first("a", "key");
+    test_pool second("b", "key");
+    send(*first.pool, {node_id{}, second.address(), make_probe()});
+    const auto arrived = second.received.get_future().get();
+    EXPECT_EQ(arrived.from, node_id{"a"});
+    EXPECT_EQ(arrived.message, peer_message{make_probe()});
+    send(*second.pool, {node_id{"a"}, {}, make_probe()});
+    EXPECT_EQ(first.received.get_future().get().from, node_id{"b"});
+    EXPECT_EQ(counters(*second.pool).links_opened, 1U);
+}
+
+TEST(link_pool, refuses_a_link_without_the_cluster_key_and_returns_what_was_meant_for_it) {
+    test_pool stranger("a", "another key");
+    test_pool member("b", "key");
+    send(*stranger.pool, {node_id{}, member.address(), make_probe()});
+    EXPECT_EQ(member.logged.get_future().get().name, "link_refused");
+    EXPECT_EQ(stranger.returned.get_future().get().message, peer_message{make_probe()});
+    EXPECT_EQ(counters(*member.pool).links_refused, 1U);
+}
+
+TEST(link_pool, returns_what_was_meant_for_an_address_that_nobody_listens_on) {
+    test_pool lonely("a", "key");
+    // Bound but not listening: the port stays refused while the test runs.
+    asio::io_context context;
+    asio::ip::tcp::socket bound(context);
+    bound.open(asio::ip::tcp::v4());
+    bound.bind({asio::ip::make_address("127.0.0.1"), 0});
+    const peer_address refused{"127.0.0.1", bound.local_endpoint().port()};
+    send(*lonely.pool, {node_id{"gone"}, refused, make_probe()});
+    EXPECT_EQ(lonely.returned.get_future().get().to, node_id{"gone"});
+}
+
+class broken_stream : public testing::TestWithParam<std::string> {};
+
+TEST_P(broken_stream, closes_the_link_and_the_pool_lives) {
+    test_pool attacked("b", "key");
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    socket.connect({asio::ip::make_address("127.0.0.1"), link_port(*attacked.pool)});
+    asio::write(socket, asio::buffer(GetParam()));
+    std::string answer;
+    boost::system::error_code closed;
+    asio::read(socket, asio::dynamic_buffer(answer), closed);
+    EXPECT_TRUE(answer.empty());
+    EXPECT_TRUE(closed);
+    test_pool honest("a", "key");
+    send(*honest.pool, {node_id{}, attacked.address(), make_probe()});
+    EXPECT_EQ(attacked.received.get_future().get().from, node_id{"a"});
+}
+
+INSTANTIATE_TEST_SUITE_P(table, broken_stream,
+                         testing::Values(std::string(8, '\xFF'), make_frame("no envelope"),
+                                         std::string("GET / HTTP/1.1\r\n\r\n")));
+
+} // namespace
+} // namespace cyclamenhatch::wire
