tests: add an in-memory key-value service with faults

Decisions about the store need a service whose requests take effect at one instant and answer at another.

--- /dev/null
+++ b/tests/support/fake_store.h
@@ -0,0 +1,314 @@
+#pragma once
+
+#include "model/time.h"
+#include "store/kv.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+/// The platform's key-value service in memory and in virtual time, with faults. Pure: a request is
+/// sent at one instant, takes effect at a later one, and its answer arrives at a third.
+namespace cyclamenhatch::fakes {
+
+struct store_faults {
+    /// Connections are refused: answered with not_run.
+    bool is_down = false;
+    /// Requests never arrive and watches report nothing: answered with unknown after the timeout.
+    bool is_silent = false;
+    /// Requests take effect, but are answered with unknown after the timeout.
+    bool loses_answers = false;
+    milliseconds request_delay{1};
+    milliseconds answer_delay{1};
+    /// When the sender gives up; the request may still take effect later.
+    milliseconds timeout{1000};
+};
+
+struct store_delivery {
+    instant due;
+    /// Who sent the request.
+    std::string client;
+    store::kv_response response;
+};
+
+struct held_request {
+    instant due;
+    std::string client;
+    store::kv_request request;
+    instant answer_limit;
+    bool loses_answer = false;
+};
+
+struct held_watch {
+    std::string client;
+    std::uint64_t id = 0;
+    store::kv_watch wanted;
+};
+
+struct held_lease {
+    seconds ttl{0};
+    instant expires;
+};
+
+struct saved_store {
+    std::map<std::string, store::kv_entry> entries;
+    std::int64_t revision = 1;
+};
+
+struct fake_store {
+    store_faults faults;
+    std::map<std::string, store::kv_entry> entries;
+    std::map<std::string, std::int64_t> key_leases;
+    std::int64_t revision = 1;
+    std::int64_t compacted = 0;
+    std::int64_t next_lease = 1;
+    std::map<std::int64_t, held_lease> leases;
+    std::vector<store::kv_change> history;
+    std::vector<held_watch> watches;
+    std::vector<held_request> in_flight;
+    std::vector<store_delivery> answers;
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+};
+
+inline bool is_covered(const std::string& key, const std::string& wanted, bool is_prefix) {
+    return is_prefix ? key.compare(0, wanted.size(), wanted) == 0 : key == wanted;
+}
+
+inline void answer(fake_store& fake, instant due, const std::string& client, std::uint64_t id,
+                   decltype(store::kv_response::outcome) outcome) {
+    fake.answers.push_back({due, client, {id, std::move(outcome)}});
+}
+
+inline void report_change(fake_store& fake, const store::kv_change& change, instant now) {
+    fake.history.push_back(change);
+    if (fake.faults.is_silent) {
+        return;
+    }
+    for (const auto& each : fake.watches) {
+        if (is_covered(change.entry.key, each.wanted.key, each.wanted.is_prefix)) {
+            answer(fake, now + fake.faults.answer_delay, each.client, each.id,
+                   store::kv_changes{change.entry.mod_revision, {change}});
+        }
+    }
+}
+
+inline void write_key(fake_store& fake, const store::kv_put& put, instant now) {
+    const store::kv_entry entry{put.key, put.value, fake.revision};
+    fake.entries[put.key] = entry;
+    fake.key_leases[put.key] = put.lease;
+    report_change(fake, {entry, false}, now);
+}
+
+inline void delete_key(fake_store& fake, const std::string& key, instant now) {
+    if (fake.entries.erase(key) > 0) {
+        fake.key_leases.erase(key);
+        report_change(fake, {{key, "", fake.revision}, true}, now);
+    }
+}
+
+inline void lapse_lease(fake_store& fake, std::int64_t lease, instant now) {
+    fake.leases.erase(lease);
+    const auto held = fake.key_leases;
+    for (const auto& [key, owner] : held) {
+        if (owner == lease) {
+            ++fake.revision;
+            delete_key(fake, key, now);
+        }
+    }
+}
+
+/// Carries out one operation and gives its answer.
+struct fake_execution {
+    fake_store& fake;
+    const held_request& held;
+    instant now;
+    using outcome = decltype(store::kv_response::outcome);
+
+    outcome operator()(const store::kv_range& range) const {
+        ++fake.reads;
+        store::kv_entries found{fake.revision, {}};
+        for (const auto& [key, entry] : fake.entries) {
+            if (is_covered(key, range.key, range.is_prefix)) {
+                found.entries.push_back(entry);
+            }
+        }
+        return found;
+    }
+
+    outcome operator()(const store::kv_transaction& wanted) const {
+        ++fake.writes;
+        for (const auto& each : wanted.compares) {
+            const auto entry = fake.entries.find(each.key);
+            const auto actual = entry == fake.entries.end() ? 0 : entry->second.mod_revision;
+            if (actual != each.mod_revision) {
+                return store::kv_transaction_done{fake.revision, false};
+            }
+        }
+        for (const auto& each : wanted.puts) {
+            if (each.lease != 0 && fake.leases.count(each.lease) == 0) {
+                return store::kv_failure{store::kv_failure_kind::not_run, "no such lease"};
+            }
+        }
+        ++fake.revision;
+        for (const auto& each : wanted.puts) {
+            write_key(fake, each, now);
+        }
+        for (const auto& each : wanted.deletes) {
+            delete_key(fake, each, now);
+        }
+        return store::kv_transaction_done{fake.revision, true};
+    }
+
+    outcome operator()(const store::kv_lease_grant& grant) const {
+        ++fake.writes;
+        const auto lease = fake.next_lease++;
+        fake.leases[lease] = {grant.ttl, now + grant.ttl};
+        return store::kv_lease{lease, grant.ttl};
+    }
+
+    outcome operator()(const store::kv_lease_keepalive& keepalive) const {
+        ++fake.writes;
+        const auto held_one = fake.leases.find(keepalive.lease);
+        if (held_one == fake.leases.end()) {
+            return store::kv_lease{keepalive.lease, seconds{0}};
+        }
+        held_one->second.expires = now + held_one->second.ttl;
+        return store::kv_lease{keepalive.lease, held_one->second.ttl};
+    }
+
+    outcome operator()(const store::kv_lease_revoke& revoke) const {
+        ++fake.writes;
+        lapse_lease(fake, revoke.lease, now);
+        return store::kv_lease{revoke.lease, seconds{0}};
+    }
+
+    /// A watch is answered with its missed changes, or an empty batch as confirmation.
+    outcome operator()(const store::kv_watch& watch) const {
+        ++fake.reads;
+        if (watch.from_revision != 0 && watch.from_revision <= fake.compacted) {
+            return store::kv_failure{store::kv_failure_kind::compacted, "compacted"};
+        }
+        fake.watches.push_back({held.client, held.request.id, watch});
+        store::kv_changes missed{fake.revision, {}};
+        for (const auto& each : fake.history) {
+            if (watch.from_revision != 0 && each.entry.mod_revision >= watch.from_revision &&
+                is_covered(each.entry.key, watch.key, watch.is_prefix)) {
+                missed.changes.push_back(each);
+            }
+        }
+        return missed;
+    }
+
+    outcome operator()(const store::kv_watch_cancel& /*cancel*/) const { return {}; }
+};
+
+/// Sends a request at `now`.
+inline void send(fake_store& fake, const std::string& client, const store::kv_request& request,
+                 instant now) {
+    using store::kv_failure;
+    using store::kv_failure_kind;
+    if (const auto* cancel = std::get_if<store::kv_watch_cancel>(&request.operation)) {
+        fake.watches.erase(std::remove_if(fake.watches.begin(), fake.watches.end(),
+                                          [&](const held_watch& each) {
+                                              return each.client == client &&
+                                                     each.id == cancel->watch;
+                                          }),
+                           fake.watches.end());
+        return;
+    }
+    if (fake.faults.is_down) {
+        answer(fake, now + fake.faults.answer_delay, client, request.id,
+               kv_failure{kv_failure_kind::not_run, "connection refused"});
+        return;
+    }
+    const instant limit = now + fake.faults.timeout;
+    if (fake.faults.is_silent) {
+        answer(fake, limit, client, request.id, kv_failure{kv_failure_kind::unknown, "timeout"});
+        return;
+    }
+    fake.in_flight.push_back(
+        {now + fake.faults.request_delay, client, request, limit, fake.faults.loses_answers});
+    if (fake.faults.loses_answers || now + fake.faults.request_delay > limit) {
+        answer(fake, limit, client, request.id, kv_failure{kv_failure_kind::unknown, "timeout"});
+        fake.in_flight.back().loses_answer = true;
+    }
+}
+
+/// Lets all requests that are due by `now` take effect, in the order of their arrival, expires
+/// leases, and gives the answers that are due, in their order.
+inline std::vector<store_delivery> advance(fake_store& fake, instant now) {
+    std::stable_sort(fake.in_flight.begin(), fake.in_flight.end(),
+                     [](const auto& a, const auto& b) { return a.due < b.due; });
+    while (!fake.in_flight.empty() && fake.in_flight.front().due <= now) {
+        const auto held = fake.in_flight.front();
+        fake.in_flight.erase(fake.in_flight.begin());
+        auto outcome = std::visit(fake_execution{fake, held, held.due}, held.request.operation);
+        if (!held.loses_answer) {
+            answer(fake, held.due + fake.faults.answer_delay, held.client, held.request.id,
+                   std::move(outcome));
+        }
+    }
+    const auto leases = fake.leases;
+    for (const auto& [lease, held] : leases) {
+        if (held.expires <= now) {
+            lapse_lease(fake, lease, now);
+        }
+    }
+    std::stable_sort(fake.answers.begin(), fake.answers.end(),
+                     [](const auto& a, const auto& b) { return a.due < b.due; });
+    const auto end = std::find_if(fake.answers.begin(), fake.answers.end(),
+                                  [&](const auto& each) { return each.due > now; });
+    std::vector<store_delivery> due(fake.answers.begin(), end);
+    fake.answers.erase(fake.answers.begin(), end);
+    return due;
+}
+
+/// Ends all watches, as a closed connection does.
+inline void close_watches(fake_store& fake, instant now) {
+    for (const auto& each : fake.watches) {
+        answer(fake, now, each.client, each.id,
+               store::kv_failure{store::kv_failure_kind::watch_closed, "connection closed"});
+    }
+    fake.watches.clear();
+}
+
+/// Takes the service down or up. What has arrived takes effect; watches end.
+inline void set_down(fake_store& fake, bool is_down, instant now) {
+    fake.faults.is_down = is_down;
+    if (is_down) {
+        close_watches(fake, now);
+    }
+}
+
+/// Forgets the history up to the present revision and ends watches that are behind.
+inline void compact(fake_store& fake) {
+    fake.compacted = fake.revision;
+    fake.history.clear();
+}
+
+/// Lets all leases lapse at once, as after a pause of their holders.
+inline void lapse_leases(fake_store& fake, instant now) {
+    const auto leases = fake.leases;
+    for (const auto& [lease, held] : leases) {
+        lapse_lease(fake, lease, now);
+    }
+}
+
+inline saved_store save(const fake_store& fake) {
+    return {fake.entries, fake.revision};
+}
+
+/// Puts an older content back, as a restored backup does. All watches end.
+inline void restore(fake_store& fake, const saved_store& saved, instant now) {
+    fake.entries = saved.entries;
+    fake.revision = saved.revision;
+    fake.history.clear();
+    fake.compacted = 0;
+    close_watches(fake, now);
+}
+
+} // namespace cyclamenhatch::fakes
