--- a/src/store/config_writer.h
+++ b/src/store/config_writer.h
@@ -3,9 +3,13 @@
 #include "model/random.h"
 #include "model/time.h"
 #include "store/change.h"
+#include "store/head_codec.h"
 #include "store/kv.h"
+#include "store/request_budget.h"
+#include "store/section_fetch.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -54,14 +58,77 @@
     std::size_t max_queue = 1024;
 };
 
+/// A transaction whose effect is not known: the head that it compares with.
+struct unresolved_swap {
+    std::int64_t mod_revision = 0;
+    config_version version;
+};
+
+/// A change that waits for its outcome.
+struct queued_write {
+    operation_id operation;
+    change wanted;
+    instant submitted;
+    /// One deadline for each submission of this operation.
+    std::vector<instant> deadlines;
+    /// Set while a transaction that carried the change may have taken effect or still may.
+    std::optional<unresolved_swap> unresolved;
+};
+
+/// The configuration that the next swap starts from.
+struct writer_base {
+    /// Last revision of the stored head; 0 when there is none.
+    std::int64_t mod_revision = 0;
+    /// As stored.
+    stored_head head;
+    /// What to build on: the stored sections, or what this node holds when the store fell behind.
+    config_version version;
+    section_map sections;
+    /// When the request that established this was sent.
+    instant established;
+    /// Set when the stored head is known or suspected to have moved.
+    bool is_stale = false;
+};
+
+enum class writer_step { idle, reading_head, reading_sections, swapping };
+
+/// The swap under way.
+struct pending_swap {
+    stored_head head;
+    config_version version;
+    section_map sections;
+    std::vector<operation_id> operations;
+};
+
 /// The writer's state. Plain data; one per node; the caller serialises access.
 struct config_writer {
     writer_config config;
+    token_bucket reads;
+    token_bucket writes;
+    std::vector<queued_write> queue;
+    std::optional<writer_base> base;
+    /// The newest configuration known on this node.
+    snapshot_ptr held;
+    writer_step step = writer_step::idle;
+    /// The request that the step waits for.
+    std::uint64_t request = 0;
+    instant request_sent;
+    std::uint64_t next_request = writer_request_base;
+    section_fetch fetch;
+    pending_swap swap;
+    /// Failures of the service in a row, and lost races in a row.
+    std::uint32_t failures = 0;
+    std::uint32_t lost_races = 0;
+    std::string last_failure;
+    /// No request is sent before.
+    instant not_before;
 };
 
 [[nodiscard]] config_writer make_config_writer(writer_config config, instant now);
 
-/// Queues a change. A full queue is answered at once with write_not_run.
+/// Queues a change. A full queue, or a service known to be away, is answered at once with
+/// write_not_run. An operation that was accepted before is answered with its version; one that is
+/// queued already gets one reply for each submission.
 void submit(config_writer& writer, write_request request, instant now, random_source& random,
             writer_actions& actions);
 
--- a/src/store/contacts.h
+++ b/src/store/contacts.h
@@ -18,11 +18,31 @@
     std::vector<peer_address> found;
 };
 
+/// Where the own entry stands.
+enum class contact_step { absent, granting, putting, held, renewing, removing };
+
+/// Plain data; one per node; the caller serialises access.
 struct contact_keeper {
     std::string prefix;
     peer_address own;
     std::string node;
     std::uint32_t lease_s = 30;
+
+    std::uint64_t next_request = contact_request_base;
+    contact_step step = contact_step::absent;
+    std::int64_t lease = 0;
+    /// The request about the own entry that has not been answered, and when it was sent; 0 is none.
+    std::uint64_t own_request = 0;
+    instant own_sent;
+    /// When the own entry is next attended to.
+    instant own_due;
+    /// Until when the lease is sure to last.
+    instant lease_until;
+    std::uint32_t own_failures = 0;
+    std::uint64_t read_request = 0;
+    instant read_sent;
+    instant read_due;
+    std::uint32_t read_failures = 0;
 };
 
 [[nodiscard]] contact_keeper make_contact_keeper(std::string prefix, std::string node,
--- /dev/null
+++ b/src/store/head_reader.cpp
@@ -0,0 +1,318 @@
+#include "store/head_reader.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace cyclamenhatch::store {
+namespace {
+
+/// A response that takes longer than this is taken as lost.
+constexpr seconds response_limit{10};
+/// How often the head is read although a watch is open.
+constexpr milliseconds check_interval{10'000};
+/// Stands for the version of a head that cannot be read: newer than all that is held.
+constexpr config_version unreadable_version{std::numeric_limits<std::uint64_t>::max()};
+constexpr backoff_limits failure_backoff{milliseconds{200}, milliseconds{10'000}};
+
+/// One step of the reader with all that it needs.
+struct reader_run {
+    head_reader& reader;
+    instant now;
+    reader_actions& actions;
+};
+
+std::uint64_t send_request(reader_run& run, kv_operation operation) {
+    const auto id = run.reader.next_request++;
+    run.actions.requests.push_back({id, std::move(operation)});
+    return id;
+}
+
+void note_success(head_reader& reader) {
+    reader.is_store_down = false;
+    reader.failures = 0;
+}
+
+void note_failure(reader_run& run, random_source& random) {
+    auto& reader = run.reader;
+    if (!reader.is_store_down) {
+        reader.is_store_down = true;
+        reader.down_since = run.now;
+    }
+    ++reader.failures;
+    reader.not_before = run.now + backoff_delay(failure_backoff, reader.failures, random);
+}
+
+void schedule_check(reader_run& run, random_source& random) {
+    std::uniform_int_distribution<std::int64_t> part(check_interval.count() * 3 / 4,
+                                                     check_interval.count() * 5 / 4);
+    run.reader.next_check = run.now + milliseconds{part(random)};
+}
+
+/// Reports a completely read head, unless it is what is held already.
+void settle(reader_run& run) {
+    auto& reader = run.reader;
+    auto fetch = std::move(*reader.fetch);
+    reader.fetch.reset();
+    reader.opened.clear();
+    reader.settled_revision = fetch.mod_revision;
+    reader.settled = fetch.head.version;
+    auto built = build_snapshot(fetch.head.version, list_sections(fetch.have),
+                                std::move(fetch.head.operations));
+    if (auto* found = std::get_if<snapshot_ptr>(&built)) {
+        run.actions.found = std::move(*found);
+        return;
+    }
+    run.actions.rejected = fetch.head.version;
+    run.actions.rejected_for = std::get<findings>(std::move(built));
+}
+
+bool is_held(const head_reader& reader, const stored_head& head) {
+    return reader.held && reader.held->version == head.version &&
+           names_sections(head, reader.held->sections);
+}
+
+/// Begins to complete a head, keeping the sections that were opened for an earlier one.
+void take_head(reader_run& run, stored_head head, std::int64_t mod_revision) {
+    auto& reader = run.reader;
+    if (mod_revision == reader.settled_revision ||
+        (reader.fetch && reader.fetch->mod_revision >= mod_revision)) {
+        return;
+    }
+    if (is_held(reader, head)) {
+        reader.fetch.reset();
+        reader.settled_revision = mod_revision;
+        reader.settled = head.version;
+        return;
+    }
+    if (reader.fetch) {
+        reader.opened.merge(reader.fetch->have);
+    }
+    reader.section_read = {};
+    reader.fetch = begin_fetch(std::move(head), mod_revision,
+                               {reader.held ? &reader.held->sections : nullptr, &reader.opened});
+    if (reader.fetch->missing.empty()) {
+        settle(run);
+    }
+}
+
+void take_encoded_head(reader_run& run, const kv_entry& entry) {
+    auto decoded = decode_head(entry.value);
+    if (const auto* found = std::get_if<findings>(&decoded)) {
+        if (run.reader.settled_revision != entry.mod_revision) {
+            run.reader.settled_revision = entry.mod_revision;
+            run.reader.settled = unreadable_version;
+            run.actions.rejected = config_version{};
+            run.actions.rejected_for = *found;
+        }
+        return;
+    }
+    take_head(run, std::get<stored_head>(std::move(decoded)), entry.mod_revision);
+}
+
+void close_watch(reader_run& run) {
+    auto& reader = run.reader;
+    if (reader.watch.id != 0) {
+        send_request(run, kv_watch_cancel{reader.watch.id});
+    }
+    reader.watch = {};
+    reader.is_watching = false;
+}
+
+/// After a read the next watch starts behind it. A head that an open watch should have reported by
+/// then shows that the watch has gone silent.
+void on_head_read(reader_run& run, const kv_entries& read) {
+    auto& reader = run.reader;
+    const auto mod_revision = read.entries.empty() ? 0 : read.entries.front().mod_revision;
+    const bool has_watch_missed = reader.is_watching && reader.watch.sent < reader.head_read.sent &&
+                                  mod_revision >= reader.watch_from;
+    if (has_watch_missed || read.revision + 1 < reader.watch_from) {
+        close_watch(run);
+    }
+    if (!reader.is_watching) {
+        reader.watch_from = read.revision + 1;
+    }
+    reader.head_read = {};
+    if (read.entries.empty()) {
+        take_head(run, {}, 0);
+    } else {
+        take_encoded_head(run, read.entries.front());
+    }
+    const bool is_settled = reader.settled_revision == mod_revision && !run.actions.found;
+    run.actions.is_current = is_settled && reader.held && reader.held->version >= reader.settled;
+}
+
+void on_sections_read(reader_run& run, const kv_entries& read) {
+    auto& reader = run.reader;
+    reader.section_read = {};
+    if (!reader.fetch) {
+        return;
+    }
+    auto found = absorb(*reader.fetch, reader.prefix, read.entries);
+    if (!found.empty()) {
+        run.actions.rejected = reader.fetch->head.version;
+        run.actions.rejected_for = std::move(found);
+        reader.settled_revision = reader.fetch->mod_revision;
+        reader.settled = reader.fetch->head.version;
+        reader.fetch.reset();
+    } else if (reader.fetch->missing.empty()) {
+        settle(run);
+    } else {
+        // A newer head has replaced what is missing.
+        reader.opened.merge(reader.fetch->have);
+        reader.fetch.reset();
+        reader.wants_read = true;
+    }
+}
+
+void on_watched(reader_run& run, const kv_changes& changes) {
+    auto& reader = run.reader;
+    reader.watch_from = std::max(reader.watch_from, changes.revision + 1);
+    for (const auto& each : changes.changes) {
+        if (each.entry.key != head_key(reader.prefix)) {
+            continue;
+        }
+        if (each.is_delete) {
+            reader.wants_read = true;
+        } else {
+            take_encoded_head(run, each.entry);
+        }
+    }
+}
+
+void on_failure(reader_run& run, std::uint64_t id, const kv_failure& failure,
+                random_source& random) {
+    auto& reader = run.reader;
+    if (id == reader.watch.id) {
+        reader.watch = {};
+        reader.is_watching = false;
+        if (failure.kind == kv_failure_kind::compacted) {
+            reader.watch_from = 0;
+            reader.wants_read = true;
+            return;
+        }
+    } else if (id == reader.head_read.id) {
+        reader.head_read = {};
+        reader.wants_read = true;
+    } else {
+        reader.section_read = {};
+    }
+    note_failure(run, random);
+}
+
+bool is_lost(const reader_request& request, instant now) {
+    return request.id != 0 && now - request.sent >= response_limit;
+}
+
+void give_up_lost(reader_run& run, random_source& random) {
+    for (const auto& request : {run.reader.head_read, run.reader.section_read}) {
+        if (is_lost(request, run.now)) {
+            on_failure(run, request.id, {kv_failure_kind::unknown, "no response"}, random);
+        }
+    }
+}
+
+/// Sends what is wanted and within the rate.
+void proceed(reader_run& run) {
+    auto& reader = run.reader;
+    const auto may_send = [&] {
+        return run.now >= reader.not_before && try_take(reader.reads, run.now);
+    };
+    const bool needs_sections = reader.fetch && reader.section_read.id == 0;
+    if (needs_sections && may_send()) {
+        reader.section_read = {send_request(run, fetch_request(*reader.fetch, reader.prefix)),
+                               run.now};
+    }
+    if (reader.wants_read && reader.head_read.id == 0 && may_send()) {
+        reader.wants_read = false;
+        reader.head_read = {send_request(run, kv_range{.key = head_key(reader.prefix)}), run.now};
+    }
+    const bool needs_watch =
+        reader.wants_watch && reader.watch.id == 0 && reader.watch_from != 0 && !reader.wants_read;
+    if (needs_watch && may_send()) {
+        reader.watch = {send_request(run, kv_watch{.key = head_key(reader.prefix),
+                                                   .from_revision = reader.watch_from}),
+                        run.now};
+        reader.is_watching = true;
+    }
+}
+
+} // namespace
+
+head_reader make_head_reader(std::string prefix, std::uint32_t reads_per_s, instant now) {
+    head_reader reader;
+    reader.prefix = std::move(prefix);
+    reader.reads = make_token_bucket(reads_per_s, now);
+    return reader;
+}
+
+void set_watching(head_reader& reader, bool wanted, instant now, reader_actions& actions) {
+    if (reader.wants_watch == wanted) {
+        return;
+    }
+    reader_run run{reader, now, actions};
+    reader.wants_watch = wanted;
+    if (!wanted) {
+        close_watch(run);
+        return;
+    }
+    reader.watch_from = 0;
+    reader.wants_read = true;
+    reader.next_check = now + check_interval;
+    proceed(run);
+}
+
+void refresh(head_reader& reader, instant now, reader_actions& actions) {
+    // A read under way may have been answered from before the pause; one more follows it.
+    reader_run run{reader, now, actions};
+    reader.wants_read = true;
+    proceed(run);
+}
+
+void on_held(head_reader& reader, const snapshot_ptr& held) {
+    if (held) {
+        reader.held = held;
+    }
+}
+
+void on_tick(head_reader& reader, instant now, random_source& random, reader_actions& actions) {
+    reader_run run{reader, now, actions};
+    give_up_lost(run, random);
+    if (reader.wants_watch && now >= reader.next_check) {
+        reader.wants_read = true;
+        schedule_check(run, random);
+    }
+    proceed(run);
+}
+
+bool on_response(head_reader& reader, const kv_response& response, instant now,
+                 random_source& random, reader_actions& actions) {
+    constexpr std::uint64_t base_mask = ~((1ULL << 56U) - 1);
+    if ((response.id & base_mask) != reader_request_base) {
+        return false;
+    }
+    const bool is_expected = response.id == reader.head_read.id ||
+                             response.id == reader.section_read.id ||
+                             response.id == reader.watch.id;
+    if (!is_expected) {
+        return true;
+    }
+    reader_run run{reader, now, actions};
+    if (const auto* failure = std::get_if<kv_failure>(&response.outcome)) {
+        on_failure(run, response.id, *failure, random);
+    } else if (const auto* changes = std::get_if<kv_changes>(&response.outcome)) {
+        note_success(reader);
+        on_watched(run, *changes);
+    } else if (const auto* read = std::get_if<kv_entries>(&response.outcome)) {
+        note_success(reader);
+        if (response.id == reader.head_read.id) {
+            on_head_read(run, *read);
+        } else {
+            on_sections_read(run, *read);
+        }
+    }
+    proceed(run);
+    return true;
+}
+
+} // namespace cyclamenhatch::store
--- a/src/store/head_reader.h
+++ b/src/store/head_reader.h
@@ -5,8 +5,11 @@
 #include "model/snapshot.h"
 #include "model/time.h"
 #include "store/kv.h"
+#include "store/request_budget.h"
+#include "store/section_fetch.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,11 +21,19 @@
     std::vector<kv_request> requests;
     /// Set when a configuration was read and is valid.
     snapshot_ptr found;
+    /// Set when the head was read and is not newer than what this node holds.
+    bool is_current = false;
     /// Set when a configuration was read that must be rejected.
     config_version rejected;
     findings rejected_for;
 };
 
+/// A request of the reader that has not been answered; 0 is none.
+struct reader_request {
+    std::uint64_t id = 0;
+    instant sent;
+};
+
 /// Plain data; one per node; the caller serialises access.
 struct head_reader {
     std::string prefix;
@@ -30,6 +41,30 @@
     bool is_store_down = false;
     instant down_since;
     bool is_watching = false;
+
+    token_bucket reads;
+    std::uint64_t next_request = reader_request_base;
+    snapshot_ptr held;
+    /// Whether a watch is wanted, and whether the head has to be read.
+    bool wants_watch = false;
+    bool wants_read = false;
+    reader_request head_read;
+    reader_request section_read;
+    reader_request watch;
+    /// First revision that the next watch has to report; 0 when the head has to be read first.
+    std::int64_t watch_from = 0;
+    /// The head being completed with its sections.
+    std::optional<section_fetch> fetch;
+    /// Sections opened for heads that were replaced before they were complete.
+    section_map opened;
+    /// Store revision and version of the last head that was found, rejected or held already.
+    std::int64_t settled_revision = -1;
+    config_version settled;
+    std::uint32_t failures = 0;
+    /// No request is sent before.
+    instant not_before;
+    /// When the head is read again although the watch is open, since a watch can go silent.
+    instant next_check;
 };
 
 [[nodiscard]] head_reader make_head_reader(std::string prefix, std::uint32_t reads_per_s,
