document: read settings and resources by the type tables

Every unknown key, wrong type, number out of range, missing field, bad address and bad reference is a finding with file, line, column, path, problem and remedy; all are collected.

--- a/src/document/document.h
+++ b/src/document/document.h
@@ -23,24 +23,28 @@
     std::variant<std::monostate, bool, std::int64_t, double, std::string, array, table> value;
     place where;
 
-    document() = default;
-    document(bool flag) : value(flag) {}                     // NOLINT(google-explicit-constructor)
-    document(std::int64_t number) : value(number) {}         // NOLINT(google-explicit-constructor)
-    document(double number) : value(number) {}               // NOLINT(google-explicit-constructor)
-    document(std::string text) : value(std::move(text)) {}   // NOLINT(google-explicit-constructor)
-    document(const char* text) : value(std::string(text)) {} // NOLINT(google-explicit-constructor)
-    document(array items);                                   // NOLINT(google-explicit-constructor)
-    document(table members);                                 // NOLINT(google-explicit-constructor)
+    document();
+    ~document();
+    document(const document& other);
+    document(document&& other) noexcept;
+    document& operator=(const document& other);
+    document& operator=(document&& other) noexcept;
+    document(bool flag);           // NOLINT(google-explicit-constructor)
+    document(std::int64_t number); // NOLINT(google-explicit-constructor)
+    document(double number);       // NOLINT(google-explicit-constructor)
+    document(std::string text);    // NOLINT(google-explicit-constructor)
+    document(const char* text);    // NOLINT(google-explicit-constructor)
+    document(array items);         // NOLINT(google-explicit-constructor)
+    document(table members);       // NOLINT(google-explicit-constructor)
 };
 
 struct document_member {
     std::string key;
     document value;
+    /// Where the key stands.
+    place where;
 };
 
-inline document::document(array items) : value(std::move(items)) {}
-inline document::document(table members) : value(std::move(members)) {}
-
 /// The member with this key, or null when the value is no table or has none.
 [[nodiscard]] const document* find_member(const document& from, std::string_view key);
 
--- a/src/document/schema_reader.h
+++ b/src/document/schema_reader.h
@@ -30,6 +30,17 @@
 /// findings.
 [[nodiscard]] result<resource_set> read_resources(const document& from);
 
+/// All that is wrong with resources as a whole, by the checks of model/validation.h, at the places
+/// of `from`, the document that `read` was read from. A service that another resource names must be
+/// among the resources when any service is; otherwise the configuration in force decides.
+[[nodiscard]] findings check_resources(const document& from, const resource_set& read);
+
+/// One document with the resources of several; values keep their places.
+[[nodiscard]] document merge_resources(const std::vector<document>& files);
+
+/// All settings with their values, defaults included, in the order of the schema.
+[[nodiscard]] document write_settings(const msg::settings_msg& from);
+
 /// The whole resource with all fields, those the system sets included.
 [[nodiscard]] document write_resource(const service& from);
 [[nodiscard]] document write_resource(const route& from);
--- /dev/null
+++ b/src/document/settings_check.cpp
@@ -0,0 +1,242 @@
+#include "document/settings_check.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <charconv>
+#include <cstdint>
+#include <map>
+#include <string_view>
+#include <vector>
+
+namespace cyclamenhatch {
+namespace {
+
+constexpr std::uint32_t max_percent = 100;
+constexpr std::uint32_t max_port = 65'535;
+constexpr std::uint32_t max_ppm = 1'000'000;
+constexpr std::uint32_t max_workers = 256;
+constexpr std::uint32_t min_frame_bytes = 65'536;
+constexpr std::uint32_t no_limit = UINT32_MAX;
+
+/// Collects findings at the places of a document.
+struct settings_report {
+    const document& from;
+    findings found;
+
+    void add(const std::string& path, std::string problem, std::string remedy) {
+        found.push_back({.where = find_place(path),
+                         .path = path,
+                         .problem = std::move(problem),
+                         .remedy = std::move(remedy)});
+    }
+
+    /// The place of the value, or of the nearest enclosing table that stands in the document.
+    [[nodiscard]] place find_place(std::string_view path) const {
+        const document* at = &from;
+        place where = from.where;
+        while (!path.empty()) {
+            const auto end = path.find_first_of(".[");
+            at = find_member(*at, path.substr(0, end));
+            if (at == nullptr) {
+                return where;
+            }
+            where = at->where;
+            if (end == std::string_view::npos || path[end] == '[') {
+                return where;
+            }
+            path.remove_prefix(end + 1);
+        }
+        return where;
+    }
+};
+
+bool is_ip(const std::string& text) {
+    std::array<unsigned char, sizeof(in6_addr)> parsed{};
+    return inet_pton(AF_INET, text.c_str(), parsed.data()) == 1 ||
+           inet_pton(AF_INET6, text.c_str(), parsed.data()) == 1;
+}
+
+bool is_port(std::string_view text) {
+    std::uint32_t port = 0;
+    const auto* end = text.data() + text.size();
+    const auto read = std::from_chars(text.data(), end, port);
+    return read.ec == std::errc{} && read.ptr == end && port > 0 && port <= max_port;
+}
+
+/// "ip:port", with an IPv6 address in brackets.
+bool is_contact(const std::string& text) {
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos || !is_port(std::string_view(text).substr(colon + 1))) {
+        return false;
+    }
+    auto ip = text.substr(0, colon);
+    if (ip.size() > 2 && ip.front() == '[' && ip.back() == ']') {
+        ip = ip.substr(1, ip.size() - 2);
+    }
+    return is_ip(ip);
+}
+
+bool is_http_url(const std::string& text) {
+    constexpr std::string_view plain = "http://";
+    constexpr std::string_view secure = "https://";
+    const auto scheme = text.starts_with(plain) ? plain.size() : secure.size();
+    return (text.starts_with(plain) || text.starts_with(secure)) && text.size() > scheme &&
+           text[scheme] != '/' && text.find_first_of(" \t?#") == std::string::npos;
+}
+
+void check_required(settings_report& report, const std::string& path, const std::string& text,
+                    std::string remedy) {
+    if (text.empty()) {
+        report.add(path, "is required", std::move(remedy));
+    }
+}
+
+void check_name(settings_report& report, const std::string& path, const std::string& text) {
+    constexpr std::string_view allowed =
+        "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.";
+    constexpr std::size_t max_length = 128;
+    check_required(report, path, text, "set a name of letters, digits, '-', '_' or '.'");
+    if (text.find_first_not_of(allowed) != std::string::npos || text.size() > max_length) {
+        report.add(path, "\"" + text + "\" is not a name",
+                   "use 1 to 128 letters, digits, '-', '_' or '.'");
+    }
+}
+
+void check_listen(settings_report& report, const msg::listen_settings_msg& listen) {
+    check_required(report, "listen.ip", listen.ip, "set this host's IP address");
+    if (!listen.ip.empty() && !is_ip(listen.ip)) {
+        report.add("listen.ip", "\"" + listen.ip + "\" is not an IP address",
+                   "use an address such as 10.0.0.7");
+    }
+    std::map<std::uint16_t, std::string> used;
+    const std::array<std::pair<std::string, std::uint16_t>, 3> ports{
+        {{"listen.link_port", listen.link_port},
+         {"listen.caller_port", listen.caller_port},
+         {"listen.admin_port", listen.admin_port}}};
+    for (const auto& [path, port] : ports) {
+        if (port == 0) {
+            report.add(path, "0 is no port to listen on", "use 1 to 65535");
+            continue;
+        }
+        const auto [held, is_new] = used.emplace(port, path);
+        if (!is_new) {
+            report.add(path, std::to_string(port) + " is also " + held->second,
+                       "give each listener a port of its own");
+        }
+    }
+}
+
+void check_addresses(settings_report& report, const msg::settings_msg& read) {
+    for (std::size_t i = 0; i < read.cluster->contacts.size(); ++i) {
+        const auto& contact = read.cluster->contacts[i];
+        if (!is_contact(contact)) {
+            report.add("cluster.contacts[" + std::to_string(i) + "]",
+                       "\"" + contact + "\" is not an address", "use \"ip:port\"");
+        }
+    }
+    check_required(report, "store.url", read.store->url,
+                   "set the base URL of the key-value service, such as http://10.0.0.2:2379");
+    if (!read.store->url.empty() && !is_http_url(read.store->url)) {
+        report.add("store.url", "\"" + read.store->url + "\" is not an HTTP URL",
+                   "use a URL such as http://10.0.0.2:2379");
+    }
+    const auto& prefix = read.store->prefix;
+    if (!prefix.empty() && (prefix.front() != '/' || prefix.back() != '/')) {
+        report.add("store.prefix", "\"" + prefix + "\" does not start and end with '/'",
+                   "use a prefix such as /cyclamenhatch/");
+    }
+}
+
+struct range_rule {
+    const char* path;
+    std::uint64_t value;
+    std::uint32_t lowest;
+    std::uint32_t highest;
+};
+
+void check_ranges(settings_report& report, const std::vector<range_rule>& rules) {
+    for (const auto& each : rules) {
+        if (each.value >= each.lowest && each.value <= each.highest) {
+            continue;
+        }
+        const auto lowest = std::to_string(each.lowest);
+        report.add(each.path, std::to_string(each.value) + " is out of range",
+                   each.highest == no_limit
+                       ? "use " + lowest + " or more"
+                       : "use " + lowest + " to " + std::to_string(each.highest));
+    }
+}
+
+std::vector<range_rule> list_control_rules(const msg::settings_msg& read) {
+    const auto& members = *read.membership;
+    const auto& spread = *read.distribution;
+    return {
+        {"store.timeout_ms", read.store->timeout_ms, 1, no_limit},
+        {"store.reads_per_s", read.store->reads_per_s, 1, no_limit},
+        {"store.writes_per_s", read.store->writes_per_s, 1, no_limit},
+        {"store.write_deadline_ms", read.store->write_deadline_ms, 1, no_limit},
+        {"store.contact_lease_s", read.store->contact_lease_s, 1, no_limit},
+        {"membership.probe_interval_ms", members.probe_interval_ms, 1, no_limit},
+        {"membership.probe_timeout_ms", members.probe_timeout_ms, 1, no_limit},
+        {"membership.suspicion_ms", members.suspicion_ms, 1, no_limit},
+        {"membership.updates_per_message", members.updates_per_message, 1, no_limit},
+        {"membership.tombstone_s", members.tombstone_s, 1, no_limit},
+        {"membership.pause_ms", members.pause_ms, 1, no_limit},
+        {"distribution.push_peers", spread.push_peers, 1, no_limit},
+        {"distribution.exchange_interval_ms", spread.exchange_interval_ms, 1, no_limit},
+        {"distribution.watchers_per_data_centre", spread.watchers_per_data_centre, 1, no_limit},
+        {"distribution.concurrent_snapshots", spread.concurrent_snapshots, 1, no_limit},
+        {"distribution.report_interval_ms", spread.report_interval_ms, 1, no_limit},
+        {"move.report_interval_ms", read.move->report_interval_ms, 1, no_limit},
+        {"move.false_alarm_ppm", read.move->false_alarm_ppm, 1, max_ppm},
+    };
+}
+
+std::vector<range_rule> list_call_rules(const msg::settings_msg& read) {
+    const auto& call = *read.call;
+    const auto& link = *read.link;
+    return {
+        {"call.retry_budget_percent", call.retry_budget_percent, 0, max_percent},
+        {"call.max_attempts", call.max_attempts, 1, no_limit},
+        {"call.max_hops", call.max_hops, 1, UINT8_MAX},
+        {"call.max_header_bytes", call.max_header_bytes, 1, no_limit},
+        {"call.outcome_memory_ms", call.outcome_memory_ms, 1, no_limit},
+        {"call.max_ejected_percent", call.max_ejected_percent, 0, max_percent},
+        {"link.ping_interval_ms", link.ping_interval_ms, 1, no_limit},
+        {"link.silence_timeout_ms", link.silence_timeout_ms, 1, no_limit},
+        {"link.connect_timeout_ms", link.connect_timeout_ms, 1, no_limit},
+        {"link.idle_timeout_s", link.idle_timeout_s, 1, no_limit},
+        {"link.max_frame_bytes", link.max_frame_bytes, min_frame_bytes, no_limit},
+        {"link.max_reconnect_delay_ms", link.max_reconnect_delay_ms, 1, no_limit},
+        {"process.workers", read.process->workers, 1, max_workers},
+    };
+}
+
+/// Values that make sense only together.
+void check_pairs(settings_report& report, const msg::settings_msg& read) {
+    if (read.membership->probe_timeout_ms >= read.membership->probe_interval_ms) {
+        report.add("membership.probe_timeout_ms", "is not below probe_interval_ms",
+                   "leave time for indirect probes within one interval");
+    }
+    if (read.link->silence_timeout_ms <= read.link->ping_interval_ms) {
+        report.add("link.silence_timeout_ms", "is not above ping_interval_ms",
+                   "let at least one ping pass before a link counts as silent");
+    }
+}
+
+} // namespace
+
+findings check_settings(const document& from, const msg::settings_msg& read) {
+    settings_report report{.from = from};
+    check_name(report, "identity.node", read.identity->node);
+    check_name(report, "identity.region", read.identity->region);
+    check_name(report, "identity.data_centre", read.identity->data_centre);
+    check_listen(report, *read.listen);
+    check_addresses(report, read);
+    check_ranges(report, list_control_rules(read));
+    check_ranges(report, list_call_rules(read));
+    check_pairs(report, read);
+    return std::move(report.found);
+}
+
+} // namespace cyclamenhatch
--- /dev/null
+++ b/tests/document/schema_reader_test.cpp
@@ -0,0 +1,234 @@
+#include "document/schema_reader.h"
+#include "document/table_codec.h"
+
+#include <algorithm>
+#include <fstream>
+#include <gtest/gtest.h>
+#include <sstream>
+
+namespace cyclamenhatch {
+namespace {
+
+std::string read_file(const std::string& path) {
+    std::ifstream in(path);
+    std::stringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+document parse(const std::string& text) {
+    return std::get<document>(parse_toml(text, "f"));
+}
+
+template <class Value> findings found_in(const result<Value>& read) {
+    const auto* found = std::get_if<findings>(&read);
+    return found == nullptr ? findings{} : *found;
+}
+
+std::string to_text(const findings& found) {
+    std::string text;
+    for (const auto& each : found) {
+        text += to_string(each) + "\n";
+    }
+    return text;
+}
+
+const std::string good_settings = R"([identity]
+node = "n1"
+region = "lombardy"
+data_centre = "bergamo"
+[listen]
+ip = "10.0.0.7"
+[store]
+url = "http://10.0.0.2:2379"
+)";
+
+TEST(settings, five_mistakes_are_five_findings_with_their_places) {
+    const auto text = read_file(std::string(TEST_DATA_DIR) + "/five_mistakes.toml");
+    const auto found = found_in(read_settings(std::get<document>(parse_toml(text, "n.toml"))));
+    EXPECT_EQ(to_text(found),
+              "n.toml:4:1: identity.data_center: unknown key; did you mean \"data_centre\"?\n"
+              "n.toml:7:6: listen.ip: \"10.0.0.300\" is not an IP address; use an address such as "
+              "10.0.0.7\n"
+              "n.toml:8:13: listen.link_port: 74000 is out of range; use 0 to 65535\n"
+              "n.toml:12:14: store.timeout_ms: is a text; use a whole number from 0 to "
+              "4294967295\n"
+              "n.toml:15:13: process.log_level: unknown value \"warn\"; did you mean "
+              "\"warning\"?\n");
+}
+
+TEST(settings, have_their_defaults_and_all_tables) {
+    const auto read = read_settings(parse(good_settings));
+    ASSERT_TRUE(std::holds_alternative<msg::settings_msg>(read)) << to_text(found_in(read));
+    const auto& settings = std::get<msg::settings_msg>(read);
+    EXPECT_EQ(settings.listen->link_port, 7400);
+    EXPECT_EQ(settings.call->max_body_bytes, 1073741824U);
+    EXPECT_EQ(settings.process->log_level, msg::log_level::info);
+}
+
+struct fault_row {
+    const char* name;
+    std::string text;
+    std::string path;
+};
+
+class settings_fault : public testing::TestWithParam<fault_row> {};
+
+TEST_P(settings_fault, is_the_only_finding) {
+    const auto found = found_in(read_settings(parse(GetParam().text)));
+    ASSERT_EQ(found.size(), 1U) << to_text(found);
+    EXPECT_EQ(found[0].path, GetParam().path);
+    EXPECT_GT(found[0].where.line, 0);
+    EXPECT_FALSE(found[0].remedy.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, settings_fault,
+    testing::Values(
+        fault_row{"unknown_table", good_settings + "[lisen]\n", "lisen"},
+        fault_row{"table_as_text", good_settings + "[membership]\n[call]\nqueue_limit = {}\n",
+                  "call.queue_limit"},
+        fault_row{"equal_ports",
+                  "[listen]\nip = \"::1\"\nlink_port = 7402\n" +
+                      good_settings.substr(0, good_settings.find("[listen]")) +
+                      good_settings.substr(good_settings.find("[store]")),
+                  "listen.admin_port"},
+        fault_row{"zero_interval", good_settings + "[link]\nping_interval_ms = 0\n",
+                  "link.ping_interval_ms"},
+        fault_row{"negative", good_settings + "[link]\nping_interval_ms = -1\n",
+                  "link.ping_interval_ms"},
+        fault_row{"fraction", good_settings + "[call]\nmax_attempts = 1.5\n", "call.max_attempts"},
+        fault_row{"percent", good_settings + "[call]\nretry_budget_percent = 101\n",
+                  "call.retry_budget_percent"},
+        fault_row{"no_silence", good_settings + "[link]\nsilence_timeout_ms = 1000\n",
+                  "link.silence_timeout_ms"},
+        fault_row{"contact_without_port", good_settings + "[cluster]\ncontacts = [\"10.0.0.1\"]\n",
+                  "cluster.contacts[0]"},
+        fault_row{"contact_name", good_settings + "[cluster]\ncontacts = [\"host:7400\"]\n",
+                  "cluster.contacts[0]"},
+        fault_row{"contact_type", good_settings + "[cluster]\ncontacts = [7400]\n",
+                  "cluster.contacts[0]"},
+        fault_row{"prefix", good_settings + "prefix = \"x\"\n", "store.prefix"}),
+    [](const auto& each) { return std::string(each.param.name); });
+
+const std::string good_resources = R"([[service]]
+name = "catalogue"
+owner = "shops"
+version = "v1"
+[[upstream_version]]
+name = "v1"
+service = "catalogue"
+[[upstream_version]]
+name = "v2"
+service = "catalogue"
+[[route]]
+name = "browse"
+service = "catalogue"
+path_prefix = "/catalogue"
+[[move]]
+name = "to-v2"
+service = "catalogue"
+from = "v1"
+to = "v2"
+deadline = 2026-12-05T06:00:00Z
+on_little_traffic = "done"
+)";
+
+findings check(const document& from) {
+    auto read = read_resources(from);
+    const auto* set = std::get_if<resource_set>(&read);
+    return set == nullptr ? std::get<findings>(read) : check_resources(from, *set);
+}
+
+TEST(resources, are_read_whole) {
+    const auto from = parse(good_resources);
+    EXPECT_EQ(to_text(check(from)), "");
+    const auto set = std::get<resource_set>(read_resources(from));
+    EXPECT_EQ(set.moves.at(0).deadline, *parse_rfc3339("2026-12-05T06:00:00Z"));
+    EXPECT_EQ(set.moves.at(0).on_little_traffic, little_traffic_policy::done);
+    EXPECT_EQ(write_json(write_resource(set.routes.at(0))),
+              R"({"name":"browse","service":"catalogue","host":"","path_prefix":"/catalogue",)"
+              R"("idempotent":false,"timeout_ms":1000,"revision":0,"operation":""})");
+}
+
+struct resource_row {
+    const char* name;
+    std::string more;
+    std::string path;
+    int line;
+};
+
+class resource_fault : public testing::TestWithParam<resource_row> {};
+
+TEST_P(resource_fault, is_the_only_finding) {
+    const auto found = check(parse(good_resources + GetParam().more));
+    ASSERT_EQ(found.size(), 1U) << to_text(found);
+    EXPECT_EQ(found[0].path, GetParam().path);
+    EXPECT_EQ(found[0].where.line, GetParam().line);
+}
+
+// The good resources end on line 21.
+INSTANTIATE_TEST_SUITE_P(
+    table, resource_fault,
+    testing::Values(
+        resource_row{"system_field", "attempt = 2\n", "move[0].attempt", 22},
+        resource_row{"bad_time", "start = \"noon\"\n", "move[0].start", 22},
+        resource_row{"unknown_kind", "[[rout]]\nname = \"x\"\n", "rout", 22},
+        resource_row{"no_prefix", "[[route]]\nname = \"x\"\nservice = \"catalogue\"\n",
+                     "route[1].path_prefix", 22},
+        resource_row{"no_such_service",
+                     "[[route]]\nname = \"x\"\nservice = \"c\"\npath_prefix = \"/x\"\n",
+                     "route[1].service", 24},
+        resource_row{"relative_prefix",
+                     "[[route]]\nname = \"x\"\nservice = \"catalogue\"\npath_prefix = \"x\"\n",
+                     "route[1].path_prefix", 25},
+        resource_row{"same_match",
+                     "[[route]]\nname = \"x\"\nservice = \"catalogue\"\n"
+                     "path_prefix = \"/catalogue\"\n",
+                     "route[1].path_prefix", 25},
+        resource_row{"twin_service",
+                     "[[service]]\nname = \"catalogue\"\nowner = \"o\"\nversion = \"v1\"\n",
+                     "service[1].name", 23},
+        resource_row{"dangling_move",
+                     "[[service]]\nname = \"a.b\"\nowner = \"o\"\nversion = \"v1\"\n",
+                     "service[1].version", 25}),
+    [](const auto& each) { return std::string(each.param.name); });
+
+TEST(resources, of_several_files_are_checked_together) {
+    const auto cut = good_resources.find("[[route]]");
+    const auto first = std::get<document>(parse_toml(good_resources.substr(0, cut), "a"));
+    const auto second =
+        std::get<document>(parse_toml(good_resources.substr(cut) + "min_calls = 0\n", "b"));
+    const auto found = check(merge_resources({first, second}));
+    ASSERT_EQ(found.size(), 1U) << to_text(found);
+    EXPECT_EQ(found[0].where, (place{"b", 12, 13}));
+}
+
+/// Lines "table.key default" of all settings.
+std::string list_defaults() {
+    auto read = std::get<msg::settings_msg>(read_settings(parse(good_settings)));
+    *read.identity = {};
+    read.listen->ip.clear();
+    read.store->url.clear();
+    std::string lines;
+    const auto all = write_settings(read);
+    for (const auto& table : std::get<document::table>(all.value)) {
+        for (const auto& field : std::get<document::table>(table.value.value)) {
+            lines +=
+                "| `" + table.key + "." + field.key + "` | `" + write_json(field.value) + "` |";
+            lines += "\n";
+        }
+    }
+    return lines;
+}
+
+TEST(settings_page, lists_every_key_with_its_default) {
+    const auto page = read_file(std::string(SOURCE_ROOT) + "/docs/settings.md");
+    std::istringstream lines(list_defaults());
+    for (std::string line; std::getline(lines, line);) {
+        EXPECT_NE(page.find(line), std::string::npos) << "not in docs/settings.md: " << line;
+    }
+}
+
+} // namespace
+} // namespace cyclamenhatch
