node: report the store client's counters as it counts them

Cause: the client tells requests that were proven not run from those of unknown outcome. Change: dump and metrics name both. Conclusion: operators see honest outcomes.

--- a/src/node/state_document.cpp
+++ b/src/node/state_document.cpp
@@ -152,7 +152,9 @@
                            {"is_watching", reader.is_watching},
                            {"reads", number(counts.reads)},
                            {"writes", number(counts.writes)},
-                           {"failures", number(counts.failures)}};
+                           {"watches", number(counts.watches)},
+                           {"not_run", number(counts.not_run)},
+                           {"unknown", number(counts.unknown)}};
 }
 
 document describe_links(const node_runtime& node) {
@@ -275,7 +277,8 @@
     const auto kv = store::counters(*node.store);
     add_line(text, "store_reads_total", kv.reads);
     add_line(text, "store_writes_total", kv.writes);
-    add_line(text, "store_failures_total", kv.failures);
+    add_line(text, "store_not_run_total", kv.not_run);
+    add_line(text, "store_unknown_total", kv.unknown);
     return text + edge::metrics_text(*node.calls);
 }
 
