--- /dev/null
+++ b/src/distribution/adoption.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "distribution/step.h"
+
+/// Replacing the held configuration by a newer one, and refusing those that must not be held.
+namespace cyclamenhatch::distribution {
+
+/// Holds `found` when it is newer than what is held and pushes it on; else does nothing. `from` is
+/// the member it came from, empty for the store. Returns whether it is held now.
+bool adopt(state& self, const snapshot_ptr& found, const node_id& from, const step& now);
+
+/// Logs and reports a version that failed its checks, once, and keeps it from being asked for.
+void refuse(state& self, config_version version, const digest_id& digest, const findings& found,
+            const node_id& from, const membership::table& members, instant now, actions& wanted);
+
+/// Whether the version was refused lately. An empty digest matches every digest.
+[[nodiscard]] bool is_refused(const state& self, config_version version, const digest_id& digest);
+
+/// Lets refusals lapse, so that a version is tried again.
+void forget_refusals(state& self, instant now);
+
+/// Logs, once, that another configuration of the version held exists.
+void log_conflict(state& self, const digest_id& other, const node_id& from, actions& wanted);
+
+/// Whether the version lies above what is held, or nothing is held.
+[[nodiscard]] bool is_newer(const state& self, config_version version);
+
+} // namespace cyclamenhatch::distribution
