move: decide on moves by a sequential test over combined evidence

Change: plan, evidence, verdict, reports, permits, controller, spreading and closing; route_evidence gains busy_us and scores. Result: builds; not yet tested or measured.

--- /dev/null
+++ b/src/move/controller.cpp
@@ -0,0 +1,300 @@
+#include "move/controller.h"
+
+#include "move/plan.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace cyclamenhatch::moves {
+
+namespace {
+
+/// Largest score per second over all entries, so that a short burst takes nothing back.
+constexpr double max_total_score_per_s = 6.0;
+/// Evidence above which the ramp waits.
+constexpr double suspicion_level = 20;
+/// Evidence that takes a move back when there is no time to wait.
+constexpr double late_veto_level = 100;
+/// Evidence against earlier calls that makes the controller compare side by side.
+constexpr double check_level = 300;
+constexpr std::uint32_t check_permille = 500;
+constexpr std::uint32_t max_checks = 3;
+constexpr milliseconds check_time{4000};
+/// A check must be over before the deadline.
+constexpr milliseconds check_margin{8000};
+/// Shortest time in a stage that is entered before its latest start.
+constexpr milliseconds early_stage_time{3000};
+/// Part of the new version's ready slots that a stage may fill.
+constexpr double slot_use = 0.8;
+constexpr double busy_smoothing = 0.3;
+
+double seconds_of(microseconds span) {
+    return std::chrono::duration<double>(span).count();
+}
+
+double step_weight(const control_state& self, const move& planned, double step_s) {
+    const double whole = seconds_of(planned.deadline - self.collected.begun);
+    return 0.5 * step_s / std::max(whole, 60.0);
+}
+
+void observe_load(control_state& self, double step_s) {
+    std::uint64_t busy_us = 0;
+    for (const auto& [route, totals] : sum_totals(self.collected)) {
+        busy_us += totals.busy_us;
+    }
+    if (busy_us > self.last_busy_us && step_s > 0) {
+        const double slots = static_cast<double>(busy_us - self.last_busy_us) / (step_s * 1e6);
+        self.busy_slots += busy_smoothing * (slots - self.busy_slots);
+    }
+    self.last_busy_us = busy_us;
+}
+
+std::uint64_t calls_on_new(const control_state& self) {
+    std::uint64_t sum = 0;
+    for (const auto& [route, totals] : sum_totals(self.collected)) {
+        sum += totals.new_calls;
+    }
+    return sum;
+}
+
+void note_stage(control_state& self, const attempt_record& known) {
+    const std::uint32_t stage = known.granted ? known.granted->stage : 0;
+    if (stage == self.stage) {
+        return;
+    }
+    self.stage = stage;
+    self.calls_before_stage = calls_on_new(self);
+    for (auto& [route, judged] : self.routes) {
+        judged.earlier = {};
+    }
+}
+
+template <class Detectors>
+worst_finding worst_of(const std::map<route_id, route_judgement>& routes, Detectors detectors) {
+    worst_finding worst;
+    for (const auto& [route, judged] : routes) {
+        for (std::size_t of = 0; of < measure_count; ++of) {
+            const double found = level(detectors(judged).at(of));
+            if (found > worst.level) {
+                worst = {.route = route, .what = static_cast<measure>(of), .level = found};
+            }
+        }
+    }
+    return worst;
+}
+
+worst_finding worst_earlier(const control_state& self) {
+    return worst_of(self.routes, [](const route_judgement& of) { return of.earlier; });
+}
+
+double veto_level(const control_state& self, std::uint32_t false_alarm_ppm) {
+    const double tests = static_cast<double>(std::max<std::size_t>(self.routes.size(), 1)) *
+                         static_cast<double>(measure_count);
+    return tests * 1e6 / std::max(false_alarm_ppm, 1U);
+}
+
+std::string describe(const control_state& self, const worst_finding& worst) {
+    const auto sums = sum_totals(self.collected);
+    const auto found = sums.find(worst.route);
+    std::string text = std::string(measure_name(worst.what));
+    if (found == sums.end()) {
+        return text;
+    }
+    const route_totals& totals = found->second;
+    std::array<char, 160> figures{};
+    std::snprintf(figures.data(), figures.size(),
+                  ": new %llu errors of %llu calls, old %llu of %llu, evidence 1:%.0f",
+                  static_cast<unsigned long long>(totals.new_errors),
+                  static_cast<unsigned long long>(totals.new_calls),
+                  static_cast<unsigned long long>(totals.old_errors),
+                  static_cast<unsigned long long>(totals.old_calls), worst.level);
+    return text + figures.data();
+}
+
+/// Times in permits and vetoes travel in milliseconds; equal values must be equal everywhere.
+instant whole_ms(instant time) {
+    return from_unix_ms(to_unix_ms(time));
+}
+
+veto make_veto(const control_facts& facts, msg::veto_reason reason, std::string detail,
+               instant now) {
+    return {.reason = reason,
+            .detail = std::move(detail),
+            .raised_by = facts.self,
+            .at = whole_ms(now),
+            .is_confirmed = true};
+}
+
+veto make_evidence_veto(const control_state& self, const control_facts& facts,
+                        const worst_finding& worst, const std::string& addition, instant now) {
+    const auto reason =
+        worst.what == measure::errors ? msg::veto_reason::errors : msg::veto_reason::latency;
+    veto made = make_veto(facts, reason, describe(self, worst) + addition, now);
+    made.route = worst.route;
+    return made;
+}
+
+permit next_permit(const control_facts& facts, std::uint32_t permille, instant now) {
+    const std::uint32_t stage = facts.known.granted ? facts.known.granted->stage + 1 : 1;
+    return {.stage = stage, .permille = permille, .at = whole_ms(now)};
+}
+
+bool has_slots_for(const control_state& self, const control_facts& facts, std::uint32_t permille) {
+    if (facts.ready.on_new == 0) {
+        return false;
+    }
+    const double needed = self.busy_slots * permille / full_share_permille;
+    return needed <= slot_use * facts.ready.on_new;
+}
+
+/// The deadline is here and the traffic is not on the new version.
+decision decide_overdue(const control_state& self, const control_facts& facts, instant now) {
+    const std::uint32_t share = facts.known.granted ? facts.known.granted->permille : 0;
+    const worst_finding worst = worst_concurrent(self);
+    if (worst.level >= late_veto_level) {
+        return make_evidence_veto(self, facts, worst, ", at the deadline", now);
+    }
+    if (!has_slots_for(self, facts, full_share_permille)) {
+        return make_veto(facts, msg::veto_reason::no_endpoints,
+                         "deadline reached with " + std::to_string(facts.ready.on_new) +
+                             " ready slots of the new version",
+                         now);
+    }
+    if (share >= check_permille) {
+        return next_permit(facts, full_share_permille, now);
+    }
+    return make_veto(facts, msg::veto_reason::deadline,
+                     "deadline reached at a share of " + std::to_string(share) + " permille", now);
+}
+
+/// The full share is due with fewer calls than a verdict takes.
+decision decide_little_traffic(const control_facts& facts, std::uint64_t calls, instant now) {
+    if (facts.planned.on_little_traffic == little_traffic_policy::done) {
+        return next_permit(facts, full_share_permille, now);
+    }
+    return make_veto(facts, msg::veto_reason::little_traffic,
+                     "only " + std::to_string(calls) + " of " +
+                         std::to_string(facts.planned.min_calls) +
+                         " calls on the new version, and on_little_traffic is take_back",
+                     now);
+}
+
+decision decide_ramp(control_state& self, const control_facts& facts, instant now) {
+    const permit granted = facts.known.granted.value_or(permit{});
+    const bool is_first = !facts.known.granted;
+    const instant entered = is_first ? now : granted.at;
+    const auto left = schedule_after(facts.planned, granted.permille, entered);
+    if (left.empty()) {
+        return {};
+    }
+    const stage& next = left.front();
+    const auto dwell = now - entered;
+    const bool is_check = self.checks > 0 && granted.permille == check_permille;
+    if (!is_first && dwell < (is_check ? check_time : min_stage_time)) {
+        return {};
+    }
+    if (!has_slots_for(self, facts, next.permille)) {
+        self.waiting_for = "ready slots of the new version";
+        return {};
+    }
+    const std::uint64_t calls = calls_on_new(self);
+    const worst_finding worst = worst_concurrent(self);
+    const bool is_suspicious = worst.level >= suspicion_level;
+    const bool is_due = now >= next.latest_start;
+    const bool is_early = calls >= self.calls_before_stage + facts.planned.min_calls &&
+                          dwell >= early_stage_time && !is_suspicious;
+    self.waiting_for = is_suspicious ? "clearer evidence" : "calls or the schedule";
+    if (!is_due && !is_early) {
+        return {};
+    }
+    if (is_suspicious && now < latest_bake_start(facts.planned)) {
+        return {};
+    }
+    if (worst.level >= late_veto_level) {
+        return make_evidence_veto(self, facts, worst, ", no time left to gather more", now);
+    }
+    self.waiting_for.clear();
+    if (next.permille == full_share_permille && calls < facts.planned.min_calls) {
+        return decide_little_traffic(facts, calls, now);
+    }
+    return next_permit(facts, next.permille, now);
+}
+
+decision decide_bake(control_state& self, const control_facts& facts, instant now) {
+    const permit& granted = *facts.known.granted;
+    const worst_finding earlier = worst_earlier(self);
+    if (earlier.level >= check_level) {
+        if (self.checks >= max_checks) {
+            return make_evidence_veto(self, facts, earlier, ", at the full share only", now);
+        }
+        if (now + check_margin < facts.planned.deadline) {
+            ++self.checks;
+            return next_permit(facts, check_permille, now);
+        }
+    }
+    const worst_finding worst = worst_concurrent(self);
+    const bool is_overdue = now >= facts.planned.deadline;
+    if (!is_overdue && (now < granted.at + facts.planned.bake || worst.level >= suspicion_level)) {
+        return {};
+    }
+    if (worst.level >= late_veto_level) {
+        return make_evidence_veto(self, facts, worst, ", at the deadline", now);
+    }
+    return finish{.reason = now < granted.at + facts.planned.bake
+                                ? "all traffic on the new version, the deadline cut the bake short"
+                                : "all traffic on the new version, bake passed",
+                  .in_force_at = granted.at};
+}
+
+} // namespace
+
+worst_finding worst_concurrent(const control_state& self) {
+    return worst_of(self.routes, [](const route_judgement& of) { return of.concurrent; });
+}
+
+void observe(control_state& self, const control_facts& facts, instant now) {
+    note_stage(self, facts.known);
+    if (now < self.last_step + control_step) {
+        return;
+    }
+    const double step_s = std::min(seconds_of(now - self.last_step), 2 * seconds_of(control_step));
+    self.last_step = now;
+    observe_load(self, step_s);
+    drop_silent_groups(self.collected, now);
+    const double weight = step_weight(self, facts.planned, step_s);
+    const auto limit = static_cast<float>(max_total_score_per_s * step_s);
+    for (auto& [route, steps] : take_steps(self.collected)) {
+        route_judgement& judged = self.routes[route];
+        for (std::size_t of = 0; of < measure_count; ++of) {
+            limit_scores(steps[0][of], limit);
+            limit_scores(steps[1][of], limit);
+            advance(judged.concurrent[of], steps[0][of], weight);
+            advance(judged.earlier[of], steps[1][of], weight);
+        }
+    }
+}
+
+decision decide(control_state& self, const control_facts& facts, instant now) {
+    if (find_veto(facts.known) != nullptr) {
+        return {};
+    }
+    const worst_finding worst = worst_concurrent(self);
+    if (worst.level >= veto_level(self, facts.false_alarm_ppm)) {
+        return make_evidence_veto(self, facts, worst, "", now);
+    }
+    if (facts.planned.start && now < *facts.planned.start) {
+        self.waiting_for = "the start";
+        return {};
+    }
+    const bool is_full =
+        facts.known.granted && facts.known.granted->permille >= full_share_permille;
+    if (is_full) {
+        return decide_bake(self, facts, now);
+    }
+    if (now >= facts.planned.deadline) {
+        return decide_overdue(self, facts, now);
+    }
+    return decide_ramp(self, facts, now);
+}
+
+} // namespace cyclamenhatch::moves
--- /dev/null
+++ b/src/move/evidence.cpp
@@ -0,0 +1,213 @@
+#include "move/evidence.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cyclamenhatch::moves {
+
+namespace {
+
+constexpr milliseconds min_window{1000};
+constexpr milliseconds max_window{120000};
+/// Calls of each version that make a window worth closing.
+constexpr double full_window_calls = 5;
+/// Largest score per second of a window: an endpoint that dies gives a short burst of errors, a bad
+/// version goes on.
+constexpr float max_score_per_s = 6.0F;
+/// After the share was lowered, calls begun before end within this time, mostly.
+constexpr milliseconds settle_time{1500};
+/// Calls of the old version that set what counts as slow.
+constexpr std::uint64_t calibration_calls = 20;
+constexpr double slow_fraction = 0.12;
+constexpr double very_slow_fraction = 0.015;
+/// Calls of the old version that are remembered for comparison.
+constexpr double earlier_calls = 2000;
+/// The new version has the entry almost to itself: the old one's calls are too few to compare with.
+constexpr double alone_ratio = 50;
+/// Prior probability that a fault begins in one window.
+constexpr double window_weight = 1.0 / 600;
+
+void count_call(version_counts& counts, const call::call_sample& sample) {
+    if (sample.kind == call::sample_kind::refused) {
+        ++counts.refusals;
+        return;
+    }
+    ++counts.calls;
+    counts.errors += sample.kind == call::sample_kind::error ? 1 : 0;
+    counts.busy_us += static_cast<std::uint64_t>(std::max<std::int64_t>(sample.latency.count(), 0));
+    ++counts.latency.at(latency_bucket(sample.latency));
+}
+
+/// First bucket at and above which at most `fraction` of the calls lie.
+std::size_t upper_bucket(const version_counts& counts, double fraction) {
+    const double allowed = static_cast<double>(counts.calls) * fraction;
+    double above = 0;
+    std::size_t bucket = latency_buckets;
+    while (bucket > 0 && above + static_cast<double>(counts.latency.at(bucket - 1)) <= allowed) {
+        above += static_cast<double>(counts.latency.at(--bucket));
+    }
+    return bucket;
+}
+
+void calibrate(route_record& route) {
+    if (route.on_old.calls < calibration_calls) {
+        return;
+    }
+    route.slow_from = upper_bucket(route.on_old, slow_fraction);
+    route.very_slow_from = upper_bucket(route.on_old, very_slow_fraction);
+}
+
+void add_to_window(window_counts& counts, const route_record& route,
+                   const call::call_sample& sample) {
+    counts.calls += 1;
+    if (sample.kind == call::sample_kind::error) {
+        counts.hits[static_cast<std::size_t>(measure::errors)] += 1;
+    }
+    const std::size_t bucket = latency_bucket(sample.latency);
+    if (bucket >= route.slow_from) {
+        counts.hits[static_cast<std::size_t>(measure::slow)] += 1;
+    }
+    if (bucket >= route.very_slow_from) {
+        counts.hits[static_cast<std::size_t>(measure::very_slow)] += 1;
+    }
+}
+
+split concurrent_split(const window& from, std::size_t of) {
+    return {.new_calls = from.on_new.calls,
+            .old_calls = from.on_old.calls,
+            .new_hits = from.on_new.hits[of],
+            .old_hits = from.on_old.hits[of]};
+}
+
+/// Against the old version's earlier calls, for as long as it has next to none now.
+split earlier_split(const route_record& route, std::size_t of) {
+    const window& from = route.open;
+    if (from.on_old.calls * alone_ratio > from.on_new.calls || route.earlier.calls <= 0) {
+        return {};
+    }
+    return {.new_calls = from.on_new.calls,
+            .old_calls = route.earlier.calls,
+            .new_hits = from.on_new.hits[of],
+            .old_hits = route.earlier.hits[of]};
+}
+
+score_table score_window(const route_record& route) {
+    score_table scores{};
+    for (std::size_t of = 0; of < measure_count; ++of) {
+        scores[0][of] = score(concurrent_split(route.open, of));
+        scores[1][of] = score(earlier_split(route, of));
+    }
+    return scores;
+}
+
+float window_limit(const window& from, instant now) {
+    const auto age = std::chrono::duration<float>(std::max(now - from.opened, microseconds{0}));
+    return max_score_per_s * std::max(age.count(), 1.0F);
+}
+
+void remember_old(route_record& route) {
+    window_counts& kept = route.earlier;
+    const double fade = kept.calls > earlier_calls ? earlier_calls / kept.calls : 1.0;
+    kept.calls = kept.calls * fade + route.open.on_old.calls;
+    for (std::size_t of = 0; of < measure_count; ++of) {
+        kept.hits[of] = kept.hits[of] * fade + route.open.on_old.hits[of];
+    }
+}
+
+void close_window(route_record& route, instant now) {
+    const float limit = window_limit(route.open, now);
+    score_table scores = score_window(route);
+    for (std::size_t of = 0; of < measure_count; ++of) {
+        for (std::size_t with = 0; with < reference_count; ++with) {
+            limit_scores(scores[with][of], limit);
+            for (std::size_t i = 0; i < effects.size(); ++i) {
+                route.closed[with][of][i] += scores[with][of][i];
+            }
+        }
+        advance(route.local[of], scores[0][of], window_weight);
+    }
+    remember_old(route);
+    calibrate(route);
+    route.open = window{.opened = now};
+}
+
+bool is_full(const route_record& route, instant now) {
+    const auto age = now - route.open.opened;
+    const bool has_both = route.open.on_new.calls >= full_window_calls &&
+                          route.open.on_old.calls >= full_window_calls;
+    const bool is_alone = route.open.on_new.calls >= alone_ratio;
+    return (age >= min_window && (has_both || is_alone)) || age >= max_window;
+}
+
+} // namespace
+
+std::size_t latency_bucket(microseconds latency) {
+    constexpr double lowest_us = 100;
+    if (latency.count() < static_cast<std::int64_t>(lowest_us)) {
+        return 0;
+    }
+    const double position = 2 * std::log2(static_cast<double>(latency.count()) / lowest_us);
+    return std::min(static_cast<std::size_t>(position), latency_buckets - 1);
+}
+
+void add_sample(entry_evidence& self, const call::call_sample& sample, bool is_new, instant now) {
+    auto [found, is_first] = self.routes.try_emplace(sample.route);
+    route_record& route = found->second;
+    if (is_first) {
+        route.open.opened = now;
+    }
+    count_call(is_new ? route.on_new : route.on_old, sample);
+    if (sample.kind == call::sample_kind::refused || now < self.settled_at) {
+        return;
+    }
+    add_to_window(is_new ? route.open.on_new : route.open.on_old, route, sample);
+}
+
+void close_windows(entry_evidence& self, std::uint32_t permille, instant now) {
+    const bool share_changed = permille != self.permille;
+    for (auto& [name, route] : self.routes) {
+        if (share_changed || is_full(route, now)) {
+            close_window(route, now);
+        }
+    }
+    if (permille < self.permille) {
+        self.settled_at = now + settle_time;
+    }
+    self.permille = permille;
+}
+
+score_table total_scores(const route_record& route, instant now) {
+    const float limit = window_limit(route.open, now);
+    score_table scores = score_window(route);
+    for (std::size_t with = 0; with < reference_count; ++with) {
+        for (std::size_t of = 0; of < measure_count; ++of) {
+            limit_scores(scores[with][of], limit);
+            for (std::size_t i = 0; i < effects.size(); ++i) {
+                scores[with][of][i] += route.closed[with][of][i];
+            }
+        }
+    }
+    return scores;
+}
+
+local_finding strongest_local(const entry_evidence& self) {
+    local_finding found;
+    for (const auto& [name, route] : self.routes) {
+        const score_table open = score_window(route);
+        for (std::size_t of = 0; of < measure_count; ++of) {
+            detector with_open = route.local[of];
+            advance(with_open, open[0][of], window_weight);
+            const double sustained = level(route.local[of]);
+            const double at_once = std::max(sustained, level(with_open));
+            if (at_once > found.at_once) {
+                found = {.route = name,
+                         .what = static_cast<measure>(of),
+                         .sustained = sustained,
+                         .at_once = at_once};
+            }
+        }
+    }
+    return found;
+}
+
+} // namespace cyclamenhatch::moves
--- a/src/move/move_table.h
+++ b/src/move/move_table.h
@@ -9,6 +9,13 @@
 #include "model/resources.h"
 #include "model/snapshot.h"
 #include "model/time.h"
+#include "move/attempt_key.h"
+#include "move/closing.h"
+#include "move/combining.h"
+#include "move/controller.h"
+#include "move/evidence.h"
+#include "move/permits.h"
+#include "move/topology.h"
 #include "settings_generated.h"
 #include "store/change.h"
 
@@ -23,15 +30,6 @@
 /// change.
 namespace cyclamenhatch::moves {
 
-/// Names one attempt of one move.
-struct attempt_key {
-    service_id service;
-    move_id name;
-    std::uint32_t attempt = 1;
-
-    friend auto operator<=>(const attempt_key&, const attempt_key&) = default;
-};
-
 /// What a step wants done.
 struct actions {
     std::vector<outgoing> sends;
@@ -40,9 +38,42 @@
     std::vector<store::move_close> closes;
 };
 
+/// One move that has not ended, as this node takes part in it.
+struct open_move {
+    move planned;
+    entry_evidence evidence;
+    /// Until then calls to the new version are held back here on this entry's own evidence.
+    instant held_back_until;
+    /// Share in force at this entry.
+    std::uint32_t permille = 0;
+    topology around;
+    instant next_report;
+    /// Used while this node is a controller of the move.
+    control_state control;
+    closing_state closing;
+    /// Used while this node combines reports of its data centre, by group.
+    std::map<std::string, combined_group> groups;
+    /// A newcomer asks others at once what is permitted.
+    bool has_asked = false;
+};
+
+/// What has ended, by the configuration in force.
+struct ended_move {
+    move planned;
+};
+
 /// State of one node. Plain data; the caller serialises access.
 struct state {
     msg::move_settings_msg settings;
+    node_id self;
+    std::map<attempt_key, open_move> open;
+    /// Permits and vetoes, also of attempts whose configuration has not arrived yet.
+    std::map<attempt_key, attempt_record> records;
+    /// The open move of each service.
+    std::map<service_id, attempt_key> by_service;
+    std::vector<ended_move> ended;
+    snapshot_ptr held;
+    instant next_exchange;
 };
 
 [[nodiscard]] state make_state(const msg::move_settings_msg& settings, instant now);
@@ -80,6 +111,8 @@
     std::uint64_t calls_on_new = 0;
     std::uint64_t errors_on_new = 0;
     std::string veto_reason;
+    /// What the next stage waits for; known to the controller only.
+    std::string waiting_for;
     bool is_controller = false;
     std::optional<move_ending> ending;
 };
--- /dev/null
+++ b/src/move/permits.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "membership/membership.h"
+#include "messages/peer_message.h"
+#include "model/ids.h"
+#include "model/time.h"
+#include "move/attempt_key.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// Permits and vetoes as monotone values: merging the same set in any order gives the same result,
+/// so that two controllers at once, loss and repetition do no harm.
+namespace cyclamenhatch::moves {
+
+/// The share in force from a stage on. Stages only count up; the share of a later stage may be
+/// lower, as when the controller steps back to compare the versions side by side.
+struct permit {
+    std::uint32_t stage = 0;
+    std::uint32_t permille = 0;
+    instant at;
+
+    friend bool operator==(const permit&, const permit&) = default;
+};
+
+/// Whether `left` supersedes `right`: the higher stage; within one stage the smaller share, then
+/// the earlier time.
+[[nodiscard]] bool supersedes(const permit& left, const permit& right);
+
+struct veto {
+    msg::veto_reason reason = msg::veto_reason::errors;
+    route_id route;
+    std::string detail;
+    node_id raised_by;
+    instant at;
+    /// Holds by itself; otherwise it takes the word of two nodes.
+    bool is_confirmed = false;
+
+    friend bool operator==(const veto&, const veto&) = default;
+};
+
+/// What is known of one attempt.
+struct attempt_record {
+    std::optional<permit> granted;
+    /// By the node that raised it.
+    std::map<node_id, veto> vetoes;
+    /// How often the latest news was passed on.
+    std::uint32_t times_sent = 0;
+};
+
+/// Returns whether anything changed.
+bool merge(attempt_record& self, const permit& other);
+
+/// Keeps the earliest veto of each node, and of at most `max_raisers` nodes. Returns whether
+/// anything changed.
+bool merge(attempt_record& self, const veto& other);
+inline constexpr std::size_t max_raisers = 8;
+
+/// The veto that takes the move back, or null: the earliest confirmed one, or the second of two
+/// nodes. It beats every permit.
+[[nodiscard]] const veto* find_veto(const attempt_record& self);
+
+[[nodiscard]] msg::move_permit_msg to_message(const attempt_key& key, const permit& from);
+[[nodiscard]] msg::move_veto_msg to_message(const attempt_key& key, const veto& from);
+[[nodiscard]] permit from_message(const msg::move_permit_msg& from);
+/// Not confirmed; the receiver judges who raised it.
+[[nodiscard]] veto from_message(const msg::move_veto_msg& from);
+
+} // namespace cyclamenhatch::moves
--- a/src/move/plan.h
+++ b/src/move/plan.h
@@ -9,6 +9,12 @@
 
 namespace cyclamenhatch::moves {
 
+inline constexpr std::uint32_t full_share_permille = 1000;
+/// Kept free between the bake and the deadline for the closing record.
+inline constexpr milliseconds closing_margin{3000};
+/// Shortest useful time in one stage: the evidence of one report has to arrive.
+inline constexpr milliseconds min_stage_time{2000};
+
 /// One stage of a ramp.
 struct stage {
     std::uint32_t permille = 0;
@@ -26,4 +32,15 @@
 /// Findings when the deadline leaves no time, as of `now`.
 [[nodiscard]] result<plan> make_plan(const move& planned, instant now);
 
+/// The shares of a ramp in order; the last is full_share_permille.
+[[nodiscard]] std::vector<std::uint32_t> list_shares(std::uint32_t first_permille);
+
+/// Latest time to reach the full share so that the bake ends before the deadline.
+[[nodiscard]] instant latest_bake_start(const move& planned);
+
+/// The stages above `permille`, spread evenly over the time left from `entered` to the latest start
+/// of the bake. Empty at the full share.
+[[nodiscard]] std::vector<stage> schedule_after(const move& planned, std::uint32_t permille,
+                                                instant entered);
+
 } // namespace cyclamenhatch::moves
--- /dev/null
+++ b/src/move/reports.cpp
@@ -0,0 +1,241 @@
+#include "move/reports.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cyclamenhatch::moves {
+
+namespace {
+
+constexpr std::size_t score_count = reference_count * measure_count * effects.size();
+/// Largest score that one entry adds per step.
+constexpr float max_step_score = 6.0F;
+/// Largest net score of one entry while others contradict it: below what a veto takes.
+constexpr float max_single_credit = 11.0F;
+/// Calls on the new version by other entries on the same route that count as contradiction.
+constexpr std::uint64_t contradicting_calls = 20;
+constexpr milliseconds silent_group_time{15000};
+/// A source that began to count no earlier than this before the collection did is counted from
+/// zero.
+constexpr milliseconds begin_tolerance{3000};
+
+std::vector<float> flatten(const score_table& scores) {
+    std::vector<float> flat;
+    flat.reserve(score_count);
+    for (const auto& with : scores) {
+        for (const auto& of : with) {
+            flat.insert(flat.end(), of.begin(), of.end());
+        }
+    }
+    return flat;
+}
+
+score_table unflatten(const std::vector<float>& flat) {
+    score_table scores{};
+    if (flat.size() != score_count ||
+        !std::all_of(flat.begin(), flat.end(), [](float each) { return std::isfinite(each); })) {
+        return scores;
+    }
+    std::size_t next = 0;
+    for (auto& with : scores) {
+        for (auto& of : with) {
+            for (float& each : of) {
+                each = flat[next++];
+            }
+        }
+    }
+    return scores;
+}
+
+std::uint32_t saturate(std::uint64_t count) {
+    return static_cast<std::uint32_t>(std::min<std::uint64_t>(count, UINT32_MAX));
+}
+
+std::unique_ptr<msg::route_evidence_msg> make_route(const route_id& name, const version_id& version,
+                                                    std::uint64_t calls, std::uint64_t errors) {
+    auto made = std::make_unique<msg::route_evidence_msg>();
+    made->route = name.value;
+    made->version = version.value;
+    made->calls = saturate(calls);
+    made->errors = saturate(errors);
+    return made;
+}
+
+/// Calls on the new version that entries other than `source` had on a route.
+std::uint64_t calls_elsewhere(const std::map<route_id, route_totals>& sums,
+                              const source_record& source, const route_id& route) {
+    const auto all = sums.find(route);
+    const auto own = source.latest.routes.find(route);
+    if (all == sums.end() || own == source.latest.routes.end()) {
+        return 0;
+    }
+    return all->second.new_calls - std::min(all->second.new_calls, own->second.new_calls);
+}
+
+/// Adds what one source's route brought since the last step to `sum`.
+void take_route(score_table& sum, const score_table& now_at, score_table& seen, score_table& credit,
+                float max_credit, float max_step) {
+    for (std::size_t with = 0; with < reference_count; ++with) {
+        for (std::size_t of = 0; of < measure_count; ++of) {
+            for (std::size_t i = 0; i < effects.size(); ++i) {
+                float& held = credit[with][of][i];
+                const float offered = std::min(now_at[with][of][i] - seen[with][of][i], max_step);
+                const float taken = std::min(offered, std::max(max_credit - held, 0.0F));
+                held = std::max(held + taken, 0.0F);
+                sum[with][of][i] += taken;
+            }
+        }
+    }
+    seen = now_at;
+}
+
+} // namespace
+
+report make_report(const attempt_key& key, const std::string& source, const entry_evidence& from,
+                   instant now) {
+    report made{.key = key,
+                .source = source,
+                .sequence = static_cast<std::uint64_t>(to_unix_ms(now)),
+                .begun = from.begun};
+    for (const auto& [name, route] : from.routes) {
+        made.routes.emplace(name,
+                            route_totals{.new_calls = route.on_new.calls,
+                                         .new_errors = route.on_new.errors,
+                                         .new_refusals = route.on_new.refusals,
+                                         .old_calls = route.on_old.calls,
+                                         .old_errors = route.on_old.errors,
+                                         .busy_us = route.on_new.busy_us + route.on_old.busy_us,
+                                         .scores = total_scores(route, now)});
+    }
+    return made;
+}
+
+msg::move_evidence_msg to_message(const report& from, const version_id& from_version,
+                                  const version_id& to_version) {
+    msg::move_evidence_msg made;
+    made.service = from.key.service.value;
+    made.move = from.key.name.value;
+    made.attempt = from.key.attempt;
+    made.source = from.source;
+    made.sequence = from.sequence;
+    made.sources = from.sources;
+    made.window_start_ms = to_unix_ms(from.begun);
+    made.window_ms = static_cast<std::uint32_t>(
+        std::max<std::int64_t>(static_cast<std::int64_t>(from.sequence) - made.window_start_ms, 0));
+    for (const auto& [name, totals] : from.routes) {
+        auto on_new = make_route(name, to_version, totals.new_calls, totals.new_errors);
+        on_new->refusals = saturate(totals.new_refusals);
+        on_new->busy_us = totals.busy_us;
+        on_new->scores = flatten(totals.scores);
+        made.routes.push_back(std::move(on_new));
+        made.routes.push_back(make_route(name, from_version, totals.old_calls, totals.old_errors));
+    }
+    return made;
+}
+
+report from_message(const msg::move_evidence_msg& from, const version_id& to_version) {
+    report made{.key = {.service = service_id(from.service),
+                        .name = move_id(from.move),
+                        .attempt = from.attempt},
+                .source = from.source,
+                .sequence = from.sequence,
+                .sources = from.sources,
+                .begun = from_unix_ms(from.window_start_ms)};
+    for (const auto& each : from.routes) {
+        if (!each || (made.routes.size() >= max_report_routes &&
+                      !made.routes.contains(route_id(each->route)))) {
+            continue;
+        }
+        route_totals& totals = made.routes[route_id(each->route)];
+        if (each->version != to_version.value) {
+            totals.old_calls = each->calls;
+            totals.old_errors = each->errors;
+            continue;
+        }
+        totals.new_calls = each->calls;
+        totals.new_errors = each->errors;
+        totals.new_refusals = each->refusals;
+        totals.busy_us = each->busy_us;
+        totals.scores = unflatten(each->scores);
+    }
+    return made;
+}
+
+bool accept(collection& self, const report& from, instant now) {
+    const auto found = self.sources.find(from.source);
+    if (found != self.sources.end()) {
+        source_record& held = found->second;
+        if (from.sequence <= held.latest.sequence) {
+            return false;
+        }
+        if (from.begun != held.latest.begun) {
+            // It began anew, as after a restart: what it counted before stands no longer in its
+            // sums.
+            held.seen.clear();
+        }
+        held.latest = from;
+        held.heard = now;
+        return true;
+    }
+    if (self.sources.size() >= max_sources) {
+        return false;
+    }
+    source_record made{.latest = from, .heard = now};
+    if (from.begun + begin_tolerance < self.begun) {
+        for (const auto& [name, totals] : from.routes) {
+            made.seen[name] = totals.scores;
+        }
+    }
+    self.sources.emplace(from.source, std::move(made));
+    return true;
+}
+
+std::map<route_id, score_table> take_steps(collection& self) {
+    std::map<route_id, score_table> steps;
+    const auto sums = sum_totals(self);
+    for (auto& [name, source] : self.sources) {
+        for (const auto& [route, totals] : source.latest.routes) {
+            const bool is_contradicted =
+                source.latest.sources <= 1 &&
+                calls_elsewhere(sums, source, route) >= contradicting_calls;
+            const float max_credit = is_contradicted ? max_single_credit : 1e9F;
+            const float max_step =
+                max_step_score * static_cast<float>(std::max(source.latest.sources, 1U));
+            take_route(steps[route], totals.scores, source.seen[route], source.credit[route],
+                       max_credit, max_step);
+        }
+    }
+    return steps;
+}
+
+std::map<route_id, route_totals> sum_totals(const collection& self) {
+    std::map<route_id, route_totals> sums;
+    for (const auto& [name, source] : self.sources) {
+        for (const auto& [route, totals] : source.latest.routes) {
+            route_totals& sum = sums[route];
+            sum.new_calls += totals.new_calls;
+            sum.new_errors += totals.new_errors;
+            sum.new_refusals += totals.new_refusals;
+            sum.old_calls += totals.old_calls;
+            sum.old_errors += totals.old_errors;
+            sum.busy_us += totals.busy_us;
+        }
+    }
+    return sums;
+}
+
+std::uint32_t count_sources(const collection& self) {
+    std::uint32_t sum = 0;
+    for (const auto& [name, source] : self.sources) {
+        sum += source.latest.sources;
+    }
+    return sum;
+}
+
+void drop_silent_groups(collection& self, instant now) {
+    std::erase_if(self.sources, [now](const auto& each) {
+        return each.second.latest.sources > 1 && each.second.heard + silent_group_time < now;
+    });
+}
+
+} // namespace cyclamenhatch::moves
--- /dev/null
+++ b/src/move/reports.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "messages/peer_message.h"
+#include "model/ids.h"
+#include "model/time.h"
+#include "move/attempt_key.h"
+#include "move/evidence.h"
+#include "move/verdict.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+/// Evidence on its way from entries to the controller. Reports are cumulative and numbered, so that
+/// loss, repetition and reordering cost nothing but time; sums over sources are again reports.
+namespace cyclamenhatch::moves {
+
+/// Totals of one route since a source began to count.
+struct route_totals {
+    std::uint64_t new_calls = 0;
+    std::uint64_t new_errors = 0;
+    std::uint64_t new_refusals = 0;
+    std::uint64_t old_calls = 0;
+    std::uint64_t old_errors = 0;
+    std::uint64_t busy_us = 0;
+    score_table scores{};
+};
+
+/// One report in strong types.
+struct report {
+    attempt_key key;
+    std::string source;
+    std::uint64_t sequence = 0;
+    /// Entries whose evidence it holds.
+    std::uint32_t sources = 1;
+    instant begun;
+    std::map<route_id, route_totals> routes;
+};
+
+[[nodiscard]] report make_report(const attempt_key& key, const std::string& source,
+                                 const entry_evidence& from, instant now);
+
+[[nodiscard]] msg::move_evidence_msg to_message(const report& from, const version_id& from_version,
+                                                const version_id& to_version);
+
+/// At most `max_report_routes` routes are read.
+[[nodiscard]] report from_message(const msg::move_evidence_msg& from, const version_id& to_version);
+inline constexpr std::size_t max_report_routes = 64;
+
+/// The newest report of one source and how much of its scores has been taken over.
+struct source_record {
+    report latest;
+    instant heard;
+    /// Scores of the latest report that were looked at.
+    std::map<route_id, score_table> seen;
+    /// Net scores taken over, never below zero; limited while others contradict.
+    std::map<route_id, score_table> credit;
+};
+
+/// The sources that report to this node about one attempt.
+struct collection {
+    instant begun;
+    std::map<std::string, source_record> sources;
+};
+inline constexpr std::size_t max_sources = 256;
+
+/// Keeps a report unless a newer one of its source is held. Returns whether it was kept.
+bool accept(collection& self, const report& from, instant now);
+
+/// The scores that came in since the last call, per route. What one entry adds is limited: per
+/// step, and altogether while other entries have calls on the route that do not agree.
+[[nodiscard]] std::map<route_id, score_table> take_steps(collection& self);
+
+/// Sums over all sources.
+[[nodiscard]] std::map<route_id, route_totals> sum_totals(const collection& self);
+[[nodiscard]] std::uint32_t count_sources(const collection& self);
+
+/// Forgets combined sources that fell silent: their members report elsewhere now.
+void drop_silent_groups(collection& self, instant now);
+
+} // namespace cyclamenhatch::moves
--- /dev/null
+++ b/src/move/topology.cpp
@@ -0,0 +1,95 @@
+#include "move/topology.h"
+
+#include "membership/duty.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace cyclamenhatch::moves {
+
+namespace {
+
+constexpr std::size_t believed_controllers = 3;
+constexpr std::size_t group_size = 32;
+/// Reports per shortest interval that a receiver takes without slowing the reporters down.
+constexpr std::size_t relaxed_fan_in = 16;
+
+/// FNV-1a: the same on every node and build.
+std::uint64_t stable_hash(std::string_view text) {
+    std::uint64_t hash = 0xcbf29ce484222325ULL;
+    for (const char each : text) {
+        hash = (hash ^ static_cast<unsigned char>(each)) * 0x100000001b3ULL;
+    }
+    return hash;
+}
+
+std::size_t count_groups(std::size_t members_there) {
+    return std::bit_ceil((members_there + group_size - 1) / group_size);
+}
+
+void count_slots(topology& made, const msg::member_record_msg& record, const move& planned) {
+    if (!record.upstream || record.upstream->state != msg::upstream_state::ready ||
+        record.upstream->service != planned.service.value) {
+        return;
+    }
+    const std::uint32_t slots = std::max(record.upstream->slots, 1U);
+    if (record.upstream->version == planned.to.value) {
+        made.ready.on_new += slots;
+    } else if (record.upstream->version == planned.from.value) {
+        made.ready.on_old += slots;
+    }
+}
+
+} // namespace
+
+topology make_topology(const membership::table& members, const attempt_key& key,
+                       const move& planned) {
+    topology made{.generation = members.generation};
+    made.controllers = membership::duty_holders(
+        members, "move/" + key.service.value + "/" + key.name.value, believed_controllers);
+    const auto live = membership::live_records(members);
+    std::map<std::string, std::size_t> per_data_centre;
+    for (const auto* record : live) {
+        count_slots(made, *record, planned);
+        ++per_data_centre[record->data_centre];
+    }
+    made.fan_in = live.size();
+    made.is_combined = live.size() > max_direct_reporters;
+    if (!made.is_combined) {
+        return made;
+    }
+    std::size_t groups = 0;
+    for (const auto& [name, count] : per_data_centre) {
+        groups += count_groups(count);
+    }
+    made.fan_in = std::max(group_size, groups);
+    const data_centre_id here(members.self.data_centre);
+    made.group = group_name(here, node_id(members.self.node), per_data_centre[here.value]);
+    const auto combiners = membership::duty_holders(
+        members, "move-evidence/" + key.service.value + "/" + made.group, 1, here);
+    if (!combiners.empty()) {
+        made.combiner = combiners.front();
+    }
+    return made;
+}
+
+std::string group_name(const data_centre_id& data_centre, const node_id& reporter,
+                       std::size_t members_there) {
+    const std::size_t groups = count_groups(std::max<std::size_t>(members_there, 1));
+    return data_centre.value + "/" + std::to_string(stable_hash(reporter.value) % groups) + "/" +
+           std::to_string(groups);
+}
+
+bool is_controller(const topology& self, const node_id& node, std::size_t ranks) {
+    const std::size_t count = std::min(ranks, self.controllers.size());
+    const auto end = self.controllers.begin() + static_cast<std::ptrdiff_t>(count);
+    return std::find(self.controllers.begin(), end, node) != end;
+}
+
+milliseconds report_interval(const topology& self, std::uint32_t shortest_ms) {
+    const std::size_t factor =
+        std::max<std::size_t>((self.fan_in + relaxed_fan_in - 1) / relaxed_fan_in, 1);
+    return milliseconds(static_cast<std::int64_t>(shortest_ms) * static_cast<std::int64_t>(factor));
+}
+
+} // namespace cyclamenhatch::moves
--- /dev/null
+++ b/src/move/topology.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "membership/membership.h"
+#include "model/ids.h"
+#include "model/resources.h"
+#include "move/attempt_key.h"
+#include "move/controller.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+/// Who decides on a move, who reports to whom, and which endpoints it has, by the member table.
+namespace cyclamenhatch::moves {
+
+/// Derived from one generation of the member table.
+struct topology {
+    std::uint64_t generation = 0;
+    /// By rank. The first decides; the second gets the same reports; the third is still believed
+    /// when tables differ.
+    std::vector<node_id> controllers;
+    /// In a large fleet entries report to a combiner in their data centre.
+    bool is_combined = false;
+    /// This entry's group; the source name of the group's combined report.
+    std::string group;
+    node_id combiner;
+    /// Reports that reach one node per interval.
+    std::size_t fan_in = 1;
+    ready_slots ready;
+};
+
+/// Members up to this number report to the controllers directly.
+inline constexpr std::size_t max_direct_reporters = 48;
+/// Controllers that get reports.
+inline constexpr std::size_t report_controllers = 2;
+
+[[nodiscard]] topology make_topology(const membership::table& members, const attempt_key& key,
+                                     const move& planned);
+
+/// The group of a reporting node within a data centre of `members_there` members.
+[[nodiscard]] std::string group_name(const data_centre_id& data_centre, const node_id& reporter,
+                                     std::size_t members_there);
+
+[[nodiscard]] bool is_controller(const topology& self, const node_id& node, std::size_t ranks);
+
+/// Time between reports, so that no receiver gets more than about 32 reports a second.
+[[nodiscard]] milliseconds report_interval(const topology& self, std::uint32_t shortest_ms);
+
+} // namespace cyclamenhatch::moves
--- /dev/null
+++ b/src/move/verdict.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <string_view>
+
+/// The sequential test of a new version against the old one.
+///
+/// Calls are divided between the versions at random, so when both are equally good each error falls
+/// on the new version with the probability of its share of the calls, however often errors happen.
+/// The likelihood ratio of "the new version's rate is `effect` times the old one's" against "equal"
+/// therefore has an expectation of at most one for a good version, also under faults that both
+/// versions share. Ratios of separate windows and separate entries multiply; their logarithms add.
+namespace cyclamenhatch::moves {
+
+/// What is counted about a call. Slow and very slow are relative to the old version's latency.
+enum class measure : std::size_t { errors, slow, very_slow };
+inline constexpr std::size_t measure_count = 3;
+
+/// How many times the old version's rate the new version's is, in the alternatives tested.
+inline constexpr std::array<double, 4> effects{1.5, 3.0, 10.0, 40.0};
+
+/// Logarithms of likelihood ratios, one per effect.
+using effect_scores = std::array<float, effects.size()>;
+/// One per measure.
+using measure_scores = std::array<effect_scores, measure_count>;
+
+/// What the new version is compared with.
+enum class reference : std::size_t {
+    /// The old version's calls in the same window: proof.
+    concurrent,
+    /// The old version's calls before: a suspicion only, since a shared fault shows here as well.
+    earlier,
+};
+inline constexpr std::size_t reference_count = 2;
+using score_table = std::array<measure_scores, reference_count>;
+
+/// Calls and hits (errors, or slow calls) of both versions in one window.
+struct split {
+    double new_calls = 0;
+    double old_calls = 0;
+    double new_hits = 0;
+    double old_hits = 0;
+};
+
+/// Zero when either version has no calls or there was no hit.
+[[nodiscard]] effect_scores score(const split& window);
+
+/// Lowers each score to at most `limit`.
+void limit_scores(effect_scores& scores, float limit);
+
+/// Accumulates scores over time and allows for a fault that begins at any time. Its level exceeds X
+/// with a probability of at most 1/X for a good version, as long as the weights given to it sum up
+/// to at most one.
+struct detector {
+    std::array<double, effects.size()> value{};
+};
+
+/// One detector per measure, with the weight of a fault that is there from the start.
+[[nodiscard]] std::array<detector, measure_count> make_detectors();
+
+/// Adds one step. `weight` is the prior probability that a fault begins in this step.
+void advance(detector& self, const effect_scores& step, double weight);
+
+/// Evidence against the new version; 1 is none.
+[[nodiscard]] double level(const detector& self);
+
+[[nodiscard]] std::string_view measure_name(measure of);
+
+} // namespace cyclamenhatch::moves
