--- /dev/null
+++ b/bench/registry.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <CLI/CLI.hpp>
+
+#include <vector>
+
+namespace cyclamenhatch::bench {
+
+/// One subcommand of cyclamenhatch-bench. `add` declares the subcommand with its options and its
+/// callback; a failed measurement throws std::runtime_error.
+struct bench_command {
+    const char* name = "";
+    void (*add)(CLI::App& app) = nullptr;
+};
+
+/// All commands that the program's files registered.
+[[nodiscard]] std::vector<bench_command>& commands();
+
+/// Registers a command before main: one static object of this type stands in each command's file.
+struct command_registrar {
+    explicit command_registrar(const bench_command& command) { commands().push_back(command); }
+};
+
+} // namespace cyclamenhatch::bench
