--- a/src/distribution/distribution.h
+++ b/src/distribution/distribution.h
@@ -10,6 +10,8 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -57,6 +59,61 @@
     std::vector<operation_id> operations;
 };
 
+/// A version that this node will not ask for again for a while.
+struct refused_version {
+    config_version version;
+    digest_id digest;
+    instant at;
+    /// Deltas that did not lead to the stated digest; the second one refuses the version.
+    int mismatches = 0;
+};
+
+/// The newest version that somebody else is known to hold.
+struct newest_seen {
+    config_version version;
+    digest_id digest;
+    node_id holder;
+};
+
+/// The present request for a newer configuration.
+struct pull_state {
+    bool is_in_flight = false;
+    node_id target;
+    instant sent;
+    instant not_before;
+};
+
+/// The comparison with others that a node makes at its start and after a pause.
+struct refresh_state {
+    instant started;
+    std::set<node_id> compared;
+    bool has_store_answer = false;
+};
+
+/// What a node told the aggregator of its data centre, or an aggregator heard from a node.
+struct node_report {
+    config_version version;
+    std::optional<rejection> rejected;
+    instant heard;
+};
+
+/// This node's side of reporting what is in force.
+struct reporting_state {
+    node_id aggregator;
+    std::vector<data_centre_id> live_data_centres;
+    /// Generation of the member table that the two above were worked out from.
+    std::uint64_t generation = 0;
+    std::optional<rejection> rejected;
+    bool is_report_due = true;
+    instant next_report;
+    /// Used while this node is the aggregator.
+    std::map<node_id, node_report> reports;
+    instant aggregating_since;
+    instant last_summary;
+    instant next_summary;
+    bool is_repeat_due = false;
+};
+
 /// State of one node. Plain data; the caller serialises access.
 struct state {
     msg::distribution_settings_msg settings;
@@ -69,6 +126,23 @@
     /// several members or the store. A node takes no calls while it is set.
     bool needs_refresh = true;
     std::uint64_t control_bytes_sent = 0;
+    /// The latest versions held, oldest first, to make deltas from; bounded. Sections are shared.
+    std::vector<snapshot_ptr> history;
+    /// Deltas that start above what is held; bounded.
+    std::vector<msg::config_delta_msg> stashed;
+    std::vector<refused_version> refused;
+    newest_seen newest;
+    pull_state pull;
+    refresh_state refresh;
+    instant next_exchange;
+    /// Whole configurations sent since the window began.
+    std::uint32_t snapshots_in_window = 0;
+    instant snapshot_window;
+    reporting_state reporting;
+    /// The last head of the store below what is held, and the last digest that differs from it at
+    /// the same version: each is logged once.
+    config_version logged_lower_head;
+    digest_id logged_conflict;
 };
 
 [[nodiscard]] state make_state(const msg::distribution_settings_msg& settings, instant now);
--- /dev/null
+++ b/src/distribution/transfer.cpp
@@ -0,0 +1,208 @@
+#include "distribution/transfer.h"
+
+#include <map>
+#include <set>
+#include <utility>
+
+namespace cyclamenhatch::distribution {
+namespace {
+
+using section_map = std::map<service_id, section_ptr>;
+
+std::unique_ptr<msg::section_blob_msg> make_blob(const section_ptr& part) {
+    auto blob = std::make_unique<msg::section_blob_msg>();
+    blob->service = part->content.service.name.value;
+    blob->digest = part->digest.value;
+    blob->body.assign(part->encoded.begin(), part->encoded.end());
+    return blob;
+}
+
+std::unique_ptr<msg::head_entry_msg> make_entry(const section_ptr& part) {
+    auto entry = std::make_unique<msg::head_entry_msg>();
+    entry->service = part->content.service.name.value;
+    entry->digest = part->digest.value;
+    return entry;
+}
+
+std::vector<std::string> operation_names(const snapshot& from) {
+    std::vector<std::string> names;
+    for (const auto& each : from.operations) {
+        names.push_back(each.value);
+    }
+    return names;
+}
+
+bool has_section(const section_map& sections, const std::string& service,
+                 const std::string& digest) {
+    const auto found = sections.find(service_id{service});
+    return found != sections.end() && found->second->digest.value == digest;
+}
+
+/// Opens the sections of a message and adds them; collects what is wrong with all of them.
+findings add_sections(const std::vector<std::unique_ptr<msg::section_blob_msg>>& blobs,
+                      section_map& sections) {
+    findings all;
+    for (const auto& blob : blobs) {
+        if (!blob) {
+            continue;
+        }
+        auto opened = open_stored_section(std::string(blob->body.begin(), blob->body.end()),
+                                          digest_id{blob->digest});
+        if (const auto* found = std::get_if<findings>(&opened)) {
+            for (auto each : *found) {
+                each.path = blob->service + "." + each.path;
+                all.push_back(std::move(each));
+            }
+            continue;
+        }
+        const auto& part = std::get<section_ptr>(opened);
+        if (part->content.service.name.value != blob->service) {
+            all.push_back({.path = blob->service + ".service.name",
+                           .problem = "the section is of service \"" +
+                                      part->content.service.name.value + "\"",
+                           .remedy = "fetch the section again"});
+            continue;
+        }
+        sections[part->content.service.name] = part;
+    }
+    return all;
+}
+
+result<snapshot_ptr> build(config_version version, const section_map& sections,
+                           const std::vector<std::string>& operations) {
+    std::vector<section_ptr> parts;
+    for (const auto& [name, part] : sections) {
+        parts.push_back(part);
+    }
+    std::vector<operation_id> ids;
+    for (const auto& each : operations) {
+        ids.emplace_back(each);
+    }
+    return build_snapshot(version, std::move(parts), std::move(ids));
+}
+
+} // namespace
+
+msg::config_delta_msg make_delta(const snapshot& from, const snapshot& to) {
+    msg::config_delta_msg delta;
+    delta.base_version = from.version.value;
+    delta.version = to.version.value;
+    delta.digest = to.digest.value;
+    delta.operations = operation_names(to);
+    for (const auto& [name, part] : to.sections) {
+        if (!has_section(from.sections, name.value, part->digest.value)) {
+            delta.changed.push_back(make_blob(part));
+        }
+    }
+    for (const auto& [name, part] : from.sections) {
+        if (!to.sections.contains(name)) {
+            delta.removed.push_back(name.value);
+        }
+    }
+    return delta;
+}
+
+msg::config_snapshot_msg make_snapshot_message(const snapshot& from,
+                                               const msg::config_pull_msg& asked) {
+    std::set<std::pair<std::string, std::string>> have;
+    for (const auto& each : asked.have) {
+        if (each) {
+            have.emplace(each->service, each->digest);
+        }
+    }
+    msg::config_snapshot_msg message;
+    message.version = from.version.value;
+    message.digest = from.digest.value;
+    message.operations = operation_names(from);
+    for (const auto& [name, part] : from.sections) {
+        if (have.contains({name.value, part->digest.value})) {
+            message.kept.push_back(make_entry(part));
+        } else {
+            message.sections.push_back(make_blob(part));
+        }
+    }
+    return message;
+}
+
+msg::config_pull_msg make_pull(const snapshot_ptr& held) {
+    msg::config_pull_msg pull;
+    if (!held) {
+        return pull;
+    }
+    pull.version = held->version.value;
+    for (const auto& [name, part] : held->sections) {
+        pull.have.push_back(make_entry(part));
+    }
+    return pull;
+}
+
+msg::config_notice_msg make_notice(const snapshot_ptr& held) {
+    msg::config_notice_msg notice;
+    if (held) {
+        notice.version = held->version.value;
+        notice.digest = held->digest.value;
+    }
+    return notice;
+}
+
+bool has_sections_of(const msg::config_pull_msg& asked, const snapshot& base) {
+    if (asked.version != base.version.value || asked.have.size() != base.sections.size()) {
+        return false;
+    }
+    for (const auto& each : asked.have) {
+        if (!each || !has_section(base.sections, each->service, each->digest)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+transfer_result apply_delta(const snapshot& base, const msg::config_delta_msg& delta) {
+    auto sections = base.sections;
+    for (const auto& removed : delta.removed) {
+        sections.erase(service_id{removed});
+    }
+    if (auto found = add_sections(delta.changed, sections); !found.empty()) {
+        return found;
+    }
+    const config_version version{delta.version};
+    if (compute_head_digest(version, sections).value != delta.digest) {
+        return transfer_mismatch{};
+    }
+    auto built = build(version, sections, delta.operations);
+    if (auto* found = std::get_if<findings>(&built)) {
+        return std::move(*found);
+    }
+    return std::get<snapshot_ptr>(built);
+}
+
+transfer_result open_snapshot(const snapshot_ptr& held, const msg::config_snapshot_msg& message) {
+    section_map sections;
+    for (const auto& kept : message.kept) {
+        if (!kept) {
+            continue;
+        }
+        if (!held || !has_section(held->sections, kept->service, kept->digest)) {
+            return transfer_mismatch{};
+        }
+        const service_id name{kept->service};
+        sections[name] = held->sections.at(name);
+    }
+    if (auto found = add_sections(message.sections, sections); !found.empty()) {
+        return found;
+    }
+    auto built = build(config_version{message.version}, sections, message.operations);
+    if (auto* found = std::get_if<findings>(&built)) {
+        return std::move(*found);
+    }
+    const auto& whole = std::get<snapshot_ptr>(built);
+    if (whole->digest.value != message.digest) {
+        return findings{{.path = "digest",
+                         .problem = "the sections make " + whole->digest.value + " where " +
+                                    message.digest + " is stated",
+                         .remedy = "fetch the configuration from another member"}};
+    }
+    return whole;
+}
+
+} // namespace cyclamenhatch::distribution
--- /dev/null
+++ b/src/membership/membership.cpp
@@ -0,0 +1,170 @@
+#include "membership/membership.h"
+
+#include "membership/joiner.h"
+#include "membership/prober.h"
+#include "membership/record_merge.h"
+#include "membership/updates.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cyclamenhatch::membership {
+namespace {
+
+/// Members told directly of this node's leave; they spread it on.
+constexpr std::size_t told_on_leave = 8;
+
+/// A paused process knows nothing of the time between: it must not blame others for it.
+void notice_pause(table& state, instant now) {
+    const auto gap = now - state.last_tick;
+    state.last_tick = now;
+    if (gap <= milliseconds{state.settings.pause_ms}) {
+        return;
+    }
+    ++state.pauses;
+    reset_probes(state, now);
+    renew_self(state, 0);
+    start_sync(state, now);
+}
+
+bool is_live_member(const table& state, const node_id& node) {
+    const auto found = state.members.find(node);
+    return found != state.members.end() && is_live(found->second.record);
+}
+
+/// The records that ride on a message of membership; null for other kinds.
+const record_list* updates_of(const peer_message& message) {
+    if (const auto* probe = std::get_if<msg::probe_msg>(&message)) {
+        return &probe->updates;
+    }
+    if (const auto* answer = std::get_if<msg::probe_ack_msg>(&message)) {
+        return &answer->updates;
+    }
+    if (const auto* request = std::get_if<msg::member_sync_msg>(&message)) {
+        return &request->updates;
+    }
+    return nullptr;
+}
+
+void merge_updates(table& state, const incoming& from, instant now) {
+    const auto* updates = updates_of(from.message);
+    if (updates == nullptr) {
+        return;
+    }
+    const bool was_departed =
+        state.members.contains(from.from) && !is_live_member(state, from.from);
+    for (const auto& record : *updates) {
+        if (record) {
+            merge_record(state, *record, record_source::update, now);
+        }
+    }
+    if (was_departed && is_live_member(state, from.from)) {
+        hurry_rejoins(state, now);
+    }
+}
+
+} // namespace
+
+table make_table(const msg::membership_settings_msg& settings, msg::member_record_msg self,
+                 std::vector<peer_address> contacts, instant now) {
+    table state;
+    state.settings = settings;
+    state.self = std::move(self);
+    state.last_tick = now;
+    state.next_probe = now;
+    state.next_rejoin = now;
+    state.push_refilled = now;
+    add_contacts(state, contacts);
+    queue_update(state, node_id{state.self.node});
+    start_sync(state, now);
+    return state;
+}
+
+std::vector<outgoing> on_tick(table& state, instant now, random_source& random) {
+    std::vector<outgoing> sends;
+    if (state.self.state == msg::liveness::left) {
+        return sends;
+    }
+    notice_pause(state, now);
+    tick_probes(state, now, random, sends);
+    tick_joins(state, now, random, sends);
+    push_updates(state, now, random, sends);
+    return sends;
+}
+
+std::vector<outgoing> on_message(table& state, const incoming& from, instant now,
+                                 random_source& random) {
+    std::vector<outgoing> sends;
+    merge_updates(state, from, now);
+    if (const auto* probe = std::get_if<msg::probe_msg>(&from.message)) {
+        answer_probe(state, from.from, *probe, now, sends);
+    } else if (const auto* answer = std::get_if<msg::probe_ack_msg>(&from.message)) {
+        settle_probe(state, from.from, *answer, sends);
+    } else if (const auto* request = std::get_if<msg::member_sync_msg>(&from.message)) {
+        answer_sync(state, from.from, *request, sends);
+    } else if (const auto* page = std::get_if<msg::member_page_msg>(&from.message)) {
+        take_page(state, *page, now, random, sends);
+    }
+    return sends;
+}
+
+void set_upstream(table& state, const msg::upstream_record_msg& upstream, instant /*now*/) {
+    state.self.upstream = std::make_unique<msg::upstream_record_msg>(upstream);
+    renew_self(state, 0);
+}
+
+std::vector<outgoing> leave(table& state, instant /*now*/, random_source& random) {
+    std::vector<outgoing> sends;
+    state.self.state = msg::liveness::left;
+    renew_self(state, 0);
+    for (const auto* receiver : choose_members(state, told_on_leave, random)) {
+        record_list updates;
+        updates.push_back(std::make_unique<msg::member_record_msg>(state.self));
+        sends.push_back(make_push(*receiver, std::move(updates)));
+    }
+    return sends;
+}
+
+void add_contacts(table& state, const std::vector<peer_address>& contacts) {
+    const auto own = link_address(state.self);
+    for (const auto& each : contacts) {
+        const bool is_known = std::find(state.contacts.begin(), state.contacts.end(), each) !=
+                              state.contacts.end();
+        if (!is_known && each != own) {
+            state.contacts.push_back(each);
+        }
+    }
+}
+
+const msg::member_record_msg* find_record(const table& state, const node_id& node) {
+    if (node.value == state.self.node) {
+        return &state.self;
+    }
+    const auto found = state.members.find(node);
+    return found == state.members.end() ? nullptr : &found->second.record;
+}
+
+peer_address link_address(const msg::member_record_msg& record) {
+    return {.ip = record.ip, .port = record.link_port};
+}
+
+std::vector<const msg::member_record_msg*> live_records(const table& state) {
+    std::vector<const msg::member_record_msg*> records;
+    records.reserve(state.members.size() + 1);
+    bool is_self_placed = state.self.state == msg::liveness::left;
+    for (const auto& [node, each] : state.members) {
+        if (!is_self_placed && state.self.node < node.value) {
+            records.push_back(&state.self);
+            is_self_placed = true;
+        }
+        if (is_live(each.record)) {
+            records.push_back(&each.record);
+        }
+    }
+    if (!is_self_placed) {
+        records.push_back(&state.self);
+    }
+    return records;
+}
+
+} // namespace cyclamenhatch::membership
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -21,6 +21,10 @@
     msg::member_record_msg record;
     /// When the present liveness was learnt.
     instant since;
+    /// Whether this node's own probes failed, so that it also tells others of the death.
+    bool is_own_suspicion = false;
+    /// Somebody holds this departed member to be alive: probe it so that it can refute.
+    bool wants_recheck = false;
 };
 
 struct probe_in_flight {
@@ -34,6 +38,21 @@
 struct pending_update {
     node_id about;
     std::uint32_t times_sent = 0;
+    /// Rounds of eager pushes made for it.
+    std::uint32_t times_pushed = 0;
+};
+
+/// A page-wise read of another member's table.
+struct table_sync {
+    bool is_active = false;
+    /// Position that was reached.
+    std::string after;
+    /// The present request is given up then and made to somebody else.
+    instant retry_at;
+    /// When somebody last answered, or when the sync began.
+    instant progress;
+    /// Contacts are asked in turn.
+    std::size_t next_contact = 0;
 };
 
 /// A probe that was made for another member, so that its answer can be passed on.
@@ -41,6 +60,7 @@
     std::uint64_t sequence = 0;
     std::uint64_t original_sequence = 0;
     node_id asker;
+    node_id target;
     instant sent;
 };
 
@@ -60,7 +80,14 @@
     std::vector<pending_update> updates;
     instant last_tick;
     instant next_probe;
-    instant next_join;
+    table_sync sync;
+    /// When a departed member or a contact that is no member is next tried again.
+    instant next_rejoin;
+    /// Departed members are tried more often until then, after one of them answered.
+    instant rejoining_until;
+    /// Bytes that eager pushes may still take.
+    double push_budget_bytes = 0;
+    instant push_refilled;
     /// Set once a full member table has been received from someone, or nobody is to be found.
     bool has_joined = false;
     /// Raised at each change of any record; readers compare it to see whether to rebuild views.
--- /dev/null
+++ b/src/membership/record_merge.cpp
@@ -0,0 +1,99 @@
+#include "membership/record_merge.h"
+
+#include "membership/updates.h"
+
+#include <algorithm>
+
+namespace cyclamenhatch::membership {
+namespace {
+
+void merge_own(table& state, const msg::member_record_msg& record) {
+    const bool is_ahead = record.incarnation > state.self.incarnation;
+    const bool is_false =
+        record.incarnation == state.self.incarnation && record.state > state.self.state;
+    if (is_ahead || is_false) {
+        renew_self(state, record.incarnation);
+    }
+}
+
+bool insert_record(table& state, const msg::member_record_msg& record, record_source source,
+                   instant now) {
+    const node_id node{record.node};
+    state.members.emplace(node, member{.record = record, .since = now});
+    ++state.generation;
+    // An unknown tombstone is kept but not told on: else tombstones would circulate for ever.
+    const bool is_news = source == record_source::update || state.has_joined;
+    if (is_live(record) && is_news) {
+        queue_update(state, node);
+    }
+    return true;
+}
+
+void replace_record(table& state, member& held, const msg::member_record_msg& record,
+                    instant now) {
+    const auto before = held.record.state;
+    held.record = record;
+    if (record.state == msg::liveness::dead && before == msg::liveness::alive) {
+        held.record.state = msg::liveness::suspect;
+    }
+    const bool is_same_state = held.record.state == before;
+    held.is_own_suspicion = false;
+    held.since = is_same_state ? held.since : now;
+    ++state.generation;
+    queue_update(state, node_id{record.node});
+}
+
+} // namespace
+
+bool is_live(const msg::member_record_msg& record) {
+    return record.state == msg::liveness::alive || record.state == msg::liveness::suspect;
+}
+
+void renew_self(table& state, std::uint64_t floor) {
+    state.self.incarnation = std::max(state.self.incarnation, floor) + 1;
+    ++state.generation;
+    queue_update(state, node_id{state.self.node});
+}
+
+void set_liveness(table& state, member& changed, msg::liveness wanted, instant now) {
+    if (changed.record.state == wanted) {
+        return;
+    }
+    changed.record.state = wanted;
+    changed.since = now;
+    ++state.generation;
+    queue_update(state, node_id{changed.record.node});
+}
+
+bool merge_record(table& state, const msg::member_record_msg& record, record_source source,
+                  instant now) {
+    if (record.node.empty()) {
+        return false;
+    }
+    if (record.node == state.self.node) {
+        merge_own(state, record);
+        return false;
+    }
+    const auto found = state.members.find(node_id{record.node});
+    if (found == state.members.end()) {
+        return insert_record(state, record, source, now);
+    }
+    member& held = found->second;
+    if (record.incarnation > held.record.incarnation) {
+        replace_record(state, held, record, now);
+        return true;
+    }
+    const bool is_same_incarnation = record.incarnation == held.record.incarnation;
+    if (is_same_incarnation && is_live(record) && !is_live(held.record)) {
+        held.wants_recheck = true;
+    }
+    if (!is_same_incarnation || record.state <= held.record.state) {
+        return false;
+    }
+    const bool is_unsuspected_death =
+        record.state == msg::liveness::dead && held.record.state == msg::liveness::alive;
+    set_liveness(state, held, is_unsuspected_death ? msg::liveness::suspect : record.state, now);
+    return true;
+}
+
+} // namespace cyclamenhatch::membership
