--- /dev/null
+++ b/src/call/call_key.cpp
@@ -0,0 +1,13 @@
+#include "call/call_key.h"
+
+namespace cyclamenhatch::call {
+
+std::unique_ptr<msg::call_key> make_key(const call_id& call) {
+    return std::make_unique<msg::call_key>(call.high, call.low);
+}
+
+call_id from_key(const msg::call_key* key) {
+    return key == nullptr ? call_id{} : call_id{key->high(), key->low()};
+}
+
+} // namespace cyclamenhatch::call
--- /dev/null
+++ b/src/call/call_key.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "messages_generated.h"
+#include "model/ids.h"
+
+#include <memory>
+
+/// Converts between a call's id and its form in messages.
+namespace cyclamenhatch::call {
+
+[[nodiscard]] std::unique_ptr<msg::call_key> make_key(const call_id& call);
+
+/// The empty id when the message carries none; no call has that id.
+[[nodiscard]] call_id from_key(const msg::call_key* key);
+
+} // namespace cyclamenhatch::call
--- /dev/null
+++ b/src/call/concurrency_limit.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "model/time.h"
+
+#include <cstdint>
+
+namespace cyclamenhatch::call {
+
+/// How many calls an upstream is given at once: at most its slots, fewer while its latency stands
+/// well above what it was. Additive increase, multiplicative decrease per window of samples.
+struct concurrency_limit {
+    double limit = 1;
+    std::uint32_t slots = 0;
+    /// Latency of the unloaded upstream, as far as seen; zero before the first window.
+    double baseline_us = 0;
+    /// Smoothed latency of late.
+    double latency_us = 0;
+    double window_sum_us = 0;
+    std::uint32_t window_samples = 0;
+    std::uint32_t window_overloads = 0;
+    /// Most calls at once within the window.
+    std::uint32_t window_peak = 0;
+};
+
+/// Takes over the slots that the upstream announced; the limit starts at all of them.
+void set_slots(concurrency_limit& state, std::uint32_t slots);
+
+/// Books one answer. `is_overload` marks an answer by which the upstream shed load or ran out of
+/// time. `in_flight` counts the call itself.
+void note_sample(concurrency_limit& state, microseconds latency, bool is_overload,
+                 std::uint32_t in_flight);
+
+/// The limit in whole calls, at least one unless there are no slots.
+[[nodiscard]] std::uint32_t current_limit(const concurrency_limit& state);
+
+} // namespace cyclamenhatch::call
--- /dev/null
+++ b/src/call/entry_call.cpp
@@ -0,0 +1,225 @@
+#include "call/entry_call.h"
+
+#include <algorithm>
+
+namespace cyclamenhatch::call {
+namespace {
+
+constexpr microseconds first_reattach_delay{50'000};
+constexpr std::uint32_t max_reattach_doublings = 4;
+/// Advice to a caller when no gate gave one.
+constexpr milliseconds default_retry_after{1000};
+
+using actions = std::vector<entry_action>;
+
+bool is_current(const entry_call& state, const call_id& call) {
+    return !state.is_over && state.current && state.current->to.call == call;
+}
+
+microseconds age(const attempt& of, instant now) {
+    return now - of.opened_at;
+}
+
+void fail(entry_call& state, refusal told, actions& out) {
+    state.is_over = true;
+    if (state.is_answering) {
+        out.emplace_back(break_off_action{});
+        return;
+    }
+    if (state.may_have_run) {
+        told.outcome = msg::call_outcome::unknown;
+    }
+    out.emplace_back(fail_action{told});
+}
+
+/// Opens an attempt elsewhere, or ends the call with the refusal at hand.
+void open_elsewhere(entry_call& state, const refusal& at_hand, const entry_context& context,
+                    actions& out) {
+    const bool is_first = state.tried.empty();
+    if (context.now >= state.deadline) {
+        fail(state, {.reason = msg::refusal_reason::deadline}, out);
+        return;
+    }
+    if (!is_first && (state.tried.size() >= state.max_attempts || !at_hand.retry_helps)) {
+        fail(state, at_hand, out);
+        return;
+    }
+    auto chosen = context.choose(state.tried);
+    if (!chosen || (!is_first && !spend_retry(context.budget))) {
+        fail(state, at_hand, out);
+        return;
+    }
+    state.tried.push_back(chosen->node);
+    state.current = attempt{.to = *chosen, .opened_at = context.now};
+    out.emplace_back(
+        open_action{std::move(*chosen), static_cast<std::uint32_t>(state.tried.size())});
+}
+
+/// Ends the current attempt, whose outcome is not known.
+void give_up_attempt(entry_call& state, instant now, actions& out) {
+    state.may_have_run = true;
+    out.emplace_back(cancel_action{state.current->to});
+    // The attempt of an answer that has begun was booked with its head.
+    if (!state.is_answering) {
+        out.emplace_back(
+            ended_action{state.current->to, attempt_end::failed, age(*state.current, now)});
+    }
+    state.current.reset();
+}
+
+refusal lost_attempt() {
+    return {.outcome = msg::call_outcome::unknown,
+            .reason = msg::refusal_reason::upstream_unreachable,
+            .retry_helps = true,
+            .retry_after = default_retry_after};
+}
+
+void on_event(entry_call& state, const request_event& /*event*/, const entry_context& context,
+              actions& out) {
+    if (state.is_over || !state.tried.empty()) {
+        return;
+    }
+    open_elsewhere(state,
+                   {.outcome = msg::call_outcome::not_run,
+                    .reason = msg::refusal_reason::no_endpoint,
+                    .retry_helps = true,
+                    .retry_after = default_retry_after},
+                   context, out);
+}
+
+void on_event(entry_call& state, const answer_event& event, const entry_context& context,
+              actions& out) {
+    if (!is_current(state, event.call) || state.is_answering) {
+        out.emplace_back(drop_action{});
+        return;
+    }
+    const auto end = event.is_error ? attempt_end::failed : attempt_end::ok;
+    out.emplace_back(ended_action{state.current->to, end, age(*state.current, context.now)});
+    out.emplace_back(pass_answer_action{});
+    state.is_over = event.is_whole;
+    state.is_answering = !event.is_whole;
+    state.current->reattach_at.reset();
+    if (event.is_whole) {
+        state.current.reset();
+    }
+}
+
+void on_event(entry_call& state, const answer_end_event& event, const entry_context& /*context*/,
+              actions& out) {
+    if (!is_current(state, event.call) || !state.is_answering) {
+        out.emplace_back(drop_action{});
+        return;
+    }
+    state.is_over = true;
+    state.current.reset();
+}
+
+void on_event(entry_call& state, const refused_event& event, const entry_context& context,
+              actions& out) {
+    if (!is_current(state, event.call)) {
+        out.emplace_back(drop_action{});
+        return;
+    }
+    if (state.is_answering) {
+        fail(state, event.told, out);
+        return;
+    }
+    const bool is_proven = event.told.outcome == msg::call_outcome::not_run;
+    // A run whose end is unknown was no refusal: the upstream broke off.
+    const auto end = is_proven ? attempt_end::refused : attempt_end::failed;
+    out.emplace_back(ended_action{state.current->to, end, age(*state.current, context.now)});
+    state.current.reset();
+    state.may_have_run = state.may_have_run || !is_proven;
+    if (state.may_have_run && !state.is_idempotent) {
+        fail(state, event.told, out);
+        return;
+    }
+    open_elsewhere(state, event.told, context, out);
+}
+
+void on_event(entry_call& state, const link_lost_event& event, const entry_context& context,
+              actions& out) {
+    if (state.is_over || !state.current || state.current->to.node != event.node) {
+        return;
+    }
+    if (state.is_answering) {
+        give_up_attempt(state, context.now, out);
+        fail(state, lost_attempt(), out);
+        return;
+    }
+    state.current->reattach_at = context.now + first_reattach_delay;
+    out.emplace_back(reattach_action{state.current->to});
+}
+
+void on_event(entry_call& state, const endpoint_gone_event& event, const entry_context& context,
+              actions& out) {
+    if (state.is_over || !state.current || state.current->to.node != event.node) {
+        return;
+    }
+    give_up_attempt(state, context.now, out);
+    if (state.is_answering || !state.is_idempotent) {
+        fail(state, lost_attempt(), out);
+        return;
+    }
+    open_elsewhere(state, lost_attempt(), context, out);
+}
+
+void on_event(entry_call& state, const timer_event& /*event*/, const entry_context& context,
+              actions& out) {
+    // The deadline bounds the time to an answer's head; a stream that has begun is not cut.
+    if (state.is_over || !state.current || state.is_answering) {
+        return;
+    }
+    if (context.now >= state.deadline) {
+        give_up_attempt(state, context.now, out);
+        fail(state,
+             {.outcome = msg::call_outcome::unknown, .reason = msg::refusal_reason::deadline}, out);
+        return;
+    }
+    auto& now_open = *state.current;
+    if (!now_open.reattach_at || context.now < *now_open.reattach_at) {
+        return;
+    }
+    ++now_open.reattaches;
+    const auto doublings = std::min(now_open.reattaches, max_reattach_doublings);
+    now_open.reattach_at = context.now + first_reattach_delay * (1U << doublings);
+    out.emplace_back(reattach_action{now_open.to});
+}
+
+void on_event(entry_call& state, const caller_gone_event& /*event*/, const entry_context& context,
+              actions& out) {
+    if (state.is_over) {
+        return;
+    }
+    state.is_over = true;
+    if (!state.current) {
+        return;
+    }
+    out.emplace_back(cancel_action{state.current->to});
+    if (!state.is_answering) {
+        out.emplace_back(ended_action{state.current->to, attempt_end::cancelled,
+                                      age(*state.current, context.now)});
+    }
+    state.current.reset();
+}
+
+} // namespace
+
+std::vector<entry_action> advance(entry_call& state, const entry_event& event,
+                                  const entry_context& context) {
+    actions out;
+    std::visit([&](const auto& each) { on_event(state, each, context, out); }, event);
+    return out;
+}
+
+instant next_timer(const entry_call& state) {
+    if (state.is_answering) {
+        return instant::max();
+    }
+    if (state.current && state.current->reattach_at) {
+        return std::min(state.deadline, *state.current->reattach_at);
+    }
+    return state.deadline;
+}
+
+} // namespace cyclamenhatch::call
--- /dev/null
+++ b/src/call/gate.cpp
@@ -0,0 +1,464 @@
+#include "call/gate.h"
+
+#include "call/call_key.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace cyclamenhatch::call {
+namespace {
+
+using msg::call_outcome;
+using msg::refusal_reason;
+
+constexpr milliseconds retry_elsewhere_after{100};
+/// A cancel this close to the deadline comes from the deadline.
+constexpr microseconds deadline_tolerance{10'000};
+
+microseconds typical_latency(const gate_state& gate) {
+    return microseconds(static_cast<std::int64_t>(gate.limit.latency_us));
+}
+
+std::uint32_t effective_limit(const gate_state& gate) {
+    // Without limits the baseline hands over whatever comes.
+    return gate.settings.has_limits ? current_limit(gate.limit)
+                                    : std::numeric_limits<std::uint32_t>::max();
+}
+
+/// Time until a call with so many ahead of it starts.
+microseconds expected_wait(const gate_state& gate, std::size_t ahead) {
+    const auto limit = std::max(1U, current_limit(gate.limit));
+    return typical_latency(gate) * (ahead + 1) / limit;
+}
+
+std::size_t count_ahead(const gate_state& gate, instant deadline) {
+    std::size_t ahead = 0;
+    for (const auto& [owner, queue] : gate.queues) {
+        ahead += static_cast<std::size_t>(
+            std::distance(queue.begin(), queue.lower_bound({deadline, 0})));
+    }
+    return ahead;
+}
+
+msg::call_refused_msg make_refusal(const gate_state& gate, const call_id& call, refusal told) {
+    const auto load = current_load(gate);
+    msg::call_refused_msg refused;
+    refused.call = make_key(call);
+    refused.outcome = told.outcome;
+    refused.reason = told.reason;
+    refused.retry_helps = told.retry_helps;
+    refused.retry_after_ms = static_cast<std::uint32_t>(told.retry_after.count());
+    refused.in_flight = load.in_flight;
+    refused.queue = load.queue;
+    refused.slots = load.slots;
+    refused.gate_instance = gate.instance;
+    return refused;
+}
+
+/// Ends a call without a run or without its answer, and tells its waiter.
+void refuse(gate_state& gate, const call_id& call, const refusal& told, instant now,
+            gate_actions& out) {
+    ++gate.counters.refused[static_cast<std::size_t>(told.reason)];
+    auto refused = make_refusal(gate, call, told);
+    const auto waiter = gate.memory.calls[call].waiter;
+    remember_refusal(gate.memory, call, refused, gate.settings.memory, now);
+    out.emplace_back(tell_refusal_action{waiter, std::move(refused)});
+}
+
+milliseconds wait_in_ms(const gate_state& gate) {
+    const auto wait = expected_wait(gate, gate.queued);
+    return std::max(milliseconds(1), std::chrono::ceil<milliseconds>(wait));
+}
+
+/// Why the gate takes nothing now, or nothing.
+std::optional<refusal> find_closed_reason(const gate_state& gate) {
+    if (gate.is_draining || gate.upstream == msg::upstream_state::draining ||
+        gate.upstream == msg::upstream_state::gone) {
+        return refusal{.reason = refusal_reason::draining,
+                       .retry_helps = true,
+                       .retry_after = retry_elsewhere_after};
+    }
+    if (gate.upstream != msg::upstream_state::ready || gate.limit.slots == 0) {
+        return refusal{.reason = refusal_reason::no_endpoint,
+                       .retry_helps = true,
+                       .retry_after = retry_elsewhere_after};
+    }
+    return std::nullopt;
+}
+
+std::optional<refusal> find_refusal(const gate_state& gate, const gate_request& request,
+                                    instant now) {
+    if (auto closed = find_closed_reason(gate)) {
+        return closed;
+    }
+    if (request.service != gate.service || request.version != gate.version) {
+        return refusal{.reason = refusal_reason::wrong_version,
+                       .retry_helps = true,
+                       .retry_after = retry_elsewhere_after};
+    }
+    if (request.deadline <= now) {
+        return refusal{.reason = refusal_reason::deadline};
+    }
+    // An idle gate always tries: its idea of the latency may be out of date.
+    if (gate.running.empty() || !gate.settings.has_limits) {
+        return std::nullopt;
+    }
+    const bool must_wait = gate.running.size() >= effective_limit(gate) || gate.queued > 0;
+    const auto wait =
+        must_wait ? expected_wait(gate, count_ahead(gate, request.deadline)) : microseconds{0};
+    if (now + wait + typical_latency(gate) > request.deadline) {
+        return refusal{.reason = refusal_reason::deadline,
+                       .retry_helps = must_wait,
+                       .retry_after = wait_in_ms(gate)};
+    }
+    return std::nullopt;
+}
+
+void start(gate_state& gate, const call_id& call, const owner_id& owner, instant deadline,
+           instant now, gate_actions& out) {
+    gate.memory.calls[call].state = memory_state::running;
+    gate.running.emplace(call, running_call{owner, now, deadline});
+    ++gate.shares.owners[owner].running;
+    ++gate.counters.dispatched;
+    out.emplace_back(run_action{call});
+}
+
+void remove_queued(gate_state& gate, const owner_id& owner, deadline_queue::iterator at) {
+    auto queue = gate.queues.find(owner);
+    queue->second.erase(at);
+    --gate.queued;
+    --gate.shares.owners[owner].queued;
+    if (queue->second.empty()) {
+        gate.queues.erase(queue);
+    }
+}
+
+/// The queued owner that has the least of its reservation in use.
+std::map<owner_id, deadline_queue>::iterator find_next_owner(gate_state& gate) {
+    return std::min_element(gate.queues.begin(), gate.queues.end(),
+                            [&](const auto& left, const auto& right) {
+                                return used_ratio(gate.shares.owners[left.first]) <
+                                       used_ratio(gate.shares.owners[right.first]);
+                            });
+}
+
+void refuse_queued(gate_state& gate, const owner_id& owner, deadline_queue::iterator at,
+                   const refusal& told, instant now, gate_actions& out) {
+    const auto call = at->second.call;
+    remove_queued(gate, owner, at);
+    refuse(gate, call, told, now, out);
+    out.emplace_back(release_action{call});
+}
+
+void fill_slots(gate_state& gate, instant now, gate_actions& out) {
+    while (gate.queued > 0 && gate.running.size() < effective_limit(gate)) {
+        const auto queue = find_next_owner(gate);
+        const auto owner = queue->first;
+        const auto first = queue->second.begin();
+        if (first->first.first <= now) {
+            refuse_queued(gate, owner, first, {.reason = refusal_reason::deadline}, now, out);
+            continue;
+        }
+        const auto call = first->second.call;
+        const auto deadline = first->first.first;
+        remove_queued(gate, owner, first);
+        start(gate, call, owner, deadline, now, out);
+    }
+}
+
+/// Makes room in a full queue for an owner that has less than its share of it, by refusing the
+/// latest call of the owner that has the most beyond its share.
+bool displace(gate_state& gate, const owner_id& newcomer, instant now, gate_actions& out) {
+    const auto share = [&](const owner_id& owner) {
+        const auto& of = gate.shares.owners[owner];
+        return of.queued / std::max(0.25, static_cast<double>(of.reserved_slots));
+    };
+    const auto most = std::max_element(gate.queues.begin(), gate.queues.end(),
+                                       [&](const auto& left, const auto& right) {
+                                           return share(left.first) < share(right.first);
+                                       });
+    const auto& own = gate.shares.owners[newcomer];
+    const double own_after =
+        (own.queued + 1) / std::max(0.25, static_cast<double>(own.reserved_slots));
+    if (most == gate.queues.end() || most->first == newcomer || share(most->first) <= own_after) {
+        return false;
+    }
+    const auto owner = most->first;
+    refuse_queued(gate, owner, std::prev(most->second.end()),
+                  {.reason = refusal_reason::queue_full,
+                   .retry_helps = true,
+                   .retry_after = wait_in_ms(gate)},
+                  now, out);
+    return true;
+}
+
+void enqueue(gate_state& gate, const gate_request& request, instant now, gate_actions& out) {
+    if (gate.queued >= gate.settings.queue_limit && !displace(gate, request.owner, now, out)) {
+        refuse(gate, request.call,
+               {.reason = refusal_reason::queue_full,
+                .retry_helps = true,
+                .retry_after = wait_in_ms(gate)},
+               now, out);
+        return;
+    }
+    gate.queues[request.owner].emplace(std::pair{request.deadline, gate.next_number++},
+                                       queued_call{request.call});
+    ++gate.queued;
+    ++gate.shares.owners[request.owner].queued;
+}
+
+void answer_unknown(gate_state& gate, const gate_request& request, instant now, gate_actions& out) {
+    const bool is_same_run = request.gate_instance == gate.instance;
+    const bool is_proven = is_same_run && now >= gate.memory.uncertain_until &&
+                           place_tombstone(gate.memory, request.call, gate.settings.memory, now);
+    gate.counters.tombstones += is_proven ? 1 : 0;
+    const auto outcome = is_proven ? call_outcome::not_run : call_outcome::unknown;
+    out.emplace_back(tell_refusal_action{
+        request.from,
+        make_refusal(gate, request.call,
+                     {.outcome = outcome, .reason = refusal_reason::none, .retry_helps = true})});
+}
+
+/// Answers for a call that the gate knows: the end, or nothing while it is under way.
+void answer_known(gate_state& gate, remembered_call& known, const gate_request& request,
+                  gate_actions& out) {
+    known.waiter = request.from;
+    switch (known.state) {
+    case memory_state::queued:
+    case memory_state::running:
+        return;
+    case memory_state::answered:
+        if (known.answer) {
+            out.emplace_back(tell_answer_action{request.from, known.answer});
+            return;
+        }
+        out.emplace_back(tell_refusal_action{
+            request.from,
+            make_refusal(gate, request.call,
+                         {.outcome = call_outcome::unknown, .reason = refusal_reason::duplicate})});
+        return;
+    case memory_state::refused:
+        out.emplace_back(tell_refusal_action{request.from, known.refused});
+        return;
+    case memory_state::tombstone:
+        out.emplace_back(
+            tell_refusal_action{request.from, make_refusal(gate, request.call,
+                                                           {.outcome = call_outcome::not_run,
+                                                            .reason = refusal_reason::duplicate,
+                                                            .retry_helps = true})});
+        return;
+    }
+}
+
+/// Takes a call out of the queue, wherever it stands there.
+bool unqueue(gate_state& gate, const call_id& call) {
+    for (auto& [owner, queue] : gate.queues) {
+        const auto found = std::find_if(queue.begin(), queue.end(),
+                                        [&](const auto& each) { return each.second.call == call; });
+        if (found != queue.end()) {
+            remove_queued(gate, owner_id(owner), found);
+            return true;
+        }
+    }
+    return false;
+}
+
+void stop_running(gate_state& gate, const call_id& call, instant now) {
+    const auto found = gate.running.find(call);
+    count_usage(gate.shares, gate.limit.slots, now);
+    auto& owner = gate.shares.owners[found->second.owner];
+    --owner.running;
+    ++owner.usage.calls;
+    gate.running.erase(found);
+}
+
+/// A run that is cut at its deadline is a sample of a slow upstream; one that is cut before is
+/// none.
+void note_cut_run(gate_state& gate, const call_id& call, instant now) {
+    const auto& run = gate.running.at(call);
+    if (now + deadline_tolerance >= run.deadline) {
+        note_sample(gate.limit, now - run.started_at, true,
+                    static_cast<std::uint32_t>(gate.running.size()));
+    }
+}
+
+void refuse_all_queued(gate_state& gate, const refusal& told, instant now, gate_actions& out) {
+    while (gate.queued > 0) {
+        const auto queue = gate.queues.begin();
+        refuse_queued(gate, owner_id(queue->first), queue->second.begin(), told, now, out);
+    }
+}
+
+void refuse_queued_when_closed(gate_state& gate, instant now, gate_actions& out) {
+    if (const auto closed = find_closed_reason(gate)) {
+        refuse_all_queued(gate, *closed, now, out);
+    }
+}
+
+} // namespace
+
+gate_actions on_open(gate_state& gate, const gate_request& request, instant now) {
+    gate_actions out;
+    const auto known = gate.memory.calls.find(request.call);
+    if (known != gate.memory.calls.end()) {
+        ++(request.is_reattach ? gate.counters.reattached : gate.counters.duplicates);
+        answer_known(gate, known->second, request, out);
+        return out;
+    }
+    if (request.is_reattach) {
+        answer_unknown(gate, request, now, out);
+        return out;
+    }
+    ++gate.counters.opened;
+    auto& entry = gate.memory.calls[request.call];
+    entry.waiter = request.from;
+    entry.keep_until = request.deadline;
+    if (const auto refused = find_refusal(gate, request, now)) {
+        refuse(gate, request.call, *refused, now, out);
+        return out;
+    }
+    count_usage(gate.shares, gate.limit.slots, now);
+    if (gate.queued == 0 && gate.running.size() < effective_limit(gate)) {
+        start(gate, request.call, request.owner, request.deadline, now, out);
+        return out;
+    }
+    enqueue(gate, request, now, out);
+    return out;
+}
+
+gate_actions on_cancel(gate_state& gate, const call_id& call, instant now) {
+    gate_actions out;
+    const auto known = gate.memory.calls.find(call);
+    if (known == gate.memory.calls.end()) {
+        // The call may still come, and nobody waits for it any more.
+        (void)place_tombstone(gate.memory, call, gate.settings.memory, now);
+        return out;
+    }
+    const auto state = known->second.state;
+    if (state != memory_state::queued && state != memory_state::running) {
+        return out;
+    }
+    ++gate.counters.cancelled;
+    const bool was_running = state == memory_state::running;
+    const auto outcome = was_running ? call_outcome::unknown : call_outcome::not_run;
+    if (was_running) {
+        note_cut_run(gate, call, now);
+        stop_running(gate, call, now);
+        out.emplace_back(abort_action{call});
+    } else {
+        (void)unqueue(gate, call);
+    }
+    out.emplace_back(release_action{call});
+    remember_refusal(
+        gate.memory, call,
+        make_refusal(gate, call, {.outcome = outcome, .reason = refusal_reason::cancelled}),
+        gate.settings.memory, now);
+    fill_slots(gate, now, out);
+    return out;
+}
+
+gate_actions on_upstream_end(gate_state& gate, const call_id& call, const upstream_end& end,
+                             instant now) {
+    gate_actions out;
+    const auto found = gate.running.find(call);
+    if (found == gate.running.end()) {
+        return out;
+    }
+    const auto in_flight = static_cast<std::uint32_t>(gate.running.size());
+    if (end.is_answered || end.is_overload) {
+        note_sample(gate.limit, end.latency, end.is_overload, in_flight);
+    }
+    stop_running(gate, call, now);
+    if (end.is_answered) {
+        ++gate.counters.answered;
+        const auto waiter = gate.memory.calls[call].waiter;
+        remember_answer(gate.memory, call, end.answer, gate.settings.memory, now);
+        if (end.answer) {
+            out.emplace_back(tell_answer_action{waiter, end.answer});
+        }
+    } else {
+        refuse(gate, call,
+               {.outcome = end.is_not_run ? call_outcome::not_run : call_outcome::unknown,
+                .reason = refusal_reason::upstream_unreachable,
+                .retry_helps = true,
+                .retry_after = retry_elsewhere_after},
+               now, out);
+    }
+    out.emplace_back(release_action{call});
+    fill_slots(gate, now, out);
+    return out;
+}
+
+gate_actions on_gate_timer(gate_state& gate, instant now) {
+    gate_actions out;
+    count_usage(gate.shares, gate.limit.slots, now);
+    const auto least =
+        microseconds(static_cast<std::int64_t>(std::min(gate.limit.baseline_us, 50'000.0)));
+    std::vector<owner_id> owners;
+    for (const auto& [owner, queue] : gate.queues) {
+        owners.push_back(owner);
+    }
+    for (const auto& owner : owners) {
+        // The queue may vanish with its last call, so it is looked up each time.
+        for (auto queue = gate.queues.find(owner);
+             queue != gate.queues.end() && queue->second.begin()->first.first <= now + least;
+             queue = gate.queues.find(owner)) {
+            refuse_queued(gate, owner, queue->second.begin(), {.reason = refusal_reason::deadline},
+                          now, out);
+        }
+    }
+    trim(gate.memory, gate.settings.memory, now);
+    return out;
+}
+
+gate_actions on_upstream_change(gate_state& gate, const msg::upstream_record_msg& upstream,
+                                instant now) {
+    gate_actions out;
+    count_usage(gate.shares, gate.limit.slots, now);
+    const bool is_other =
+        gate.service.value != upstream.service || gate.version.value != upstream.version;
+    if (is_other) {
+        refuse_all_queued(gate, {.reason = refusal_reason::wrong_version, .retry_helps = true}, now,
+                          out);
+        gate.limit = {};
+    }
+    gate.service = service_id(upstream.service);
+    gate.version = version_id(upstream.version);
+    gate.upstream = upstream.state;
+    set_slots(gate.limit, upstream.slots);
+    refuse_queued_when_closed(gate, now, out);
+    fill_slots(gate, now, out);
+    return out;
+}
+
+gate_actions on_drain(gate_state& gate, instant now) {
+    gate_actions out;
+    gate.is_draining = true;
+    refuse_queued_when_closed(gate, now, out);
+    return out;
+}
+
+void on_reservations(gate_state& gate, const std::map<owner_id, std::uint32_t>& reserved,
+                     instant now) {
+    count_usage(gate.shares, gate.limit.slots, now);
+    set_reservations(gate.shares, reserved);
+}
+
+bool is_under_way(const gate_state& gate, const call_id& call) {
+    const auto known = gate.memory.calls.find(call);
+    return known != gate.memory.calls.end() && (known->second.state == memory_state::queued ||
+                                                known->second.state == memory_state::running);
+}
+
+node_id waiter_of(const gate_state& gate, const call_id& call) {
+    const auto known = gate.memory.calls.find(call);
+    return known == gate.memory.calls.end() ? node_id{} : known->second.waiter;
+}
+
+load_report current_load(const gate_state& gate) {
+    return {.in_flight = static_cast<std::uint32_t>(gate.running.size()),
+            .queue = static_cast<std::uint32_t>(gate.queued),
+            .slots = current_limit(gate.limit)};
+}
+
+} // namespace cyclamenhatch::call
--- /dev/null
+++ b/src/call/gate.h
@@ -0,0 +1,162 @@
+#pragma once
+
+#include "call/concurrency_limit.h"
+#include "call/entry_call.h"
+#include "call/load_table.h"
+#include "call/outcome_memory.h"
+#include "call/owner_shares.h"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+#include <vector>
+
+/// The gate beside an upstream: decides which calls run, wait or are refused, and remembers how
+/// each ended.
+namespace cyclamenhatch::call {
+
+struct gate_settings {
+    std::uint32_t queue_limit = 64;
+    memory_bounds memory;
+    /// Switches the adaptive limit, the queue's bound and refusals for time off: the baseline of
+    /// measurements.
+    bool has_limits = true;
+};
+
+/// A call_open as far as the gate decides on it.
+struct gate_request {
+    call_id call;
+    node_id from;
+    bool is_reattach = false;
+    service_id service;
+    version_id version;
+    owner_id owner;
+    /// By the gate's clock: receipt plus the time left that the entry stated.
+    instant deadline{};
+    /// Run of the gate's process that the entry knows; 0 for none.
+    std::uint64_t gate_instance = 0;
+};
+
+struct queued_call {
+    call_id call;
+};
+
+/// Deadline order; the number keeps calls with the same deadline apart.
+using deadline_queue = std::map<std::pair<instant, std::uint64_t>, queued_call>;
+
+struct running_call {
+    owner_id owner;
+    instant started_at{};
+    instant deadline{};
+};
+
+struct gate_counters {
+    std::uint64_t opened = 0;
+    std::uint64_t dispatched = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t duplicates = 0;
+    std::uint64_t reattached = 0;
+    std::uint64_t tombstones = 0;
+    std::uint64_t cancelled = 0;
+    /// By refusal_reason.
+    std::array<std::uint64_t, static_cast<std::size_t>(msg::refusal_reason::MAX) + 1> refused{};
+};
+
+/// Not thread safe; the holder guards it.
+struct gate_state {
+    gate_settings settings;
+    /// Names this run of the process; never 0.
+    std::uint64_t instance = 1;
+    service_id service;
+    version_id version;
+    msg::upstream_state upstream = msg::upstream_state::none;
+    bool is_draining = false;
+    concurrency_limit limit;
+    owner_shares shares;
+    std::map<owner_id, deadline_queue> queues;
+    std::size_t queued = 0;
+    std::uint64_t next_number = 0;
+    std::unordered_map<call_id, running_call> running;
+    outcome_memory memory;
+    gate_counters counters;
+};
+
+/// Dispatch the call to the upstream now.
+struct run_action {
+    call_id call;
+};
+/// Break off the call at the upstream.
+struct abort_action {
+    call_id call;
+};
+/// Release what is kept of a call that will not run.
+struct release_action {
+    call_id call;
+};
+/// Tell the answer to the node that waits.
+struct tell_answer_action {
+    node_id to;
+    stored_answer answer;
+};
+struct tell_refusal_action {
+    node_id to;
+    msg::call_refused_msg refused;
+};
+
+using gate_action =
+    std::variant<run_action, abort_action, release_action, tell_answer_action, tell_refusal_action>;
+using gate_actions = std::vector<gate_action>;
+
+/// How a dispatched call ended at the upstream.
+struct upstream_end {
+    /// Null when there is no answer, or when it was streamed to the waiter as it came.
+    stored_answer answer;
+    /// Only true when no byte of the request reached the upstream.
+    bool is_not_run = false;
+    /// An answer came, whether kept or streamed.
+    bool is_answered = false;
+    /// The upstream shed load or ran out of time.
+    bool is_overload = false;
+    /// Time from dispatch to the answer's head.
+    microseconds latency{0};
+};
+
+/// Takes a call_open. At most one run_action is ever made for one call id.
+[[nodiscard]] gate_actions on_open(gate_state& gate, const gate_request& request, instant now);
+
+/// The entry has given up on the call.
+[[nodiscard]] gate_actions on_cancel(gate_state& gate, const call_id& call, instant now);
+
+/// A dispatched call has ended; ends of unknown calls are dropped.
+[[nodiscard]] gate_actions on_upstream_end(gate_state& gate, const call_id& call,
+                                           const upstream_end& end, instant now);
+
+/// Refuses queued calls whose deadline can no longer be met. Call it every few milliseconds while
+/// calls are queued.
+[[nodiscard]] gate_actions on_gate_timer(gate_state& gate, instant now);
+
+/// Takes over the upstream's announcement. Queued calls are refused when it may not take them.
+[[nodiscard]] gate_actions
+on_upstream_change(gate_state& gate, const msg::upstream_record_msg& upstream, instant now);
+
+/// Stops new work at once; calls under way go on.
+[[nodiscard]] gate_actions on_drain(gate_state& gate, instant now);
+
+/// Takes over the owners' reservations.
+void on_reservations(gate_state& gate, const std::map<owner_id, std::uint32_t>& reserved,
+                     instant now);
+
+/// Whether the call waits or runs here.
+[[nodiscard]] bool is_under_way(const gate_state& gate, const call_id& call);
+
+/// The node that waits for the call's end; empty when the call is not known.
+[[nodiscard]] node_id waiter_of(const gate_state& gate, const call_id& call);
+
+/// The load to report with answers and refusals.
+[[nodiscard]] load_report current_load(const gate_state& gate);
+
+} // namespace cyclamenhatch::call
--- /dev/null
+++ b/src/call/load_table.cpp
@@ -0,0 +1,126 @@
+#include "call/load_table.h"
+
+#include <algorithm>
+
+namespace cyclamenhatch::call {
+namespace {
+
+constexpr double smoothing = 0.2;
+constexpr std::uint32_t max_backoff_doublings = 5;
+
+bool should_eject(const endpoint_load& load) {
+    return load.failures_in_row >= failures_to_eject ||
+           (load.failure_share >= failure_share_to_eject && load.failures_in_row > 1);
+}
+
+void eject(endpoint_load& load, microseconds ejection, instant now) {
+    const auto doublings = std::min(load.ejections, max_backoff_doublings);
+    load.ejected_until = now + ejection * (1U << doublings);
+    ++load.ejections;
+}
+
+void note_ok(endpoint_load& load, microseconds latency) {
+    load.failures_in_row = 0;
+    load.failure_share *= 1 - smoothing;
+    if (load.latency.count() == 0) {
+        load.latency = latency;
+        return;
+    }
+    const auto change = static_cast<double>((latency - load.latency).count()) * smoothing;
+    load.latency += microseconds(static_cast<std::int64_t>(change));
+}
+
+} // namespace
+
+endpoint_load& touch_load(load_table& table, const endpoint& at, instant now) {
+    auto [found, is_new] = table.try_emplace(at.node);
+    auto& load = found->second;
+    if (is_new || load.incarnation != at.incarnation) {
+        const auto in_flight = load.in_flight;
+        const auto instance = load.gate_instance;
+        load = {};
+        load.in_flight = in_flight;
+        load.gate_instance = instance;
+        load.incarnation = at.incarnation;
+        load.ready_since = now;
+        load.used_at = now;
+    }
+    return load;
+}
+
+void note_opened(endpoint_load& load, instant now) {
+    ++load.in_flight;
+    load.used_at = now;
+    if (load.ejected_until) {
+        load.is_probing = true;
+    }
+}
+
+void note_report(endpoint_load& load, const load_report& report, std::uint64_t gate_instance,
+                 instant now) {
+    load.reported = report;
+    load.reported_at = now;
+    load.gate_instance = gate_instance;
+}
+
+void note_ended(endpoint_load& load, attempt_end end, microseconds latency, bool may_eject,
+                microseconds ejection, instant now) {
+    load.in_flight -= load.in_flight > 0 ? 1 : 0;
+    const bool was_probe = std::exchange(load.is_probing, false);
+    if (end == attempt_end::ok) {
+        note_ok(load, latency);
+        if (was_probe) {
+            load.ejected_until.reset();
+            load.failure_share = 0;
+            load.ready_since = now;
+        } else if (!load.ejected_until) {
+            load.ejections = 0;
+        }
+        return;
+    }
+    if (end != attempt_end::failed) {
+        return;
+    }
+    ++load.failures_in_row;
+    load.failure_share += (1 - load.failure_share) * smoothing;
+    if (was_probe || (!load.ejected_until && may_eject && should_eject(load))) {
+        eject(load, ejection, now);
+    }
+}
+
+bool is_ejected(const endpoint_load& load, instant now) {
+    if (!load.ejected_until) {
+        return false;
+    }
+    return now < *load.ejected_until || load.is_probing;
+}
+
+bool may_eject_one(const load_table& table, const std::vector<endpoint>& endpoints,
+                   const version_id& version, std::uint32_t max_ejected_percent) {
+    std::size_t all = 0;
+    std::size_t ejected = 0;
+    for (const auto& each : endpoints) {
+        if (each.version != version || each.state != msg::upstream_state::ready) {
+            continue;
+        }
+        ++all;
+        const auto found = table.find(each.node);
+        ejected += found != table.end() && found->second.ejected_until ? 1 : 0;
+    }
+    return (ejected + 1) * 100 <= all * max_ejected_percent;
+}
+
+std::uint32_t estimate_in_flight(const endpoint_load& load, instant now) {
+    if (now - load.reported_at > report_lifetime) {
+        return load.in_flight;
+    }
+    return std::max(load.in_flight, load.reported.in_flight + load.reported.queue);
+}
+
+void forget_idle(load_table& table, microseconds after, instant now) {
+    std::erase_if(table, [&](const auto& each) {
+        return each.second.in_flight == 0 && now - each.second.used_at > after;
+    });
+}
+
+} // namespace cyclamenhatch::call
--- /dev/null
+++ b/src/call/load_table.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "call/routing_view.h"
+#include "model/time.h"
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+
+/// What an entry has seen of the endpoints that it calls, and the ejection of failing ones.
+namespace cyclamenhatch::call {
+
+/// How long a load report counts after it came.
+inline constexpr microseconds report_lifetime{500'000};
+/// Time over which a newly ready endpoint's weight grows to its full size.
+inline constexpr microseconds ramp_time{5'000'000};
+/// Failures in a row that eject an endpoint.
+inline constexpr std::uint32_t failures_to_eject = 5;
+/// Share of failures, smoothed, that ejects an endpoint.
+inline constexpr double failure_share_to_eject = 0.6;
+
+/// Load as a gate told it with an answer or a refusal.
+struct load_report {
+    std::uint32_t in_flight = 0;
+    std::uint32_t queue = 0;
+    std::uint32_t slots = 0;
+};
+
+/// How one attempt ended, as the entry saw it.
+enum class attempt_end {
+    ok,
+    /// The upstream failed: a server error, a broken connection or no answer in time.
+    failed,
+    /// The gate refused before dispatch; says nothing about the upstream's health.
+    refused,
+    /// The caller went away; says nothing.
+    cancelled,
+};
+
+struct endpoint_load {
+    /// Attempts of this entry that are under way.
+    std::uint32_t in_flight = 0;
+    /// Smoothed latency of answers; zero before the first one.
+    microseconds latency{0};
+    /// Smoothed share of failed attempts, 0 to 1.
+    double failure_share = 0;
+    std::uint32_t failures_in_row = 0;
+    load_report reported;
+    instant reported_at{};
+    /// Run of the gate's process, from its last message; 0 before the first one.
+    std::uint64_t gate_instance = 0;
+    std::uint64_t incarnation = 0;
+    instant ready_since{};
+    instant used_at{};
+    /// Set while ejected; afterwards one call at a time probes the way back.
+    std::optional<instant> ejected_until;
+    std::uint32_t ejections = 0;
+    bool is_probing = false;
+};
+
+/// By node. Not thread safe; the holder guards it.
+using load_table = std::unordered_map<node_id, endpoint_load>;
+
+/// The entry for an endpoint, made anew when the endpoint is new or came back in another
+/// incarnation; calls under way stay counted.
+endpoint_load& touch_load(load_table& table, const endpoint& at, instant now);
+
+void note_opened(endpoint_load& load, instant now);
+void note_report(endpoint_load& load, const load_report& report, std::uint64_t gate_instance,
+                 instant now);
+
+/// Ends an attempt. Ejects the endpoint when it failed too often and `may_eject` allows it.
+void note_ended(endpoint_load& load, attempt_end end, microseconds latency, bool may_eject,
+                microseconds ejection, instant now);
+
+/// An ejected endpoint takes no calls; past its time it takes single probes.
+[[nodiscard]] bool is_ejected(const endpoint_load& load, instant now);
+
+/// Whether one more endpoint may be ejected without passing the cap. `endpoints` are those that
+/// serve the same service and version.
+[[nodiscard]] bool may_eject_one(const load_table& table, const std::vector<endpoint>& endpoints,
+                                 const version_id& version, std::uint32_t max_ejected_percent);
+
+/// Calls under way at the endpoint: the entry's own, or more when a fresh report says so.
+[[nodiscard]] std::uint32_t estimate_in_flight(const endpoint_load& load, instant now);
+
+/// Forgets nodes that are unused for long and not called now.
+void forget_idle(load_table& table, microseconds after, instant now);
+
+} // namespace cyclamenhatch::call
--- /dev/null
+++ b/src/edge/call_path.cpp
@@ -0,0 +1,240 @@
+#include "edge/call_path.h"
+
+#include "call/call_key.h"
+#include "edge/call_path_state.h"
+#include "edge/clock.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace cyclamenhatch::edge {
+namespace {
+
+constexpr std::chrono::milliseconds busy_tick{5};
+constexpr std::chrono::milliseconds idle_tick{50};
+constexpr std::chrono::seconds silence_check{5};
+/// Kept connections beyond the slots, for calls that end while others begin.
+constexpr std::size_t spare_connections = 4;
+
+entry_limits entry_limits_from(const msg::call_settings_msg& from) {
+    return {.retry_budget_percent = from.retry_budget_percent,
+            .max_attempts = from.max_attempts,
+            .max_hops = from.max_hops,
+            .ejection = milliseconds(from.ejection_ms),
+            .max_ejected_percent = from.max_ejected_percent};
+}
+
+call::gate_settings gate_settings_from(const msg::call_settings_msg& from) {
+    call::gate_settings settings;
+    settings.queue_limit = from.queue_limit;
+    settings.memory.keep_answers = milliseconds(from.outcome_memory_ms);
+    settings.memory.max_answer_bytes = from.outcome_memory_bytes;
+    return settings;
+}
+
+std::uint64_t draw_seed() {
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+template <class Message> const Message* find_kind(const incoming& from) {
+    return std::get_if<Message>(&from.message);
+}
+
+void handle(call_path& path, const node_id& /*from*/, msg::call_cancel_msg& message) {
+    on_cancel(path.gate, call::from_key(message.call.get()));
+}
+
+void handle(call_path& path, const node_id& from, msg::call_open_msg& message) {
+    on_open(path.gate, from, std::move(message));
+}
+
+void handle(call_path& path, const node_id& from, msg::call_answer_msg& message) {
+    on_answer(path.entry, from, std::move(message));
+}
+
+void handle(call_path& path, const node_id& from, msg::call_refused_msg& message) {
+    on_refused(path.entry, from, message);
+}
+
+/// Between two nodes a call's id stands on one side only, so the gate is asked first.
+void handle(call_path& path, const node_id& from, msg::call_data_msg& message) {
+    if (!on_data(path.gate, message)) {
+        on_data(path.entry, from, std::move(message));
+    }
+}
+
+void handle(call_path& path, const node_id& from, msg::call_credit_msg& message) {
+    if (!on_credit(path.gate, message)) {
+        on_credit(path.entry, from, message);
+    }
+}
+
+template <class Message>
+void handle(call_path& /*path*/, const node_id& /*from*/, Message& /*message*/) {}
+
+/// A message of this node's entry to its own gate.
+void handle_at_gate(call_path& path, peer_message message) {
+    if (auto* data = std::get_if<msg::call_data_msg>(&message)) {
+        (void)on_data(path.gate, *data);
+    } else if (auto* credit = std::get_if<msg::call_credit_msg>(&message)) {
+        (void)on_credit(path.gate, *credit);
+    } else {
+        on_message(path, incoming{path.self, std::move(message)});
+    }
+}
+
+/// A message of this node's gate to its own entry.
+void handle_at_entry(call_path& path, peer_message message) {
+    if (auto* data = std::get_if<msg::call_data_msg>(&message)) {
+        on_data(path.entry, path.self, std::move(*data));
+    } else if (auto* credit = std::get_if<msg::call_credit_msg>(&message)) {
+        on_credit(path.entry, path.self, *credit);
+    } else {
+        on_message(path, incoming{path.self, std::move(message)});
+    }
+}
+
+void connect_sides(call_path& path) {
+    path.entry.to_gate = [&path](const node_id& to, const peer_address& at, peer_message message) {
+        if (to == path.self) {
+            handle_at_gate(path, std::move(message));
+            return;
+        }
+        path.around.send({to, at, std::move(message)});
+    };
+    path.gate.to_entry = [&path](const node_id& to, peer_message message) {
+        if (to == path.self) {
+            handle_at_entry(path, std::move(message));
+            return;
+        }
+        path.around.send({to, {}, std::move(message)});
+    };
+}
+
+listener_events make_events(call_path& path) {
+    listener_events events;
+    events.on_request = [&path](const caller_exchange_ptr& exchange, request_head head,
+                                body_piece first) {
+        on_request(path.entry, exchange, std::move(head), std::move(first));
+    };
+    events.on_gone = [&path](const caller_exchange_ptr& exchange) {
+        on_caller_gone(path.entry, exchange);
+    };
+    events.on_fault = [&path](edge_fault fault) {
+        ++path.edge_faults.at(static_cast<std::size_t>(fault));
+    };
+    return events;
+}
+
+void schedule_silence_check(call_path& path, std::chrono::steady_clock::time_point& checked_at) {
+    const auto now = std::chrono::steady_clock::now();
+    if (now - checked_at > silence_check) {
+        checked_at = now;
+        close_silent(*path.listener);
+    }
+}
+
+void tick(call_path& path, std::chrono::steady_clock::time_point checked_at) {
+    const bool is_busy = count_in_flight(path) > 0;
+    path.timer.expires_after(is_busy ? busy_tick : idle_tick);
+    path.timer.async_wait([&path, checked_at](boost::system::error_code failed) mutable {
+        if (failed || path.is_stopped) {
+            return;
+        }
+        on_timer(path.entry);
+        on_timer(path.gate, path.around.view()->config);
+        schedule_silence_check(path, checked_at);
+        tick(path, checked_at);
+    });
+}
+
+void start_workers(call_path& path, std::uint32_t count) {
+    for (std::uint32_t each = 0; each < std::max(1U, count); ++each) {
+        path.workers.emplace_back([&path] { path.io.run(); });
+    }
+}
+
+} // namespace
+
+call_path::call_path(const msg::settings_msg& from, surroundings around_it)
+    : self(from.identity->node), settings(*from.call), ip(from.listen->ip),
+      around(std::move(around_it)), io(static_cast<int>(std::max(1U, from.process->workers))),
+      work(io.get_executor()), entry{.limits = entry_limits_from(settings),
+                                     .data_centre = data_centre_id(from.identity->data_centre),
+                                     .around = around,
+                                     .to_gate = {},
+                                     .histograms = histograms},
+      gate{.client = make_upstream_client(io), .to_entry = {}, .histograms = histograms},
+      timer(io) {
+    entry.random.seed(draw_seed());
+    gate.gate.settings = gate_settings_from(settings);
+    gate.gate.instance = std::max<std::uint64_t>(1, draw_seed());
+}
+
+std::shared_ptr<call_path> start_call_path(const msg::settings_msg& settings, surroundings around) {
+    auto path =
+        std::shared_ptr<call_path>(new call_path(settings, std::move(around)), [](call_path* of) {
+            (void)stop(*of);
+            delete of; // NOLINT(cppcoreguidelines-owning-memory)
+        });
+    connect_sides(*path);
+    path->listener = start_listener(path->io, path->ip, settings.listen->caller_port,
+                                    {.max_header_bytes = path->settings.max_header_bytes,
+                                     .max_body_bytes = path->settings.max_body_bytes},
+                                    make_events(*path));
+    tick(*path, std::chrono::steady_clock::now());
+    start_workers(*path, settings.process->workers);
+    return path;
+}
+
+void on_message(call_path& path, const incoming& from) {
+    on_message(path, incoming(from));
+}
+
+void on_message(call_path& path, incoming&& from) {
+    std::visit([&](auto& message) { handle(path, from.from, message); }, from.message);
+}
+
+void on_link_lost(call_path& path, const node_id& peer) {
+    on_link_lost(path.entry, peer);
+}
+
+void set_upstream(call_path& path, const msg::upstream_record_msg& upstream, std::uint16_t port) {
+    set_target(*path.gate.client, {path.ip, "127.0.0.1"}, port, upstream.slots + spare_connections);
+    on_upstream(path.gate, upstream);
+}
+
+void begin_drain(call_path& path) {
+    path.entry.is_draining = true;
+    on_drain(path.gate);
+}
+
+std::size_t count_in_flight(const call_path& path) {
+    return count_in_flight(path.entry) + count_remote(path.gate, path.self);
+}
+
+std::size_t stop(call_path& path) {
+    if (path.is_stopped.exchange(true)) {
+        return 0;
+    }
+    const auto cut = count_in_flight(path);
+    if (path.listener) {
+        stop_accepting(*path.listener);
+    }
+    (void)cut_off(path.entry);
+    (void)cut_off(path.gate);
+    if (path.listener) {
+        close_listener(*path.listener);
+    }
+    close_client(*path.gate.client);
+    path.work.reset();
+    path.io.stop();
+    for (auto& each : path.workers) {
+        each.join();
+    }
+    return cut;
+}
+
+} // namespace cyclamenhatch::edge
--- a/src/edge/call_path.h
+++ b/src/edge/call_path.h
@@ -37,6 +37,7 @@
 
 /// Hands over call_* messages from other nodes; other kinds are ignored. Thread safe, never blocks.
 void on_message(call_path& path, const incoming& from);
+void on_message(call_path& path, incoming&& from);
 
 /// Tells that the link to a node was lost or went silent: calls under way there are asked for again
 /// with the same call id. Thread safe.
--- /dev/null
+++ b/src/edge/call_path_state.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "edge/caller_listener.h"
+#include "edge/entry_side.h"
+#include "edge/gate_side.h"
+#include "edge/latency_histogram.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <atomic>
+#include <thread>
+#include <vector>
+
+/// The inside of call_path, shared by its files.
+namespace cyclamenhatch::edge {
+
+/// Lock order: an entry's lock and a gate's lock are never held together; the upstream client's
+/// lock may be taken under the gate's. No lock is held while a message is sent or a callback runs.
+struct call_path {
+    call_path(const msg::settings_msg& from, surroundings around_it);
+
+    const node_id self;
+    const msg::call_settings_msg settings;
+    const std::string ip;
+    const surroundings around;
+    // Declared before all that holds sockets, so that it goes last.
+    boost::asio::io_context io;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
+    latency_histograms histograms;
+    std::array<std::atomic<std::uint64_t>, 3> edge_faults{};
+    entry_side entry;
+    gate_side gate;
+    std::shared_ptr<caller_listener> listener;
+    boost::asio::steady_timer timer;
+    std::atomic<bool> is_stopped{false};
+    std::vector<std::thread> workers;
+};
+
+} // namespace cyclamenhatch::edge
--- /dev/null
+++ b/src/edge/call_report.cpp
@@ -0,0 +1,262 @@
+#include "edge/call_path.h"
+
+#include "edge/call_path_state.h"
+#include "edge/clock.h"
+
+#include <algorithm>
+#include <array>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace cyclamenhatch::edge {
+namespace {
+
+/// Endpoints listed in the dump; more are only counted.
+constexpr std::size_t max_dumped_endpoints = 200;
+constexpr std::size_t max_dumped_calls = 50;
+constexpr double us_per_s = 1e6;
+
+std::int64_t to_number(std::uint64_t from) {
+    return static_cast<std::int64_t>(from);
+}
+
+document dump_load(const node_id& node, const call::endpoint_load& load, instant now) {
+    return document::table{{"node", node.value},
+                           {"in_flight", std::int64_t{load.in_flight}},
+                           {"latency_us", std::int64_t{load.latency.count()}},
+                           {"failure_share", load.failure_share},
+                           {"is_ejected", call::is_ejected(load, now)},
+                           {"ejections", std::int64_t{load.ejections}},
+                           {"reported_in_flight", std::int64_t{load.reported.in_flight}},
+                           {"reported_queue", std::int64_t{load.reported.queue}},
+                           {"reported_slots", std::int64_t{load.reported.slots}}};
+}
+
+document dump_budget(const service_id& service, const call::retry_budget& budget) {
+    return document::table{{"service", service.value},
+                           {"tokens", static_cast<double>(budget.millitokens) / 1000},
+                           {"first_attempts", to_number(budget.first_attempts)},
+                           {"retries", to_number(budget.retries)},
+                           {"refused_retries", to_number(budget.refused_retries)}};
+}
+
+document dump_counters(const entry_counters& from) {
+    return document::table{{"requests", to_number(from.requests)},
+                           {"answered", to_number(from.answered)},
+                           {"not_run", to_number(from.not_run)},
+                           {"unknown", to_number(from.unknown)},
+                           {"broken_off", to_number(from.broken_off)},
+                           {"callers_gone", to_number(from.callers_gone)},
+                           {"attempts", to_number(from.attempts)},
+                           {"reattaches", to_number(from.reattaches)},
+                           {"dropped_messages", to_number(from.dropped_messages)}};
+}
+
+document dump_entry(const entry_side& side) {
+    const auto now = current_time();
+    document::array endpoints;
+    document::array budgets;
+    const std::lock_guard guard(side.lock);
+    for (const auto& [node, load] : side.loads) {
+        if (endpoints.size() < max_dumped_endpoints) {
+            endpoints.push_back(dump_load(node, load, now));
+        }
+    }
+    for (const auto& [service, budget] : side.budgets) {
+        budgets.push_back(dump_budget(service, budget));
+    }
+    return document::table{{"in_flight", to_number(side.flows.size())},
+                           {"known_endpoints", to_number(side.loads.size())},
+                           {"counters", dump_counters(side.counters)},
+                           {"endpoints", std::move(endpoints)},
+                           {"retry_budgets", std::move(budgets)}};
+}
+
+document dump_refusals(const call::gate_counters& from) {
+    document::table refused;
+    for (std::size_t each = 0; each < from.refused.size(); ++each) {
+        const auto* name = msg::EnumNamerefusal_reason(static_cast<msg::refusal_reason>(each));
+        refused.push_back({name, to_number(from.refused.at(each))});
+    }
+    return refused;
+}
+
+document dump_flows(const gate_side& side, instant now) {
+    document::array calls;
+    for (const auto& [call, flow] : side.flows) {
+        if (calls.size() >= max_dumped_calls) {
+            break;
+        }
+        calls.push_back(
+            document::table{{"waiter", call::waiter_of(side.gate, call).value},
+                            {"route", flow->request.route},
+                            {"is_running", flow->exchange != nullptr},
+                            {"age_us", std::int64_t{(now - flow->received_at).count()}},
+                            {"time_left_us", std::int64_t{(flow->deadline - now).count()}}});
+    }
+    return calls;
+}
+
+document dump_gate(const gate_side& side) {
+    const std::lock_guard guard(side.lock);
+    const auto& gate = side.gate;
+    const auto& counters = gate.counters;
+    return document::table{{"service", gate.service.value},
+                           {"version", gate.version.value},
+                           {"upstream", msg::EnumNameupstream_state(gate.upstream)},
+                           {"is_draining", gate.is_draining},
+                           {"slots", std::int64_t{gate.limit.slots}},
+                           {"limit", std::int64_t{call::current_limit(gate.limit)}},
+                           {"running", to_number(gate.running.size())},
+                           {"queued", to_number(gate.queued)},
+                           {"baseline_us", gate.limit.baseline_us},
+                           {"latency_us", gate.limit.latency_us},
+                           {"remembered_calls", to_number(gate.memory.calls.size())},
+                           {"remembered_bytes", to_number(gate.memory.answer_bytes)},
+                           {"tombstones", to_number(gate.memory.tombstones)},
+                           {"kept_connections", to_number(count_kept(*side.client))},
+                           {"opened", to_number(counters.opened)},
+                           {"dispatched", to_number(counters.dispatched)},
+                           {"answered", to_number(counters.answered)},
+                           {"duplicates", to_number(counters.duplicates)},
+                           {"reattached", to_number(counters.reattached)},
+                           {"cancelled", to_number(counters.cancelled)},
+                           {"refused", dump_refusals(counters)},
+                           {"calls", dump_flows(side, current_time())}};
+}
+
+double slot_seconds(std::uint64_t slot_us) {
+    return static_cast<double>(slot_us) / us_per_s;
+}
+
+void add_line(std::string& out, std::string_view name, std::string_view labels,
+              const std::string& value) {
+    out += "cyclamenhatch_";
+    out += name;
+    if (!labels.empty()) {
+        out += '{';
+        out += labels;
+        out += '}';
+    }
+    out += ' ' + value + '\n';
+}
+
+void add_counter(std::string& out, std::string_view name, std::uint64_t value) {
+    out += "# TYPE cyclamenhatch_" + std::string(name) + " counter\n";
+    add_line(out, name, {}, std::to_string(value));
+}
+
+void add_gauge(std::string& out, std::string_view name, std::uint64_t value) {
+    out += "# TYPE cyclamenhatch_" + std::string(name) + " gauge\n";
+    add_line(out, name, {}, std::to_string(value));
+}
+
+void add_entry_metrics(std::string& out, const entry_side& side) {
+    const auto& from = side.counters;
+    add_counter(out, "calls_total", from.requests);
+    add_counter(out, "calls_answered_total", from.answered);
+    add_counter(out, "calls_not_run_total", from.not_run);
+    add_counter(out, "calls_unknown_total", from.unknown);
+    add_counter(out, "calls_broken_off_total", from.broken_off);
+    add_counter(out, "callers_gone_total", from.callers_gone);
+    add_counter(out, "call_attempts_total", from.attempts);
+    add_counter(out, "call_reattaches_total", from.reattaches);
+    add_counter(out, "call_messages_dropped_total", from.dropped_messages);
+    add_gauge(out, "entry_calls_in_flight", count_in_flight(side));
+    const std::lock_guard guard(side.lock);
+    out += "# TYPE cyclamenhatch_retries_total counter\n";
+    for (const auto& [service, budget] : side.budgets) {
+        add_line(out, "retries_total", "service=\"" + service.value + "\"",
+                 std::to_string(budget.retries));
+    }
+}
+
+void add_usage_metrics(std::string& out, const call::gate_state& gate) {
+    out += "# TYPE cyclamenhatch_owner_slot_seconds_total counter\n";
+    for (const auto& [owner, share] : gate.shares.owners) {
+        const std::array<std::pair<std::string_view, std::uint64_t>, 4> kinds{
+            {{"reserved", share.usage.reserved},
+             {"used", share.usage.used},
+             {"lent", share.usage.lent},
+             {"borrowed", share.usage.borrowed}}};
+        for (const auto& [kind, value] : kinds) {
+            const auto labels = "owner=\"" + owner.value + "\",kind=\"" + std::string(kind) + "\"";
+            add_line(out, "owner_slot_seconds_total", labels, std::to_string(slot_seconds(value)));
+        }
+    }
+}
+
+void add_gate_metrics(std::string& out, const gate_side& side) {
+    const std::lock_guard guard(side.lock);
+    const auto& gate = side.gate;
+    add_gauge(out, "gate_slots", gate.limit.slots);
+    add_gauge(out, "gate_limit", call::current_limit(gate.limit));
+    add_gauge(out, "gate_running", gate.running.size());
+    add_gauge(out, "gate_queued", gate.queued);
+    add_gauge(out, "gate_remembered_bytes", gate.memory.answer_bytes);
+    add_counter(out, "gate_dispatched_total", gate.counters.dispatched);
+    add_counter(out, "gate_duplicates_total", gate.counters.duplicates);
+    add_counter(out, "gate_reattached_total", gate.counters.reattached);
+    out += "# TYPE cyclamenhatch_gate_refused_total counter\n";
+    for (std::size_t each = 0; each < gate.counters.refused.size(); ++each) {
+        const auto* name = msg::EnumNamerefusal_reason(static_cast<msg::refusal_reason>(each));
+        add_line(out, "gate_refused_total", "reason=\"" + std::string(name) + "\"",
+                 std::to_string(gate.counters.refused.at(each)));
+    }
+    add_usage_metrics(out, gate);
+}
+
+} // namespace
+
+document dump(const call_path& path) {
+    document::table latencies;
+    for (std::size_t each = 0; each < segment_count; ++each) {
+        const auto of = static_cast<segment>(each);
+        latencies.push_back(
+            {std::string(segment_name(of)),
+             document::table{
+                 {"count", to_number(path.histograms.count(of))},
+                 {"p50_us", std::int64_t{path.histograms.quantile(of, 0.5).count()}},
+                 {"p99_us", std::int64_t{path.histograms.quantile(of, 0.99).count()}}}});
+    }
+    return document::table{{"connections", to_number(count_connections(*path.listener))},
+                           {"broken_requests", to_number(path.edge_faults[0])},
+                           {"headers_too_large", to_number(path.edge_faults[1])},
+                           {"bodies_too_large", to_number(path.edge_faults[2])},
+                           {"entry", dump_entry(path.entry)},
+                           {"gate", dump_gate(path.gate)},
+                           {"latencies", std::move(latencies)}};
+}
+
+document usage(const call_path& path) {
+    document::array owners;
+    const std::lock_guard guard(path.gate.lock);
+    for (const auto& [owner, share] : path.gate.gate.shares.owners) {
+        owners.push_back(
+            document::table{{"owner", owner.value},
+                            {"reserved_slots", std::int64_t{share.reserved_slots}},
+                            {"running", std::int64_t{share.running}},
+                            {"queued", std::int64_t{share.queued}},
+                            {"calls", to_number(share.usage.calls)},
+                            {"reserved_slot_seconds", slot_seconds(share.usage.reserved)},
+                            {"used_slot_seconds", slot_seconds(share.usage.used)},
+                            {"lent_slot_seconds", slot_seconds(share.usage.lent)},
+                            {"borrowed_slot_seconds", slot_seconds(share.usage.borrowed)}});
+    }
+    return document::table{{"owners", std::move(owners)}};
+}
+
+std::string metrics_text(const call_path& path) {
+    std::string out;
+    add_entry_metrics(out, path.entry);
+    add_gate_metrics(out, path.gate);
+    add_counter(out, "requests_broken_total", path.edge_faults[0]);
+    add_counter(out, "requests_header_too_large_total", path.edge_faults[1]);
+    add_counter(out, "requests_body_too_large_total", path.edge_faults[2]);
+    add_gauge(out, "caller_connections", count_connections(*path.listener));
+    out += path.histograms.to_prometheus("cyclamenhatch_call_segment_seconds");
+    return out;
+}
+
+} // namespace cyclamenhatch::edge
--- /dev/null
+++ b/src/edge/entry_side.cpp
@@ -0,0 +1,325 @@
+#include "edge/entry_side.h"
+
+#include "call/call_key.h"
+#include "edge/call_headers.h"
+#include "edge/clock.h"
+#include "edge/entry_steps.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace cyclamenhatch::edge {
+namespace {
+
+constexpr milliseconds retry_soon{1000};
+constexpr microseconds clean_interval{10'000'000};
+/// What was seen of an endpoint is forgotten when no call went there for this long.
+constexpr microseconds idle_load_time{600'000'000};
+
+using lock_type = std::unique_lock<std::mutex>;
+
+own_answer refuse_at_once(msg::refusal_reason reason, milliseconds retry_after) {
+    return make_failure({.reason = reason, .retry_after = retry_after});
+}
+
+/// Answers a request that no attempt is made for.
+void answer_at_once(entry_side& side, const caller_exchange_ptr& exchange, own_answer with) {
+    ++side.counters.not_run;
+    start_answer(exchange, std::move(with.head), {std::move(with.body), true}, nullptr);
+}
+
+/// The owner that the request names, when any service has that owner; else the service's.
+std::string find_owner(const snapshot& config, const service& of, const header_fields& headers) {
+    const std::string named(find_header(headers, owner_header));
+    const bool is_known =
+        !named.empty() &&
+        std::any_of(config.sections.begin(), config.sections.end(), [&](const auto& each) {
+            return each.second->content.service.owner.value == named;
+        });
+    return is_known ? named : of.owner.value;
+}
+
+/// The answer that ends the request before any attempt, or the route it takes.
+std::variant<own_answer, route_match> find_way(const entry_side& side,
+                                               const call::routing_view& view,
+                                               const request_head& head,
+                                               const call_limits& limits) {
+    if (!view.is_ready || !view.config) {
+        return refuse_at_once(msg::refusal_reason::no_endpoint, retry_soon);
+    }
+    if (view.is_draining || side.is_draining) {
+        return refuse_at_once(msg::refusal_reason::draining, retry_soon);
+    }
+    if (limits.hops >= side.limits.max_hops) {
+        return make_too_many_hops(side.limits.max_hops);
+    }
+    const auto way = find_route(*view.config, host_of(head.headers), path_of(head.target));
+    if (way.matched == nullptr) {
+        return refuse_at_once(msg::refusal_reason::no_route, milliseconds{0});
+    }
+    return way;
+}
+
+entry_flow_ptr make_flow(entry_side& side, const call::routing_view& view, const route_match& way,
+                         const call_limits& limits, request_head head, body_piece first) {
+    const auto& service = way.part->content.service;
+    const auto now = current_time();
+    auto flow = std::make_shared<entry_flow>();
+    flow->received_at = now;
+    flow->service = service.name;
+    flow->route = way.matched->name;
+    const auto timeout =
+        std::min(way.matched->timeout, limits.time_left.value_or(milliseconds::max()));
+    flow->state.deadline = now + timeout;
+    flow->state.is_idempotent = way.matched->idempotent;
+    // Only one node of a chain retries: a call that is a retry itself is not multiplied again.
+    flow->state.max_attempts = limits.attempts > 1 ? 1 : std::max(1U, side.limits.max_attempts);
+    auto& request = flow->request;
+    request.service = service.name.value;
+    request.route = way.matched->name.value;
+    request.owner = find_owner(*view.config, service, head.headers);
+    request.method = std::move(head.method);
+    request.target = std::move(head.target);
+    request.hops = static_cast<std::uint8_t>(std::min(limits.hops + 1, 255U));
+    request.attempt = static_cast<std::uint8_t>(std::min(limits.attempts, 255U));
+    request.idempotent = way.matched->idempotent;
+    request.headers = to_wire(std::move(head.headers));
+    request.last = first.is_last;
+    flow->upload_offset = first.bytes.size();
+    flow->is_uploaded = first.is_last;
+    request.body = std::move(first.bytes);
+    return flow;
+}
+
+void upload_on(entry_side& side, const entry_flow_ptr& flow);
+
+/// Passes a further piece of the request's body on.
+void on_upload_piece(entry_side& side, const entry_flow_ptr& flow, body_piece piece) {
+    lock_type guard(side.lock);
+    flow->is_reading = false;
+    flow->is_uploaded = piece.is_last;
+    if (!flow->state.current) {
+        return;
+    }
+    const auto to = flow->state.current->to;
+    msg::call_data_msg data;
+    data.call = call::make_key(to.call);
+    data.offset = flow->upload_offset;
+    data.last = piece.is_last;
+    flow->upload_offset += piece.bytes.size();
+    flow->upload_credit -= static_cast<std::int64_t>(piece.bytes.size());
+    data.body = std::move(piece.bytes);
+    guard.unlock();
+    side.to_gate(to.node, to.address, std::move(data));
+    upload_on(side, flow);
+}
+
+/// Reads the next piece of the request's body while the gate is ready to take it.
+void upload_on(entry_side& side, const entry_flow_ptr& flow) {
+    lock_type guard(side.lock);
+    if (flow->is_reading || flow->is_uploaded || flow->upload_credit <= 0 || flow->state.is_over) {
+        return;
+    }
+    flow->is_reading = true;
+    // What is read now is not kept, so no further attempt can have the whole body.
+    flow->state.max_attempts = static_cast<std::uint32_t>(flow->state.tried.size());
+    guard.unlock();
+    read_body(flow->exchange,
+              [&side, flow](body_piece piece) { on_upload_piece(side, flow, std::move(piece)); });
+}
+
+/// The call whose present attempt is at that node with that id; null when nobody waits for it.
+entry_flow_ptr find_attempt(entry_side& side, const node_id& from, const call_id& call) {
+    const auto found = side.attempts.find(call);
+    if (found == side.attempts.end() || !found->second->state.current ||
+        found->second->state.current->to.node != from) {
+        ++side.counters.dropped_messages;
+        return nullptr;
+    }
+    return found->second;
+}
+
+void record_segments(entry_side& side, const entry_flow& flow, const msg::call_answer_msg& message,
+                     instant now) {
+    const auto there = microseconds(message.gate_us) + microseconds(message.upstream_us);
+    const auto opened_at = flow.state.current->opened_at;
+    side.histograms.record(segment::link, std::max(microseconds{0}, now - opened_at - there));
+    side.histograms.record(segment::whole, now - flow.received_at);
+}
+
+} // namespace
+
+void on_request(entry_side& side, const caller_exchange_ptr& exchange, request_head head,
+                body_piece first) {
+    ++side.counters.requests;
+    const auto view = side.around.view();
+    const auto limits = read_limits(head.headers);
+    auto way = find_way(side, *view, head, limits);
+    if (auto* refused = std::get_if<own_answer>(&way)) {
+        answer_at_once(side, exchange, std::move(*refused));
+        return;
+    }
+    const auto& match = std::get<route_match>(way);
+    const std::string key(find_header(head.headers, caller_key_header));
+    const auto flow = make_flow(side, *view, match, limits, std::move(head), std::move(first));
+    flow->exchange = exchange;
+    lock_type guard(side.lock);
+    const auto caller_key = key.empty() ? std::nullopt : std::optional<std::string_view>(key);
+    flow->version =
+        call::choose_version(*view, match.part->content.service, caller_key, side.random);
+    flow->request.version = flow->version.value;
+    side.flows.emplace(exchange.get(), flow);
+    call::note_first_attempt(side.budgets[flow->service], side.limits.retry_budget_percent);
+    auto done = step(side, flow, call::request_event{});
+    guard.unlock();
+    side.histograms.record(segment::entry, current_time() - flow->received_at);
+    perform(side, flow, std::move(done), nullptr);
+}
+
+void on_caller_gone(entry_side& side, const caller_exchange_ptr& exchange) {
+    lock_type guard(side.lock);
+    const auto found = side.flows.find(exchange.get());
+    if (found == side.flows.end()) {
+        return;
+    }
+    const auto flow = found->second;
+    side.flows.erase(found);
+    ++side.counters.callers_gone;
+    auto done = step(side, flow, call::caller_gone_event{});
+    guard.unlock();
+    perform(side, flow, std::move(done), nullptr);
+}
+
+void on_answer(entry_side& side, const node_id& from, msg::call_answer_msg message) {
+    lock_type guard(side.lock);
+    const auto call = call::from_key(message.call.get());
+    const auto flow = find_attempt(side, from, call);
+    if (!flow) {
+        return;
+    }
+    const auto now = current_time();
+    const call::load_report load{message.in_flight, message.queue, message.slots};
+    call::note_report(side.loads[from], load, message.gate_instance, now);
+    record_segments(side, *flow, message, now);
+    flow->download_offset = message.body.size();
+    constexpr unsigned first_server_error = 500;
+    auto done = step(side, flow,
+                     call::answer_event{.call = call,
+                                        .is_whole = message.last,
+                                        .is_error = message.status >= first_server_error});
+    guard.unlock();
+    perform(side, flow, std::move(done), &message);
+}
+
+void on_refused(entry_side& side, const node_id& from, const msg::call_refused_msg& message) {
+    lock_type guard(side.lock);
+    const auto call = call::from_key(message.call.get());
+    const auto flow = find_attempt(side, from, call);
+    if (!flow) {
+        return;
+    }
+    const call::load_report load{message.in_flight, message.queue, message.slots};
+    call::note_report(side.loads[from], load, message.gate_instance, current_time());
+    const call::refusal told{.outcome = message.outcome,
+                             .reason = message.reason,
+                             .retry_helps = message.retry_helps,
+                             .retry_after = milliseconds(message.retry_after_ms)};
+    auto done = step(side, flow, call::refused_event{call, told});
+    guard.unlock();
+    perform(side, flow, std::move(done), nullptr);
+}
+
+void on_data(entry_side& side, const node_id& from, msg::call_data_msg message) {
+    lock_type guard(side.lock);
+    const auto call = call::from_key(message.call.get());
+    const auto flow = find_attempt(side, from, call);
+    if (!flow) {
+        return;
+    }
+    if (message.offset != flow->download_offset) {
+        // A piece is missing or repeated: what is passed on must be the whole answer or end.
+        auto done = step(side, flow, call::link_lost_event{from});
+        guard.unlock();
+        perform(side, flow, std::move(done), nullptr);
+        return;
+    }
+    flow->download_offset += message.body.size();
+    flow->download.push_back({std::move(message.body), message.last});
+    step_result done;
+    if (message.last) {
+        done = step(side, flow, call::answer_end_event{call});
+    }
+    guard.unlock();
+    perform(side, flow, std::move(done), nullptr);
+    download_on(side, flow);
+}
+
+void on_credit(entry_side& side, const node_id& from, const msg::call_credit_msg& message) {
+    lock_type guard(side.lock);
+    const auto flow = find_attempt(side, from, call::from_key(message.call.get()));
+    if (!flow) {
+        return;
+    }
+    flow->upload_credit += message.bytes;
+    guard.unlock();
+    upload_on(side, flow);
+}
+
+void on_link_lost(entry_side& side, const node_id& peer) {
+    lock_type guard(side.lock);
+    std::vector<std::pair<entry_flow_ptr, step_result>> all;
+    std::vector<entry_flow_ptr> touched;
+    for (const auto& [call, flow] : side.attempts) {
+        if (flow->state.current && flow->state.current->to.node == peer) {
+            touched.push_back(flow);
+        }
+    }
+    for (const auto& flow : touched) {
+        all.emplace_back(flow, step(side, flow, call::link_lost_event{peer}));
+    }
+    guard.unlock();
+    for (auto& [flow, done] : all) {
+        perform(side, flow, std::move(done), nullptr);
+    }
+}
+
+void on_timer(entry_side& side) {
+    const auto now = current_time();
+    const auto view = side.around.view();
+    std::vector<std::pair<entry_flow_ptr, step_result>> all;
+    lock_type guard(side.lock);
+    while (!side.timers.empty() && side.timers.begin()->first <= now) {
+        const auto flow = side.timers.begin()->second;
+        side.timers.erase(side.timers.begin());
+        flow->timer.reset();
+        all.emplace_back(flow, step(side, flow, find_timer_event(*view, *flow)));
+    }
+    if (now - side.cleaned_at > clean_interval) {
+        side.cleaned_at = now;
+        call::forget_idle(side.loads, idle_load_time, now);
+    }
+    guard.unlock();
+    for (auto& [flow, done] : all) {
+        perform(side, flow, std::move(done), nullptr);
+    }
+}
+
+std::size_t count_in_flight(const entry_side& side) {
+    const std::lock_guard guard(side.lock);
+    return side.flows.size();
+}
+
+std::size_t cut_off(entry_side& side) {
+    lock_type guard(side.lock);
+    const auto flows = std::exchange(side.flows, {});
+    side.attempts.clear();
+    side.timers.clear();
+    guard.unlock();
+    for (const auto& [key, flow] : flows) {
+        break_off(flow->exchange);
+    }
+    return flows.size();
+}
+
+} // namespace cyclamenhatch::edge
--- /dev/null
+++ b/src/edge/entry_side.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "call/choose_endpoint.h"
+#include "call/entry_call.h"
+#include "edge/call_path.h"
+#include "edge/caller_listener.h"
+#include "edge/latency_histogram.h"
+#include "messages/peer_message.h"
+
+#include <atomic>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <unordered_map>
+
+/// The entry at run time: holds the callers' calls and carries their bodies between connections and
+/// links.
+namespace cyclamenhatch::edge {
+
+struct entry_flow;
+using entry_timers = std::multimap<instant, std::shared_ptr<entry_flow>>;
+
+/// A caller's call from its request to its answer. Guarded by the entry's lock, but for what is
+/// constant after its making.
+struct entry_flow {
+    call::entry_call state;
+    caller_exchange_ptr exchange;
+    /// The request as each attempt sends it; constant.
+    msg::call_open_msg request;
+    service_id service;
+    route_id route;
+    version_id version;
+    instant received_at{};
+    std::uint64_t upload_offset = 0;
+    /// Bytes of the request's body that the gate is ready to take.
+    std::int64_t upload_credit = 0;
+    bool is_reading = false;
+    bool is_uploaded = false;
+    std::uint64_t download_offset = 0;
+    std::deque<body_piece> download;
+    bool is_writing = false;
+    /// The call's place among the timers, when it has one.
+    std::optional<entry_timers::iterator> timer;
+};
+
+using entry_flow_ptr = std::shared_ptr<entry_flow>;
+
+struct entry_counters {
+    std::atomic<std::uint64_t> requests{0};
+    std::atomic<std::uint64_t> answered{0};
+    std::atomic<std::uint64_t> not_run{0};
+    std::atomic<std::uint64_t> unknown{0};
+    std::atomic<std::uint64_t> broken_off{0};
+    std::atomic<std::uint64_t> callers_gone{0};
+    std::atomic<std::uint64_t> attempts{0};
+    std::atomic<std::uint64_t> reattaches{0};
+    /// Late, crossed or repeated messages that nobody waited for.
+    std::atomic<std::uint64_t> dropped_messages{0};
+};
+
+struct entry_limits {
+    std::uint32_t retry_budget_percent = 10;
+    std::uint32_t max_attempts = 3;
+    std::uint32_t max_hops = 8;
+    microseconds ejection{2'000'000};
+    std::uint32_t max_ejected_percent = 50;
+};
+
+/// Thread safe by its lock, which is never held while a message is sent, a callback runs or the
+/// gate's lock is taken.
+struct entry_side {
+    const entry_limits limits;
+    const data_centre_id data_centre;
+    const surroundings& around;
+    /// Sends to a gate; may be called from any thread.
+    std::function<void(const node_id&, const peer_address&, peer_message)> to_gate;
+    latency_histograms& histograms;
+    entry_counters counters;
+    std::atomic<bool> is_draining{false};
+    mutable std::mutex lock;
+    // Guarded by lock.
+    random_source random;
+    call::load_table loads;
+    std::map<service_id, call::retry_budget> budgets;
+    /// Calls by the id of the attempt that is under way.
+    std::unordered_map<call_id, entry_flow_ptr> attempts;
+    /// Calls whose caller waits or takes its answer.
+    std::unordered_map<const caller_exchange*, entry_flow_ptr> flows;
+    entry_timers timers;
+    instant cleaned_at{};
+};
+
+void on_request(entry_side& side, const caller_exchange_ptr& exchange, request_head head,
+                body_piece first);
+void on_caller_gone(entry_side& side, const caller_exchange_ptr& exchange);
+
+void on_answer(entry_side& side, const node_id& from, msg::call_answer_msg message);
+void on_refused(entry_side& side, const node_id& from, const msg::call_refused_msg& message);
+void on_data(entry_side& side, const node_id& from, msg::call_data_msg message);
+void on_credit(entry_side& side, const node_id& from, const msg::call_credit_msg& message);
+void on_link_lost(entry_side& side, const node_id& peer);
+
+/// Call it every few milliseconds while calls are under way.
+void on_timer(entry_side& side);
+
+[[nodiscard]] std::size_t count_in_flight(const entry_side& side);
+
+/// Breaks off all calls; returns how many that were.
+std::size_t cut_off(entry_side& side);
+
+} // namespace cyclamenhatch::edge
--- /dev/null
+++ b/src/edge/entry_steps.cpp
@@ -0,0 +1,251 @@
+#include "edge/entry_steps.h"
+
+#include "call/call_key.h"
+#include "edge/call_headers.h"
+#include "edge/clock.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cyclamenhatch::edge {
+namespace {
+
+using lock_type = std::unique_lock<std::mutex>;
+
+/// Spreads retries over time: the stated time plus up to half of it.
+constexpr std::uint64_t jitter_divisor = 2;
+
+const std::vector<call::endpoint>& endpoints_of(const call::routing_view& view,
+                                                const service_id& service) {
+    static const std::vector<call::endpoint> none;
+    const auto found = view.endpoints.find(service);
+    return found == view.endpoints.end() ? none : found->second;
+}
+
+std::optional<call::pick> choose(entry_side& side, const entry_flow& flow,
+                                 const std::vector<node_id>& tried, instant now) {
+    const auto view = side.around.view();
+    const auto& endpoints = endpoints_of(*view, flow.service);
+    const auto* chosen = call::choose_endpoint({.endpoints = endpoints,
+                                                .version = flow.version,
+                                                .data_centre = side.data_centre,
+                                                .tried = tried},
+                                               side.loads, now, side.random);
+    if (chosen == nullptr) {
+        return std::nullopt;
+    }
+    auto& load = call::touch_load(side.loads, *chosen, now);
+    call::note_opened(load, now);
+    return call::pick{.call = {side.random(), side.random()},
+                      .node = chosen->node,
+                      .address = chosen->link,
+                      .data_centre = chosen->data_centre,
+                      .gate_instance = load.gate_instance};
+}
+
+call::sample_kind kind_of(call::attempt_end end) {
+    switch (end) {
+    case call::attempt_end::ok:
+        return call::sample_kind::ok;
+    case call::attempt_end::refused:
+        return call::sample_kind::refused;
+    default:
+        return call::sample_kind::error;
+    }
+}
+
+void book_end(entry_side& side, const entry_flow& flow, const call::ended_action& ended,
+              instant now, step_result& out) {
+    const auto view = side.around.view();
+    const bool may_eject = ended.end == call::attempt_end::failed &&
+                           call::may_eject_one(side.loads, endpoints_of(*view, flow.service),
+                                               flow.version, side.limits.max_ejected_percent);
+    call::note_ended(side.loads[ended.at.node], ended.end, ended.latency, may_eject,
+                     side.limits.ejection, now);
+    if (ended.end != call::attempt_end::cancelled) {
+        out.samples.push_back({.service = flow.service,
+                               .route = flow.route,
+                               .version = flow.version,
+                               .data_centre = ended.at.data_centre,
+                               .kind = kind_of(ended.end),
+                               .latency = ended.latency});
+    }
+}
+
+msg::call_open_msg make_reattach(const entry_flow& flow, const call::pick& to, instant now) {
+    msg::call_open_msg message;
+    message.call = call::make_key(to.call);
+    message.reattach = true;
+    message.service = flow.request.service;
+    message.version = flow.request.version;
+    message.gate_instance = to.gate_instance;
+    message.deadline_us =
+        static_cast<std::uint64_t>(std::max<std::int64_t>(0, (flow.state.deadline - now).count()));
+    return message;
+}
+
+msg::call_open_msg make_open(const entry_flow& flow, const call::open_action& action, instant now) {
+    msg::call_open_msg message(flow.request);
+    message.call = call::make_key(action.to.call);
+    message.gate_instance = action.to.gate_instance;
+    message.attempt =
+        static_cast<std::uint8_t>(std::min(flow.request.attempt + action.attempt_number - 1, 255U));
+    message.deadline_us =
+        static_cast<std::uint64_t>(std::max<std::int64_t>(0, (flow.state.deadline - now).count()));
+    return message;
+}
+
+void forget_flow(entry_side& side, const entry_flow_ptr& flow) {
+    const std::lock_guard guard(side.lock);
+    side.flows.erase(flow->exchange.get());
+}
+
+void fail_call(entry_side& side, const entry_flow_ptr& flow, call::refusal told) {
+    const bool is_not_run = told.outcome == msg::call_outcome::not_run;
+    ++(is_not_run ? side.counters.not_run : side.counters.unknown);
+    if (told.retry_after.count() > 0) {
+        const std::lock_guard guard(side.lock);
+        const auto most = static_cast<std::uint64_t>(told.retry_after.count()) / jitter_divisor + 1;
+        told.retry_after += milliseconds(side.random() % most);
+    }
+    auto answer = make_failure(told);
+    start_answer(flow->exchange, std::move(answer.head), {std::move(answer.body), true},
+                 [&side, flow] { forget_flow(side, flow); });
+}
+
+/// The caller took a piece: the gate may send as much more.
+void on_taken(entry_side& side, const entry_flow_ptr& flow, std::uint32_t bytes, bool is_last) {
+    if (is_last) {
+        forget_flow(side, flow);
+        return;
+    }
+    lock_type guard(side.lock);
+    flow->is_writing = false;
+    const auto current = flow->state.current;
+    guard.unlock();
+    if (current) {
+        msg::call_credit_msg credit;
+        credit.call = call::make_key(current->to.call);
+        credit.bytes = bytes;
+        side.to_gate(current->to.node, current->to.address, std::move(credit));
+    }
+    download_on(side, flow);
+}
+
+void pass_answer(entry_side& side, const entry_flow_ptr& flow, msg::call_answer_msg& answer) {
+    ++side.counters.answered;
+    const auto bytes = static_cast<std::uint32_t>(answer.body.size());
+    const bool is_last = answer.last;
+    start_answer(flow->exchange, {.status = answer.status, .headers = from_wire(answer.headers)},
+                 {std::move(answer.body), is_last},
+                 [&side, flow, bytes, is_last] { on_taken(side, flow, bytes, is_last); });
+}
+
+void perform_one(entry_side& side, const entry_flow_ptr& flow, call::entry_action& action,
+                 msg::call_answer_msg* answer) {
+    const auto now = current_time();
+    if (const auto* open = std::get_if<call::open_action>(&action)) {
+        ++side.counters.attempts;
+        side.to_gate(open->to.node, open->to.address, make_open(*flow, *open, now));
+    } else if (const auto* again = std::get_if<call::reattach_action>(&action)) {
+        ++side.counters.reattaches;
+        side.to_gate(again->to.node, again->to.address, make_reattach(*flow, again->to, now));
+    } else if (const auto* cancel = std::get_if<call::cancel_action>(&action)) {
+        msg::call_cancel_msg message;
+        message.call = call::make_key(cancel->to.call);
+        side.to_gate(cancel->to.node, cancel->to.address, std::move(message));
+    } else if (std::holds_alternative<call::pass_answer_action>(action) && answer != nullptr) {
+        pass_answer(side, flow, *answer);
+    } else if (const auto* failed = std::get_if<call::fail_action>(&action)) {
+        fail_call(side, flow, failed->told);
+    } else if (std::holds_alternative<call::break_off_action>(action)) {
+        ++side.counters.broken_off;
+        break_off(flow->exchange);
+        forget_flow(side, flow);
+    } else if (std::holds_alternative<call::drop_action>(action)) {
+        ++side.counters.dropped_messages;
+    }
+}
+
+void set_timer(entry_side& side, const entry_flow_ptr& flow) {
+    const auto due = flow->state.is_over ? instant::max() : call::next_timer(flow->state);
+    if (flow->timer && (*flow->timer)->first == due) {
+        return;
+    }
+    if (flow->timer) {
+        side.timers.erase(*flow->timer);
+        flow->timer.reset();
+    }
+    if (due != instant::max()) {
+        flow->timer = side.timers.emplace(due, flow);
+    }
+}
+
+} // namespace
+
+step_result step(entry_side& side, const entry_flow_ptr& flow, const call::entry_event& event) {
+    const auto now = current_time();
+    const auto before = flow->state.current;
+    const std::function<std::optional<call::pick>(const std::vector<node_id>&)> choose_next =
+        [&](const std::vector<node_id>& tried) { return choose(side, *flow, tried, now); };
+    const call::entry_context context{side.budgets[flow->service], choose_next, now};
+    step_result out;
+    out.actions = call::advance(flow->state, event, context);
+    for (const auto& each : out.actions) {
+        if (const auto* ended = std::get_if<call::ended_action>(&each)) {
+            book_end(side, *flow, *ended, now, out);
+        }
+        if (std::holds_alternative<call::pass_answer_action>(each)) {
+            flow->is_writing = true;
+        }
+    }
+    const auto& after = flow->state.current;
+    if (before && (!after || after->to.call != before->to.call)) {
+        side.attempts.erase(before->to.call);
+    }
+    if (after && (!before || after->to.call != before->to.call)) {
+        side.attempts.emplace(after->to.call, flow);
+    }
+    set_timer(side, flow);
+    return out;
+}
+
+void perform(entry_side& side, const entry_flow_ptr& flow, step_result done,
+             msg::call_answer_msg* answer) {
+    for (auto& each : done.actions) {
+        perform_one(side, flow, each, answer);
+    }
+    if (!done.samples.empty()) {
+        side.around.record(std::move(done.samples));
+    }
+}
+
+void download_on(entry_side& side, const entry_flow_ptr& flow) {
+    lock_type guard(side.lock);
+    if (flow->is_writing || flow->download.empty()) {
+        return;
+    }
+    flow->is_writing = true;
+    auto piece = std::move(flow->download.front());
+    flow->download.pop_front();
+    guard.unlock();
+    const auto bytes = static_cast<std::uint32_t>(piece.bytes.size());
+    const bool is_last = piece.is_last;
+    write_body(flow->exchange, std::move(piece),
+               [&side, flow, bytes, is_last] { on_taken(side, flow, bytes, is_last); });
+}
+
+call::entry_event find_timer_event(const call::routing_view& view, const entry_flow& flow) {
+    if (!flow.state.current || !flow.state.current->reattach_at) {
+        return call::timer_event{};
+    }
+    const auto& node = flow.state.current->to.node;
+    const auto& endpoints = endpoints_of(view, flow.service);
+    const bool is_known =
+        std::any_of(endpoints.begin(), endpoints.end(),
+                    [&](const call::endpoint& each) { return each.node == node; });
+    return is_known ? call::entry_event{call::timer_event{}}
+                    : call::entry_event{call::endpoint_gone_event{node}};
+}
+
+} // namespace cyclamenhatch::edge
--- /dev/null
+++ b/src/edge/entry_steps.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "edge/entry_side.h"
+
+#include <vector>
+
+/// How the entry carries out what its decisions ask for.
+namespace cyclamenhatch::edge {
+
+/// What is left to do after a step, without the lock.
+struct step_result {
+    std::vector<call::entry_action> actions;
+    std::vector<call::call_sample> samples;
+};
+
+/// Advances a call and books what ended. Precondition: the entry's lock is held.
+[[nodiscard]] step_result step(entry_side& side, const entry_flow_ptr& flow,
+                               const call::entry_event& event);
+
+/// Sends and answers what the step asked for. Precondition: the entry's lock is not held. `answer`
+/// is the message that the step was about, when it was one.
+void perform(entry_side& side, const entry_flow_ptr& flow, step_result done,
+             msg::call_answer_msg* answer);
+
+/// Writes the next waiting piece of the answer to the caller. Precondition: as for perform.
+void download_on(entry_side& side, const entry_flow_ptr& flow);
+
+/// A timer, or, once the link was lost, the news that the endpoint has left for good.
+[[nodiscard]] call::entry_event find_timer_event(const call::routing_view& view,
+                                                 const entry_flow& flow);
+
+} // namespace cyclamenhatch::edge
--- /dev/null
+++ b/src/edge/gate_side.cpp
@@ -0,0 +1,375 @@
+#include "edge/gate_side.h"
+
+#include "call/call_key.h"
+#include "edge/call_headers.h"
+#include "edge/clock.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cyclamenhatch::edge {
+namespace {
+
+/// Bytes of one body that may be under way between two nodes.
+constexpr std::uint32_t window_bytes = 4 * piece_bytes;
+/// A call whose entry does not cancel it is broken off this long after its deadline.
+constexpr microseconds overdue_grace{250'000};
+/// A body that does not move for this long is broken off.
+constexpr microseconds max_stall{30'000'000};
+constexpr unsigned overloaded_status = 503;
+
+using lock_type = std::unique_lock<std::mutex>;
+
+void perform(gate_side& side, call::gate_actions actions);
+
+/// Ends a call at the gate and does what follows from that.
+void end_call(gate_side& side, const call_id& call, const call::upstream_end& end) {
+    lock_type guard(side.lock);
+    auto actions = call::on_upstream_end(side.gate, call, end, current_time());
+    guard.unlock();
+    perform(side, std::move(actions));
+}
+
+void grant_upload(gate_side& side, const call_id& call, std::uint32_t bytes) {
+    lock_type guard(side.lock);
+    const auto waiter = call::waiter_of(side.gate, call);
+    guard.unlock();
+    msg::call_credit_msg credit;
+    credit.call = call::make_key(call);
+    credit.bytes = bytes;
+    side.to_entry(waiter, std::move(credit));
+}
+
+/// Writes the next waiting piece of the request's body, when there is one.
+void continue_upload(gate_side& side, const gate_flow_ptr& flow) {
+    lock_type guard(side.lock);
+    flow->is_writing = !flow->upload.empty();
+    if (!flow->is_writing) {
+        return;
+    }
+    auto piece = std::move(flow->upload.front());
+    flow->upload.pop_front();
+    flow->progressed_at = current_time();
+    const auto exchange = flow->exchange;
+    guard.unlock();
+    const auto bytes = static_cast<std::uint32_t>(piece.bytes.size());
+    const bool is_last = piece.is_last;
+    write_body(exchange, std::move(piece), [&side, flow, bytes, is_last] {
+        if (!is_last) {
+            grant_upload(side, flow->call, bytes);
+        }
+        continue_upload(side, flow);
+    });
+}
+
+void read_on(gate_side& side, const gate_flow_ptr& flow);
+
+/// Passes a further piece of the answer on.
+void on_piece(gate_side& side, const gate_flow_ptr& flow, body_piece piece) {
+    lock_type guard(side.lock);
+    const auto waiter = call::waiter_of(side.gate, flow->call);
+    msg::call_data_msg data;
+    data.call = call::make_key(flow->call);
+    data.offset = flow->download_offset;
+    data.last = piece.is_last;
+    flow->download_offset += piece.bytes.size();
+    flow->download_credit -= static_cast<std::int64_t>(piece.bytes.size());
+    flow->progressed_at = current_time();
+    flow->is_reading = false;
+    data.body = std::move(piece.bytes);
+    guard.unlock();
+    side.to_entry(waiter, std::move(data));
+    if (piece.is_last) {
+        end_call(side, flow->call, {.is_answered = true, .latency = flow->upstream_time});
+        return;
+    }
+    read_on(side, flow);
+}
+
+/// Reads the next piece of the answer while the entry is ready to take it.
+void read_on(gate_side& side, const gate_flow_ptr& flow) {
+    lock_type guard(side.lock);
+    if (flow->is_reading || flow->download_credit <= 0) {
+        return;
+    }
+    flow->is_reading = true;
+    const auto exchange = flow->exchange;
+    guard.unlock();
+    read_body(exchange,
+              [&side, flow](body_piece piece) { on_piece(side, flow, std::move(piece)); });
+}
+
+std::shared_ptr<msg::call_answer_msg> make_answer(const gate_side& side, const gate_flow& flow,
+                                                  answer_head head, body_piece piece) {
+    const auto load = call::current_load(side.gate);
+    auto answer = std::make_shared<msg::call_answer_msg>();
+    answer->call = call::make_key(flow.call);
+    answer->status = static_cast<std::uint16_t>(head.status);
+    answer->headers = to_wire(std::move(head.headers));
+    answer->body = std::move(piece.bytes);
+    answer->last = piece.is_last;
+    answer->in_flight = load.in_flight;
+    answer->queue = load.queue;
+    answer->slots = load.slots;
+    answer->gate_us = static_cast<std::uint32_t>(flow.queue_time.count());
+    answer->upstream_us = static_cast<std::uint32_t>(flow.upstream_time.count());
+    answer->gate_instance = side.gate.instance;
+    return answer;
+}
+
+void on_answer(gate_side& side, const gate_flow_ptr& flow, answer_head head, body_piece piece) {
+    lock_type guard(side.lock);
+    const auto now = current_time();
+    flow->upstream_time = now - flow->started_at;
+    flow->progressed_at = now;
+    side.histograms.record(segment::upstream, flow->upstream_time);
+    const bool is_whole = piece.is_last;
+    const bool is_overload = head.status == overloaded_status;
+    auto answer = make_answer(side, *flow, std::move(head), std::move(piece));
+    if (is_whole) {
+        guard.unlock();
+        end_call(side, flow->call,
+                 {.answer = std::move(answer),
+                  .is_answered = true,
+                  .is_overload = is_overload,
+                  .latency = flow->upstream_time});
+        return;
+    }
+    flow->is_answering = true;
+    flow->download_offset = answer->body.size();
+    flow->download_credit = static_cast<std::int64_t>(window_bytes - answer->body.size());
+    const auto waiter = call::waiter_of(side.gate, flow->call);
+    guard.unlock();
+    side.to_entry(waiter, std::move(*answer));
+    read_on(side, flow);
+}
+
+request_head make_head(gate_flow& flow, instant now) {
+    request_head head{.method = std::move(flow.request.method),
+                      .target = std::move(flow.request.target),
+                      .headers = from_wire(flow.request.headers)};
+    const auto left = std::max(microseconds{0}, flow.deadline - now);
+    head.headers.push_back(
+        {std::string(deadline_header),
+         std::to_string(std::chrono::duration_cast<milliseconds>(left).count())});
+    head.headers.push_back({std::string(hops_header), std::to_string(flow.request.hops)});
+    head.headers.push_back({std::string(attempts_header), std::to_string(flow.request.attempt)});
+    flow.request.headers.clear();
+    return head;
+}
+
+void run(gate_side& side, const call_id& call) {
+    lock_type guard(side.lock);
+    const auto found = side.flows.find(call);
+    if (found == side.flows.end()) {
+        return;
+    }
+    const auto flow = found->second;
+    const auto now = current_time();
+    flow->started_at = now;
+    flow->progressed_at = now;
+    flow->queue_time = now - flow->received_at;
+    flow->exchange = prepare_exchange(side.client);
+    flow->is_writing = !flow->request.last;
+    auto head = make_head(*flow, now);
+    body_piece first{std::move(flow->request.body), flow->request.last};
+    flow->upload_offset = first.bytes.size();
+    const auto exchange = flow->exchange;
+    guard.unlock();
+    side.histograms.record(segment::gate_queue, flow->queue_time);
+    upstream_events events;
+    events.on_answer = [&side, flow](answer_head answer, body_piece piece) {
+        on_answer(side, flow, std::move(answer), std::move(piece));
+    };
+    events.on_failure = [&side, flow](bool is_not_run) {
+        end_call(side, flow->call, {.is_not_run = is_not_run});
+    };
+    events.on_taken = [&side, flow] {
+        grant_upload(side, flow->call, window_bytes);
+        continue_upload(side, flow);
+    };
+    send_request(exchange, std::move(head), std::move(first), std::move(events));
+}
+
+void release(gate_side& side, const call_id& call, bool is_abort) {
+    lock_type guard(side.lock);
+    const auto found = side.flows.find(call);
+    if (found == side.flows.end()) {
+        return;
+    }
+    const auto flow = found->second;
+    if (!is_abort) {
+        side.flows.erase(found);
+    }
+    const auto exchange = flow->exchange;
+    guard.unlock();
+    if (is_abort && exchange) {
+        abort_exchange(exchange);
+    }
+}
+
+void perform_one(gate_side& side, call::gate_action& action) {
+    if (const auto* to_run = std::get_if<call::run_action>(&action)) {
+        run(side, to_run->call);
+    } else if (const auto* to_abort = std::get_if<call::abort_action>(&action)) {
+        release(side, to_abort->call, true);
+    } else if (const auto* to_release = std::get_if<call::release_action>(&action)) {
+        release(side, to_release->call, false);
+    } else if (const auto* answer = std::get_if<call::tell_answer_action>(&action)) {
+        side.to_entry(answer->to, msg::call_answer_msg(*answer->answer));
+    } else if (auto* refusal = std::get_if<call::tell_refusal_action>(&action)) {
+        side.to_entry(refusal->to, std::move(refusal->refused));
+    }
+}
+
+void perform(gate_side& side, call::gate_actions actions) {
+    for (auto& each : actions) {
+        perform_one(side, each);
+    }
+}
+
+/// Calls that nobody cancelled in time, or whose body does not move.
+std::vector<call_id> find_overdue(const gate_side& side, instant now) {
+    std::vector<call_id> overdue;
+    for (const auto& [call, flow] : side.flows) {
+        if (!flow->exchange) {
+            continue;
+        }
+        const bool is_late = !flow->is_answering && now > flow->deadline + overdue_grace;
+        const bool is_stalled = flow->is_answering && now > flow->progressed_at + max_stall;
+        if (is_late || is_stalled) {
+            overdue.push_back(call);
+        }
+    }
+    return overdue;
+}
+
+std::map<owner_id, std::uint32_t> collect_reservations(const snapshot& config) {
+    std::map<owner_id, std::uint32_t> reserved;
+    for (const auto& [name, part] : config.sections) {
+        auto& slots = reserved[part->content.service.owner];
+        slots = std::max(slots, part->content.service.reserved_slots);
+    }
+    return reserved;
+}
+
+} // namespace
+
+void on_open(gate_side& side, const node_id& from, msg::call_open_msg message) {
+    const auto now = current_time();
+    const auto call = call::from_key(message.call.get());
+    const call::gate_request request{.call = call,
+                                     .from = from,
+                                     .is_reattach = message.reattach,
+                                     .service = service_id(message.service),
+                                     .version = version_id(message.version),
+                                     .owner = owner_id(message.owner),
+                                     .deadline = now + microseconds(message.deadline_us),
+                                     .gate_instance = message.gate_instance};
+    lock_type guard(side.lock);
+    const bool was_under_way = call::is_under_way(side.gate, call);
+    auto actions = call::on_open(side.gate, request, now);
+    if (!was_under_way && call::is_under_way(side.gate, call)) {
+        auto flow = std::make_shared<gate_flow>();
+        flow->call = call;
+        flow->request = std::move(message);
+        flow->received_at = now;
+        flow->deadline = request.deadline;
+        side.flows.emplace(call, std::move(flow));
+    }
+    guard.unlock();
+    perform(side, std::move(actions));
+}
+
+bool on_data(gate_side& side, msg::call_data_msg& message) {
+    lock_type guard(side.lock);
+    const auto found = side.flows.find(call::from_key(message.call.get()));
+    if (found == side.flows.end()) {
+        return false;
+    }
+    const auto flow = found->second;
+    if (!flow->exchange || message.offset != flow->upload_offset) {
+        return true;
+    }
+    flow->upload_offset += message.body.size();
+    flow->upload.push_back({std::move(message.body), message.last});
+    const bool must_start = !std::exchange(flow->is_writing, true);
+    guard.unlock();
+    if (must_start) {
+        continue_upload(side, flow);
+    }
+    return true;
+}
+
+bool on_credit(gate_side& side, const msg::call_credit_msg& message) {
+    lock_type guard(side.lock);
+    const auto found = side.flows.find(call::from_key(message.call.get()));
+    if (found == side.flows.end()) {
+        return false;
+    }
+    const auto flow = found->second;
+    if (!flow->is_answering) {
+        return true;
+    }
+    flow->download_credit += message.bytes;
+    guard.unlock();
+    read_on(side, flow);
+    return true;
+}
+
+void on_cancel(gate_side& side, const call_id& call) {
+    lock_type guard(side.lock);
+    auto actions = call::on_cancel(side.gate, call, current_time());
+    guard.unlock();
+    perform(side, std::move(actions));
+}
+
+void on_upstream(gate_side& side, const msg::upstream_record_msg& upstream) {
+    lock_type guard(side.lock);
+    auto actions = call::on_upstream_change(side.gate, upstream, current_time());
+    guard.unlock();
+    perform(side, std::move(actions));
+}
+
+void on_drain(gate_side& side) {
+    lock_type guard(side.lock);
+    auto actions = call::on_drain(side.gate, current_time());
+    guard.unlock();
+    perform(side, std::move(actions));
+}
+
+void on_timer(gate_side& side, const snapshot_ptr& config) {
+    lock_type guard(side.lock);
+    const auto now = current_time();
+    if (config && config != side.reservations_from) {
+        side.reservations_from = config;
+        call::on_reservations(side.gate, collect_reservations(*config), now);
+    }
+    auto actions = call::on_gate_timer(side.gate, now);
+    const auto overdue = find_overdue(side, now);
+    guard.unlock();
+    perform(side, std::move(actions));
+    for (const auto& each : overdue) {
+        release(side, each, true);
+        end_call(side, each, {.is_overload = true});
+    }
+}
+
+std::size_t count_in_flight(const gate_side& side) {
+    const lock_type guard(side.lock);
+    return side.flows.size();
+}
+
+std::size_t cut_off(gate_side& side) {
+    lock_type guard(side.lock);
+    const auto flows = std::exchange(side.flows, {});
+    guard.unlock();
+    for (const auto& [call, flow] : flows) {
+        if (flow->exchange) {
+            abort_exchange(flow->exchange);
+        }
+    }
+    return flows.size();
+}
+
+} // namespace cyclamenhatch::edge
--- /dev/null
+++ b/src/edge/gate_side.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "call/gate.h"
+#include "edge/latency_histogram.h"
+#include "edge/upstream_client.h"
+#include "messages/peer_message.h"
+#include "model/snapshot.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+
+/// The gate at run time: holds the calls that wait or run, and carries their bodies between links
+/// and the upstream.
+namespace cyclamenhatch::edge {
+
+/// A call at the gate, from its call_open to its end. Guarded by the gate's lock.
+struct gate_flow {
+    call_id call;
+    msg::call_open_msg request;
+    instant received_at{};
+    instant deadline{};
+    instant started_at{};
+    /// When a piece of a body last moved.
+    instant progressed_at{};
+    upstream_exchange_ptr exchange;
+    /// Pieces of the request's body that the upstream's connection has not taken.
+    std::deque<body_piece> upload;
+    std::uint64_t upload_offset = 0;
+    bool is_writing = false;
+    bool is_answering = false;
+    bool is_reading = false;
+    std::uint64_t download_offset = 0;
+    /// Bytes that the entry is ready to take.
+    std::int64_t download_credit = 0;
+    microseconds queue_time{0};
+    microseconds upstream_time{0};
+};
+
+using gate_flow_ptr = std::shared_ptr<gate_flow>;
+
+/// Thread safe by its lock, which is never held while a message is sent or a callback runs. The
+/// upstream client's lock may be taken under it, nothing else.
+struct gate_side {
+    std::shared_ptr<upstream_client> client;
+    /// Sends to an entry; may be called from any thread.
+    std::function<void(const node_id&, peer_message)> to_entry;
+    latency_histograms& histograms;
+    mutable std::mutex lock;
+    // Guarded by lock.
+    call::gate_state gate;
+    std::unordered_map<call_id, gate_flow_ptr> flows;
+    snapshot_ptr reservations_from;
+};
+
+void on_open(gate_side& side, const node_id& from, msg::call_open_msg message);
+
+/// These are false when the gate has no such call under way.
+bool on_data(gate_side& side, msg::call_data_msg& message);
+bool on_credit(gate_side& side, const msg::call_credit_msg& message);
+
+void on_cancel(gate_side& side, const call_id& call);
+void on_upstream(gate_side& side, const msg::upstream_record_msg& upstream);
+void on_drain(gate_side& side);
+
+/// Call it every few milliseconds while calls are under way.
+void on_timer(gate_side& side, const snapshot_ptr& config);
+
+/// Calls under way whose entry is another node than this.
+[[nodiscard]] std::size_t count_remote(const gate_side& side, const node_id& self);
+
+/// Breaks off all calls; returns how many that were.
+std::size_t cut_off(gate_side& side);
+
+} // namespace cyclamenhatch::edge
--- /dev/null
+++ b/src/edge/http_message.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// HTTP messages as the two edges hand them to the call path, without framing.
+namespace cyclamenhatch::edge {
+
+/// Bodies pass in pieces of at most this size.
+inline constexpr std::size_t piece_bytes = 65'536;
+
+struct header_field {
+    std::string name;
+    std::string value;
+};
+
+using header_fields = std::vector<header_field>;
+using body_bytes = std::vector<std::uint8_t>;
+
+/// A part of a body; `is_last` marks its end.
+struct body_piece {
+    body_bytes bytes;
+    bool is_last = false;
+};
+
+struct request_head {
+    std::string method;
+    /// Path and query as the caller wrote them.
+    std::string target;
+    header_fields headers;
+};
+
+struct answer_head {
+    unsigned status = 0;
+    header_fields headers;
+};
+
+/// The first value of a header, empty when there is none. Names compare without case.
+[[nodiscard]] std::string_view find_header(const header_fields& headers, std::string_view name);
+
+/// Whether a header describes one connection only, or is set anew by whoever sends the message on:
+/// such headers are not passed on.
+[[nodiscard]] bool is_connection_header(std::string_view name);
+
+[[nodiscard]] bool equals_without_case(std::string_view left, std::string_view right);
+
+} // namespace cyclamenhatch::edge
--- /dev/null
+++ b/src/edge/latency_histogram.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "model/time.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace cyclamenhatch::edge {
+
+/// Parts of a call's time.
+enum class segment {
+    /// From the request's head to its dispatch to a gate.
+    entry,
+    /// Attempt time that neither the gate's queue nor the upstream accounts for.
+    link,
+    /// Waiting at the gate for a slot.
+    gate_queue,
+    /// From dispatch to the upstream's answer.
+    upstream,
+    /// From the request's head to the answer's, retries included.
+    whole,
+};
+
+inline constexpr std::size_t segment_count = 5;
+
+[[nodiscard]] std::string_view segment_name(segment of);
+
+/// Latencies per segment on a logarithmic axis. Thread safe.
+class latency_histograms {
+public:
+    latency_histograms();
+    latency_histograms(const latency_histograms&) = delete;
+    latency_histograms& operator=(const latency_histograms&) = delete;
+    ~latency_histograms();
+
+    void record(segment in, microseconds latency);
+
+    /// Upper edge of the bin that holds the quantile (0 to 1); zero when nothing was recorded.
+    [[nodiscard]] microseconds quantile(segment in, double share) const;
+
+    [[nodiscard]] std::uint64_t count(segment in) const;
+
+    /// One Prometheus histogram with the segment as a label, in seconds.
+    [[nodiscard]] std::string to_prometheus(std::string_view name) const;
+
+private:
+    struct bins;
+    std::unique_ptr<bins> bins_;
+};
+
+} // namespace cyclamenhatch::edge
--- /dev/null
+++ b/src/edge/upstream_client.cpp
@@ -0,0 +1,436 @@
+#include "edge/upstream_client.h"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <chrono>
+#include <mutex>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace cyclamenhatch::edge {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+/// Connections idle for longer are not used again: the upstream may be closing them just then.
+constexpr std::chrono::seconds max_idle{4};
+/// An answer's head may take this much, the callers' bound notwithstanding.
+constexpr std::uint32_t max_answer_header_bytes = 65'536;
+
+using strand = asio::strand<asio::io_context::executor_type>;
+using socket_type = asio::basic_stream_socket<tcp, strand>;
+
+struct connection {
+    explicit connection(asio::io_context& io) : socket(asio::make_strand(io)) {}
+
+    socket_type socket;
+    beast::flat_buffer buffer;
+    std::uint64_t generation = 0;
+    std::chrono::steady_clock::time_point idle_since;
+};
+
+/// Whether the peer has neither closed the idle connection nor sent anything on it.
+bool is_quiet(connection& of) {
+    char byte = 0;
+    const auto got = ::recv(of.socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace
+
+struct upstream_client {
+    explicit upstream_client(asio::io_context& context) : io(context) {}
+
+    asio::io_context& io;
+    mutable std::mutex lock;
+    // Guarded by lock.
+    std::vector<tcp::endpoint> targets;
+    std::uint64_t generation = 0;
+    std::size_t max_kept = 0;
+    std::vector<std::unique_ptr<connection>> idle;
+};
+
+struct upstream_exchange {
+    explicit upstream_exchange(strand on) : executor(std::move(on)) {}
+
+    const strand executor;
+    std::shared_ptr<upstream_client> client;
+    // All below is used on the strand only.
+    std::unique_ptr<connection> link;
+    std::vector<tcp::endpoint> targets;
+    std::size_t next_target = 0;
+    upstream_events events;
+    request_head head;
+    body_bytes outgoing;
+    http::request<http::buffer_body> request;
+    std::optional<http::request_serializer<http::buffer_body>> serializer;
+    std::optional<http::response_parser<http::buffer_body>> parser;
+    body_bytes incoming;
+    std::function<void(body_piece)> on_piece;
+    bool is_reused = false;
+    bool is_sent = false;
+    bool is_head_read = false;
+    bool is_done = false;
+};
+
+namespace {
+
+using exchange_ptr = upstream_exchange_ptr;
+
+void close_quietly(connection& link) {
+    error_code ignored;
+    link.socket.close(ignored);
+}
+
+void fail(const exchange_ptr& self, bool is_not_run) {
+    if (std::exchange(self->is_done, true)) {
+        return;
+    }
+    close_quietly(*self->link);
+    // The callbacks may hold the exchange itself; they go with the end.
+    const auto events = std::exchange(self->events, {});
+    self->on_piece = nullptr;
+    events.on_failure(is_not_run);
+}
+
+/// Gives the connection back for the next exchange when both sides are through with this one.
+void finish(const exchange_ptr& self) {
+    self->is_done = true;
+    self->events = {};
+    if (!self->is_sent || !self->parser->keep_alive() || self->link->buffer.size() > 0) {
+        close_quietly(*self->link);
+        return;
+    }
+    self->link->idle_since = std::chrono::steady_clock::now();
+    const std::lock_guard guard(self->client->lock);
+    if (self->link->generation == self->client->generation &&
+        self->client->idle.size() < self->client->max_kept) {
+        self->client->idle.push_back(std::move(self->link));
+    }
+}
+
+void fill_request(upstream_exchange& of, bool is_whole) {
+    of.request.version(11);
+    of.request.method_string(of.head.method);
+    of.request.target(of.head.target);
+    const std::string stated(find_header(of.head.headers, "content-length"));
+    for (const auto& each : of.head.headers) {
+        if (!is_connection_header(each.name)) {
+            of.request.insert(each.name, each.value);
+        }
+    }
+    if (!is_whole && stated.empty()) {
+        of.request.chunked(true);
+    } else if (!is_whole) {
+        of.request.set(http::field::content_length, stated);
+    } else if (!of.outgoing.empty() || !stated.empty()) {
+        of.request.content_length(of.outgoing.size());
+    }
+}
+
+void set_body(upstream_exchange& of, bool is_last) {
+    auto& body = of.request.body();
+    body.data = of.outgoing.empty() ? nullptr : of.outgoing.data();
+    body.size = of.outgoing.size();
+    body.more = !is_last;
+}
+
+/// Hands over what was read: the head with its first piece, or a further piece.
+void hand_over(const exchange_ptr& self) {
+    const bool is_last = self->parser->is_done();
+    body_piece piece{std::exchange(self->incoming, {}), is_last};
+    if (self->is_head_read) {
+        const auto done = std::exchange(self->on_piece, nullptr);
+        if (is_last) {
+            finish(self);
+        }
+        done(std::move(piece));
+        return;
+    }
+    self->is_head_read = true;
+    answer_head answer{.status = self->parser->get().result_int(), .headers = {}};
+    for (const auto& each : self->parser->get()) {
+        answer.headers.push_back({std::string(each.name_string()), std::string(each.value())});
+    }
+    const auto on_answer = self->events.on_answer;
+    if (is_last) {
+        finish(self);
+    }
+    on_answer(std::move(answer), std::move(piece));
+}
+
+/// Whether more should be read before a piece is handed over: bodies of known length go in full
+/// pieces, others as they come.
+bool wants_more(const upstream_exchange& of) {
+    const auto room = of.parser->get().body().size;
+    if (of.parser->is_done() || room == 0) {
+        return false;
+    }
+    const bool is_empty = room == of.incoming.size();
+    return is_empty || of.parser->content_length() || of.link->buffer.size() > 0;
+}
+
+void read_more(const exchange_ptr& self) {
+    http::async_read_some(self->link->socket, self->link->buffer, *self->parser,
+                          [self](error_code failed, std::size_t /*bytes*/) {
+                              if (self->is_done) {
+                                  return;
+                              }
+                              if (failed && failed != http::error::need_buffer) {
+                                  fail(self, false);
+                                  return;
+                              }
+                              if (wants_more(*self)) {
+                                  read_more(self);
+                                  return;
+                              }
+                              self->incoming.resize(self->incoming.size() -
+                                                    self->parser->get().body().size);
+                              hand_over(self);
+                          });
+}
+
+void read_piece(const exchange_ptr& self) {
+    if (self->parser->is_done()) {
+        hand_over(self);
+        return;
+    }
+    const auto remaining = self->parser->content_length_remaining();
+    const auto wanted = remaining ? std::min<std::uint64_t>(*remaining, piece_bytes) : piece_bytes;
+    self->incoming.resize(wanted);
+    auto& body = self->parser->get().body();
+    body.data = self->incoming.data();
+    body.size = self->incoming.size();
+    self->parser->eager(true);
+    read_more(self);
+}
+
+void read_answer(const exchange_ptr& self) {
+    self->parser.emplace();
+    self->parser->header_limit(max_answer_header_bytes);
+    self->parser->body_limit(boost::none);
+    self->parser->skip(self->head.method == "HEAD");
+    http::async_read_header(self->link->socket, self->link->buffer, *self->parser,
+                            [self](error_code failed, std::size_t /*bytes*/) {
+                                if (self->is_done) {
+                                    return;
+                                }
+                                if (failed) {
+                                    fail(self, false);
+                                    return;
+                                }
+                                // Informational answers precede the one that counts.
+                                if (self->parser->get().result_int() < 200) {
+                                    read_answer(self);
+                                    return;
+                                }
+                                read_piece(self);
+                            });
+}
+
+void connect(const exchange_ptr& self, bool is_whole);
+
+/// Nothing was sent on a kept connection that turned out closed: a new one is as good.
+void connect_anew(const exchange_ptr& self, bool is_whole) {
+    close_quietly(*self->link);
+    self->link->buffer.clear();
+    self->is_reused = false;
+    self->next_target = 0;
+    self->request = {};
+    connect(self, is_whole);
+}
+
+void write_request(const exchange_ptr& self, bool is_whole) {
+    fill_request(*self, is_whole);
+    set_body(*self, is_whole);
+    self->serializer.emplace(self->request);
+    http::async_write(self->link->socket, *self->serializer,
+                      [self, is_whole](error_code failed, std::size_t bytes) {
+                          if (self->is_done) {
+                              return;
+                          }
+                          const bool is_failed = failed && failed != http::error::need_buffer;
+                          if (is_failed && bytes == 0 && self->is_reused) {
+                              connect_anew(self, is_whole);
+                              return;
+                          }
+                          if (is_failed && bytes == 0) {
+                              fail(self, true);
+                              return;
+                          }
+                          // A failed write does not rule out an answer: the upstream may have
+                          // refused the body early.
+                          self->is_sent = is_whole && !is_failed;
+                          read_answer(self);
+                          if (!is_whole && !is_failed) {
+                              self->events.on_taken();
+                          }
+                      });
+}
+
+void connect(const exchange_ptr& self, bool is_whole) {
+    if (self->next_target >= self->targets.size()) {
+        fail(self, true);
+        return;
+    }
+    const auto& target = self->targets[self->next_target++];
+    self->link->socket.async_connect(target, [self, is_whole](error_code failed) {
+        if (self->is_done) {
+            return;
+        }
+        if (failed) {
+            close_quietly(*self->link);
+            connect(self, is_whole);
+            return;
+        }
+        error_code ignored;
+        self->link->socket.set_option(tcp::no_delay(true), ignored);
+        write_request(self, is_whole);
+    });
+}
+
+void write_piece(const exchange_ptr& self, body_piece piece, std::function<void()> done) {
+    const bool is_last = piece.is_last;
+    self->outgoing = std::move(piece.bytes);
+    set_body(*self, is_last);
+    http::async_write(self->link->socket, *self->serializer,
+                      [self, is_last, done = std::move(done)](error_code failed, std::size_t) {
+                          if (self->is_done || (failed && failed != http::error::need_buffer)) {
+                              return;
+                          }
+                          self->is_sent = is_last;
+                          done();
+                      });
+}
+
+/// A kept connection that is still good, or a new one that is not connected yet.
+std::unique_ptr<connection> take_connection(upstream_client& client,
+                                            std::vector<tcp::endpoint>& targets, bool& is_reused) {
+    const auto now = std::chrono::steady_clock::now();
+    const std::lock_guard guard(client.lock);
+    targets = client.targets;
+    while (!client.idle.empty()) {
+        auto link = std::move(client.idle.back());
+        client.idle.pop_back();
+        if (now - link->idle_since < max_idle && is_quiet(*link)) {
+            is_reused = true;
+            return link;
+        }
+    }
+    auto link = std::make_unique<connection>(client.io);
+    link->generation = client.generation;
+    is_reused = false;
+    return link;
+}
+
+} // namespace
+
+std::shared_ptr<upstream_client> make_upstream_client(asio::io_context& io) {
+    return std::make_shared<upstream_client>(io);
+}
+
+void set_target(upstream_client& client, const std::vector<std::string>& ips, std::uint16_t port,
+                std::size_t max_kept) {
+    std::vector<tcp::endpoint> targets;
+    for (const auto& ip : ips) {
+        error_code failed;
+        const auto address = asio::ip::make_address(ip, failed);
+        if (!failed) {
+            targets.emplace_back(address, port);
+        }
+    }
+    const std::lock_guard guard(client.lock);
+    client.max_kept = max_kept;
+    if (client.targets != targets) {
+        client.targets = std::move(targets);
+        ++client.generation;
+        client.idle.clear();
+    }
+}
+
+std::size_t count_kept(const upstream_client& client) {
+    const std::lock_guard guard(client.lock);
+    return client.idle.size();
+}
+
+void close_client(upstream_client& client) {
+    const std::lock_guard guard(client.lock);
+    client.max_kept = 0;
+    client.idle.clear();
+}
+
+upstream_exchange_ptr prepare_exchange(const std::shared_ptr<upstream_client>& client) {
+    std::vector<tcp::endpoint> targets;
+    bool is_reused = false;
+    auto link = take_connection(*client, targets, is_reused);
+    auto self = std::make_shared<upstream_exchange>(link->socket.get_executor());
+    self->client = client;
+    self->link = std::move(link);
+    self->targets = std::move(targets);
+    self->is_reused = is_reused;
+    return self;
+}
+
+void send_request(const upstream_exchange_ptr& exchange, request_head head, body_piece first,
+                  upstream_events events) {
+    asio::dispatch(exchange->executor,
+                   [self = exchange, head = std::move(head), first = std::move(first),
+                    events = std::move(events)]() mutable {
+                       if (self->is_done) {
+                           return;
+                       }
+                       self->events = std::move(events);
+                       self->head = std::move(head);
+                       self->outgoing = std::move(first.bytes);
+                       if (self->is_reused) {
+                           write_request(self, first.is_last);
+                       } else {
+                           connect(self, first.is_last);
+                       }
+                   });
+}
+
+void write_body(const upstream_exchange_ptr& exchange, body_piece piece,
+                std::function<void()> done) {
+    asio::dispatch(exchange->executor,
+                   [exchange, piece = std::move(piece), done = std::move(done)]() mutable {
+                       if (!exchange->is_done) {
+                           write_piece(exchange, std::move(piece), std::move(done));
+                       }
+                   });
+}
+
+void read_body(const upstream_exchange_ptr& exchange, std::function<void(body_piece)> done) {
+    asio::dispatch(exchange->executor, [exchange, done = std::move(done)]() mutable {
+        if (exchange->is_done) {
+            return;
+        }
+        exchange->on_piece = std::move(done);
+        read_piece(exchange);
+    });
+}
+
+void abort_exchange(const upstream_exchange_ptr& exchange) {
+    asio::dispatch(exchange->executor, [exchange] {
+        if (!std::exchange(exchange->is_done, true)) {
+            close_quietly(*exchange->link);
+        }
+        exchange->events = {};
+        exchange->on_piece = nullptr;
+    });
+}
+
+} // namespace cyclamenhatch::edge
--- /dev/null
+++ b/src/edge/upstream_client.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "edge/http_message.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+/// HTTP client towards the upstream beside this node, with kept connections. All functions are
+/// thread safe and none blocks; callbacks come one at a time per exchange.
+namespace cyclamenhatch::edge {
+
+/// One request to the upstream and its answer. Opaque.
+struct upstream_exchange;
+using upstream_exchange_ptr = std::shared_ptr<upstream_exchange>;
+
+/// Opaque; made by make_upstream_client.
+struct upstream_client;
+
+struct upstream_events {
+    /// The answer's head with the first piece of its body.
+    std::function<void(answer_head, body_piece)> on_answer;
+    /// No answer, or its rest is lost. `is_not_run` only when no byte of the request was sent.
+    std::function<void(bool is_not_run)> on_failure;
+    /// The connection took the first piece and more are due.
+    std::function<void()> on_taken;
+};
+
+[[nodiscard]] std::shared_ptr<upstream_client> make_upstream_client(boost::asio::io_context& io);
+
+/// Where the upstream listens, addresses in the order in which they are tried, and how many
+/// connections may be kept open. Connections to a former target are not used again.
+void set_target(upstream_client& client, const std::vector<std::string>& ips, std::uint16_t port,
+                std::size_t max_kept);
+
+[[nodiscard]] std::size_t count_kept(const upstream_client& client);
+
+/// Closes kept connections.
+void close_client(upstream_client& client);
+
+/// Takes a connection for one request; nothing is sent yet.
+[[nodiscard]] upstream_exchange_ptr
+prepare_exchange(const std::shared_ptr<upstream_client>& client);
+
+/// Sends the request. With a first piece that is not the last, more follow by write_body after
+/// on_taken. No callback comes before this function returns. Precondition: called once.
+void send_request(const upstream_exchange_ptr& exchange, request_head head, body_piece first,
+                  upstream_events events);
+
+/// Sends a further piece; `done` is called when the connection took it. Precondition: the piece
+/// before was taken.
+void write_body(const upstream_exchange_ptr& exchange, body_piece piece,
+                std::function<void()> done);
+
+/// Reads the next piece of the answer's body. Precondition: the answer's head came, its last piece
+/// did not, and no read is under way.
+void read_body(const upstream_exchange_ptr& exchange, std::function<void(body_piece)> done);
+
+/// Closes the exchange's connection; no callback comes after that, but for one that is under way.
+void abort_exchange(const upstream_exchange_ptr& exchange);
+
+} // namespace cyclamenhatch::edge
