--- /dev/null
+++ b/standins/caller.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace cyclamenhatch::standin {
+
+struct caller_options {
+    /// Nodes' caller ports, as http://IP:PORT.
+    std::vector<std::string> targets;
+    /// Calls per second over all targets.
+    double rate = 100;
+    double seconds = 10;
+    std::vector<std::string> paths{"/"};
+    std::string key_prefix;
+    std::string method = "GET";
+    /// Host header; empty sends the target's address.
+    std::string host;
+    /// Service that every answer must name; empty accepts all.
+    std::string service;
+    /// Size of request bodies.
+    std::uint32_t body_bytes = 0;
+    std::uint32_t timeout_ms = 5000;
+    /// Upstreams whose ledgers are compared at the end, as http://IP:PORT.
+    std::vector<std::string> ledgers;
+    /// Prints a line each second.
+    bool has_progress = false;
+};
+
+/// Drives an open loop: calls start on schedule whatever became of earlier ones, and latency counts
+/// from the scheduled start. Prints one line of key=value pairs. Returns the exit code.
+[[nodiscard]] int run_caller(const caller_options& options);
+
+} // namespace cyclamenhatch::standin
