--- /dev/null
+++ b/src/admin/api.cpp
@@ -0,0 +1,305 @@
+#include "admin/api.h"
+#include "admin/announcement_reader.h"
+#include "admin/problem.h"
+#include "admin/resource_lookup.h"
+#include "admin/resource_write.h"
+
+#include <algorithm>
+#include <cctype>
+#include <optional>
+
+namespace cyclamenhatch::admin {
+namespace {
+
+constexpr std::size_t max_operation_length = 128;
+constexpr milliseconds not_ready_retry{1000};
+
+using path_view = std::vector<std::string>;
+
+std::string find_header(const api_request& request, const std::string& name) {
+    const auto found = request.headers.find(name);
+    return found == request.headers.end() ? std::string() : found->second;
+}
+
+bool is_at(const api_request& request, const path_view& path) {
+    return request.path == path;
+}
+
+bool is_open_to_all(const api_request& request) {
+    return is_at(request, {"v1", "health"}) || is_at(request, {"v1", "upstream"});
+}
+
+/// Takes as long for any two texts of the same lengths.
+bool is_equal_in_constant_time(std::string_view given, std::string_view expected) {
+    std::size_t difference = given.size() ^ expected.size();
+    for (std::size_t i = 0; i < given.size(); ++i) {
+        const auto wanted = expected.empty() ? '\0' : expected[i % expected.size()];
+        difference |= static_cast<unsigned char>(given[i]) ^ static_cast<unsigned char>(wanted);
+    }
+    return difference == 0;
+}
+
+bool is_operation_name(std::string_view text) {
+    return !text.empty() && text.size() <= max_operation_length &&
+           std::all_of(text.begin(), text.end(), [](unsigned char each) {
+               return std::isalnum(each) != 0 || each == '-' || each == '_' || each == '.';
+           });
+}
+
+api_response make_not_allowed(const std::string& allowed) {
+    auto response = make_problem({.status = 405, .detail = "use " + allowed});
+    response.headers["Allow"] = allowed;
+    return response;
+}
+
+api_response make_not_found(const std::string& detail) {
+    return make_problem({.status = 404, .detail = detail});
+}
+
+api_response make_not_ready() {
+    return make_problem({.status = 503,
+                         .detail = "this node holds no configuration yet",
+                         .outcome = "not-run",
+                         .retry_after = not_ready_retry});
+}
+
+api_response show_operation(const api_context& context, const operation_id& operation) {
+    auto version = find_operation(*context.node.configuration(), operation);
+    for (const auto& each : context.node.progress()) {
+        if (std::find(each.operations.begin(), each.operations.end(), operation) !=
+            each.operations.end()) {
+            version = std::max(version.value_or(each.version), each.version);
+        }
+    }
+    document::table body{{"operation", operation.value},
+                         {"outcome", version ? "accepted" : "unknown"}};
+    if (version) {
+        body.push_back({"version", static_cast<std::int64_t>(version->value)});
+    }
+    return make_json(200, document(std::move(body)));
+}
+
+api_response show_health(const api_context& context) {
+    const auto config = context.node.configuration();
+    if (!config) {
+        return make_not_ready();
+    }
+    return make_json(
+        200, document(document::table{
+                 {"status", "ok"}, {"version", static_cast<std::int64_t>(config->version.value)}}));
+}
+
+bool is_from_own_host(const api_context& context, const std::string& ip) {
+    return ip == context.own_ip || ip.starts_with("127.") || ip == "::1";
+}
+
+api_response take_announcement(const api_context& context, const api_request& request) {
+    if (!is_from_own_host(context, request.remote_ip)) {
+        return make_problem(
+            {.status = 403, .detail = "only the upstream on this node's host may announce itself"});
+    }
+    const auto parsed = parse_json(request.body, "");
+    if (const auto* found = std::get_if<findings>(&parsed)) {
+        return make_problem({.status = 400, .detail = "the body is not JSON", .found = *found});
+    }
+    const auto read = read_announcement(std::get<document>(parsed));
+    const auto* announced = std::get_if<announcement>(&read);
+    const auto found =
+        announced == nullptr ? std::get<findings>(read) : context.node.announce(*announced);
+    if (!found.empty()) {
+        return make_problem(
+            {.status = 422, .detail = "the announcement is not valid", .found = found});
+    }
+    return make_json(200, document(document::table{{"outcome", "accepted"}}));
+}
+
+/// Pages about the node itself; nothing when the path is none of them.
+std::optional<api_response> show_page(const api_context& context, const api_request& request) {
+    if (is_at(request, {"metrics"})) {
+        return api_response{.content_type = "text/plain; version=0.0.4",
+                            .body = context.node.metrics()};
+    }
+    if (request.path.size() != 2) {
+        return std::nullopt;
+    }
+    const auto& page = request.path[1];
+    if (page == "health") {
+        return show_health(context);
+    }
+    if (page == "status") {
+        return make_json(200, context.node.status());
+    }
+    if (page == "dump") {
+        return make_json(200, context.node.dump());
+    }
+    if (page == "usage") {
+        return make_json(200, context.node.usage());
+    }
+    return std::nullopt;
+}
+
+/// The key that a path such as v1/routes/SERVICE/NAME names.
+std::optional<store::resource_key> read_key(const path_view& path, store::resource_kind kind) {
+    if (kind == store::resource_kind::service) {
+        return path.size() == 3
+                   ? std::optional(store::resource_key{kind, service_id{path[2]}, path[2]})
+                   : std::nullopt;
+    }
+    return path.size() == 4 ? std::optional(store::resource_key{kind, service_id{path[2]}, path[3]})
+                            : std::nullopt;
+}
+
+api_response get_resource(const snapshot& config, const store::resource_key& key) {
+    const auto found = find_resource(config, key);
+    if (!found) {
+        return make_not_found("no such resource");
+    }
+    auto response = make_json(200, found->body);
+    response.headers["ETag"] = "\"" + std::to_string(found->revision.value) + "\"";
+    return response;
+}
+
+api_response get_list(const snapshot& config, const path_view& path, store::resource_kind kind) {
+    const bool is_service_given = path.size() == 3;
+    if (path.size() > 3) {
+        return make_not_found("no such path");
+    }
+    document::table body{
+        {"version", static_cast<std::int64_t>(config.version.value)},
+        {std::string(kind_name(kind)),
+         list_resources(config, kind, service_id{is_service_given ? path[2] : std::string()})}};
+    return make_json(200, document(std::move(body)));
+}
+
+api_response get_all(const snapshot& config) {
+    auto body = list_all_resources(config);
+    auto& members = std::get<document::table>(body.value);
+    members.insert(members.begin(), {"version", static_cast<std::int64_t>(config.version.value)});
+    return make_json(200, body);
+}
+
+void handle_resource(const write_call& call, store::resource_kind kind) {
+    const auto& request = call.request;
+    const auto key = read_key(request.path, kind);
+    if (request.method == "GET") {
+        const auto config = call.context.node.configuration();
+        call.reply(key ? get_resource(*config, *key) : get_list(*config, request.path, kind));
+    } else if (!key) {
+        call.reply(request.path.size() < 4 ? make_not_allowed("GET")
+                                           : make_not_found("no such path"));
+    } else if (request.method == "PUT") {
+        put_resource(call, *key);
+    } else if (request.method == "DELETE") {
+        delete_resource(call, *key);
+    } else {
+        call.reply(make_not_allowed("GET, PUT, DELETE"));
+    }
+}
+
+bool is_cancel(const api_request& request) {
+    return request.path.size() == 5 && request.path[1] == "moves" && request.path[4] == "cancel";
+}
+
+/// Paths below /v1 that need a configuration.
+void handle_configuration(const write_call& call) {
+    const auto& request = call.request;
+    const auto kind = find_kind(request.path[1]);
+    if (is_at(request, {"v1", "resources"})) {
+        call.reply(request.method == "GET" ? get_all(*call.context.node.configuration())
+                                           : make_not_allowed("GET"));
+    } else if (is_at(request, {"v1", "apply"})) {
+        request.method == "POST" ? apply_resources(call) : call.reply(make_not_allowed("POST"));
+    } else if (request.path.size() == 3 && request.path[1] == "operations") {
+        call.reply(request.method == "GET"
+                       ? show_operation(call.context, operation_id{request.path[2]})
+                       : make_not_allowed("GET"));
+    } else if (is_cancel(request)) {
+        request.method == "POST"
+            ? cancel_move(call, service_id{request.path[2]}, move_id{request.path[3]})
+            : call.reply(make_not_allowed("POST"));
+    } else if (kind) {
+        handle_resource(call, *kind);
+    } else {
+        call.reply(make_not_found("no such path"));
+    }
+}
+
+/// Refuses what is wrong with a request whatever its path; nothing when it may pass.
+std::optional<api_response> check_request(const api_context& context, const api_request& request) {
+    if (!is_authorised(context, request)) {
+        return make_unauthorised();
+    }
+    if (request.body.size() > max_body_bytes) {
+        return make_problem(
+            {.status = 413,
+             .detail = "the body is longer than " + std::to_string(max_body_bytes) + " bytes",
+             .outcome = "not-run"});
+    }
+    const auto operation = find_header(request, operation_header);
+    if (!operation.empty() && !is_operation_name(operation)) {
+        return make_problem({.status = 400,
+                             .detail = "malformed operation id",
+                             .found = {{.path = operation_header,
+                                        .problem = "is no operation id",
+                                        .remedy = "use 1 to 128 letters, digits, '-', '_' or '.'"}},
+                             .outcome = "not-run"});
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+bool is_authorised(const api_context& context, const api_request& request) {
+    constexpr std::string_view scheme = "Bearer ";
+    if (context.token.empty() || is_open_to_all(request)) {
+        return true;
+    }
+    const auto header = find_header(request, "authorization");
+    return header.starts_with(scheme) &&
+           is_equal_in_constant_time(std::string_view(header).substr(scheme.size()), context.token);
+}
+
+api_response make_unauthorised() {
+    auto response = make_problem({.status = 401,
+                                  .detail = "the request needs the operators' bearer token",
+                                  .outcome = "not-run"});
+    response.headers["WWW-Authenticate"] = "Bearer";
+    return response;
+}
+
+bool is_watch(const api_request& request) {
+    return request.method == "GET" && is_at(request, {"v1", "watch"});
+}
+
+void handle(const api_context& context, const api_request& request, instant now,
+            const operation_id& generated, reply_function reply) {
+    if (auto refused = check_request(context, request)) {
+        reply(std::move(*refused));
+        return;
+    }
+    if (is_at(request, {"v1", "upstream"})) {
+        reply(request.method == "POST" ? take_announcement(context, request)
+                                       : make_not_allowed("POST"));
+        return;
+    }
+    if (auto page = show_page(context, request)) {
+        reply(request.method == "GET" ? std::move(*page) : make_not_allowed("GET"));
+        return;
+    }
+    if (request.path.size() < 2 || request.path[0] != "v1") {
+        reply(make_not_found("no such path"));
+        return;
+    }
+    if (!context.node.configuration()) {
+        reply(make_not_ready());
+        return;
+    }
+    const auto given = find_header(request, operation_header);
+    handle_configuration({.context = context,
+                          .request = request,
+                          .now = now,
+                          .operation = given.empty() ? generated : operation_id{given},
+                          .reply = std::move(reply)});
+}
+
+} // namespace cyclamenhatch::admin
--- a/src/admin/backend.h
+++ b/src/admin/backend.h
@@ -39,6 +39,8 @@
     std::function<std::string()> metrics;
     /// The upstream beside this node announces itself or its change of state.
     std::function<findings(const announcement&)> announce;
+    /// The node's time; the system clock when not set.
+    std::function<instant()> now;
 };
 
 } // namespace cyclamenhatch::admin
--- /dev/null
+++ b/src/admin/resource_write.cpp
@@ -0,0 +1,306 @@
+#include "admin/resource_write.h"
+#include "admin/problem.h"
+#include "admin/resource_lookup.h"
+#include "document/schema_reader.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace cyclamenhatch::admin {
+namespace {
+
+constexpr milliseconds default_retry_after{1000};
+
+std::string find_header(const api_request& request, const std::string& name) {
+    const auto found = request.headers.find(name);
+    return found == request.headers.end() ? std::string() : found->second;
+}
+
+/// The revision in an entity tag such as "42".
+std::optional<config_version> read_etag(std::string_view tag) {
+    if (tag.size() < 3 || tag.front() != '"' || tag.back() != '"') {
+        return std::nullopt;
+    }
+    tag = tag.substr(1, tag.size() - 2);
+    config_version revision;
+    const auto* end = tag.data() + tag.size();
+    const auto read = std::from_chars(tag.data(), end, revision.value);
+    return read.ec == std::errc{} && read.ptr == end ? std::optional(revision) : std::nullopt;
+}
+
+void refuse(const write_call& call, problem refused) {
+    refused.outcome = "not-run";
+    refused.operation = call.operation;
+    auto response = make_problem(refused);
+    response.headers[operation_header] = call.operation.value;
+    call.reply(std::move(response));
+}
+
+/// Preconditions from If-Match and If-None-Match, or a finding about a malformed one.
+result<std::vector<store::precondition>> read_preconditions(const api_request& request,
+                                                            const store::resource_key& key) {
+    const auto match = find_header(request, "if-match");
+    const auto none_match = find_header(request, "if-none-match");
+    std::vector<store::precondition> all;
+    if (!none_match.empty()) {
+        if (none_match != "*") {
+            return findings{{.path = "If-None-Match",
+                             .problem = "\"" + none_match + "\" is not supported",
+                             .remedy = "use * to create a resource"}};
+        }
+        all.push_back({key, std::nullopt});
+    }
+    if (!match.empty()) {
+        const auto revision = read_etag(match);
+        if (!revision) {
+            return findings{{.path = "If-Match",
+                             .problem = match + " is not a revision",
+                             .remedy = "use the ETag of the resource, such as \"42\""}};
+        }
+        all.push_back({key, revision});
+    }
+    return all;
+}
+
+/// What a write needs to know beside the change itself.
+struct write_plan {
+    store::resource_write wanted;
+    int accepted_status = 200;
+    /// Status when another change came first.
+    int conflict_status = 409;
+};
+
+api_response make_accepted(const operation_id& operation, config_version version, int status) {
+    auto response = make_json(
+        status, document(document::table{{"outcome", "accepted"},
+                                         {"operation", operation.value},
+                                         {"version", static_cast<std::int64_t>(version.value)}}));
+    response.headers["ETag"] = "\"" + std::to_string(version.value) + "\"";
+    return response;
+}
+
+api_response make_refused(const operation_id& operation, const store::change_refused& refused,
+                          int conflict_status) {
+    const bool is_conflict = refused.kind == store::refusal_kind::conflict;
+    return make_problem(
+        {.status = is_conflict ? conflict_status : 422,
+         .detail = is_conflict ? "another change came first" : "the change is not valid",
+         .found = refused.found,
+         .outcome = "not-run",
+         .operation = operation});
+}
+
+api_response make_response(const store::write_reply& from, int accepted_status,
+                           int conflict_status) {
+    if (const auto* accepted = std::get_if<store::write_accepted>(&from.outcome)) {
+        return make_accepted(from.operation, accepted->version, accepted_status);
+    }
+    if (const auto* refused = std::get_if<store::change_refused>(&from.outcome)) {
+        return make_refused(from.operation, *refused, conflict_status);
+    }
+    if (const auto* not_run = std::get_if<store::write_not_run>(&from.outcome)) {
+        return make_problem({.status = 503,
+                             .detail = not_run->reason,
+                             .outcome = "not-run",
+                             .operation = from.operation,
+                             .retry_after = std::max(not_run->retry_after, default_retry_after)});
+    }
+    return make_problem({.status = 504,
+                         .detail = "the change may or may not have been made; ask at "
+                                   "/v1/operations/" +
+                                   from.operation.value,
+                         .outcome = "unknown",
+                         .operation = from.operation});
+}
+
+void submit(const write_call& call, write_plan plan) {
+    store::write_request request{.operation = call.operation,
+                                 .wanted = std::move(plan.wanted),
+                                 .deadline = call.now + call.context.write_deadline};
+    call.context.node.write(std::move(request),
+                            [reply = call.reply, operation = call.operation,
+                             accepted = plan.accepted_status,
+                             conflict = plan.conflict_status](store::write_reply from) {
+                                from.operation = operation;
+                                auto response = make_response(from, accepted, conflict);
+                                response.headers[operation_header] = operation.value;
+                                reply(std::move(response));
+                            });
+}
+
+std::string element_prefix(const store::resource_key& key) {
+    return std::string(kind_name(key.kind)) + "[0].";
+}
+
+/// Sets a field that the path names when the body leaves it out; another value is a finding.
+void settle_field(document& body, const std::string& field, const std::string& named,
+                  findings& found) {
+    const auto* member = find_member(body, field);
+    if (member == nullptr) {
+        std::get<document::table>(body.value).push_back({field, named});
+    } else if (text_or(body, field, "") != named) {
+        found.push_back({.path = field,
+                         .problem = "the path names \"" + named + "\"",
+                         .remedy = "use the same in the body or leave it out"});
+    }
+}
+
+/// The resource that the path names, from the request's body.
+result<resource_set> read_one(document body, const store::resource_key& key) {
+    findings found;
+    if (std::holds_alternative<document::table>(body.value)) {
+        settle_field(body, "name", key.name, found);
+        if (key.kind != store::resource_kind::service) {
+            settle_field(body, "service", key.service.value, found);
+        }
+    }
+    document::array items;
+    items.push_back(std::move(body));
+    auto read = read_resources(
+        document(document::table{{std::string(kind_name(key.kind)), std::move(items)}}));
+    if (auto* more = std::get_if<findings>(&read)) {
+        const auto prefix = element_prefix(key);
+        for (auto& each : *more) {
+            if (each.path.starts_with(prefix)) {
+                each.path.erase(0, prefix.size());
+            }
+            found.push_back(std::move(each));
+        }
+    }
+    if (!found.empty()) {
+        return found;
+    }
+    return std::get<resource_set>(std::move(read));
+}
+
+store::resource_write to_write(resource_set from) {
+    return {.services = std::move(from.services),
+            .routes = std::move(from.routes),
+            .versions = std::move(from.versions),
+            .moves = std::move(from.moves)};
+}
+
+bool is_flag_set(const api_request& request, const std::string& name) {
+    const auto found = request.query.find(name);
+    return found != request.query.end() && found->second != "0" && found->second != "false";
+}
+
+/// What would become of the change now, without writing it.
+void preview(const write_call& call, const store::change& wanted) {
+    const auto config = call.context.node.configuration();
+    const config_version next{config->version.value + 1};
+    const auto changed = call.context.preview(config->sections, wanted, next, call.operation);
+    if (const auto* refused = std::get_if<store::change_refused>(&changed)) {
+        auto response = make_refused(call.operation, *refused, 409);
+        response.headers[operation_header] = call.operation.value;
+        call.reply(std::move(response));
+        return;
+    }
+    document::array services;
+    for (const auto& [name, part] : std::get<0>(changed)) {
+        const auto held = config->sections.find(name);
+        if (held == config->sections.end() || held->second != part) {
+            services.emplace_back(name.value);
+        }
+    }
+    auto response =
+        make_json(200, document(document::table{{"outcome", "valid"},
+                                                {"dry_run", true},
+                                                {"changed_services", std::move(services)}}));
+    response.headers[operation_header] = call.operation.value;
+    call.reply(std::move(response));
+}
+
+} // namespace
+
+void put_resource(const write_call& call, const store::resource_key& key) {
+    auto preconditions = read_preconditions(call.request, key);
+    if (auto* found = std::get_if<findings>(&preconditions)) {
+        refuse(call, {.status = 400, .detail = "malformed precondition", .found = *found});
+        return;
+    }
+    auto parsed = parse_json(call.request.body, "");
+    if (auto* found = std::get_if<findings>(&parsed)) {
+        refuse(call, {.status = 400, .detail = "the body is not JSON", .found = *found});
+        return;
+    }
+    auto read = read_one(std::get<document>(std::move(parsed)), key);
+    if (auto* found = std::get_if<findings>(&read)) {
+        refuse(call,
+               {.status = 422, .detail = "the resource is not valid", .found = std::move(*found)});
+        return;
+    }
+    write_plan plan{.wanted = to_write(std::get<resource_set>(std::move(read)))};
+    plan.wanted.preconditions = std::get<0>(std::move(preconditions));
+    const bool has_conditions = !plan.wanted.preconditions.empty();
+    const bool is_create = has_conditions && !plan.wanted.preconditions.front().expected;
+    plan.accepted_status = is_create ? 201 : 200;
+    plan.conflict_status = has_conditions ? 412 : 409;
+    submit(call, std::move(plan));
+}
+
+void delete_resource(const write_call& call, const store::resource_key& key) {
+    auto preconditions = read_preconditions(call.request, key);
+    if (auto* found = std::get_if<findings>(&preconditions)) {
+        refuse(call, {.status = 400, .detail = "malformed precondition", .found = *found});
+        return;
+    }
+    if (!find_resource(*call.context.node.configuration(), key)) {
+        refuse(call, {.status = 404, .detail = "no such resource"});
+        return;
+    }
+    write_plan plan;
+    plan.wanted.deletes.push_back(key);
+    plan.wanted.preconditions = std::get<0>(std::move(preconditions));
+    plan.conflict_status = plan.wanted.preconditions.empty() ? 409 : 412;
+    submit(call, std::move(plan));
+}
+
+void apply_resources(const write_call& call) {
+    const auto parsed = parse_json(call.request.body, "");
+    if (const auto* found = std::get_if<findings>(&parsed)) {
+        refuse(call, {.status = 400, .detail = "the body is not JSON", .found = *found});
+        return;
+    }
+    auto read = read_resources(std::get<document>(parsed));
+    if (auto* found = std::get_if<findings>(&read)) {
+        refuse(
+            call,
+            {.status = 422, .detail = "the resources are not valid", .found = std::move(*found)});
+        return;
+    }
+    write_plan plan{.wanted = to_write(std::get<resource_set>(std::move(read)))};
+    if (is_flag_set(call.request, "dry_run")) {
+        preview(call, plan.wanted);
+        return;
+    }
+    submit(call, std::move(plan));
+}
+
+void cancel_move(const write_call& call, const service_id& service, const move_id& name) {
+    const auto config = call.context.node.configuration();
+    const auto part = config->sections.find(service);
+    const move* found = nullptr;
+    if (part != config->sections.end()) {
+        const auto& moves = part->second->content.moves;
+        const auto held = std::find_if(moves.begin(), moves.end(),
+                                       [&](const move& each) { return each.name == name; });
+        found = held == moves.end() ? nullptr : &*held;
+    }
+    if (found == nullptr) {
+        refuse(call, {.status = 404, .detail = "no such move"});
+        return;
+    }
+    if (found->ending) {
+        refuse(call, {.status = 409, .detail = "the move has ended"});
+        return;
+    }
+    write_plan plan;
+    plan.wanted.moves.push_back(*found);
+    plan.wanted.moves.back().cancel = true;
+    const store::resource_key key{store::resource_kind::move, service, name.value};
+    plan.wanted.preconditions.push_back({key, found->written.revision});
+    submit(call, std::move(plan));
+}
+
+} // namespace cyclamenhatch::admin
