--- a/src/admin/api.cpp
+++ b/src/admin/api.cpp
@@ -1,5 +1,6 @@
 #include "admin/api.h"
 #include "admin/announcement_reader.h"
+#include "admin/move_report.h"
 #include "admin/problem.h"
 #include "admin/resource_lookup.h"
 #include "admin/resource_write.h"
@@ -135,6 +136,10 @@
     if (page == "usage") {
         return make_json(200, context.node.usage());
     }
+    if (page == "move-status") {
+        return make_json(
+            200, document(document::table{{"move", describe_moves(context.node.move_statuses())}}));
+    }
     return std::nullopt;
 }
 
--- a/src/admin/watch.cpp
+++ b/src/admin/watch.cpp
@@ -1,4 +1,5 @@
 #include "admin/watch.h"
+#include "admin/move_report.h"
 
 #include <algorithm>
 
@@ -42,18 +43,16 @@
                             {"operations", list_operations(from.operations)}}};
 }
 
-document describe_ending(const move& from) {
-    return {document::table{
-        {"event", "move_ended"},
-        {"version", to_number(from.written.revision)},
-        {"service", from.service.value},
-        {"move", from.name.value},
-        {"attempt", std::int64_t{from.attempt}},
-        {"outcome", from.ending->outcome == move_outcome::done ? "done" : "taken_back"},
-        {"reason", from.ending->reason},
-        {"in_force_at", format_rfc3339(from.ending->in_force_at)},
-        {"calls_on_new", static_cast<std::int64_t>(from.ending->calls_on_new)},
-        {"errors_on_new", static_cast<std::int64_t>(from.ending->errors_on_new)}}};
+document describe_ended(const move& from) {
+    document::table event{{"event", "move_ended"},
+                          {"version", to_number(from.written.revision)},
+                          {"service", from.service.value},
+                          {"move", from.name.value},
+                          {"attempt", std::int64_t{from.attempt}}};
+    for (auto& each : describe_ending(*from.ending)) {
+        event.push_back(std::move(each));
+    }
+    return {std::move(event)};
 }
 
 document describe_gap(config_version after, config_version next) {
@@ -98,7 +97,7 @@
     for (const auto& [name, part] : config->sections) {
         for (const auto& each : part->content.moves) {
             if (each.ending && each.written.revision > cursor.endings) {
-                events.push_back(describe_ending(each));
+                events.push_back(describe_ended(each));
             }
         }
     }
--- a/tests/admin/api_test.cpp
+++ b/tests/admin/api_test.cpp
@@ -95,6 +95,7 @@
     {"dump", "GET", "/v1/dump", {}, "", 200, "dump"},
     {"usage", "GET", "/v1/usage", {}, "", 200, "usage"},
     {"metrics", "GET", "/metrics", {}, "", 200, "up 1"},
+    {"move_status", "GET", "/v1/move-status", {}, "", 200, R"("attempt":2,"from":"")"},
     {"post_status", "POST", "/v1/status", {}, "", 405, "use GET"},
     {"put_list", "PUT", "/v1/routes", {}, "{}", 405, "use GET"},
     {"post_route", "POST", "/v1/routes/catalogue/browse", {}, "{}", 405, "use GET, PUT, DELETE"},
--- a/tests/admin/fake_backend.h
+++ b/tests/admin/fake_backend.h
@@ -53,6 +53,10 @@
         reply({operation, node.outcome});
     };
     made.progress = [&node] { return node.progress; };
+    made.move_statuses = [] {
+        return std::vector<moves::move_status>{
+            {.key = {service_id{"catalogue"}, move_id{"to-v2"}, 2}, .phase = "baking"}};
+    };
     made.status = [] { return document(document::table{{"page", "status"}}); };
     made.dump = [] { return document(document::table{{"page", "dump"}}); };
     made.usage = [] { return document(document::table{{"page", "usage"}}); };
