edge: test the call path over loopback sockets

Cause: the edges had no test. Change: two call paths joined in memory, a fake upstream and a table of exchanges: whole, streamed, broken and oversized ones, lost answers, dead gates, drain, callers that leave.

--- a/src/edge/gate_side.cpp
+++ b/src/edge/gate_side.cpp
@@ -355,9 +355,12 @@
     }
 }
 
-std::size_t count_in_flight(const gate_side& side) {
-    const lock_type guard(side.lock);
-    return side.flows.size();
+std::size_t count_remote(const gate_side& side, const node_id& self) {
+    const std::lock_guard guard(side.lock);
+    const auto is_remote = [&](const auto& each) {
+        return call::waiter_of(side.gate, each.first) != self;
+    };
+    return static_cast<std::size_t>(std::count_if(side.flows.begin(), side.flows.end(), is_remote));
 }
 
 std::size_t cut_off(gate_side& side) {
--- a/src/edge/upstream_client.cpp
+++ b/src/edge/upstream_client.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <limits>
 #include <mutex>
 #include <optional>
 #include <utility>
@@ -221,7 +222,7 @@
 void read_answer(const exchange_ptr& self) {
     self->parser.emplace();
     self->parser->header_limit(max_answer_header_bytes);
-    self->parser->body_limit(boost::none);
+    self->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
     self->parser->skip(self->head.method == "HEAD");
     http::async_read_header(self->link->socket, self->link->buffer, *self->parser,
                             [self](error_code failed, std::size_t /*bytes*/) {
--- /dev/null
+++ b/tests/edge/call_path_test.cpp
@@ -0,0 +1,167 @@
+#include "joined_paths.h"
+
+#include <gtest/gtest.h>
+
+#include <future>
+#include <ostream>
+
+namespace cyclamenhatch::edge::testing {
+namespace {
+
+struct exchange_row {
+    const char* name;
+    std::string request;
+    std::string expected;
+    /// Runs of the path at the upstream, when a path is given.
+    std::string path;
+    int runs = 0;
+
+    friend std::ostream& operator<<(std::ostream& out, const exchange_row& row) {
+        return out << row.name;
+    }
+};
+
+std::string request(const std::string& line, const std::string& headers = {},
+                    const std::string& body = {}) {
+    return line + " HTTP/1.1\r\nHost: shop:80\r\n" + headers + "\r\n" + body;
+}
+
+std::string post(const std::string& path, std::size_t bytes) {
+    return request("POST " + path, "Content-Length: " + std::to_string(bytes) + "\r\n",
+                   std::string(bytes, 'p'));
+}
+
+class exchange : public ::testing::TestWithParam<exchange_row> {};
+
+TEST_P(exchange, ends_as_stated) {
+    const auto& row = GetParam();
+    fake_upstream upstream;
+    joined_paths paths(upstream.port());
+    EXPECT_EQ(paths.ask(row.request), row.expected);
+    if (!row.path.empty()) {
+        EXPECT_EQ(upstream.runs(row.path), row.runs);
+    }
+    // The process goes on whatever the request was.
+    EXPECT_EQ(paths.get("/ok"), "200 upstream ok");
+}
+
+const exchange_row exchange_rows[] = {
+    {"whole", request("GET /ok"), "200 upstream ok"},
+    {"small_body", post("/echo", 5), "200 upstream ppppp"},
+    {"large_request", post("/echo", 900'000), "200 upstream 900000 bytes", "/echo", 1},
+    {"chunked_request",
+     request("POST /ok", "Transfer-Encoding: chunked\r\n", "3\r\nabc\r\n0\r\n\r\n"),
+     "200 upstream ok"},
+    {"large_answer", request("GET /bytes/3000000"), "200 upstream 3000000 bytes"},
+    {"chunked_answer", request("GET /chunked/500000"), "200 500000 bytes"},
+    {"short_chunked_answer", request("GET /chunked/12"), "200 cccccccccccc"},
+    {"no_content", request("GET /status/204"), "204 upstream "},
+    {"server_error_passes", request("GET /status/500"), "500 upstream told"},
+    {"old_protocol", "GET /ok HTTP/1.0\r\nHost: shop\r\n\r\n", "200 upstream ok"},
+    {"broken_line", "GET\r\n\r\n", "400 not-run 39 bytes"},
+    {"broken_header", "GET /ok HTTP/1.1\r\nHost\r\n\r\n", "400 not-run 39 bytes"},
+    {"broken_length", request("POST /echo", "Content-Length: x\r\n"), "400 not-run 39 bytes"},
+    {"header_too_large", request("GET /ok", "X-Long: " + std::string(8000, 'x') + "\r\n"),
+     "431 not-run 41 bytes"},
+    {"body_too_large", post("/echo", 1'000'001), "413 not-run 39 bytes", "/echo", 0},
+    {"too_many_hops", request("GET /ok", "cyclamenhatch-hops: 8\r\n"), "508 not-run 110 bytes",
+     "/ok", 0},
+    {"no_time_left", request("GET /hold", "cyclamenhatch-deadline-ms: 0\r\n"),
+     "504 not-run 94 bytes", "/hold", 0},
+    {"runs_out_of_time", request("GET /hold", "cyclamenhatch-deadline-ms: 30\r\n"),
+     "504 unknown 94 bytes", "/hold", 1},
+    {"upstream_breaks", request("GET /break"), "504 unknown later 120 bytes", "/break", 1},
+    {"upstream_breaks_within_first_piece", request("GET /half/4"), "504 unknown later 120 bytes",
+     "/half/4", 1},
+    {"upstream_breaks_within_stream", request("GET /half/90000"), "broken off", "/half/90000", 1},
+};
+
+INSTANTIATE_TEST_SUITE_P(faults, exchange, ::testing::ValuesIn(exchange_rows),
+                         [](const auto& row) { return std::string(row.param.name); });
+
+TEST(call_path, passes_limits_on) {
+    fake_upstream upstream;
+    joined_paths paths(upstream.port());
+    EXPECT_EQ(paths.get("/ok", "cyclamenhatch-hops: 2\r\ncyclamenhatch-attempts: 3\r\n"),
+              "200 upstream ok");
+    const auto head = upstream.last_head();
+    EXPECT_NE(head.find("cyclamenhatch-hops: 3\r\n"), std::string::npos) << head;
+    EXPECT_NE(head.find("cyclamenhatch-attempts: 3\r\n"), std::string::npos) << head;
+    EXPECT_NE(head.find("cyclamenhatch-deadline-ms: "), std::string::npos) << head;
+}
+
+TEST(call_path, tells_a_lost_answer_again_without_a_second_run) {
+    fake_upstream upstream;
+    joined_paths paths(upstream.port());
+    EXPECT_EQ(paths.get("/ok"), "200 upstream ok");
+    paths.lose_answers(1);
+    auto answer = std::async(std::launch::async, [&] { return paths.get("/hold-once"); });
+    upstream.wait_for_runs("/hold-once", 1);
+    upstream.release();
+    // The loss shows at any time after; each notice asks once more.
+    while (answer.wait_for(std::chrono::milliseconds(1)) != std::future_status::ready) {
+        on_link_lost(paths.entry(), node_id("gate"));
+    }
+    EXPECT_EQ(answer.get(), "200 upstream ok");
+    EXPECT_EQ(upstream.runs("/hold-once"), 1);
+}
+
+TEST(call_path, says_unknown_when_the_gate_died_with_the_call) {
+    fake_upstream upstream;
+    joined_paths paths(upstream.port());
+    auto answer = std::async(std::launch::async, [&] { return paths.get("/hold-once"); });
+    upstream.wait_for_runs("/hold-once", 1);
+    paths.forget_endpoint();
+    on_link_lost(paths.entry(), node_id("gate"));
+    EXPECT_EQ(answer.get().substr(0, 11), "504 unknown");
+    EXPECT_EQ(upstream.runs("/hold-once"), 1);
+}
+
+TEST(call_path, proves_not_run_when_the_upstream_cannot_be_reached) {
+    fake_upstream upstream;
+    joined_paths paths(upstream.port());
+    // Port 1 takes no connections.
+    paths.announce(msg::upstream_state::ready, 1);
+    EXPECT_EQ(paths.get("/hold-once").substr(0, 17), "503 not-run later");
+}
+
+TEST(call_path, drain_refuses_new_calls_and_finishes_those_under_way) {
+    fake_upstream upstream;
+    joined_paths paths(upstream.port());
+    auto answer = std::async(std::launch::async, [&] { return paths.get("/hold"); });
+    upstream.wait_for_runs("/hold", 1);
+    begin_drain(paths.gate());
+    EXPECT_EQ(paths.get("/ok").substr(0, 17), "503 not-run later");
+    EXPECT_EQ(count_in_flight(paths.gate()), 1U);
+    upstream.release();
+    EXPECT_EQ(answer.get(), "200 upstream ok");
+}
+
+TEST(call_path, caller_that_leaves_frees_its_slot) {
+    fake_upstream upstream;
+    joined_paths paths(upstream.port());
+    {
+        boost::asio::io_context io;
+        boost::asio::ip::tcp::socket socket(io);
+        socket.connect({boost::asio::ip::make_address("127.0.0.1"), paths.entry_port()});
+        const std::string text = request("GET /hold");
+        boost::system::error_code failed;
+        socket.send(boost::asio::buffer(text), 0, failed);
+        upstream.wait_for_runs("/hold", 1);
+    }
+    while (count_in_flight(paths.gate()) > 0 || count_in_flight(paths.entry()) > 0) {
+        std::this_thread::yield();
+    }
+    EXPECT_EQ(paths.get("/ok"), "200 upstream ok");
+}
+
+TEST(call_path, entry_and_gate_may_be_one_node) {
+    fake_upstream upstream;
+    joined_paths paths(upstream.port());
+    EXPECT_EQ(paths.ask(request("GET /ok"), true), "200 upstream ok");
+    EXPECT_EQ(paths.ask(request("GET /bytes/3000000"), true), "200 upstream 3000000 bytes");
+    EXPECT_EQ(paths.ask(post("/echo", 900'000), true), "200 upstream 900000 bytes");
+}
+
+} // namespace
+} // namespace cyclamenhatch::edge::testing
--- /dev/null
+++ b/tests/edge/fake_upstream.cpp
@@ -0,0 +1,163 @@
+#include "fake_upstream.h"
+
+#include <boost/asio.hpp>
+
+#include <algorithm>
+#include <sys/socket.h>
+
+namespace cyclamenhatch::edge::testing {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+std::string plain(int status, const std::string& body) {
+    return "HTTP/1.1 " + std::to_string(status) +
+           " Told\r\nX-From: upstream\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+}
+
+bool starts_with(const std::string& text, const std::string& start) {
+    return text.rfind(start, 0) == 0;
+}
+
+std::string chunked(std::size_t bytes) {
+    std::string out = "HTTP/1.1 200 Told\r\nTransfer-Encoding: chunked\r\n\r\n";
+    while (bytes > 0) {
+        const auto size = std::min<std::size_t>(bytes, 10'000);
+        char length[16];
+        std::snprintf(length, sizeof length, "%zx\r\n", size);
+        out += length + std::string(size, 'c') + "\r\n";
+        bytes -= size;
+    }
+    return out + "0\r\n\r\n";
+}
+
+std::size_t stated_length(const std::string& head) {
+    const auto at = head.find("Content-Length: ");
+    return at == std::string::npos ? 0 : std::stoul(head.substr(at + 16));
+}
+
+} // namespace
+
+fake_upstream::fake_upstream()
+    : acceptor_(io_, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
+      port_(acceptor_.local_endpoint().port()), acceptor_thread_([this] { accept_all(); }) {}
+
+fake_upstream::~fake_upstream() {
+    release();
+    ::shutdown(acceptor_.native_handle(), SHUT_RDWR);
+    acceptor_thread_.join();
+    {
+        const std::lock_guard guard(lock_);
+        for (const int each : open_) {
+            ::shutdown(each, SHUT_RDWR);
+        }
+    }
+    for (auto& each : threads_) {
+        each.join();
+    }
+}
+
+int fake_upstream::runs(const std::string& path) {
+    const std::lock_guard guard(lock_);
+    return runs_[path];
+}
+
+void fake_upstream::wait_for_runs(const std::string& path, int count) {
+    std::unique_lock guard(lock_);
+    changed_.wait(guard, [&] { return runs_[path] >= count; });
+}
+
+void fake_upstream::release() {
+    const std::lock_guard guard(lock_);
+    is_released_ = true;
+    changed_.notify_all();
+}
+
+std::string fake_upstream::last_head() {
+    const std::lock_guard guard(lock_);
+    return last_head_;
+}
+
+void fake_upstream::accept_all() {
+    while (true) {
+        boost::system::error_code failed;
+        tcp::socket socket(io_);
+        acceptor_.accept(socket, failed);
+        if (failed) {
+            return;
+        }
+        const std::lock_guard guard(lock_);
+        open_.push_back(socket.native_handle());
+        threads_.emplace_back([this, moved = std::make_shared<tcp::socket>(std::move(
+                                         socket))]() mutable { serve(std::move(*moved)); });
+    }
+}
+
+void fake_upstream::serve(tcp::socket socket) {
+    std::string buffer;
+    boost::system::error_code failed;
+    while (true) {
+        const auto head_size =
+            asio::read_until(socket, asio::dynamic_buffer(buffer), "\r\n\r\n", failed);
+        if (failed) {
+            break;
+        }
+        const auto head = buffer.substr(0, head_size);
+        buffer.erase(0, head_size);
+        const auto length = stated_length(head);
+        if (buffer.size() < length) {
+            asio::read(socket, asio::dynamic_buffer(buffer),
+                       asio::transfer_exactly(length - buffer.size()), failed);
+        }
+        const auto body = buffer.substr(0, length);
+        buffer.erase(0, length);
+        const auto from = head.find(' ') + 1;
+        const auto path = head.substr(from, head.find(' ', from) - from);
+        {
+            const std::lock_guard guard(lock_);
+            last_head_ = head;
+        }
+        const auto answer = answer_to(path, body);
+        asio::write(socket, asio::buffer(answer), failed);
+        if (failed || answer.empty() || starts_with(path, "/half")) {
+            break;
+        }
+    }
+    const std::lock_guard guard(lock_);
+    std::erase(open_, socket.native_handle());
+    socket.close(failed);
+}
+
+std::string fake_upstream::answer_to(const std::string& path, const std::string& body) {
+    std::unique_lock guard(lock_);
+    ++runs_[path];
+    changed_.notify_all();
+    if (starts_with(path, "/hold")) {
+        changed_.wait(guard, [&] { return is_released_; });
+    }
+    guard.unlock();
+    if (starts_with(path, "/status/")) {
+        return plain(std::stoi(path.substr(8)), "told");
+    }
+    if (starts_with(path, "/bytes/")) {
+        return plain(200, std::string(std::stoul(path.substr(7)), 'b'));
+    }
+    if (starts_with(path, "/chunked/")) {
+        return chunked(std::stoul(path.substr(9)));
+    }
+    if (starts_with(path, "/break")) {
+        return {};
+    }
+    if (starts_with(path, "/half")) {
+        return "HTTP/1.1 200 Told\r\nContent-Length: 100000\r\n\r\n" +
+               std::string(std::stoul(path.substr(6)), 'h');
+    }
+    if (starts_with(path, "/echo")) {
+        return plain(200, body);
+    }
+    return plain(200, "ok");
+}
+
+} // namespace cyclamenhatch::edge::testing
--- /dev/null
+++ b/tests/edge/fake_upstream.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <atomic>
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace cyclamenhatch::edge::testing {
+
+/// An upstream whose behaviour each request's path names: /ok, /echo, /status/N, /bytes/N,
+/// /chunked/N, /break (closes without an answer), /half (closes within the answer), /hold (answers
+/// once released).
+class fake_upstream {
+public:
+    fake_upstream();
+    fake_upstream(const fake_upstream&) = delete;
+    fake_upstream& operator=(const fake_upstream&) = delete;
+    ~fake_upstream();
+
+    [[nodiscard]] std::uint16_t port() const { return port_; }
+    /// Runs of a path so far.
+    [[nodiscard]] int runs(const std::string& path);
+    /// Waits until that many runs of the path have begun.
+    void wait_for_runs(const std::string& path, int count);
+    /// Lets all held requests be answered.
+    void release();
+    /// The head of the last request.
+    [[nodiscard]] std::string last_head();
+
+private:
+    void accept_all();
+    void serve(boost::asio::ip::tcp::socket socket);
+    std::string answer_to(const std::string& path, const std::string& body);
+
+    boost::asio::io_context io_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::uint16_t port_ = 0;
+    std::mutex lock_;
+    std::condition_variable changed_;
+    std::map<std::string, int> runs_;
+    std::string last_head_;
+    bool is_released_ = false;
+    std::vector<std::thread> threads_;
+    std::vector<int> open_;
+    std::thread acceptor_thread_;
+};
+
+} // namespace cyclamenhatch::edge::testing
--- /dev/null
+++ b/tests/edge/joined_paths.cpp
@@ -0,0 +1,183 @@
+#include "joined_paths.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <limits>
+#include <stdexcept>
+
+namespace cyclamenhatch::edge::testing {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+/// A port that was free a moment ago.
+std::uint16_t find_port() {
+    asio::io_context io;
+    const tcp::acceptor probe(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    return probe.local_endpoint().port();
+}
+
+msg::settings_msg make_settings(const std::string& node, std::uint16_t port) {
+    msg::settings_msg settings;
+    settings.identity = std::make_unique<msg::identity_settings_msg>();
+    settings.identity->node = node;
+    settings.identity->data_centre = "milan";
+    settings.listen = std::make_unique<msg::listen_settings_msg>();
+    settings.listen->ip = "127.0.0.1";
+    settings.listen->caller_port = port;
+    settings.call = std::make_unique<msg::call_settings_msg>();
+    settings.call->max_header_bytes = 4096;
+    settings.call->max_body_bytes = 1'000'000;
+    settings.process = std::make_unique<msg::process_settings_msg>();
+    settings.process->workers = 2;
+    return settings;
+}
+
+route make_route(const std::string& name, const std::string& prefix, bool is_idempotent) {
+    route made;
+    made.name = route_id(name);
+    made.service = service_id("ledger");
+    made.path_prefix = prefix;
+    made.idempotent = is_idempotent;
+    made.timeout = milliseconds(30'000);
+    return made;
+}
+
+snapshot_ptr make_config() {
+    section part;
+    part.service.name = service_id("ledger");
+    part.service.owner = owner_id("members");
+    part.service.version = version_id("v1");
+    part.service.reserved_slots = 4;
+    part.routes = {make_route("all", "/", true), make_route("once", "/hold-once", false),
+                   make_route("break-once", "/break-once", false)};
+    part.versions = {{.name = version_id("v1"), .service = service_id("ledger"), .written = {}}};
+    auto built = build_snapshot(config_version{1}, {make_stored_section(part)}, {});
+    return std::get<snapshot_ptr>(built);
+}
+
+call::routing_view_ptr make_view(bool has_endpoint) {
+    auto view = std::make_shared<call::routing_view>();
+    view->config = make_config();
+    view->is_ready = true;
+    auto& endpoints = view->endpoints[service_id("ledger")];
+    if (has_endpoint) {
+        endpoints.push_back({.node = node_id("gate"),
+                             .link = {},
+                             .region = {},
+                             .data_centre = data_centre_id("milan"),
+                             .version = version_id("v1"),
+                             .state = msg::upstream_state::ready,
+                             .slots = 4,
+                             .incarnation = 1});
+    }
+    return view;
+}
+
+std::shared_ptr<call_path> start(const std::string& name, std::uint16_t& port,
+                                 const surroundings& around) {
+    for (int tries = 0; tries < 20; ++tries) {
+        port = find_port();
+        try {
+            return start_call_path(make_settings(name, port), around);
+        } catch (const std::runtime_error&) {
+            continue;
+        }
+    }
+    throw std::runtime_error("no free port");
+}
+
+} // namespace
+
+joined_paths::joined_paths(std::uint16_t upstream_port) : view_(make_view(true)) {
+    entry_ = start("entry", entry_port_, make_surroundings("entry"));
+    gate_ = start("gate", gate_port_, make_surroundings("gate"));
+    announce(msg::upstream_state::ready, upstream_port);
+}
+
+joined_paths::~joined_paths() {
+    // Both stop before either goes: each may be sending to the other.
+    (void)stop(*entry_);
+    (void)stop(*gate_);
+}
+
+surroundings joined_paths::make_surroundings(const std::string& self) {
+    surroundings around;
+    around.send = [this, self](outgoing message) {
+        const bool is_answer = std::holds_alternative<msg::call_answer_msg>(message.message) ||
+                               std::holds_alternative<msg::call_refused_msg>(message.message);
+        {
+            const std::lock_guard guard(lock_);
+            if (is_answer && answers_to_lose_ > 0) {
+                --answers_to_lose_;
+                return;
+            }
+        }
+        auto& to = message.to == node_id("gate") ? gate_ : entry_;
+        on_message(*to, incoming{node_id(self), std::move(message.message)});
+    };
+    around.view = [this] {
+        const std::lock_guard guard(lock_);
+        return view_;
+    };
+    around.record = [](const std::vector<call::call_sample>&) {};
+    return around;
+}
+
+void joined_paths::announce(msg::upstream_state state, std::uint16_t port) {
+    msg::upstream_record_msg upstream;
+    upstream.service = "ledger";
+    upstream.version = "v1";
+    upstream.state = state;
+    upstream.slots = 4;
+    set_upstream(*gate_, upstream, port);
+}
+
+void joined_paths::lose_answers(int count) {
+    const std::lock_guard guard(lock_);
+    answers_to_lose_ = count;
+}
+
+void joined_paths::forget_endpoint() {
+    const std::lock_guard guard(lock_);
+    view_ = make_view(false);
+}
+
+std::string joined_paths::ask(const std::string& request, bool at_gate) {
+    namespace http = boost::beast::http;
+    asio::io_context io;
+    tcp::socket socket(io);
+    socket.connect({asio::ip::make_address("127.0.0.1"), at_gate ? gate_port_ : entry_port_});
+    boost::system::error_code failed;
+    asio::write(socket, asio::buffer(request), failed);
+    boost::beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    http::read(socket, buffer, parser, failed);
+    if (failed) {
+        return "broken off";
+    }
+    const auto& answer = parser.get();
+    std::string told = std::to_string(answer.result_int());
+    if (!answer["cyclamenhatch-outcome"].empty()) {
+        told += " " + std::string(answer["cyclamenhatch-outcome"]);
+    }
+    if (!answer["Retry-After"].empty()) {
+        told += " later";
+    }
+    if (!answer["X-From"].empty()) {
+        told += " " + std::string(answer["X-From"]);
+    }
+    const bool is_short = answer.body().size() < 20;
+    return told + " " +
+           (is_short ? answer.body() : std::to_string(answer.body().size()) + " bytes");
+}
+
+std::string joined_paths::get(const std::string& path, const std::string& headers) {
+    return ask("GET " + path + " HTTP/1.1\r\nHost: shop\r\n" + headers + "\r\n");
+}
+
+} // namespace cyclamenhatch::edge::testing
--- /dev/null
+++ b/tests/edge/joined_paths.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "edge/call_path.h"
+#include "fake_upstream.h"
+
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace cyclamenhatch::edge::testing {
+
+/// Two call paths, an entry and a gate with an upstream, that hand each other their messages
+/// directly. Calls to "/..." belong to one service with two routes: /once/... is not idempotent.
+class joined_paths {
+public:
+    explicit joined_paths(std::uint16_t upstream_port);
+    joined_paths(const joined_paths&) = delete;
+    joined_paths& operator=(const joined_paths&) = delete;
+    ~joined_paths();
+
+    call_path& entry() { return *entry_; }
+    call_path& gate() { return *gate_; }
+    [[nodiscard]] std::uint16_t entry_port() const { return entry_port_; }
+    [[nodiscard]] std::uint16_t gate_port() const { return gate_port_; }
+    /// Loses the next answers and refusals that the gate sends.
+    void lose_answers(int count);
+    /// Sends bytes to the entry and reads until the connection closes or the answer is whole.
+    [[nodiscard]] std::string ask(const std::string& request, bool at_gate = false);
+    [[nodiscard]] std::string get(const std::string& path, const std::string& headers = {});
+    /// Takes the service's only endpoint out of the view, as when its node has died.
+    void forget_endpoint();
+    void announce(msg::upstream_state state, std::uint16_t port);
+
+private:
+    [[nodiscard]] surroundings make_surroundings(const std::string& self);
+
+    std::mutex lock_;
+    call::routing_view_ptr view_;
+    int answers_to_lose_ = 0;
+    std::shared_ptr<call_path> entry_;
+    std::shared_ptr<call_path> gate_;
+    std::uint16_t entry_port_ = 0;
+    std::uint16_t gate_port_ = 0;
+};
+
+} // namespace cyclamenhatch::edge::testing
