demo: let the bad version be bad and require that it was met

Change: the fault starts at once; the demo fails when no call met the bad version. Conclusion: the demo can now fail on the promise it names.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -62,7 +62,7 @@
     for host in fleet.hosts:
         wait_for(f"{host.name} ready", host.is_ready, 30)
     for host, (_, _, service, version) in zip(fleet.hosts, layout):
-        faults = ["--bad-share", 0.3] if (service, version) == ("reservations", "v2") else []
+        faults = ["--bad-after-s", 0, "--bad-share", 0.3] if (service, version) == ("reservations", "v2") else []
         host.start_upstream(service, version, 16, 2, *faults)
 
 
@@ -98,7 +98,7 @@
         seconds=MOVE_DEADLINE_S)
     code, text = fleet.cli("move", "start", "--service", service, "--name", name, "--from", "v1",
                            "--to", "v2", "--deadline", f"{deadline:%Y-%m-%dT%H:%M:%SZ}",
-                           "--min-calls", 50, "--bake-s", 5)
+                           "--min-calls", 50, "--bake", 5)
     if code != 0:
         raise FleetError(f"move start exited {code}: {text}")
     say(f"move {name} of {service} started, deadline {deadline:%H:%M:%S}Z")
@@ -158,7 +158,8 @@
         for key in ("doubled", "lost", "wrong", "false_not_run"):
             check(broken, f"{service}: {key}=0", int(result.get(key, "-1")) == 0)
         if service == "reservations":
-            on_bad = int(result.get("version_v2", result.get("v2", 0)))
+            on_bad = int(result.get("version.v2", 0)) + int(result["errors"])
+            check(broken, "the bad version was met at all", on_bad > 0)
             share = 100 * on_bad / max(1, int(result["answered"]))
             say(f"share of calls that met the bad version: {share:.2f} %")
             check(broken, "the bad version met less than 1 % of calls", share < 1)
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -158,7 +158,7 @@
         wait_for("store stand-in", lambda: http("GET", self.store_url + "/standin/counters"), 10)
 
     def store_faults(self, **faults):
-        http("POST", self.store_url + "/standin/faults", faults)
+        http("POST", f"http://127.0.0.1:{self.store_port + 1}/standin/faults", faults)
 
     def add_host(self, name, data_centre, region="region-1"):
         host = Host(self, name, data_centre, region)
