--- /dev/null
+++ b/bench/moves_fleet.cpp
@@ -0,0 +1,286 @@
+#include "bench/moves_fleet.h"
+
+#include <algorithm>
+
+namespace cyclamenhatch::bench {
+
+namespace {
+
+constexpr milliseconds tick{100};
+constexpr milliseconds end_grace{60000};
+constexpr double loss = 0.01;
+constexpr std::size_t liar = 0;
+constexpr milliseconds store_delay{10};
+
+std::string node_name(std::size_t host) {
+    return "n" + std::to_string(host);
+}
+
+std::size_t host_of(const node_id& node) {
+    return static_cast<std::size_t>(std::stoul(node.value.substr(1)));
+}
+
+milliseconds draw(random_source& random, int lowest, int highest) {
+    return milliseconds(std::uniform_int_distribution<int>(lowest, highest)(random));
+}
+
+msg::member_record_msg make_record(const sim_fleet& self, std::size_t host) {
+    msg::member_record_msg made;
+    made.node = node_name(host);
+    made.data_centre = "dc" + std::to_string(self.calls.hosts[host].data_centre);
+    made.region = self.calls.hosts[host].data_centre == 2 ? "b" : "a";
+    made.ip = "127.0.0.1";
+    made.link_port = static_cast<std::uint16_t>(7400 + host);
+    made.incarnation = 1;
+    made.upstream = std::make_unique<msg::upstream_record_msg>();
+    made.upstream->service = "layouts";
+    made.upstream->version = self.calls.hosts[host].is_new ? "v2" : "v1";
+    made.upstream->state = msg::upstream_state::ready;
+    made.upstream->slots = 16;
+    return made;
+}
+
+membership::table make_table(const sim_fleet& self, std::size_t host) {
+    auto made = membership::make_table({}, make_record(self, host), {}, self.now);
+    for (std::size_t other = 0; other < sim_nodes; ++other) {
+        if (other != host) {
+            made.members[node_id(node_name(other))] = {.record = make_record(self, other),
+                                                       .since = self.now};
+        }
+    }
+    return made;
+}
+
+section make_section() {
+    section made;
+    made.service = {.name = service_id("layouts"),
+                    .owner = owner_id("layouts-team"),
+                    .version = version_id("v1")};
+    for (int i = 0; i < 3; ++i) {
+        made.routes.push_back({.name = route_id("r" + std::to_string(i)),
+                               .service = made.service.name,
+                               .path_prefix = "/r" + std::to_string(i)});
+    }
+    made.versions = {{.name = version_id("v1"), .service = made.service.name},
+                     {.name = version_id("v2"), .service = made.service.name}};
+    made.moves.push_back({.name = move_id("m"),
+                          .service = made.service.name,
+                          .from = version_id("v1"),
+                          .to = version_id("v2"),
+                          .deadline = move_deadline(),
+                          .bake = bake_length});
+    return made;
+}
+
+snapshot_ptr make_head(std::uint64_t version, section content) {
+    auto built = build_snapshot({version}, {make_stored_section(std::move(content))}, {});
+    return std::get<snapshot_ptr>(built);
+}
+
+void handle(sim_fleet& self, std::size_t host, moves::actions wanted);
+
+void deliver_config(sim_fleet& self, std::size_t host) {
+    if (!self.calls.hosts[host].is_up) {
+        return;
+    }
+    moves::actions wanted;
+    moves::on_config(self.nodes[host], self.tables[host], self.store.head, self.now, wanted);
+    handle(self, host, std::move(wanted));
+}
+
+void write_ending(sim_fleet& self, const store::move_close& close) {
+    section content = self.store.head->sections.begin()->second->content;
+    move& open = content.moves.front();
+    if (!self.store.is_up || open.ending) {
+        return;
+    }
+    open.ending = close.ending;
+    if (close.ending.outcome == move_outcome::done) {
+        content.service.version = open.to;
+    }
+    ++self.store.endings;
+    self.store.head = make_head(self.store.head->version.value + 1, std::move(content));
+    for (std::size_t host = 0; host < sim_nodes; ++host) {
+        schedule(self, self.now + draw(self.random, 50, 800),
+                 [&self, host] { deliver_config(self, host); });
+    }
+}
+
+void send(sim_fleet& self, std::size_t from, outgoing message) {
+    ++self.messages;
+    const std::size_t to = host_of(message.to);
+    if (from == liar && self.wanted.fault == surrounding_fault::lying_node) {
+        message = falsify(std::move(message));
+    }
+    if (std::uniform_real_distribution<double>(0, 1)(self.random) < loss) {
+        return;
+    }
+    auto shared = std::make_shared<incoming>(
+        incoming{.from = node_id(node_name(from)), .message = std::move(message.message)});
+    schedule(self, self.now + draw(self.random, 1, 5), [&self, from, to, shared] {
+        if (!self.calls.hosts[from].is_up || !is_reachable(self.calls, from, to)) {
+            return;
+        }
+        moves::actions wanted;
+        moves::on_message(self.nodes[to], self.tables[to], *shared, self.now, self.random, wanted);
+        handle(self, to, std::move(wanted));
+    });
+}
+
+void handle(sim_fleet& self, std::size_t host, moves::actions wanted) {
+    for (auto& each : wanted.sends) {
+        send(self, host, std::move(each));
+    }
+    for (const auto& each : wanted.closes) {
+        schedule(self, self.now + store_delay, [&self, each] { write_ending(self, each); });
+    }
+}
+
+std::uint32_t share_of(const sim_fleet& self, std::size_t host) {
+    const auto shares = moves::shares(self.nodes[host], self.now);
+    if (!shares.empty()) {
+        return shares.begin()->second.permille;
+    }
+    const auto& held = self.nodes[host].held;
+    const bool is_on_new =
+        held && held->sections.begin()->second->content.service.version.value == "v2";
+    return is_on_new ? 1000 : 0;
+}
+
+/// Notes the first time at which any node knows of a veto that takes the move back.
+void note_veto(sim_fleet& self, std::size_t host) {
+    if (self.first_veto != instant{}) {
+        return;
+    }
+    for (const auto& [key, record] : self.nodes[host].records) {
+        if (moves::find_veto(record) != nullptr) {
+            self.first_veto = self.now;
+        }
+    }
+}
+
+void tick_host(sim_fleet& self, std::size_t host) {
+    schedule(self, self.now + tick, [&self, host] { tick_host(self, host); });
+    if (!self.calls.hosts[host].is_up) {
+        return;
+    }
+    moves::record(self.nodes[host], ended_calls(self.calls, host, self.now), self.now);
+    moves::actions wanted;
+    moves::on_tick(self.nodes[host], self.tables[host], self.now, self.random, wanted);
+    handle(self, host, std::move(wanted));
+    note_veto(self, host);
+    const std::uint32_t permille = share_of(self, host);
+    if (permille >= 1000 && self.calls.full_since == instant{}) {
+        self.calls.full_since = self.now;
+    }
+    take_calls(self.calls, host, permille, tick, self.now, self.random);
+}
+
+bool is_over(const sim_fleet& self) {
+    if (self.now > move_deadline() + end_grace) {
+        return true;
+    }
+    for (std::size_t host = 0; host < sim_nodes; ++host) {
+        if (self.calls.hosts[host].is_up && !self.nodes[host].open.empty()) {
+            return false;
+        }
+    }
+    return self.store.endings > 0;
+}
+
+void boot(sim_fleet& self, std::size_t host) {
+    self.nodes[host] = moves::make_state({}, self.now);
+    self.tables[host] = make_table(self, host);
+    for (std::size_t other = 0; other < sim_nodes; ++other) {
+        if (!self.calls.hosts[other].is_up) {
+            set_seen(self, host, other, msg::liveness::dead, msg::upstream_state::ready);
+        }
+    }
+    deliver_config(self, host);
+}
+
+} // namespace
+
+instant move_begin() {
+    return from_unix_ms(1'800'000'000'000);
+}
+
+instant move_deadline() {
+    return move_begin() + move_length;
+}
+
+void schedule(sim_fleet& self, instant at, std::function<void()> act) {
+    self.events.push({.at = at, .order = self.next_order++, .act = std::move(act)});
+}
+
+void set_seen(sim_fleet& self, std::size_t observer, std::size_t host, msg::liveness liveness,
+              msg::upstream_state state) {
+    membership::table& table = self.tables[observer];
+    const bool is_usable = liveness == msg::liveness::alive && state == msg::upstream_state::ready;
+    self.calls.views[observer][host].is_ready = is_usable;
+    if (observer == host) {
+        table.self.upstream->state = state;
+    } else {
+        auto& record = table.members[node_id(node_name(host))].record;
+        record.state = liveness;
+        record.upstream->state = state;
+    }
+    ++table.generation;
+}
+
+void kill_host(sim_fleet& self, std::size_t host, milliseconds away) {
+    if (!self.calls.hosts[host].is_up) {
+        return;
+    }
+    self.calls.hosts[host].is_up = false;
+    self.calls.pending[host] = {};
+    for (std::size_t observer = 0; observer < sim_nodes; ++observer) {
+        schedule(self, self.now + draw(self.random, 3000, 4500), [&self, observer, host] {
+            if (!self.calls.hosts[host].is_up) {
+                set_seen(self, observer, host, msg::liveness::dead, msg::upstream_state::ready);
+            }
+        });
+    }
+    schedule(self, self.now + away, [&self, host] {
+        constexpr seconds cold_time{3};
+        self.calls.hosts[host].is_up = true;
+        self.calls.hosts[host].cold_until = self.now + cold_time;
+        boot(self, host);
+        for (std::size_t observer = 0; observer < sim_nodes; ++observer) {
+            schedule(self, self.now + draw(self.random, 100, 1000), [&self, observer, host] {
+                set_seen(self, observer, host, msg::liveness::alive, msg::upstream_state::ready);
+            });
+        }
+    });
+}
+
+std::unique_ptr<sim_fleet> make_fleet(const scenario& wanted) {
+    auto made = std::make_unique<sim_fleet>();
+    made->wanted = wanted;
+    made->now = move_begin();
+    made->random.seed(wanted.seed * 7919 + 13);
+    made->calls = make_traffic(wanted, made->now);
+    made->store.head = make_head(1, make_section());
+    for (std::size_t host = 0; host < sim_nodes; ++host) {
+        boot(*made, host);
+        schedule(*made, made->now + milliseconds(5 * host),
+                 [fleet = made.get(), host] { tick_host(*fleet, host); });
+    }
+    plan_fault(*made);
+    return made;
+}
+
+void run_fleet(sim_fleet& self) {
+    while (!self.events.empty() && !is_over(self)) {
+        // One instant's events at a time keeps the test for the end cheap.
+        const instant at = self.events.top().at;
+        while (!self.events.empty() && self.events.top().at == at) {
+            const auto act = self.events.top().act;
+            self.events.pop();
+            self.now = at;
+            act();
+        }
+    }
+}
+
+} // namespace cyclamenhatch::bench
--- a/src/move/topology.cpp
+++ b/src/move/topology.cpp
@@ -1,6 +1,7 @@
 #include "move/topology.h"
 
 #include "membership/duty.h"
+#include "membership/stable_hash.h"
 
 #include <algorithm>
 #include <bit>
@@ -14,15 +15,6 @@
 /// Reports per shortest interval that a receiver takes without slowing the reporters down.
 constexpr std::size_t relaxed_fan_in = 16;
 
-/// FNV-1a: the same on every node and build.
-std::uint64_t stable_hash(std::string_view text) {
-    std::uint64_t hash = 0xcbf29ce484222325ULL;
-    for (const char each : text) {
-        hash = (hash ^ static_cast<unsigned char>(each)) * 0x100000001b3ULL;
-    }
-    return hash;
-}
-
 std::size_t count_groups(std::size_t members_there) {
     return std::bit_ceil((members_there + group_size - 1) / group_size);
 }
@@ -76,7 +68,7 @@
 std::string group_name(const data_centre_id& data_centre, const node_id& reporter,
                        std::size_t members_there) {
     const std::size_t groups = count_groups(std::max<std::size_t>(members_there, 1));
-    return data_centre.value + "/" + std::to_string(stable_hash(reporter.value) % groups) + "/" +
+    return data_centre.value + "/" + std::to_string(membership::stable_hash(reporter.value) % groups) + "/" +
            std::to_string(groups);
 }
 
