--- a/src/move/evidence.cpp
+++ b/src/move/evidence.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace cyclamenhatch::moves {
 
@@ -21,7 +22,7 @@
 constexpr double slow_fraction = 0.12;
 constexpr double very_slow_fraction = 0.015;
 /// Calls of the old version that are remembered for comparison.
-constexpr double earlier_calls = 2000;
+constexpr double earlier_calls = 500;
 /// The new version has the entry almost to itself: the old one's calls are too few to compare with.
 constexpr double alone_ratio = 50;
 /// Prior probability that a fault begins in one window.
@@ -79,6 +80,15 @@
             .old_hits = from.on_old.hits[of]};
 }
 
+double earlier_hits(const route_record& route, measure of) {
+    if (of == measure::errors) {
+        return route.earlier.errors;
+    }
+    const std::size_t from = of == measure::slow ? route.slow_from : route.very_slow_from;
+    const auto& counts = route.earlier.latency;
+    return std::accumulate(counts.begin() + static_cast<std::ptrdiff_t>(from), counts.end(), 0.0);
+}
+
 /// Against the old version's earlier calls, for as long as it has next to none now.
 split earlier_split(const route_record& route, std::size_t of) {
     const window& from = route.open;
@@ -88,7 +98,7 @@
     return {.new_calls = from.on_new.calls,
             .old_calls = route.earlier.calls,
             .new_hits = from.on_new.hits[of],
-            .old_hits = route.earlier.hits[of]};
+            .old_hits = earlier_hits(route, static_cast<measure>(of))};
 }
 
 score_table score_window(const route_record& route) {
@@ -106,12 +116,14 @@
 }
 
 void remember_old(route_record& route) {
-    window_counts& kept = route.earlier;
+    recent_calls& kept = route.earlier;
     const double fade = kept.calls > earlier_calls ? earlier_calls / kept.calls : 1.0;
-    kept.calls = kept.calls * fade + route.open.on_old.calls;
-    for (std::size_t of = 0; of < measure_count; ++of) {
-        kept.hits[of] = kept.hits[of] * fade + route.open.on_old.hits[of];
+    kept.calls = kept.calls * fade + route.old_now.calls;
+    kept.errors = kept.errors * fade + route.old_now.errors;
+    for (std::size_t i = 0; i < latency_buckets; ++i) {
+        kept.latency.at(i) = kept.latency.at(i) * fade + route.old_now.latency.at(i);
     }
+    route.old_now = {};
 }
 
 void close_window(route_record& route, instant now) {
@@ -161,6 +173,11 @@
         return;
     }
     add_to_window(is_new ? route.open.on_new : route.open.on_old, route, sample);
+    if (!is_new) {
+        route.old_now.calls += 1;
+        route.old_now.errors += sample.kind == call::sample_kind::error ? 1 : 0;
+        route.old_now.latency.at(latency_bucket(sample.latency)) += 1;
+    }
 }
 
 void close_windows(entry_evidence& self, std::uint32_t permille, instant now) {
--- a/src/move/evidence.h
+++ b/src/move/evidence.h
@@ -32,6 +32,13 @@
     std::array<double, measure_count> hits{};
 };
 
+/// Recent calls of the old version; older ones fade.
+struct recent_calls {
+    double calls = 0;
+    double errors = 0;
+    std::array<double, latency_buckets> latency{};
+};
+
 struct window {
     instant opened;
     window_counts on_new;
@@ -45,8 +52,10 @@
     window open;
     /// Scores of closed windows.
     score_table closed{};
-    /// Recent calls of the old version, older ones fading; what `earlier` compares with.
-    window_counts earlier;
+    /// What the reference `earlier` compares with.
+    recent_calls earlier;
+    /// Calls of the old version in the open window, to be added to `earlier`.
+    recent_calls old_now;
     /// First latency bucket that counts as slow, and as very slow; none until enough calls of the
     /// old version were seen.
     std::size_t slow_from = latency_buckets;
--- a/src/move/topology.cpp
+++ b/src/move/topology.cpp
@@ -68,7 +68,8 @@
 std::string group_name(const data_centre_id& data_centre, const node_id& reporter,
                        std::size_t members_there) {
     const std::size_t groups = count_groups(std::max<std::size_t>(members_there, 1));
-    return data_centre.value + "/" + std::to_string(membership::stable_hash(reporter.value) % groups) + "/" +
+    return data_centre.value + "/" +
+           std::to_string(membership::stable_hash(reporter.value) % groups) + "/" +
            std::to_string(groups);
 }
 
