move: score closed windows exactly and ask for a second opinion

Change: only windows that were closed by their calls, never by their hits, give scores, by the exact hypergeometric likelihood; a veto takes two nodes; the strongest source alone never decides while others carry calls of the route.

--- a/src/move/combining.cpp
+++ b/src/move/combining.cpp
@@ -4,12 +4,12 @@
 
 report combine(combined_group& self, const attempt_key& key, const std::string& group,
                instant now) {
-    for (const auto& [route, steps] : take_steps(self.collected)) {
+    for (const auto& [route, step] : take_steps(self.collected)) {
         score_table& sum = self.scores[route];
         for (std::size_t with = 0; with < reference_count; ++with) {
             for (std::size_t of = 0; of < measure_count; ++of) {
                 for (std::size_t i = 0; i < effects.size(); ++i) {
-                    sum[with][of][i] += steps[with][of][i];
+                    sum[with][of][i] += step.all[with][of][i];
                 }
             }
         }
--- a/src/move/controller.cpp
+++ b/src/move/controller.cpp
@@ -11,10 +11,17 @@
 
 /// Largest score per second over all entries, so that a short burst takes nothing back.
 constexpr double max_total_score_per_s = 6.0;
+/// Evidence of the other sources that supports the strongest one.
+constexpr double agreement_level = 200;
+/// Time that others get to report before one source's word may do for want of witnesses.
+constexpr seconds witness_time{10};
 /// Evidence above which the ramp waits.
 constexpr double suspicion_level = 20;
 /// Evidence that takes a move back when there is no time to wait.
 constexpr double late_veto_level = 100;
+/// Evidence that bears out another controller's veto.
+constexpr double second_level = 50;
+constexpr milliseconds clock_tolerance{1000};
 /// Evidence against earlier calls that makes the controller compare side by side.
 constexpr double check_level = 300;
 constexpr std::uint32_t check_permille = 500;
@@ -69,12 +76,29 @@
     }
 }
 
+void advance_both(weighed_evidence& self, effect_scores all, effect_scores others, float limit,
+                  double weight) {
+    limit_scores(all, limit);
+    limit_scores(others, limit);
+    advance(self.all, all, weight);
+    advance(self.without_strongest, others, weight);
+}
+
+route_judgement make_judgement() {
+    route_judgement made;
+    const auto fresh = make_detectors();
+    for (std::size_t of = 0; of < measure_count; ++of) {
+        made.concurrent.at(of) = {.all = fresh.at(of), .without_strongest = fresh.at(of)};
+    }
+    return made;
+}
+
 template <class Detectors>
 worst_finding worst_of(const std::map<route_id, route_judgement>& routes, Detectors detectors) {
     worst_finding worst;
     for (const auto& [route, judged] : routes) {
         for (std::size_t of = 0; of < measure_count; ++of) {
-            const double found = level(detectors(judged).at(of));
+            const double found = agreed_level(detectors(judged).at(of), judged.has_witnesses);
             if (found > worst.level) {
                 worst = {.route = route, .what = static_cast<measure>(of), .level = found};
             }
@@ -122,7 +146,7 @@
             .detail = std::move(detail),
             .raised_by = facts.self,
             .at = whole_ms(now),
-            .is_confirmed = true};
+            .is_confirmed = facts.holds_alone};
 }
 
 veto make_evidence_veto(const control_state& self, const control_facts& facts,
@@ -248,6 +272,12 @@
 
 } // namespace
 
+double agreed_level(const weighed_evidence& of, bool has_witnesses) {
+    const double all = level(of.all);
+    const double others = level(of.without_strongest);
+    return !has_witnesses || others >= agreement_level ? all : std::min(all, others);
+}
+
 worst_finding worst_concurrent(const control_state& self) {
     return worst_of(self.routes, [](const route_judgement& of) { return of.concurrent; });
 }
@@ -263,17 +293,40 @@
     drop_silent_groups(self.collected, now);
     const double weight = step_weight(self, facts.planned, step_s);
     const auto limit = static_cast<float>(max_total_score_per_s * step_s);
-    for (auto& [route, steps] : take_steps(self.collected)) {
-        route_judgement& judged = self.routes[route];
+    for (const auto& [route, step] : take_steps(self.collected)) {
+        route_judgement& judged = self.routes.try_emplace(route, make_judgement()).first->second;
+        judged.has_witnesses = step.has_witnesses || now < self.collected.begun + witness_time;
         for (std::size_t of = 0; of < measure_count; ++of) {
-            limit_scores(steps[0][of], limit);
-            limit_scores(steps[1][of], limit);
-            advance(judged.concurrent[of], steps[0][of], weight);
-            advance(judged.earlier[of], steps[1][of], weight);
+            advance_both(judged.concurrent[of], step.all[0][of], step.without_strongest[0][of],
+                         limit, weight);
+            advance_both(judged.earlier[of], step.all[1][of], step.without_strongest[1][of], limit,
+                         weight);
         }
     }
 }
 
+bool is_borne_out(const control_state& self, const control_facts& facts, const veto& heard,
+                  instant now) {
+    const move& planned = facts.planned;
+    const std::uint32_t share = facts.known.granted ? facts.known.granted->permille : 0;
+    switch (heard.reason) {
+    case msg::veto_reason::errors:
+    case msg::veto_reason::latency:
+        return worst_concurrent(self).level >= second_level ||
+               (share >= full_share_permille && worst_earlier(self).level >= second_level);
+    case msg::veto_reason::operator_cancel:
+        return planned.cancel;
+    case msg::veto_reason::deadline:
+    case msg::veto_reason::no_endpoints:
+        return now + clock_tolerance >= planned.deadline && share < full_share_permille;
+    case msg::veto_reason::little_traffic:
+        return planned.on_little_traffic == little_traffic_policy::take_back &&
+               now + clock_tolerance >= latest_bake_start(planned) &&
+               calls_on_new(self) < planned.min_calls + planned.min_calls / 2;
+    }
+    return false;
+}
+
 decision decide(control_state& self, const control_facts& facts, instant now) {
     if (find_veto(facts.known) != nullptr) {
         return {};
--- a/src/move/controller.h
+++ b/src/move/controller.h
@@ -30,12 +30,21 @@
     ready_slots ready;
     node_id self;
     std::uint32_t false_alarm_ppm = 100;
+    /// A veto of this node needs no second.
+    bool holds_alone = false;
+};
+
+/// Evidence on one measure from all sources, and from all but the strongest.
+struct weighed_evidence {
+    detector all;
+    detector without_strongest;
 };
 
 struct route_judgement {
-    std::array<detector, measure_count> concurrent = make_detectors();
+    std::array<weighed_evidence, measure_count> concurrent;
     /// Against the old version's earlier calls; only makes the controller compare side by side.
-    std::array<detector, measure_count> earlier{};
+    std::array<weighed_evidence, measure_count> earlier;
+    bool has_witnesses = false;
 };
 
 struct control_state {
@@ -69,6 +78,14 @@
 
 [[nodiscard]] decision decide(control_state& self, const control_facts& facts, instant now);
 
+/// Whether this controller's own view agrees with a veto that another node raised.
+[[nodiscard]] bool is_borne_out(const control_state& self, const control_facts& facts,
+                                const veto& heard, instant now);
+
+/// The level of the evidence that counts: all of it when the sources other than the strongest agree
+/// or carry no calls of the route, otherwise theirs.
+[[nodiscard]] double agreed_level(const weighed_evidence& of, bool has_witnesses);
+
 /// The strongest evidence against the new version over all routes.
 struct worst_finding {
     route_id route;
--- a/src/move/evidence.cpp
+++ b/src/move/evidence.cpp
@@ -9,12 +9,9 @@
 namespace {
 
 constexpr milliseconds min_window{1000};
-constexpr milliseconds max_window{120000};
-/// Calls of each version that make a window worth closing.
-constexpr double full_window_calls = 5;
-/// Largest score per second of a window: an endpoint that dies gives a short burst of errors, a bad
-/// version goes on.
-constexpr float max_score_per_s = 6.0F;
+/// Largest score of a window: an endpoint that dies gives a short burst of errors, a bad version
+/// goes on.
+constexpr float max_window_score = 6.0F;
 /// After the share was lowered, calls begun before end within this time, mostly.
 constexpr milliseconds settle_time{1500};
 /// Calls of the old version that set what counts as slow.
@@ -110,11 +107,6 @@
     return scores;
 }
 
-float window_limit(const window& from, instant now) {
-    const auto age = std::chrono::duration<float>(std::max(now - from.opened, microseconds{0}));
-    return max_score_per_s * std::max(age.count(), 1.0F);
-}
-
 void remember_old(route_record& route) {
     recent_calls& kept = route.earlier;
     const double fade = kept.calls > earlier_calls ? earlier_calls / kept.calls : 1.0;
@@ -127,11 +119,10 @@
 }
 
 void close_window(route_record& route, instant now) {
-    const float limit = window_limit(route.open, now);
     score_table scores = score_window(route);
     for (std::size_t of = 0; of < measure_count; ++of) {
         for (std::size_t with = 0; with < reference_count; ++with) {
-            limit_scores(scores[with][of], limit);
+            limit_scores(scores[with][of], max_window_score);
             for (std::size_t i = 0; i < effects.size(); ++i) {
                 route.closed[with][of][i] += scores[with][of][i];
             }
@@ -143,12 +134,11 @@
     route.open = window{.opened = now};
 }
 
+/// By calls alone, never by hits, so that closing does not favour either outcome.
 bool is_full(const route_record& route, instant now) {
-    const auto age = now - route.open.opened;
-    const bool has_both = route.open.on_new.calls >= full_window_calls &&
-                          route.open.on_old.calls >= full_window_calls;
+    const bool has_both = route.open.on_new.calls >= 1 && route.open.on_old.calls >= 1;
     const bool is_alone = route.open.on_new.calls >= alone_ratio;
-    return (age >= min_window && (has_both || is_alone)) || age >= max_window;
+    return now - route.open.opened >= min_window && (has_both || is_alone);
 }
 
 } // namespace
@@ -193,20 +183,6 @@
     self.permille = permille;
 }
 
-score_table total_scores(const route_record& route, instant now) {
-    const float limit = window_limit(route.open, now);
-    score_table scores = score_window(route);
-    for (std::size_t with = 0; with < reference_count; ++with) {
-        for (std::size_t of = 0; of < measure_count; ++of) {
-            limit_scores(scores[with][of], limit);
-            for (std::size_t i = 0; i < effects.size(); ++i) {
-                scores[with][of][i] += route.closed[with][of][i];
-            }
-        }
-    }
-    return scores;
-}
-
 local_finding strongest_local(const entry_evidence& self) {
     local_finding found;
     for (const auto& [name, route] : self.routes) {
--- a/src/move/evidence.h
+++ b/src/move/evidence.h
@@ -77,20 +77,17 @@
 /// Counts one call that ended now on the new or on the old version.
 void add_sample(entry_evidence& self, const call::call_sample& sample, bool is_new, instant now);
 
-/// Closes windows that are full, or all of them when the share in force here has changed, since a
-/// window's calls must have been divided at one share.
+/// Closes windows that hold calls of both versions, or all of them when the share in force here has
+/// changed, since a window's calls must have been divided at one share.
 void close_windows(entry_evidence& self, std::uint32_t permille, instant now);
 
-/// Scores of a route, the open window included.
-[[nodiscard]] score_table total_scores(const route_record& route, instant now);
-
 /// The route on which this entry's own evidence against the new version is strongest.
 struct local_finding {
     route_id route;
     measure what = measure::errors;
     /// Of closed windows, each limited, so that a burst of errors does not suffice.
     double sustained = 0;
-    /// The open window included, not limited.
+    /// The open window included, not limited: fit for a reaction that passes, not for a verdict.
     double at_once = 0;
 };
 
--- a/src/move/on_message.cpp
+++ b/src/move/on_message.cpp
@@ -31,14 +31,6 @@
     return self.records.size() < max_records && !is_ended(self, key);
 }
 
-/// A controller's word holds by itself; any other node's takes a second.
-bool is_believed(const state& self, const attempt_key& key, const veto& heard) {
-    const auto open = self.open.find(key);
-    return open != self.open.end() && heard.reason != msg::veto_reason::operator_cancel &&
-           is_controller(open->second.around, heard.raised_by,
-                         open->second.around.controllers.size());
-}
-
 void merge_permit(state& self, const msg::move_permit_msg& heard) {
     const attempt_key key = key_of(heard);
     if (heard.stage == 0 || heard.share_permille > full_share_permille || !is_wanted(self, key)) {
@@ -53,11 +45,10 @@
 void merge_veto(state& self, const membership::table& members, const msg::move_veto_msg& heard,
                 actions& wanted) {
     const attempt_key key = key_of(heard);
-    veto raised = from_message(heard);
+    const veto raised = from_message(heard);
     if (!is_wanted(self, key) || membership::find_record(members, raised.raised_by) == nullptr) {
         return;
     }
-    raised.is_confirmed = is_believed(self, key, raised);
     raise_veto(self, key, raised, wanted);
 }
 
--- a/src/move/on_tick.cpp
+++ b/src/move/on_tick.cpp
@@ -16,8 +16,6 @@
 constexpr double own_veto_level = 1e6;
 /// Own evidence that makes this entry second another's veto.
 constexpr double second_level = 1e5;
-/// The same for a controller, which weighs all entries.
-constexpr double controller_second_level = 1e3;
 constexpr milliseconds exchange_interval{2000};
 constexpr std::size_t newcomer_exchanges = 3;
 
@@ -124,27 +122,33 @@
     }
 }
 
-/// A controller takes a veto over as its own: when its evidence agrees, or when it was confirmed
-/// and who raised it may be gone.
-void second_as_controller(state& self, const attempt_key& key, const open_move& open, instant now,
+control_facts make_facts(const state& self, const attempt_key& key, const open_move& open) {
+    return {.planned = open.planned,
+            .known = find_record(self, key),
+            .ready = open.around.ready,
+            .self = self.self,
+            .false_alarm_ppm = self.settings.false_alarm_ppm,
+            .holds_alone = is_too_small_for_second(open.around)};
+}
+
+/// A controller seconds a veto that its own view of the same reports bears out; one that holds
+/// already it takes over as its own, since who raised it may be gone.
+void second_as_controller(state& self, const attempt_key& key, open_move& open, instant now,
                           actions& wanted) {
     const attempt_record& known = find_record(self, key);
-    if (known.vetoes.empty()) {
-        return;
-    }
-    const auto own = known.vetoes.find(self.self);
-    if (own != known.vetoes.end() && own->second.is_confirmed) {
+    if (known.vetoes.empty() || known.vetoes.contains(self.self)) {
         return;
     }
-    const veto* confirmed = find_veto(known);
-    const worst_finding worst = worst_concurrent(open.control);
-    if (confirmed == nullptr && worst.level < controller_second_level) {
+    const veto* holding = find_veto(known);
+    const veto& heard = holding != nullptr ? *holding : known.vetoes.begin()->second;
+    if (holding == nullptr &&
+        !is_borne_out(open.control, make_facts(self, key, open), heard, now)) {
         return;
     }
-    veto raised = confirmed != nullptr ? *confirmed : known.vetoes.begin()->second;
+    veto raised = heard;
     raised.raised_by = self.self;
-    raised.is_confirmed = true;
-    if (confirmed == nullptr) {
+    raised.is_confirmed = false;
+    if (holding == nullptr) {
         raised.at = from_unix_ms(to_unix_ms(now));
     }
     raise_veto(self, key, raised, wanted);
@@ -152,27 +156,16 @@
 
 void control_move(state& self, const attempt_key& key, open_move& open, instant now,
                   actions& wanted) {
-    const std::size_t ranks = report_controllers;
-    if (!is_controller(open.around, self.self, ranks)) {
+    if (!is_controller(open.around, self.self, report_controllers)) {
         return;
     }
-    const control_facts facts{.planned = open.planned,
-                              .known = find_record(self, key),
-                              .ready = open.around.ready,
-                              .self = self.self,
-                              .false_alarm_ppm = self.settings.false_alarm_ppm};
-    observe(open.control, facts, now);
+    observe(open.control, make_facts(self, key, open), now);
+    second_as_controller(self, key, open, now, wanted);
     if (!is_controller(open.around, self.self, 1)) {
         return;
     }
-    second_as_controller(self, key, open, now, wanted);
     const std::string waited_for = open.control.waiting_for;
-    const control_facts current{.planned = open.planned,
-                                .known = find_record(self, key),
-                                .ready = open.around.ready,
-                                .self = self.self,
-                                .false_alarm_ppm = self.settings.false_alarm_ppm};
-    apply(self, key, open, decide(open.control, current, now), wanted);
+    apply(self, key, open, decide(open.control, make_facts(self, key, open), now), wanted);
     if (open.control.waiting_for != waited_for && !open.control.waiting_for.empty()) {
         wanted.logs.push_back(
             make_log(key, log_level::info, "move_waiting", {{"for", open.control.waiting_for}}));
--- a/src/move/permits.h
+++ b/src/move/permits.h
@@ -36,7 +36,8 @@
     std::string detail;
     node_id raised_by;
     instant at;
-    /// Holds by itself; otherwise it takes the word of two nodes.
+    /// Holds here by itself: an operator's, or in a fleet too small for a second opinion. Otherwise
+    /// it takes the word of two nodes.
     bool is_confirmed = false;
 
     friend bool operator==(const veto&, const veto&) = default;
--- a/src/move/reports.cpp
+++ b/src/move/reports.cpp
@@ -10,10 +10,8 @@
 constexpr std::size_t score_count = reference_count * measure_count * effects.size();
 /// Largest score that one entry adds per step.
 constexpr float max_step_score = 6.0F;
-/// Largest net score of one entry while others contradict it: below what a veto takes.
-constexpr float max_single_credit = 11.0F;
-/// Calls on the new version by other entries on the same route that count as contradiction.
-constexpr std::uint64_t contradicting_calls = 20;
+/// Calls by other sources on the same route that make them witnesses.
+constexpr std::uint64_t witness_calls = 20;
 constexpr milliseconds silent_group_time{15000};
 /// A source that began to count no earlier than this before the collection did is counted from
 /// zero.
@@ -61,32 +59,79 @@
     return made;
 }
 
-/// Calls on the new version that entries other than `source` had on a route.
-std::uint64_t calls_elsewhere(const std::map<route_id, route_totals>& sums,
-                              const source_record& source, const route_id& route) {
-    const auto all = sums.find(route);
-    const auto own = source.latest.routes.find(route);
-    if (all == sums.end() || own == source.latest.routes.end()) {
-        return 0;
-    }
-    return all->second.new_calls - std::min(all->second.new_calls, own->second.new_calls);
-}
-
-/// Adds what one source's route brought since the last step to `sum`.
-void take_route(score_table& sum, const score_table& now_at, score_table& seen, score_table& credit,
-                float max_credit, float max_step) {
+/// What one source's route brought since the last step.
+score_table take_route(const score_table& now_at, score_table& seen, score_table& credit,
+                       float max_step) {
+    score_table taken{};
     for (std::size_t with = 0; with < reference_count; ++with) {
         for (std::size_t of = 0; of < measure_count; ++of) {
             for (std::size_t i = 0; i < effects.size(); ++i) {
+                const float step = std::min(now_at[with][of][i] - seen[with][of][i], max_step);
                 float& held = credit[with][of][i];
-                const float offered = std::min(now_at[with][of][i] - seen[with][of][i], max_step);
-                const float taken = std::min(offered, std::max(max_credit - held, 0.0F));
-                held = std::max(held + taken, 0.0F);
-                sum[with][of][i] += taken;
+                held = std::max(held + step, 0.0F);
+                taken[with][of][i] = step;
             }
         }
     }
     seen = now_at;
+    return taken;
+}
+
+void add_scores(effect_scores& sum, const effect_scores& added) {
+    for (std::size_t i = 0; i < effects.size(); ++i) {
+        sum[i] += added[i];
+    }
+}
+
+/// One source's part of a step.
+struct source_step {
+    score_table taken{};
+    score_table credit{};
+    std::uint64_t calls = 0;
+};
+
+float strength(const effect_scores& scores) {
+    return *std::max_element(scores.begin(), scores.end());
+}
+
+/// The source with the strongest evidence, or the number of sources when none has any.
+std::size_t find_strongest(const std::vector<source_step>& steps, std::size_t with,
+                           std::size_t of) {
+    std::size_t strongest = steps.size();
+    float most = 0;
+    for (std::size_t i = 0; i < steps.size(); ++i) {
+        const float found = strength(steps[i].credit[with][of]);
+        if (found > most) {
+            most = found;
+            strongest = i;
+        }
+    }
+    return strongest;
+}
+
+route_step join(const std::vector<source_step>& steps) {
+    route_step joined;
+    std::uint64_t all_calls = 0;
+    std::uint64_t most_calls = 0;
+    for (const auto& each : steps) {
+        all_calls += each.calls;
+    }
+    for (std::size_t with = 0; with < reference_count; ++with) {
+        for (std::size_t of = 0; of < measure_count; ++of) {
+            const std::size_t strongest = find_strongest(steps, with, of);
+            for (std::size_t i = 0; i < steps.size(); ++i) {
+                add_scores(joined.all[with][of], steps[i].taken[with][of]);
+                if (i != strongest) {
+                    add_scores(joined.without_strongest[with][of], steps[i].taken[with][of]);
+                }
+            }
+            if (strongest < steps.size()) {
+                most_calls = std::max(most_calls, steps[strongest].calls);
+            }
+        }
+    }
+    joined.has_witnesses = all_calls - most_calls >= witness_calls;
+    return joined;
 }
 
 } // namespace
@@ -105,7 +150,7 @@
                                          .old_calls = route.on_old.calls,
                                          .old_errors = route.on_old.errors,
                                          .busy_us = route.on_new.busy_us + route.on_old.busy_us,
-                                         .scores = total_scores(route, now)});
+                                         .scores = route.closed});
     }
     return made;
 }
@@ -190,22 +235,24 @@
     return true;
 }
 
-std::map<route_id, score_table> take_steps(collection& self) {
-    std::map<route_id, score_table> steps;
-    const auto sums = sum_totals(self);
+std::map<route_id, route_step> take_steps(collection& self) {
+    std::map<route_id, std::vector<source_step>> by_route;
     for (auto& [name, source] : self.sources) {
+        const auto entries = std::max(source.latest.sources, 1U);
+        const float max_step = max_step_score * static_cast<float>(entries);
         for (const auto& [route, totals] : source.latest.routes) {
-            const bool is_contradicted =
-                source.latest.sources <= 1 &&
-                calls_elsewhere(sums, source, route) >= contradicting_calls;
-            const float max_credit = is_contradicted ? max_single_credit : 1e9F;
-            const float max_step =
-                max_step_score * static_cast<float>(std::max(source.latest.sources, 1U));
-            take_route(steps[route], totals.scores, source.seen[route], source.credit[route],
-                       max_credit, max_step);
+            score_table& credit = source.credit[route];
+            source_step step{.calls = totals.new_calls + totals.old_calls};
+            step.taken = take_route(totals.scores, source.seen[route], credit, max_step);
+            step.credit = credit;
+            by_route[route].push_back(step);
         }
     }
-    return steps;
+    std::map<route_id, route_step> joined;
+    for (const auto& [route, steps] : by_route) {
+        joined.emplace(route, join(steps));
+    }
+    return joined;
 }
 
 std::map<route_id, route_totals> sum_totals(const collection& self) {
--- a/src/move/reports.h
+++ b/src/move/reports.h
@@ -53,7 +53,7 @@
     instant heard;
     /// Scores of the latest report that were looked at.
     std::map<route_id, score_table> seen;
-    /// Net scores taken over, never below zero; limited while others contradict.
+    /// Net scores taken over, never below zero.
     std::map<route_id, score_table> credit;
 };
 
@@ -67,9 +67,19 @@
 /// Keeps a report unless a newer one of its source is held. Returns whether it was kept.
 bool accept(collection& self, const report& from, instant now);
 
-/// The scores that came in since the last call, per route. What one entry adds is limited: per
-/// step, and altogether while other entries have calls on the route that do not agree.
-[[nodiscard]] std::map<route_id, score_table> take_steps(collection& self);
+/// What came in about one route since the last step.
+struct route_step {
+    score_table all{};
+    /// Without the source whose evidence against the new version is strongest, per measure: one
+    /// faulty entry or combiner must not decide.
+    score_table without_strongest{};
+    /// Sources other than the strongest carry calls of this route, so that they will see a fault as
+    /// well.
+    bool has_witnesses = false;
+};
+
+/// The scores that came in since the last call, per route. What one entry adds per step is limited.
+[[nodiscard]] std::map<route_id, route_step> take_steps(collection& self);
 
 /// Sums over all sources.
 [[nodiscard]] std::map<route_id, route_totals> sum_totals(const collection& self);
--- a/src/move/topology.cpp
+++ b/src/move/topology.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-constexpr std::size_t believed_controllers = 3;
+/// Members below which one veto holds alone.
+constexpr std::size_t min_members_for_second = 3;
 constexpr std::size_t group_size = 32;
 /// Reports per shortest interval that a receiver takes without slowing the reporters down.
 constexpr std::size_t relaxed_fan_in = 16;
@@ -38,13 +39,14 @@
                        const move& planned) {
     topology made{.generation = members.generation};
     made.controllers = membership::duty_holders(
-        members, "move/" + key.service.value + "/" + key.name.value, believed_controllers);
+        members, "move/" + key.service.value + "/" + key.name.value, report_controllers);
     const auto live = membership::live_records(members);
     std::map<std::string, std::size_t> per_data_centre;
     for (const auto* record : live) {
         count_slots(made, *record, planned);
         ++per_data_centre[record->data_centre];
     }
+    made.live_members = live.size();
     made.fan_in = live.size();
     made.is_combined = live.size() > max_direct_reporters;
     if (!made.is_combined) {
@@ -79,6 +81,10 @@
     return std::find(self.controllers.begin(), end, node) != end;
 }
 
+bool is_too_small_for_second(const topology& self) {
+    return self.live_members < min_members_for_second;
+}
+
 milliseconds report_interval(const topology& self, std::uint32_t shortest_ms) {
     const std::size_t factor =
         std::max<std::size_t>((self.fan_in + relaxed_fan_in - 1) / relaxed_fan_in, 1);
--- a/src/move/topology.h
+++ b/src/move/topology.h
@@ -16,9 +16,9 @@
 /// Derived from one generation of the member table.
 struct topology {
     std::uint64_t generation = 0;
-    /// By rank. The first decides; the second gets the same reports; the third is still believed
-    /// when tables differ.
+    /// By rank. The first decides; the others get the same reports, second its vetoes and stand by.
     std::vector<node_id> controllers;
+    std::size_t live_members = 1;
     /// In a large fleet entries report to a combiner in their data centre.
     bool is_combined = false;
     /// This entry's group; the source name of the group's combined report.
@@ -32,7 +32,7 @@
 /// Members up to this number report to the controllers directly.
 inline constexpr std::size_t max_direct_reporters = 48;
 /// Controllers that get reports.
-inline constexpr std::size_t report_controllers = 2;
+inline constexpr std::size_t report_controllers = 3;
 
 [[nodiscard]] topology make_topology(const membership::table& members, const attempt_key& key,
                                      const move& planned);
@@ -41,8 +41,12 @@
 [[nodiscard]] std::string group_name(const data_centre_id& data_centre, const node_id& reporter,
                                      std::size_t members_there);
 
+/// Whether a node is among the first `ranks` controllers.
 [[nodiscard]] bool is_controller(const topology& self, const node_id& node, std::size_t ranks);
 
+/// Whether a veto of one node holds by itself: there are too few members for a second opinion.
+[[nodiscard]] bool is_too_small_for_second(const topology& self);
+
 /// Time between reports, so that no receiver gets more than about 32 reports a second.
 [[nodiscard]] milliseconds report_interval(const topology& self, std::uint32_t shortest_ms);
 
--- a/src/move/verdict.cpp
+++ b/src/move/verdict.cpp
@@ -12,19 +12,46 @@
 /// Prior probability that a bad version is bad from its first call on.
 constexpr double bad_at_once_weight = 0.5;
 
+/// Hits up to which the distribution of hits over the versions is summed exactly; above, binomial
+/// terms bound it from the safe side.
+constexpr double max_exact_hits = 64;
+
+/// Logarithm of the mean of effect^x, where x is how many of the window's hits fall on the new
+/// version when they are spread over the calls at random (hypergeometric).
+double log_exact_mean(const split& window, double effect) {
+    const double hits = window.new_hits + window.old_hits;
+    const double lowest = std::max(0.0, hits - window.old_calls);
+    const double highest = std::min(hits, window.new_calls);
+    // Weights relative to that of the lowest count; the ratio of neighbours is known.
+    double weight = 1;
+    double weights = 0;
+    double sum = 0;
+    double power = std::pow(effect, lowest);
+    for (double x = lowest; x <= highest; x += 1) {
+        weights += weight;
+        sum += weight * power;
+        power *= effect;
+        const double left = (window.new_calls - x) * (hits - x);
+        const double right = (x + 1) * (window.old_calls - hits + x + 1);
+        weight *= right > 0 ? left / right : 0;
+    }
+    return std::log(sum / weights);
+}
+
 } // namespace
 
 effect_scores score(const split& window) {
     effect_scores scores{};
     const double hits = window.new_hits + window.old_hits;
-    if (window.new_calls <= 0 || window.old_calls <= 0 || hits <= 0) {
+    const double calls = window.new_calls + window.old_calls;
+    if (window.new_calls <= 0 || window.old_calls <= 0 || hits <= 0 || hits >= calls) {
         return scores;
     }
-    const double share = window.new_calls / (window.new_calls + window.old_calls);
     for (std::size_t i = 0; i < effects.size(); ++i) {
-        const double expected = 1 - share + share * effects[i];
-        scores[i] =
-            static_cast<float>(window.new_hits * std::log(effects[i]) - hits * std::log(expected));
+        const double expected =
+            hits <= max_exact_hits ? log_exact_mean(window, effects[i])
+                                   : hits * std::log1p(window.new_calls / calls * (effects[i] - 1));
+        scores[i] = static_cast<float>(window.new_hits * std::log(effects[i]) - expected);
     }
     return scores;
 }
--- a/src/move/verdict.h
+++ b/src/move/verdict.h
@@ -43,7 +43,8 @@
     double old_hits = 0;
 };
 
-/// Zero when either version has no calls or there was no hit.
+/// Exact for a window that was closed without regard to its hits: its mean over a good version's
+/// windows is one. Zero when either version has no calls, and when no call or each call is a hit.
 [[nodiscard]] effect_scores score(const split& window);
 
 /// Lowers each score to at most `limit`.
