move: test for added rates of errors and slow calls

Change: alternatives are added rates at the old version's present rate in place of fixed factors; a controller that begins takes over the first reports whole; windows wait for a few calls of both versions; alone on the full share a window closes each second.

--- a/src/move/combining.cpp
+++ b/src/move/combining.cpp
@@ -8,7 +8,7 @@
         score_table& sum = self.scores[route];
         for (std::size_t with = 0; with < reference_count; ++with) {
             for (std::size_t of = 0; of < measure_count; ++of) {
-                for (std::size_t i = 0; i < effects.size(); ++i) {
+                for (std::size_t i = 0; i < effect_count; ++i) {
                     sum[with][of][i] += step.all[with][of][i];
                 }
             }
--- a/src/move/controller.cpp
+++ b/src/move/controller.cpp
@@ -13,14 +13,17 @@
 constexpr double max_total_score_per_s = 6.0;
 /// Evidence of the other sources that supports the strongest one.
 constexpr double agreement_level = 200;
+/// A controller that begins takes over what its predecessors knew, in the first reports it gets.
+constexpr seconds catch_up_time{3};
+constexpr double max_catch_up_score = 50;
 /// Time that others get to report before one source's word may do for want of witnesses.
 constexpr seconds witness_time{10};
 /// Evidence above which the ramp waits.
 constexpr double suspicion_level = 20;
 /// Evidence that takes a move back when there is no time to wait.
-constexpr double late_veto_level = 100;
-/// Evidence that bears out another controller's veto.
-constexpr double second_level = 50;
+constexpr double late_veto_level = 1000;
+/// Part of a veto's evidence that bears out another controller's veto: its reports may be older.
+constexpr double second_part = 0.1;
 constexpr milliseconds clock_tolerance{1000};
 /// Evidence against earlier calls that makes the controller compare side by side.
 constexpr double check_level = 300;
@@ -292,7 +295,9 @@
     observe_load(self, step_s);
     drop_silent_groups(self.collected, now);
     const double weight = step_weight(self, facts.planned, step_s);
-    const auto limit = static_cast<float>(max_total_score_per_s * step_s);
+    const bool is_catching_up = now < self.collected.begun + catch_up_time;
+    const auto limit =
+        static_cast<float>(is_catching_up ? max_catch_up_score : max_total_score_per_s * step_s);
     for (const auto& [route, step] : take_steps(self.collected)) {
         route_judgement& judged = self.routes.try_emplace(route, make_judgement()).first->second;
         judged.has_witnesses = step.has_witnesses || now < self.collected.begun + witness_time;
@@ -312,8 +317,10 @@
     switch (heard.reason) {
     case msg::veto_reason::errors:
     case msg::veto_reason::latency:
-        return worst_concurrent(self).level >= second_level ||
-               (share >= full_share_permille && worst_earlier(self).level >= second_level);
+        return worst_concurrent(self).level >=
+                   second_part * veto_level(self, facts.false_alarm_ppm) ||
+               (share >= full_share_permille &&
+                worst_earlier(self).level >= second_part * check_level);
     case msg::veto_reason::operator_cancel:
         return planned.cancel;
     case msg::veto_reason::deadline:
--- a/src/move/evidence.cpp
+++ b/src/move/evidence.cpp
@@ -9,17 +9,25 @@
 namespace {
 
 constexpr milliseconds min_window{1000};
+/// A window waits this long for enough calls of both versions.
+constexpr milliseconds good_window{4000};
+constexpr double good_window_calls = 4;
 /// Largest score of a window: an endpoint that dies gives a short burst of errors, a bad version
 /// goes on.
 constexpr float max_window_score = 6.0F;
 /// After the share was lowered, calls begun before end within this time, mostly.
 constexpr milliseconds settle_time{1500};
 /// Calls of the old version that set what counts as slow.
-constexpr std::uint64_t calibration_calls = 20;
+constexpr double calibration_calls = 20;
 constexpr double slow_fraction = 0.12;
 constexpr double very_slow_fraction = 0.015;
 /// Calls of the old version that are remembered for comparison.
 constexpr double earlier_calls = 500;
+/// Calls of the old version that show a sudden change.
+constexpr double latest_calls = 50;
+/// Assumed before any call was seen.
+constexpr double prior_calls = 50;
+constexpr double prior_hits = 0.1;
 /// The new version has the entry almost to itself: the old one's calls are too few to compare with.
 constexpr double alone_ratio = 50;
 /// Prior probability that a fault begins in one window.
@@ -37,22 +45,22 @@
 }
 
 /// First bucket at and above which at most `fraction` of the calls lie.
-std::size_t upper_bucket(const version_counts& counts, double fraction) {
-    const double allowed = static_cast<double>(counts.calls) * fraction;
+std::size_t upper_bucket(const recent_calls& counts, double fraction) {
+    const double allowed = counts.calls * fraction;
     double above = 0;
     std::size_t bucket = latency_buckets;
-    while (bucket > 0 && above + static_cast<double>(counts.latency.at(bucket - 1)) <= allowed) {
-        above += static_cast<double>(counts.latency.at(--bucket));
+    while (bucket > 0 && above + counts.latency.at(bucket - 1) <= allowed) {
+        above += counts.latency.at(--bucket);
     }
     return bucket;
 }
 
 void calibrate(route_record& route) {
-    if (route.on_old.calls < calibration_calls) {
+    if (route.earlier.calls < calibration_calls) {
         return;
     }
-    route.slow_from = upper_bucket(route.on_old, slow_fraction);
-    route.very_slow_from = upper_bucket(route.on_old, very_slow_fraction);
+    route.slow_from = upper_bucket(route.earlier, slow_fraction);
+    route.very_slow_from = upper_bucket(route.earlier, very_slow_fraction);
 }
 
 void add_to_window(window_counts& counts, const route_record& route,
@@ -98,11 +106,20 @@
             .old_hits = earlier_hits(route, static_cast<measure>(of))};
 }
 
+/// The old version's rate as known before the open window: the higher of its usual and its latest.
+double old_rate(const route_record& route, std::size_t of) {
+    const double usual = (earlier_hits(route, static_cast<measure>(of)) + prior_hits) /
+                         (route.earlier.calls + prior_calls);
+    const double latest = (route.latest.hits[of] + prior_hits) / (route.latest.calls + prior_calls);
+    return std::max(usual, latest);
+}
+
 score_table score_window(const route_record& route) {
     score_table scores{};
     for (std::size_t of = 0; of < measure_count; ++of) {
-        scores[0][of] = score(concurrent_split(route.open, of));
-        scores[1][of] = score(earlier_split(route, of));
+        const effect_sizes odds = odds_ratios(static_cast<measure>(of), old_rate(route, of));
+        scores[0][of] = score(concurrent_split(route.open, of), odds);
+        scores[1][of] = score(earlier_split(route, of), odds);
     }
     return scores;
 }
@@ -116,6 +133,12 @@
         kept.latency.at(i) = kept.latency.at(i) * fade + route.old_now.latency.at(i);
     }
     route.old_now = {};
+    const double seen = route.open.on_old.calls;
+    const double latest_fade = std::max(1 - seen / latest_calls, 0.0);
+    route.latest.calls = route.latest.calls * latest_fade + seen;
+    for (std::size_t of = 0; of < measure_count; ++of) {
+        route.latest.hits[of] = route.latest.hits[of] * latest_fade + route.open.on_old.hits[of];
+    }
 }
 
 void close_window(route_record& route, instant now) {
@@ -123,7 +146,7 @@
     for (std::size_t of = 0; of < measure_count; ++of) {
         for (std::size_t with = 0; with < reference_count; ++with) {
             limit_scores(scores[with][of], max_window_score);
-            for (std::size_t i = 0; i < effects.size(); ++i) {
+            for (std::size_t i = 0; i < effect_count; ++i) {
                 route.closed[with][of][i] += scores[with][of][i];
             }
         }
@@ -134,11 +157,16 @@
     route.open = window{.opened = now};
 }
 
-/// By calls alone, never by hits, so that closing does not favour either outcome.
-bool is_full(const route_record& route, instant now) {
-    const bool has_both = route.open.on_new.calls >= 1 && route.open.on_old.calls >= 1;
-    const bool is_alone = route.open.on_new.calls >= alone_ratio;
-    return now - route.open.opened >= min_window && (has_both || is_alone);
+/// By calls alone, never by hits, so that closing does not favour either outcome. Windows with very
+/// few calls of either version would overstate its share.
+bool is_full(const route_record& route, std::uint32_t permille, instant now) {
+    const double fewer = std::min(route.open.on_new.calls, route.open.on_old.calls);
+    const auto age = now - route.open.opened;
+    if (age < min_window) {
+        return false;
+    }
+    const bool is_alone = permille >= 1000 && route.open.on_new.calls >= 1;
+    return is_alone || fewer >= good_window_calls || (fewer >= 1 && age >= good_window);
 }
 
 } // namespace
@@ -173,7 +201,7 @@
 void close_windows(entry_evidence& self, std::uint32_t permille, instant now) {
     const bool share_changed = permille != self.permille;
     for (auto& [name, route] : self.routes) {
-        if (share_changed || is_full(route, now)) {
+        if (share_changed || is_full(route, permille, now)) {
             close_window(route, now);
         }
     }
--- a/src/move/evidence.h
+++ b/src/move/evidence.h
@@ -54,6 +54,8 @@
     score_table closed{};
     /// What the reference `earlier` compares with.
     recent_calls earlier;
+    /// The last few calls of the old version, for a sudden change that both versions share.
+    window_counts latest;
     /// Calls of the old version in the open window, to be added to `earlier`.
     recent_calls old_now;
     /// First latency bucket that counts as slow, and as very slow; none until enough calls of the
--- a/src/move/reports.cpp
+++ b/src/move/reports.cpp
@@ -7,15 +7,14 @@
 
 namespace {
 
-constexpr std::size_t score_count = reference_count * measure_count * effects.size();
+constexpr std::size_t score_count = reference_count * measure_count * effect_count;
 /// Largest score that one entry adds per step.
 constexpr float max_step_score = 6.0F;
+/// Largest score of a source's first report.
+constexpr float max_first_score = 50.0F;
 /// Calls by other sources on the same route that make them witnesses.
 constexpr std::uint64_t witness_calls = 20;
 constexpr milliseconds silent_group_time{15000};
-/// A source that began to count no earlier than this before the collection did is counted from
-/// zero.
-constexpr milliseconds begin_tolerance{3000};
 
 std::vector<float> flatten(const score_table& scores) {
     std::vector<float> flat;
@@ -65,7 +64,7 @@
     score_table taken{};
     for (std::size_t with = 0; with < reference_count; ++with) {
         for (std::size_t of = 0; of < measure_count; ++of) {
-            for (std::size_t i = 0; i < effects.size(); ++i) {
+            for (std::size_t i = 0; i < effect_count; ++i) {
                 const float step = std::min(now_at[with][of][i] - seen[with][of][i], max_step);
                 float& held = credit[with][of][i];
                 held = std::max(held + step, 0.0F);
@@ -78,7 +77,7 @@
 }
 
 void add_scores(effect_scores& sum, const effect_scores& added) {
-    for (std::size_t i = 0; i < effects.size(); ++i) {
+    for (std::size_t i = 0; i < effect_count; ++i) {
         sum[i] += added[i];
     }
 }
@@ -225,13 +224,7 @@
     if (self.sources.size() >= max_sources) {
         return false;
     }
-    source_record made{.latest = from, .heard = now};
-    if (from.begun + begin_tolerance < self.begun) {
-        for (const auto& [name, totals] : from.routes) {
-            made.seen[name] = totals.scores;
-        }
-    }
-    self.sources.emplace(from.source, std::move(made));
+    self.sources.emplace(from.source, source_record{.latest = from, .heard = now});
     return true;
 }
 
@@ -239,7 +232,10 @@
     std::map<route_id, std::vector<source_step>> by_route;
     for (auto& [name, source] : self.sources) {
         const auto entries = std::max(source.latest.sources, 1U);
-        const float max_step = max_step_score * static_cast<float>(entries);
+        // The first report brings all that the source has seen so far.
+        const float max_step =
+            source.is_fresh ? max_first_score : max_step_score * static_cast<float>(entries);
+        source.is_fresh = false;
         for (const auto& [route, totals] : source.latest.routes) {
             score_table& credit = source.credit[route];
             source_step step{.calls = totals.new_calls + totals.old_calls};
--- a/src/move/reports.h
+++ b/src/move/reports.h
@@ -51,6 +51,8 @@
 struct source_record {
     report latest;
     instant heard;
+    /// Nothing was taken over yet.
+    bool is_fresh = true;
     /// Scores of the latest report that were looked at.
     std::map<route_id, score_table> seen;
     /// Net scores taken over, never below zero.
--- a/src/move/verdict.cpp
+++ b/src/move/verdict.cpp
@@ -9,6 +9,9 @@
 
 /// Keeps products finite.
 constexpr double max_value = 1e30;
+/// Rates outside are not told apart from these.
+constexpr double min_rate = 0.001;
+constexpr double max_rate = 0.95;
 /// Prior probability that a bad version is bad from its first call on.
 constexpr double bad_at_once_weight = 0.5;
 
@@ -40,18 +43,29 @@
 
 } // namespace
 
-effect_scores score(const split& window) {
+effect_sizes odds_ratios(measure of, double old_rate) {
+    const double base = std::clamp(old_rate, min_rate, max_rate);
+    effect_sizes odds{};
+    for (std::size_t i = 0; i < effect_count; ++i) {
+        const double raised =
+            std::min(base + added_rates.at(static_cast<std::size_t>(of)).at(i), (max_rate + 1) / 2);
+        odds.at(i) = raised / (1 - raised) * (1 - base) / base;
+    }
+    return odds;
+}
+
+effect_scores score(const split& window, const effect_sizes& odds) {
     effect_scores scores{};
     const double hits = window.new_hits + window.old_hits;
     const double calls = window.new_calls + window.old_calls;
     if (window.new_calls <= 0 || window.old_calls <= 0 || hits <= 0 || hits >= calls) {
         return scores;
     }
-    for (std::size_t i = 0; i < effects.size(); ++i) {
-        const double expected =
-            hits <= max_exact_hits ? log_exact_mean(window, effects[i])
-                                   : hits * std::log1p(window.new_calls / calls * (effects[i] - 1));
-        scores[i] = static_cast<float>(window.new_hits * std::log(effects[i]) - expected);
+    for (std::size_t i = 0; i < effect_count; ++i) {
+        const double expected = hits <= max_exact_hits
+                                    ? log_exact_mean(window, odds[i])
+                                    : hits * std::log1p(window.new_calls / calls * (odds[i] - 1));
+        scores[i] = static_cast<float>(window.new_hits * std::log(odds[i]) - expected);
     }
     return scores;
 }
@@ -71,7 +85,7 @@
 }
 
 void advance(detector& self, const effect_scores& step, double weight) {
-    for (std::size_t i = 0; i < effects.size(); ++i) {
+    for (std::size_t i = 0; i < effect_count; ++i) {
         const double grown = (self.value[i] + weight) * std::exp(static_cast<double>(step[i]));
         self.value[i] = std::min(grown, max_value);
     }
@@ -82,7 +96,7 @@
     for (const double each : self.value) {
         sum += each;
     }
-    return sum / static_cast<double>(effects.size());
+    return sum / static_cast<double>(effect_count);
 }
 
 std::string_view measure_name(measure of) {
