move: judge all routes together as well and follow the old version's latest rate

Change: one more test over all routes; the old version's rate by its latest 50 calls; a check begins with even odds and lasts until it is clear; a controller seconds only on side-by-side evidence.

--- a/src/move/controller.cpp
+++ b/src/move/controller.cpp
@@ -25,8 +25,12 @@
 /// Part of a veto's evidence that bears out another controller's veto: its reports may be older.
 constexpr double second_part = 0.1;
 constexpr milliseconds clock_tolerance{1000};
+/// The same after a check was called for.
+constexpr double checked_veto_level = 100;
+/// Evidence below which a check is over.
+constexpr double clear_level = 5;
 /// Evidence against earlier calls that makes the controller compare side by side.
-constexpr double check_level = 300;
+constexpr double check_level = 100;
 constexpr std::uint32_t check_permille = 500;
 constexpr std::uint32_t max_checks = 3;
 constexpr milliseconds check_time{4000};
@@ -67,15 +71,46 @@
     return sum;
 }
 
+std::array<weighed_evidence, measure_count> make_weighed() {
+    std::array<weighed_evidence, measure_count> made;
+    const auto fresh = make_detectors();
+    for (std::size_t of = 0; of < measure_count; ++of) {
+        made.at(of) = {.all = fresh.at(of), .without_strongest = fresh.at(of)};
+    }
+    return made;
+}
+
+/// A check is made on a suspicion: as likely as not, the version is bad now.
+void begin_check(control_state& self) {
+    const auto fresh = make_detectors();
+    for (auto& [route, judged] : self.routes) {
+        for (std::size_t of = 0; of < measure_count; ++of) {
+            for (std::size_t i = 0; i < effect_count; ++i) {
+                const double start = fresh.at(of).value.at(i);
+                auto& both = judged.concurrent.at(of);
+                both.all.value.at(i) = std::max(both.all.value.at(i), start);
+                both.without_strongest.value.at(i) =
+                    std::max(both.without_strongest.value.at(i), start);
+            }
+        }
+    }
+}
+
 void note_stage(control_state& self, const attempt_record& known) {
     const std::uint32_t stage = known.granted ? known.granted->stage : 0;
     if (stage == self.stage) {
         return;
     }
+    const std::uint32_t share = known.granted ? known.granted->permille : 0;
+    if (share == check_permille && self.permille >= full_share_permille) {
+        ++self.checks;
+        begin_check(self);
+    }
     self.stage = stage;
+    self.permille = share;
     self.calls_before_stage = calls_on_new(self);
     for (auto& [route, judged] : self.routes) {
-        judged.earlier = {};
+        judged.earlier = make_weighed();
     }
 }
 
@@ -88,12 +123,31 @@
 }
 
 route_judgement make_judgement() {
-    route_judgement made;
-    const auto fresh = make_detectors();
-    for (std::size_t of = 0; of < measure_count; ++of) {
-        made.concurrent.at(of) = {.all = fresh.at(of), .without_strongest = fresh.at(of)};
+    return {.concurrent = make_weighed(), .earlier = make_weighed()};
+}
+
+void add_table(score_table& sum, const score_table& added) {
+    for (std::size_t with = 0; with < reference_count; ++with) {
+        for (std::size_t of = 0; of < measure_count; ++of) {
+            for (std::size_t i = 0; i < effect_count; ++i) {
+                sum[with][of][i] += added[with][of][i];
+            }
+        }
     }
-    return made;
+}
+
+/// Each route, and all together for a fault that shows on every route a little.
+std::map<route_id, route_step> with_sum(std::map<route_id, route_step> steps) {
+    route_step sum;
+    for (const auto& [route, step] : steps) {
+        add_table(sum.all, step.all);
+        add_table(sum.without_strongest, step.without_strongest);
+        sum.has_witnesses = sum.has_witnesses || step.has_witnesses;
+    }
+    if (steps.size() > 1) {
+        steps.emplace(route_id(std::string(all_routes)), sum);
+    }
+    return steps;
 }
 
 template <class Detectors>
@@ -174,11 +228,15 @@
     return needed <= slot_use * facts.ready.on_new;
 }
 
+double late_level(const control_state& self) {
+    return self.checks > 0 ? checked_veto_level : late_veto_level;
+}
+
 /// The deadline is here and the traffic is not on the new version.
 decision decide_overdue(const control_state& self, const control_facts& facts, instant now) {
     const std::uint32_t share = facts.known.granted ? facts.known.granted->permille : 0;
     const worst_finding worst = worst_concurrent(self);
-    if (worst.level >= late_veto_level) {
+    if (worst.level >= late_level(self)) {
         return make_evidence_veto(self, facts, worst, ", at the deadline", now);
     }
     if (!has_slots_for(self, facts, full_share_permille)) {
@@ -216,8 +274,11 @@
     }
     const stage& next = left.front();
     const auto dwell = now - entered;
+    const worst_finding worst = worst_concurrent(self);
     const bool is_check = self.checks > 0 && granted.permille == check_permille;
-    if (!is_first && dwell < (is_check ? check_time : min_stage_time)) {
+    const bool is_check_open =
+        is_check && worst.level >= clear_level && now + check_margin < facts.planned.deadline;
+    if (!is_first && (is_check_open || dwell < (is_check ? check_time : min_stage_time))) {
         return {};
     }
     if (!has_slots_for(self, facts, next.permille)) {
@@ -225,7 +286,6 @@
         return {};
     }
     const std::uint64_t calls = calls_on_new(self);
-    const worst_finding worst = worst_concurrent(self);
     const bool is_suspicious = worst.level >= suspicion_level;
     const bool is_due = now >= next.latest_start;
     const bool is_early = calls >= self.calls_before_stage + facts.planned.min_calls &&
@@ -237,7 +297,7 @@
     if (is_suspicious && now < latest_bake_start(facts.planned)) {
         return {};
     }
-    if (worst.level >= late_veto_level) {
+    if (worst.level >= late_level(self)) {
         return make_evidence_veto(self, facts, worst, ", no time left to gather more", now);
     }
     self.waiting_for.clear();
@@ -255,7 +315,6 @@
             return make_evidence_veto(self, facts, earlier, ", at the full share only", now);
         }
         if (now + check_margin < facts.planned.deadline) {
-            ++self.checks;
             return next_permit(facts, check_permille, now);
         }
     }
@@ -264,7 +323,7 @@
     if (!is_overdue && (now < granted.at + facts.planned.bake || worst.level >= suspicion_level)) {
         return {};
     }
-    if (worst.level >= late_veto_level) {
+    if (worst.level >= late_level(self)) {
         return make_evidence_veto(self, facts, worst, ", at the deadline", now);
     }
     return finish{.reason = now < granted.at + facts.planned.bake
@@ -298,7 +357,7 @@
     const bool is_catching_up = now < self.collected.begun + catch_up_time;
     const auto limit =
         static_cast<float>(is_catching_up ? max_catch_up_score : max_total_score_per_s * step_s);
-    for (const auto& [route, step] : take_steps(self.collected)) {
+    for (const auto& [route, step] : with_sum(take_steps(self.collected))) {
         route_judgement& judged = self.routes.try_emplace(route, make_judgement()).first->second;
         judged.has_witnesses = step.has_witnesses || now < self.collected.begun + witness_time;
         for (std::size_t of = 0; of < measure_count; ++of) {
@@ -319,7 +378,7 @@
     case msg::veto_reason::latency:
         return worst_concurrent(self).level >=
                    second_part * veto_level(self, facts.false_alarm_ppm) ||
-               (share >= full_share_permille &&
+               (share >= full_share_permille && self.checks >= max_checks &&
                 worst_earlier(self).level >= second_part * check_level);
     case msg::veto_reason::operator_cancel:
         return planned.cancel;
--- a/src/move/controller.h
+++ b/src/move/controller.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <variant>
 
 /// What the controller of a move decides from the evidence of all entries. Pure. Two controllers at
@@ -47,12 +48,16 @@
     bool has_witnesses = false;
 };
 
+/// Name under which the evidence of all routes together is judged.
+inline constexpr std::string_view all_routes = "*";
+
 struct control_state {
     collection collected;
     std::map<route_id, route_judgement> routes;
     instant last_step;
     /// The stage that the counts below belong to.
     std::uint32_t stage = 0;
+    std::uint32_t permille = 0;
     std::uint64_t calls_before_stage = 0;
     /// How often the controller stepped back from the full share to compare.
     std::uint32_t checks = 0;
--- a/src/move/evidence.cpp
+++ b/src/move/evidence.cpp
@@ -25,9 +25,8 @@
 constexpr double earlier_calls = 500;
 /// Calls of the old version that show a sudden change.
 constexpr double latest_calls = 50;
-/// Assumed before any call was seen.
+/// Weight of the usual rates, which are assumed before any call was seen.
 constexpr double prior_calls = 50;
-constexpr double prior_hits = 0.1;
 /// The new version has the entry almost to itself: the old one's calls are too few to compare with.
 constexpr double alone_ratio = 50;
 /// Prior probability that a fault begins in one window.
@@ -106,12 +105,13 @@
             .old_hits = earlier_hits(route, static_cast<measure>(of))};
 }
 
-/// The old version's rate as known before the open window: the higher of its usual and its latest.
+/// The old version's rate as known before the open window, by its latest calls, so that a change
+/// that both versions share is followed.
 double old_rate(const route_record& route, std::size_t of) {
-    const double usual = (earlier_hits(route, static_cast<measure>(of)) + prior_hits) /
-                         (route.earlier.calls + prior_calls);
-    const double latest = (route.latest.hits[of] + prior_hits) / (route.latest.calls + prior_calls);
-    return std::max(usual, latest);
+    constexpr std::array<double, measure_count> usual_rates{0.002, slow_fraction,
+                                                            very_slow_fraction};
+    const double prior_hits = usual_rates.at(of) * prior_calls;
+    return (route.latest.hits[of] + prior_hits) / (route.latest.calls + prior_calls);
 }
 
 score_table score_window(const route_record& route) {
