--- a/bench/moves_bench.cpp
+++ b/bench/moves_bench.cpp
@@ -21,6 +21,8 @@
     std::string only_policy;
     double only_rate = 0;
     bool prints_reasons = false;
+    bool traces = false;
+    unsigned first_seed = 1;
 };
 
 /// One line of the matrix.
@@ -78,7 +80,8 @@
             for (std::size_t job = next++; job < count; job = next++) {
                 matrix_row& row = rows[job / options.seeds];
                 scenario wanted = row.varied;
-                wanted.seed = job % options.seeds + 1;
+                wanted.seed = job % options.seeds + options.first_seed;
+                wanted.is_traced = options.traces;
                 row.runs[job % options.seeds] = run_scenario(wanted);
             }
         });
@@ -236,6 +239,8 @@
     command->add_option("--policy", options.only_policy, "Only this policy");
     command->add_option("--rate", options.only_rate, "Only this rate, in calls per second");
     command->add_flag("--reasons", options.prints_reasons, "Print each wrong outcome's reason");
+    command->add_flag("--trace", options.traces, "Print the nodes' log lines");
+    command->add_option("--first-seed", options.first_seed, "Seed of the first run");
     command->callback([] { run_moves(options); });
 }
 
--- a/bench/moves_fleet.cpp
+++ b/bench/moves_fleet.cpp
@@ -1,6 +1,7 @@
 #include "bench/moves_fleet.h"
 
 #include <algorithm>
+#include <cstdio>
 
 namespace cyclamenhatch::bench {
 
@@ -128,6 +129,13 @@
 }
 
 void handle(sim_fleet& self, std::size_t host, moves::actions wanted) {
+    for (const auto& each : wanted.logs) {
+        if (self.wanted.is_traced) {
+            std::printf("t=%.2f node=%zu %s\n",
+                        std::chrono::duration<double>(self.now - move_begin()).count(), host,
+                        to_line(each).c_str());
+        }
+    }
     for (auto& each : wanted.sends) {
         send(self, host, std::move(each));
     }
--- a/bench/moves_scenario.h
+++ b/bench/moves_scenario.h
@@ -49,6 +49,8 @@
     /// Calls per second of the whole service.
     double calls_per_s = 200;
     std::uint64_t seed = 1;
+    /// Prints what the nodes log.
+    bool is_traced = false;
 };
 
 struct run_result {
--- a/src/move/controller.cpp
+++ b/src/move/controller.cpp
@@ -20,6 +20,8 @@
 constexpr seconds witness_time{10};
 /// Evidence above which the ramp waits.
 constexpr double suspicion_level = 20;
+/// Evidence above which no stage is entered before its latest start.
+constexpr double early_level = 3;
 /// Evidence that takes a move back when there is no time to wait.
 constexpr double late_veto_level = 1000;
 /// Part of a veto's evidence that bears out another controller's veto: its reports may be older.
@@ -34,6 +36,10 @@
 constexpr std::uint32_t check_permille = 500;
 constexpr std::uint32_t max_checks = 3;
 constexpr milliseconds check_time{4000};
+/// Without evidence against the new version a check ends then.
+constexpr milliseconds longest_check_time{15000};
+/// Calls on the new version that a check takes, in units of the move's min_calls.
+constexpr std::uint64_t check_calls_factor = 4;
 /// A check must be over before the deadline.
 constexpr milliseconds check_margin{8000};
 /// Shortest time in a stage that is entered before its latest start.
@@ -264,6 +270,27 @@
                      now);
 }
 
+/// Whether a side by side comparison has to go on: until it is clear, or the deadline is near.
+bool is_check_open(const control_state& self, const control_facts& facts, microseconds dwell,
+                   instant now) {
+    if (now + check_margin >= facts.planned.deadline) {
+        return false;
+    }
+    const std::uint64_t calls = calls_on_new(self) - self.calls_before_stage;
+    const bool has_calls = calls >= check_calls_factor * std::uint64_t{facts.planned.min_calls};
+    const bool is_long = dwell >= longest_check_time || (has_calls && dwell >= check_time);
+    return !is_long || worst_concurrent(self).level >= clear_level;
+}
+
+/// How long a stage that is due waits for clearer evidence.
+instant hold_until(const move& planned, instant due, double level) {
+    const instant last = latest_bake_start(planned);
+    if (level >= suspicion_level) {
+        return last;
+    }
+    return level >= early_level && due < last ? due + (last - due) / 2 : due;
+}
+
 decision decide_ramp(control_state& self, const control_facts& facts, instant now) {
     const permit granted = facts.known.granted.value_or(permit{});
     const bool is_first = !facts.known.granted;
@@ -276,25 +303,27 @@
     const auto dwell = now - entered;
     const worst_finding worst = worst_concurrent(self);
     const bool is_check = self.checks > 0 && granted.permille == check_permille;
-    const bool is_check_open =
-        is_check && worst.level >= clear_level && now + check_margin < facts.planned.deadline;
-    if (!is_first && (is_check_open || dwell < (is_check ? check_time : min_stage_time))) {
+    const std::uint64_t calls = calls_on_new(self);
+    if (is_check && is_check_open(self, facts, dwell, now)) {
+        self.waiting_for = "a comparison side by side";
+        return {};
+    }
+    if (!is_first && dwell < min_stage_time) {
         return {};
     }
     if (!has_slots_for(self, facts, next.permille)) {
         self.waiting_for = "ready slots of the new version";
         return {};
     }
-    const std::uint64_t calls = calls_on_new(self);
-    const bool is_suspicious = worst.level >= suspicion_level;
     const bool is_due = now >= next.latest_start;
     const bool is_early = calls >= self.calls_before_stage + facts.planned.min_calls &&
-                          dwell >= early_stage_time && !is_suspicious;
-    self.waiting_for = is_suspicious ? "clearer evidence" : "calls or the schedule";
+                          dwell >= early_stage_time && worst.level < early_level;
     if (!is_due && !is_early) {
+        self.waiting_for = "calls or the schedule";
         return {};
     }
-    if (is_suspicious && now < latest_bake_start(facts.planned)) {
+    if (now < hold_until(facts.planned, next.latest_start, worst.level)) {
+        self.waiting_for = "clearer evidence";
         return {};
     }
     if (worst.level >= late_level(self)) {
@@ -311,10 +340,10 @@
     const permit& granted = *facts.known.granted;
     const worst_finding earlier = worst_earlier(self);
     if (earlier.level >= check_level) {
-        if (self.checks >= max_checks) {
+        if (self.checks >= max_checks && earlier.level >= veto_level(self, facts.false_alarm_ppm)) {
             return make_evidence_veto(self, facts, earlier, ", at the full share only", now);
         }
-        if (now + check_margin < facts.planned.deadline) {
+        if (self.checks < max_checks && now + check_margin < facts.planned.deadline) {
             return next_permit(facts, check_permille, now);
         }
     }
@@ -377,7 +406,9 @@
     case msg::veto_reason::errors:
     case msg::veto_reason::latency:
         return worst_concurrent(self).level >=
-                   second_part * veto_level(self, facts.false_alarm_ppm) ||
+                   second_part * (now >= latest_bake_start(planned)
+                                      ? late_level(self)
+                                      : veto_level(self, facts.false_alarm_ppm)) ||
                (share >= full_share_permille && self.checks >= max_checks &&
                 worst_earlier(self).level >= second_part * check_level);
     case msg::veto_reason::operator_cancel:
--- a/src/move/on_tick.cpp
+++ b/src/move/on_tick.cpp
@@ -16,6 +16,9 @@
 constexpr double own_veto_level = 1e6;
 /// Own evidence that makes this entry second another's veto.
 constexpr double second_level = 1e5;
+/// This long after the deadline the first controller's veto is seconded without evidence: the move
+/// has to end.
+constexpr seconds longest_dispute{5};
 constexpr milliseconds exchange_interval{2000};
 constexpr std::size_t newcomer_exchanges = 3;
 
