move: keep time for a check and expect cold endpoints

Cause: the bake began so late that a check found no time before the deadline; endpoints that came back cold after a herd made slow calls that took a good version back. Change: up to 40 s of the ramp's time are kept for a check; slow calls are no evidence for 8 s after endpoints of the new version began to serve, at most once a minute.

--- a/src/move/controller.cpp
+++ b/src/move/controller.cpp
@@ -13,6 +13,10 @@
 constexpr double max_total_score_per_s = 6.0;
 /// Evidence of the other sources that supports the strongest one.
 constexpr double agreement_level = 200;
+/// Slow calls are no evidence for this time after endpoints of the new version began to serve, at
+/// most once per interval.
+constexpr seconds cold_time{8};
+constexpr seconds cold_interval{60};
 /// A controller that begins takes over what its predecessors knew, in the first reports it gets.
 constexpr seconds catch_up_time{3};
 constexpr double max_catch_up_score = 50;
@@ -120,6 +124,16 @@
     }
 }
 
+/// Notes when endpoints of the new version begin to serve: they are slow at first. Endpoints that
+/// come and go mute the evidence for a small part of the time only.
+void note_cold_start(control_state& self, const ready_slots& ready, instant now) {
+    const bool is_more = self.ready_on_new > 0 && ready.on_new > self.ready_on_new;
+    self.ready_on_new = ready.on_new;
+    if (is_more && now >= self.cold_since + cold_interval) {
+        self.cold_since = now;
+    }
+}
+
 void advance_both(weighed_evidence& self, effect_scores all, effect_scores others, float limit,
                   double weight) {
     limit_scores(all, limit);
@@ -382,14 +396,18 @@
     self.last_step = now;
     observe_load(self, step_s);
     drop_silent_groups(self.collected, now);
+    note_cold_start(self, facts.ready, now);
+    const bool is_cold = now < self.cold_since + cold_time;
     const double weight = step_weight(self, facts.planned, step_s);
     const bool is_catching_up = now < self.collected.begun + catch_up_time;
-    const auto limit =
+    const auto full_limit =
         static_cast<float>(is_catching_up ? max_catch_up_score : max_total_score_per_s * step_s);
     for (const auto& [route, step] : with_sum(take_steps(self.collected))) {
         route_judgement& judged = self.routes.try_emplace(route, make_judgement()).first->second;
         judged.has_witnesses = step.has_witnesses || now < self.collected.begun + witness_time;
         for (std::size_t of = 0; of < measure_count; ++of) {
+            const bool is_muted = is_cold && of != static_cast<std::size_t>(measure::errors);
+            const float limit = is_muted ? 0 : full_limit;
             advance_both(judged.concurrent[of], step.all[0][of], step.without_strongest[0][of],
                          limit, weight);
             advance_both(judged.earlier[of], step.all[1][of], step.without_strongest[1][of], limit,
--- a/src/move/controller.h
+++ b/src/move/controller.h
@@ -64,6 +64,9 @@
     /// Slots in use, estimated from latencies.
     double busy_slots = 0;
     std::uint64_t last_busy_us = 0;
+    /// Ready slots of the new version, and when some of them last began to serve.
+    std::uint32_t ready_on_new = 0;
+    instant cold_since;
     /// Why the next stage waits, for logs and status; empty when it does not.
     std::string waiting_for;
 };
--- a/src/move/plan.cpp
+++ b/src/move/plan.cpp
@@ -11,6 +11,10 @@
 constexpr std::uint32_t growth_limit_permille = 300;
 constexpr std::uint32_t upper_steps_permille[] = {600, 850};
 
+/// Time kept for a check at the full share, when the deadline leaves some.
+constexpr int reserve_part = 4;
+constexpr seconds longest_reserve{40};
+
 } // namespace
 
 std::vector<std::uint32_t> list_shares(std::uint32_t first_permille) {
@@ -41,7 +45,9 @@
             left.push_back({.permille = share, .latest_start = entered});
         }
     }
-    const auto span = std::max(latest_bake_start(planned) - entered, microseconds{0});
+    const auto longest = std::max(latest_bake_start(planned) - entered, microseconds{0});
+    const auto reserve = std::min<microseconds>(longest / reserve_part, longest_reserve);
+    const auto span = longest - reserve;
     const auto steps = static_cast<std::int64_t>(left.size());
     const std::int64_t first_step = permille == 0 ? 0 : 1;
     const std::int64_t divisions = std::max<std::int64_t>(steps - 1 + first_step, 1);
--- a/src/move/plan.h
+++ b/src/move/plan.h
@@ -38,8 +38,8 @@
 /// Latest time to reach the full share so that the bake ends before the deadline.
 [[nodiscard]] instant latest_bake_start(const move& planned);
 
-/// The stages above `permille`, spread evenly over the time left from `entered` to the latest start
-/// of the bake. Empty at the full share.
+/// The stages above `permille`, spread evenly over the time from `entered` to the latest start of
+/// the bake, less a reserve for a check. Empty at the full share.
 [[nodiscard]] std::vector<stage> schedule_after(const move& planned, std::uint32_t permille,
                                                 instant entered);
 
