--- a/src/move/controller.cpp
+++ b/src/move/controller.cpp
@@ -11,15 +11,39 @@
 
 /// Largest score per second over all entries, so that a short burst takes nothing back.
 constexpr double max_total_score_per_s = 6.0;
+/// Evidence of the other sources that supports the strongest one.
+constexpr double agreement_level = 200;
+/// Slow calls are no evidence for this time after endpoints of the new version began to serve, at
+/// most once per interval.
+constexpr seconds cold_time{8};
+constexpr seconds cold_interval{60};
+/// A controller that begins takes over what its predecessors knew, in the first reports it gets.
+constexpr seconds catch_up_time{3};
+constexpr double max_catch_up_score = 50;
+/// Time that others get to report before one source's word may do for want of witnesses.
+constexpr seconds witness_time{10};
 /// Evidence above which the ramp waits.
 constexpr double suspicion_level = 20;
+/// Evidence above which no stage is entered before its latest start.
+constexpr double early_level = 3;
 /// Evidence that takes a move back when there is no time to wait.
-constexpr double late_veto_level = 100;
+constexpr double late_veto_level = 1000;
+/// Part of a veto's evidence that bears out another controller's veto: its reports may be older.
+constexpr double second_part = 0.1;
+constexpr milliseconds clock_tolerance{1000};
+/// The same after a check was called for.
+constexpr double checked_veto_level = 100;
+/// Evidence below which a check is over.
+constexpr double clear_level = 5;
 /// Evidence against earlier calls that makes the controller compare side by side.
-constexpr double check_level = 300;
+constexpr double check_level = 100;
 constexpr std::uint32_t check_permille = 500;
 constexpr std::uint32_t max_checks = 3;
 constexpr milliseconds check_time{4000};
+/// Without evidence against the new version a check ends then.
+constexpr milliseconds longest_check_time{15000};
+/// Calls on the new version that a check takes, in units of the move's min_calls.
+constexpr std::uint64_t check_calls_factor = 4;
 /// A check must be over before the deadline.
 constexpr milliseconds check_margin{8000};
 /// Shortest time in a stage that is entered before its latest start.
@@ -57,24 +81,101 @@
     return sum;
 }
 
+std::array<weighed_evidence, measure_count> make_weighed() {
+    std::array<weighed_evidence, measure_count> made;
+    const auto fresh = make_detectors();
+    for (std::size_t of = 0; of < measure_count; ++of) {
+        made.at(of) = {.all = fresh.at(of), .without_strongest = fresh.at(of)};
+    }
+    return made;
+}
+
+/// A check is made on a suspicion: as likely as not, the version is bad now.
+void begin_check(control_state& self) {
+    const auto fresh = make_detectors();
+    for (auto& [route, judged] : self.routes) {
+        for (std::size_t of = 0; of < measure_count; ++of) {
+            for (std::size_t i = 0; i < effect_count; ++i) {
+                const double start = fresh.at(of).value.at(i);
+                auto& both = judged.concurrent.at(of);
+                both.all.value.at(i) = std::max(both.all.value.at(i), start);
+                both.without_strongest.value.at(i) =
+                    std::max(both.without_strongest.value.at(i), start);
+            }
+        }
+    }
+}
+
 void note_stage(control_state& self, const attempt_record& known) {
     const std::uint32_t stage = known.granted ? known.granted->stage : 0;
     if (stage == self.stage) {
         return;
     }
+    const std::uint32_t share = known.granted ? known.granted->permille : 0;
+    if (share == check_permille && self.permille >= full_share_permille) {
+        ++self.checks;
+        begin_check(self);
+    }
     self.stage = stage;
+    self.permille = share;
     self.calls_before_stage = calls_on_new(self);
     for (auto& [route, judged] : self.routes) {
-        judged.earlier = {};
+        judged.earlier = make_weighed();
+    }
+}
+
+/// Notes when endpoints of the new version begin to serve: they are slow at first. Endpoints that
+/// come and go mute the evidence for a small part of the time only.
+void note_cold_start(control_state& self, const ready_slots& ready, instant now) {
+    const bool is_more = self.ready_on_new > 0 && ready.on_new > self.ready_on_new;
+    self.ready_on_new = ready.on_new;
+    if (is_more && now >= self.cold_since + cold_interval) {
+        self.cold_since = now;
+    }
+}
+
+void advance_both(weighed_evidence& self, effect_scores all, effect_scores others, float limit,
+                  double weight) {
+    limit_scores(all, limit);
+    limit_scores(others, limit);
+    advance(self.all, all, weight);
+    advance(self.without_strongest, others, weight);
+}
+
+route_judgement make_judgement() {
+    return {.concurrent = make_weighed(), .earlier = make_weighed()};
+}
+
+void add_table(score_table& sum, const score_table& added) {
+    for (std::size_t with = 0; with < reference_count; ++with) {
+        for (std::size_t of = 0; of < measure_count; ++of) {
+            for (std::size_t i = 0; i < effect_count; ++i) {
+                sum[with][of][i] += added[with][of][i];
+            }
+        }
     }
 }
 
+/// Each route, and all together for a fault that shows on every route a little.
+std::map<route_id, route_step> with_sum(std::map<route_id, route_step> steps) {
+    route_step sum;
+    for (const auto& [route, step] : steps) {
+        add_table(sum.all, step.all);
+        add_table(sum.without_strongest, step.without_strongest);
+        sum.has_witnesses = sum.has_witnesses || step.has_witnesses;
+    }
+    if (steps.size() > 1) {
+        steps.emplace(route_id(std::string(all_routes)), sum);
+    }
+    return steps;
+}
+
 template <class Detectors>
 worst_finding worst_of(const std::map<route_id, route_judgement>& routes, Detectors detectors) {
     worst_finding worst;
     for (const auto& [route, judged] : routes) {
         for (std::size_t of = 0; of < measure_count; ++of) {
-            const double found = level(detectors(judged).at(of));
+            const double found = agreed_level(detectors(judged).at(of), judged.has_witnesses);
             if (found > worst.level) {
                 worst = {.route = route, .what = static_cast<measure>(of), .level = found};
             }
@@ -122,7 +223,7 @@
             .detail = std::move(detail),
             .raised_by = facts.self,
             .at = whole_ms(now),
-            .is_confirmed = true};
+            .is_confirmed = facts.holds_alone};
 }
 
 veto make_evidence_veto(const control_state& self, const control_facts& facts,
@@ -147,11 +248,15 @@
     return needed <= slot_use * facts.ready.on_new;
 }
 
+double late_level(const control_state& self) {
+    return self.checks > 0 ? checked_veto_level : late_veto_level;
+}
+
 /// The deadline is here and the traffic is not on the new version.
 decision decide_overdue(const control_state& self, const control_facts& facts, instant now) {
     const std::uint32_t share = facts.known.granted ? facts.known.granted->permille : 0;
     const worst_finding worst = worst_concurrent(self);
-    if (worst.level >= late_veto_level) {
+    if (worst.level >= late_level(self)) {
         return make_evidence_veto(self, facts, worst, ", at the deadline", now);
     }
     if (!has_slots_for(self, facts, full_share_permille)) {
@@ -179,6 +284,27 @@
                      now);
 }
 
+/// Whether a side by side comparison has to go on: until it is clear, or the deadline is near.
+bool is_check_open(const control_state& self, const control_facts& facts, microseconds dwell,
+                   instant now) {
+    if (now + check_margin >= facts.planned.deadline) {
+        return false;
+    }
+    const std::uint64_t calls = calls_on_new(self) - self.calls_before_stage;
+    const bool has_calls = calls >= check_calls_factor * std::uint64_t{facts.planned.min_calls};
+    const bool is_long = dwell >= longest_check_time || (has_calls && dwell >= check_time);
+    return !is_long || worst_concurrent(self).level >= clear_level;
+}
+
+/// How long a stage that is due waits for clearer evidence.
+instant hold_until(const move& planned, instant due, double level) {
+    const instant last = latest_bake_start(planned);
+    if (level >= suspicion_level) {
+        return last;
+    }
+    return level >= early_level && due < last ? due + (last - due) / 2 : due;
+}
+
 decision decide_ramp(control_state& self, const control_facts& facts, instant now) {
     const permit granted = facts.known.granted.value_or(permit{});
     const bool is_first = !facts.known.granted;
@@ -189,28 +315,32 @@
     }
     const stage& next = left.front();
     const auto dwell = now - entered;
+    const worst_finding worst = worst_concurrent(self);
     const bool is_check = self.checks > 0 && granted.permille == check_permille;
-    if (!is_first && dwell < (is_check ? check_time : min_stage_time)) {
+    const std::uint64_t calls = calls_on_new(self);
+    if (is_check && is_check_open(self, facts, dwell, now)) {
+        self.waiting_for = "a comparison side by side";
+        return {};
+    }
+    if (!is_first && dwell < min_stage_time) {
         return {};
     }
     if (!has_slots_for(self, facts, next.permille)) {
         self.waiting_for = "ready slots of the new version";
         return {};
     }
-    const std::uint64_t calls = calls_on_new(self);
-    const worst_finding worst = worst_concurrent(self);
-    const bool is_suspicious = worst.level >= suspicion_level;
     const bool is_due = now >= next.latest_start;
     const bool is_early = calls >= self.calls_before_stage + facts.planned.min_calls &&
-                          dwell >= early_stage_time && !is_suspicious;
-    self.waiting_for = is_suspicious ? "clearer evidence" : "calls or the schedule";
+                          dwell >= early_stage_time && worst.level < early_level;
     if (!is_due && !is_early) {
+        self.waiting_for = "calls or the schedule";
         return {};
     }
-    if (is_suspicious && now < latest_bake_start(facts.planned)) {
+    if (now < hold_until(facts.planned, next.latest_start, worst.level)) {
+        self.waiting_for = "clearer evidence";
         return {};
     }
-    if (worst.level >= late_veto_level) {
+    if (worst.level >= late_level(self)) {
         return make_evidence_veto(self, facts, worst, ", no time left to gather more", now);
     }
     self.waiting_for.clear();
@@ -224,11 +354,10 @@
     const permit& granted = *facts.known.granted;
     const worst_finding earlier = worst_earlier(self);
     if (earlier.level >= check_level) {
-        if (self.checks >= max_checks) {
+        if (self.checks >= max_checks && earlier.level >= veto_level(self, facts.false_alarm_ppm)) {
             return make_evidence_veto(self, facts, earlier, ", at the full share only", now);
         }
-        if (now + check_margin < facts.planned.deadline) {
-            ++self.checks;
+        if (self.checks < max_checks && now + check_margin < facts.planned.deadline) {
             return next_permit(facts, check_permille, now);
         }
     }
@@ -237,7 +366,7 @@
     if (!is_overdue && (now < granted.at + facts.planned.bake || worst.level >= suspicion_level)) {
         return {};
     }
-    if (worst.level >= late_veto_level) {
+    if (worst.level >= late_level(self)) {
         return make_evidence_veto(self, facts, worst, ", at the deadline", now);
     }
     return finish{.reason = now < granted.at + facts.planned.bake
@@ -248,6 +377,12 @@
 
 } // namespace
 
+double agreed_level(const weighed_evidence& of, bool has_witnesses) {
+    const double all = level(of.all);
+    const double others = level(of.without_strongest);
+    return !has_witnesses || others >= agreement_level ? all : std::min(all, others);
+}
+
 worst_finding worst_concurrent(const control_state& self) {
     return worst_of(self.routes, [](const route_judgement& of) { return of.concurrent; });
 }
@@ -261,19 +396,52 @@
     self.last_step = now;
     observe_load(self, step_s);
     drop_silent_groups(self.collected, now);
+    note_cold_start(self, facts.ready, now);
+    const bool is_cold = now < self.cold_since + cold_time;
     const double weight = step_weight(self, facts.planned, step_s);
-    const auto limit = static_cast<float>(max_total_score_per_s * step_s);
-    for (auto& [route, steps] : take_steps(self.collected)) {
-        route_judgement& judged = self.routes[route];
+    const bool is_catching_up = now < self.collected.begun + catch_up_time;
+    const auto full_limit =
+        static_cast<float>(is_catching_up ? max_catch_up_score : max_total_score_per_s * step_s);
+    for (const auto& [route, step] : with_sum(take_steps(self.collected))) {
+        route_judgement& judged = self.routes.try_emplace(route, make_judgement()).first->second;
+        judged.has_witnesses = step.has_witnesses || now < self.collected.begun + witness_time;
         for (std::size_t of = 0; of < measure_count; ++of) {
-            limit_scores(steps[0][of], limit);
-            limit_scores(steps[1][of], limit);
-            advance(judged.concurrent[of], steps[0][of], weight);
-            advance(judged.earlier[of], steps[1][of], weight);
+            const bool is_muted = is_cold && of != static_cast<std::size_t>(measure::errors);
+            const float limit = is_muted ? 0 : full_limit;
+            advance_both(judged.concurrent[of], step.all[0][of], step.without_strongest[0][of],
+                         limit, weight);
+            advance_both(judged.earlier[of], step.all[1][of], step.without_strongest[1][of], limit,
+                         weight);
         }
     }
 }
 
+bool is_borne_out(const control_state& self, const control_facts& facts, const veto& heard,
+                  instant now) {
+    const move& planned = facts.planned;
+    const std::uint32_t share = facts.known.granted ? facts.known.granted->permille : 0;
+    switch (heard.reason) {
+    case msg::veto_reason::errors:
+    case msg::veto_reason::latency:
+        return worst_concurrent(self).level >=
+                   second_part * (now >= latest_bake_start(planned)
+                                      ? late_level(self)
+                                      : veto_level(self, facts.false_alarm_ppm)) ||
+               (share >= full_share_permille && self.checks >= max_checks &&
+                worst_earlier(self).level >= second_part * check_level);
+    case msg::veto_reason::operator_cancel:
+        return planned.cancel;
+    case msg::veto_reason::deadline:
+    case msg::veto_reason::no_endpoints:
+        return now + clock_tolerance >= planned.deadline && share < full_share_permille;
+    case msg::veto_reason::little_traffic:
+        return planned.on_little_traffic == little_traffic_policy::take_back &&
+               now + clock_tolerance >= latest_bake_start(planned) &&
+               calls_on_new(self) < planned.min_calls + planned.min_calls / 2;
+    }
+    return false;
+}
+
 decision decide(control_state& self, const control_facts& facts, instant now) {
     if (find_veto(facts.known) != nullptr) {
         return {};
--- a/src/move/evidence.h
+++ b/src/move/evidence.h
@@ -32,6 +32,13 @@
     std::array<double, measure_count> hits{};
 };
 
+/// Recent calls of the old version; older ones fade.
+struct recent_calls {
+    double calls = 0;
+    double errors = 0;
+    std::array<double, latency_buckets> latency{};
+};
+
 struct window {
     instant opened;
     window_counts on_new;
@@ -45,8 +52,12 @@
     window open;
     /// Scores of closed windows.
     score_table closed{};
-    /// Recent calls of the old version, older ones fading; what `earlier` compares with.
-    window_counts earlier;
+    /// What the reference `earlier` compares with.
+    recent_calls earlier;
+    /// The last few calls of the old version, for a sudden change that both versions share.
+    window_counts latest;
+    /// Calls of the old version in the open window, to be added to `earlier`.
+    recent_calls old_now;
     /// First latency bucket that counts as slow, and as very slow; none until enough calls of the
     /// old version were seen.
     std::size_t slow_from = latency_buckets;
@@ -68,20 +79,17 @@
 /// Counts one call that ended now on the new or on the old version.
 void add_sample(entry_evidence& self, const call::call_sample& sample, bool is_new, instant now);
 
-/// Closes windows that are full, or all of them when the share in force here has changed, since a
-/// window's calls must have been divided at one share.
+/// Closes windows that hold calls of both versions, or all of them when the share in force here has
+/// changed, since a window's calls must have been divided at one share.
 void close_windows(entry_evidence& self, std::uint32_t permille, instant now);
 
-/// Scores of a route, the open window included.
-[[nodiscard]] score_table total_scores(const route_record& route, instant now);
-
 /// The route on which this entry's own evidence against the new version is strongest.
 struct local_finding {
     route_id route;
     measure what = measure::errors;
     /// Of closed windows, each limited, so that a burst of errors does not suffice.
     double sustained = 0;
-    /// The open window included, not limited.
+    /// The open window included, not limited: fit for a reaction that passes, not for a verdict.
     double at_once = 0;
 };
 
--- a/src/move/topology.cpp
+++ b/src/move/topology.cpp
@@ -1,6 +1,7 @@
 #include "move/topology.h"
 
 #include "membership/duty.h"
+#include "membership/stable_hash.h"
 
 #include <algorithm>
 #include <bit>
@@ -9,20 +10,12 @@
 
 namespace {
 
-constexpr std::size_t believed_controllers = 3;
+/// Members below which one veto holds alone.
+constexpr std::size_t min_members_for_second = 3;
 constexpr std::size_t group_size = 32;
 /// Reports per shortest interval that a receiver takes without slowing the reporters down.
 constexpr std::size_t relaxed_fan_in = 16;
 
-/// FNV-1a: the same on every node and build.
-std::uint64_t stable_hash(std::string_view text) {
-    std::uint64_t hash = 0xcbf29ce484222325ULL;
-    for (const char each : text) {
-        hash = (hash ^ static_cast<unsigned char>(each)) * 0x100000001b3ULL;
-    }
-    return hash;
-}
-
 std::size_t count_groups(std::size_t members_there) {
     return std::bit_ceil((members_there + group_size - 1) / group_size);
 }
@@ -46,13 +39,14 @@
                        const move& planned) {
     topology made{.generation = members.generation};
     made.controllers = membership::duty_holders(
-        members, "move/" + key.service.value + "/" + key.name.value, believed_controllers);
+        members, "move/" + key.service.value + "/" + key.name.value, report_controllers);
     const auto live = membership::live_records(members);
     std::map<std::string, std::size_t> per_data_centre;
     for (const auto* record : live) {
         count_slots(made, *record, planned);
         ++per_data_centre[record->data_centre];
     }
+    made.live_members = live.size();
     made.fan_in = live.size();
     made.is_combined = live.size() > max_direct_reporters;
     if (!made.is_combined) {
@@ -76,7 +70,8 @@
 std::string group_name(const data_centre_id& data_centre, const node_id& reporter,
                        std::size_t members_there) {
     const std::size_t groups = count_groups(std::max<std::size_t>(members_there, 1));
-    return data_centre.value + "/" + std::to_string(stable_hash(reporter.value) % groups) + "/" +
+    return data_centre.value + "/" +
+           std::to_string(membership::stable_hash(reporter.value) % groups) + "/" +
            std::to_string(groups);
 }
 
@@ -86,6 +81,10 @@
     return std::find(self.controllers.begin(), end, node) != end;
 }
 
+bool is_too_small_for_second(const topology& self) {
+    return self.live_members < min_members_for_second;
+}
+
 milliseconds report_interval(const topology& self, std::uint32_t shortest_ms) {
     const std::size_t factor =
         std::max<std::size_t>((self.fan_in + relaxed_fan_in - 1) / relaxed_fan_in, 1);
