--- a/src/distribution/exchange.cpp
+++ b/src/distribution/exchange.cpp
@@ -141,8 +141,10 @@
 
 void answer_newer(state& self, const node_id& from, const msg::config_pull_msg& asked,
                   const step& now) {
+    // An asker that holds nothing looks like one with version 0 and has no base for a delta.
+    const bool has_base = asked.version > 0;
     for (const auto& past : self.history) {
-        if (past->version < self.held->version && has_sections_of(asked, *past)) {
+        if (has_base && past->version < self.held->version && has_sections_of(asked, *past)) {
             now.wanted.sends.push_back(send_to(now.members, from, make_delta(*past, *self.held)));
             return;
         }
--- a/src/distribution/in_force.cpp
+++ b/src/distribution/in_force.cpp
@@ -246,6 +246,14 @@
     return {lowest, nodes};
 }
 
+/// The aggregator of the data centre whose summary came last.
+node_id last_aggregator(const state& self) {
+    const auto last = std::max_element(
+        self.data_centres.begin(), self.data_centres.end(),
+        [](const auto& left, const auto& right) { return left.second.heard < right.second.heard; });
+    return last == self.data_centres.end() ? node_id{} : last->second.aggregator;
+}
+
 void note_in_force(state& self, const step& now) {
     const auto [lowest, nodes] = lowest_everywhere(self);
     if (nodes == 0) {
@@ -257,6 +265,9 @@
         }
         each.in_force = now.now;
         each.nodes = nodes;
+        if (each.slowest.empty()) {
+            each.slowest = last_aggregator(self);
+        }
         const auto took = std::chrono::duration_cast<milliseconds>(now.now - each.accepted);
         now.wanted.logs.push_back({.name = "config_in_force",
                                    .fields = {{"version", std::to_string(each.version.value)},
--- a/tests/scenarios/commands.cpp
+++ b/tests/scenarios/commands.cpp
@@ -171,6 +171,16 @@
     return written;
 }
 
+/// "delete SERVICE VERSION": a service as make_service makes it.
+store::resource_write make_delete(const words& at) {
+    const service_id name{at.at(4)};
+    store::resource_write written;
+    written.deletes = {{store::resource_kind::service, name, name.value},
+                       {store::resource_kind::route, name, "all"},
+                       {store::resource_kind::upstream_version, name, at.at(5)}};
+    return written;
+}
+
 store::change make_change(const cluster& all, const words& at) {
     const auto& kind = at.at(3);
     if (kind == "service") {
@@ -183,11 +193,7 @@
         return make_move(all, at);
     }
     if (kind == "delete") {
-        store::resource_write written;
-        written.deletes.push_back({.kind = store::resource_kind::service,
-                                   .service = service_id{at.at(4)},
-                                   .name = at.at(4)});
-        return written;
+        return make_delete(at);
     }
     throw std::invalid_argument("no resource is called \"" + kind + "\"");
 }
@@ -314,6 +320,44 @@
               << "\n";
 }
 
+double seconds_since(instant from, instant to) {
+    return std::chrono::duration<double>(to - from).count();
+}
+
+void print_percentiles(const std::string& name, std::vector<double> times) {
+    std::sort(times.begin(), times.end());
+    if (!times.empty()) {
+        std::cout << " " << name << "_p50_s=" << times[times.size() / 2] << " " << name
+                  << "_p99_s=" << times[times.size() * 99 / 100] << " " << name
+                  << "_max_s=" << times.back();
+    }
+}
+
+/// "report_version V": when nodes held it and knew it in force, since the counters were reset.
+void report_version(cluster& all, const words& at) {
+    std::vector<double> held;
+    std::vector<double> in_force;
+    for (const auto& each : all.hosts) {
+        if (!each.process) {
+            continue;
+        }
+        for (const auto& progress : each.process->spread.progress) {
+            if (progress.version.value != number(at.at(1))) {
+                continue;
+            }
+            held.push_back(seconds_since(all.counted_from, progress.accepted));
+            if (progress.in_force != instant{}) {
+                in_force.push_back(seconds_since(all.counted_from, progress.in_force));
+            }
+        }
+    }
+    std::cout << "version=" << at.at(1) << " held_on=" << held.size();
+    print_percentiles("held", held);
+    std::cout << " known_in_force_on=" << in_force.size();
+    print_percentiles("in_force", in_force);
+    std::cout << "\n";
+}
+
 const std::map<std::string, handler>& handlers() {
     static const std::map<std::string, handler> known{
         {"nodes", add_nodes},
@@ -338,6 +382,13 @@
         {"calls", set_calls},
         {"reset_counters", reset_counters},
         {"report", report},
+        {"report_version", report_version},
+        {"report_replies",
+         [](cluster& all, const words& /*at*/) {
+             for (const auto& [operation, outcome] : all.replies) {
+                 std::cout << "operation=" << operation << " outcome=" << outcome << "\n";
+             }
+         }},
     };
     return known;
 }
