distribution: refuse a version for its digest only on the answer to a pull; test both libraries

RapidCheck found a fleet that did not converge in 10 s: two pushed deltas that started below what a node held, and missed a change that had been taken back, counted as proof against a good version, which was then not asked for during 30 s. Only deltas that answer this node's own pull count now. A joining node with a single contact no longer asks it twice for the first page.

--- a/src/distribution/exchange.cpp
+++ b/src/distribution/exchange.cpp
@@ -94,9 +94,10 @@
     self.pull.not_before = now.now + refused_pause + jitter(now.random, retry_jitter);
 }
 
-/// A delta did not lead to its digest: the base differs, or the sender is wrong.
-void on_mismatch(state& self, config_version version, const digest_id& digest, const node_id& from,
-                 const step& now) {
+/// A delta that answers a pull, and so was made from exactly what is held, did not lead to its
+/// digest: the sender is wrong. Refuses the version when that happens again.
+void count_mismatch(state& self, config_version version, const digest_id& digest,
+                    const node_id& from, const step& now) {
     const auto known =
         std::find_if(self.refused.begin(), self.refused.end(), [&](const refused_version& each) {
             return each.version == version && each.digest == digest && each.mismatches > 0;
@@ -104,16 +105,17 @@
     if (known == self.refused.end()) {
         self.refused.push_back(
             {.version = version, .digest = digest, .at = now.now, .mismatches = 1});
-    } else if (++known->mismatches >= mismatch_limit) {
-        self.refused.erase(known);
-        refuse_from(self, version, digest,
-                    {{.path = "digest",
-                      .problem = "the changes do not lead to the stated digest " + digest.value,
-                      .remedy = "compare the configurations of the members that push it"}},
-                    from, now);
         return;
     }
-    note_newest(self, from, version, digest, now);
+    if (++known->mismatches < mismatch_limit) {
+        return;
+    }
+    self.refused.erase(known);
+    refuse_from(self, version, digest,
+                {{.path = "digest",
+                  .problem = "the changes do not lead to the stated digest " + digest.value,
+                  .remedy = "compare the configurations of the members that push it"}},
+                from, now);
 }
 
 /// Counts a whole configuration that is about to be sent; false when there are too many.
@@ -232,6 +234,7 @@
               const step& now) {
     const config_version version{delta.version};
     const digest_id digest{delta.digest};
+    const bool is_answer = self.pull.is_in_flight && self.pull.target == from;
     end_pull(self, from);
     if (self.held && compare_held(self, from, version, delta.digest, now)) {
         return;
@@ -248,7 +251,11 @@
         adopt(self, *built, from, now);
         note_compared(self, from);
     } else {
-        on_mismatch(self, version, digest, from, now);
+        // A pushed delta may start below what is held and miss a change that was taken back.
+        if (is_answer && delta.base_version == self.held->version.value) {
+            count_mismatch(self, version, digest, from, now);
+        }
+        note_newest(self, from, version, digest, now);
     }
 }
 
--- a/src/membership/joiner.cpp
+++ b/src/membership/joiner.cpp
@@ -66,7 +66,8 @@
     }
     sync.retry_at = now + page_timeout + jitter(page_jitter_ms, random);
     const bool is_opening = sync.after.empty();
-    for (int i = 0; i < (is_opening ? opening_requests : 1); ++i) {
+    const bool has_choice = state.contacts.size() > 1 || !state.members.empty();
+    for (int i = 0; i < (is_opening && has_choice ? opening_requests : 1); ++i) {
         request_page(state, is_opening && i == 0, random, sends);
     }
 }
--- /dev/null
+++ b/tests/membership/membership_test.cpp
@@ -0,0 +1,269 @@
+#include "membership/duty.h"
+#include "membership/membership.h"
+#include "membership/record_merge.h"
+#include "membership/stable_hash.h"
+#include "membership/updates.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <set>
+
+namespace cyclamenhatch::membership {
+namespace {
+
+using msg::liveness;
+
+constexpr milliseconds tick{100};
+const instant start = from_unix_ms(1'000'000);
+
+msg::member_record_msg make_record(const std::string& node, std::uint64_t incarnation = 5,
+                                   liveness state = liveness::alive) {
+    msg::member_record_msg record;
+    record.node = node;
+    record.data_centre = "milan";
+    record.ip = node;
+    record.link_port = 7400;
+    record.incarnation = incarnation;
+    record.state = state;
+    return record;
+}
+
+/// A joined table of "self" and members m0, m1, ...
+table make_joined(int members) {
+    auto state = make_table({}, make_record("self"), {}, start);
+    state.sync = {};
+    state.has_joined = true;
+    for (int i = 0; i < members; ++i) {
+        merge_record(state, make_record("m" + std::to_string(i)), record_source::page, start);
+    }
+    state.updates.clear();
+    return state;
+}
+
+incoming push_from(const std::string& node, const msg::member_record_msg& record) {
+    msg::probe_ack_msg push;
+    push.updates.push_back(std::make_unique<msg::member_record_msg>(record));
+    return {node_id{node}, std::move(push)};
+}
+
+/// Ticks until `end`; all messages sent are lost.
+instant tick_until(table& state, instant now, instant end, random_source& random) {
+    for (; now < end; now += tick) {
+        (void)on_tick(state, now, random);
+    }
+    return now;
+}
+
+struct merge_row {
+    const char* name;
+    std::uint64_t held_incarnation;
+    liveness held;
+    std::uint64_t told_incarnation;
+    liveness told;
+    std::uint64_t incarnation;
+    liveness state;
+};
+
+class merging : public testing::TestWithParam<merge_row> {};
+
+TEST_P(merging, keeps_the_newer_claim) {
+    const auto& row = GetParam();
+    auto state = make_joined(0);
+    merge_record(state, make_record("m", row.held_incarnation, row.held), record_source::update,
+                 start);
+    merge_record(state, make_record("m", row.told_incarnation, row.told), record_source::update,
+                 start);
+    EXPECT_EQ(state.members.at(node_id{"m"}).record.incarnation, row.incarnation);
+    EXPECT_EQ(state.members.at(node_id{"m"}).record.state, row.state);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, merging,
+    testing::Values(
+        merge_row{"stale_suspicion", 5, liveness::alive, 4, liveness::suspect, 5, liveness::alive},
+        merge_row{"stale_departure", 5, liveness::alive, 4, liveness::left, 5, liveness::alive},
+        merge_row{"suspicion", 5, liveness::alive, 5, liveness::suspect, 5, liveness::suspect},
+        merge_row{"refutation", 5, liveness::suspect, 6, liveness::alive, 6, liveness::alive},
+        merge_row{"no_refutation", 5, liveness::suspect, 5, liveness::alive, 5, liveness::suspect},
+        merge_row{"death", 5, liveness::suspect, 5, liveness::dead, 5, liveness::dead},
+        merge_row{"unsuspected_death", 5, liveness::alive, 5, liveness::dead, 5, liveness::suspect},
+        merge_row{"later_death", 5, liveness::alive, 6, liveness::dead, 6, liveness::suspect},
+        merge_row{"tombstone", 5, liveness::dead, 5, liveness::alive, 5, liveness::dead},
+        merge_row{"old_tombstone", 5, liveness::left, 4, liveness::alive, 5, liveness::left},
+        merge_row{"restart", 5, liveness::dead, 9, liveness::alive, 9, liveness::alive},
+        merge_row{"leave", 5, liveness::alive, 6, liveness::left, 6, liveness::left}),
+    [](const auto& row) { return row.param.name; });
+
+TEST(membership, refutes_false_claims_about_itself) {
+    for (const auto claimed : {liveness::suspect, liveness::dead, liveness::left}) {
+        auto state = make_joined(1);
+        random_source random(1);
+        (void)on_message(state, push_from("m0", make_record("self", 5, claimed)), start, random);
+        EXPECT_EQ(state.self.incarnation, 6U);
+        EXPECT_EQ(state.self.state, liveness::alive);
+        ASSERT_EQ(state.updates.size(), 1U);
+        EXPECT_EQ(state.updates.front().about, node_id{"self"});
+    }
+}
+
+TEST(membership, replaces_the_address_of_a_member_that_moved) {
+    auto state = make_joined(1);
+    auto moved = make_record("m0", 6);
+    moved.ip = "elsewhere";
+    merge_record(state, moved, record_source::update, start);
+    EXPECT_EQ(link_address(*find_record(state, node_id{"m0"})).ip, "elsewhere");
+}
+
+TEST(membership, suspects_before_it_buries) {
+    auto state = make_joined(1);
+    random_source random(1);
+    const auto& silent = state.members.at(node_id{"m0"}).record;
+    auto now = tick_until(state, start, start + milliseconds{1500}, random);
+    EXPECT_EQ(silent.state, liveness::suspect);
+    now = tick_until(state, now, start + milliseconds{3900}, random);
+    EXPECT_EQ(silent.state, liveness::suspect);
+    tick_until(state, now, start + milliseconds{4500}, random);
+    EXPECT_EQ(silent.state, liveness::dead);
+}
+
+TEST(membership, asks_others_before_it_suspects) {
+    auto state = make_joined(4);
+    random_source random(1);
+    std::set<std::string> asked;
+    for (auto now = start; now <= start + milliseconds{400}; now += tick) {
+        for (const auto& each : on_tick(state, now, random)) {
+            const auto* probe = std::get_if<msg::probe_msg>(&each.message);
+            if (probe != nullptr && !probe->target.empty()) {
+                asked.insert(probe->target);
+                // The helper's answer for the target ends the probe.
+                msg::probe_ack_msg answer;
+                answer.sequence = probe->sequence;
+                answer.target = probe->target;
+                (void)on_message(state, {each.to, std::move(answer)}, now, random);
+            }
+        }
+    }
+    EXPECT_EQ(asked.size(), 1U);
+    EXPECT_TRUE(state.probes.empty());
+    for (const auto* record : live_records(state)) {
+        EXPECT_EQ(record->state, liveness::alive);
+    }
+}
+
+TEST(membership, forgets_tombstones_in_time) {
+    auto state = make_joined(1);
+    random_source random(1);
+    const auto left = make_record("m0", 6, liveness::left);
+    merge_record(state, left, record_source::update, start);
+    const seconds kept{state.settings.tombstone_s};
+    auto now = tick_until(state, start, start + kept - seconds{1}, random);
+    merge_record(state, make_record("m0"), record_source::page, now);
+    EXPECT_EQ(live_records(state).size(), 1U);
+    tick_until(state, now, start + kept + seconds{1}, random);
+    EXPECT_FALSE(state.members.contains(node_id{"m0"}));
+}
+
+TEST(membership, blames_nobody_for_its_own_pause) {
+    auto state = make_joined(3);
+    random_source random(1);
+    auto now = tick_until(state, start, start + milliseconds{400}, random);
+    (void)on_tick(state, now + seconds{60}, random);
+    EXPECT_EQ(state.pauses, 1U);
+    EXPECT_EQ(state.self.incarnation, 6U);
+    EXPECT_FALSE(state.has_joined);
+    for (const auto* record : live_records(state)) {
+        EXPECT_EQ(record->state, liveness::alive);
+    }
+}
+
+TEST(membership, says_nothing_after_it_has_left_but_answers) {
+    auto state = make_joined(3);
+    random_source random(1);
+    EXPECT_EQ(leave(state, start, random).size(), 3U);
+    EXPECT_TRUE(on_tick(state, start + tick, random).empty());
+    const auto answers = on_message(state, {node_id{"m0"}, msg::probe_msg{}}, start + tick, random);
+    EXPECT_EQ(answers.size(), 1U);
+}
+
+TEST(membership, reads_a_large_table_page_by_page) {
+    auto contact = make_joined(200);
+    auto state = make_table({}, make_record("new"), {{"self", 7400}}, start);
+    random_source random(1);
+    auto sends = on_tick(state, start, random);
+    std::size_t pages = 0;
+    for (int rounds = 0; rounds < 10 && !state.has_joined; ++rounds) {
+        std::vector<outgoing> next;
+        for (const auto& each : sends) {
+            if (!std::holds_alternative<msg::member_sync_msg>(each.message)) {
+                continue;
+            }
+            for (auto& page : on_message(contact, {node_id{"new"}, each.message}, start, random)) {
+                ++pages;
+                EXPECT_LE(std::get<msg::member_page_msg>(page.message).records.size(), 64U);
+                auto more = on_message(state, {node_id{"self"}, page.message}, start, random);
+                std::move(more.begin(), more.end(), std::back_inserter(next));
+            }
+        }
+        sends = std::move(next);
+    }
+    EXPECT_TRUE(state.has_joined);
+    EXPECT_EQ(live_records(state).size(), 202U);
+    EXPECT_EQ(pages, 4U);
+}
+
+TEST(membership, joins_alone_when_nobody_answers) {
+    auto state = make_table({}, make_record("self"), {{"gone", 7400}}, start);
+    random_source random(1);
+    tick_until(state, start, start + milliseconds{1900}, random);
+    EXPECT_FALSE(state.has_joined);
+    tick_until(state, start + milliseconds{1900}, start + milliseconds{2200}, random);
+    EXPECT_TRUE(state.has_joined);
+}
+
+RC_GTEST_PROP(membership_property, the_order_of_updates_does_not_matter_for_what_is_newest, ()) {
+    const auto count = *rc::gen::inRange(1, 12);
+    auto state = make_joined(0);
+    std::uint64_t highest = 0;
+    for (int i = 0; i < count; ++i) {
+        const auto incarnation = *rc::gen::inRange<std::uint64_t>(1, 5);
+        const auto claim = static_cast<liveness>(*rc::gen::inRange(0, 4));
+        const auto before = find_record(state, node_id{"m"});
+        const auto held = before == nullptr ? 0 : before->incarnation;
+        merge_record(state, make_record("m", incarnation, claim), record_source::update, start);
+        highest = std::max(highest, incarnation);
+        RC_ASSERT(find_record(state, node_id{"m"})->incarnation >= held);
+    }
+    RC_ASSERT(find_record(state, node_id{"m"})->incarnation == highest);
+}
+
+RC_GTEST_PROP(membership_property, messages_stay_bounded_and_updates_end, ()) {
+    auto state = make_joined(*rc::gen::inRange(1, 60));
+    random_source random(*rc::gen::arbitrary<std::uint32_t>());
+    for (const auto& [node, each] : state.members) {
+        queue_update(state, node);
+    }
+    const auto limit = state.settings.updates_per_message;
+    for (int sent = 0; sent < 500 && !state.updates.empty(); ++sent) {
+        RC_ASSERT(take_updates(state, node_id{"nobody"}).size() <= limit);
+    }
+    RC_ASSERT(state.updates.empty());
+}
+
+RC_GTEST_PROP(duty_property, moves_only_from_the_member_that_departs, ()) {
+    auto state = make_joined(*rc::gen::inRange(3, 30));
+    const auto before = duty_holders(state, "watch", 3);
+    const auto gone = "m" + std::to_string(*rc::gen::inRange<std::size_t>(0, state.members.size()));
+    merge_record(state, make_record(gone, 9, liveness::left), record_source::update, start);
+    const auto after = duty_holders(state, "watch", 3);
+    for (const auto& each : before) {
+        RC_ASSERT(each.value == gone || std::find(after.begin(), after.end(), each) != after.end());
+    }
+}
+
+TEST(duty, ranks_are_the_same_in_every_build) {
+    EXPECT_EQ(stable_hash("m0", stable_hash("watch")), 2466923926886050970ULL);
+}
+
+} // namespace
+} // namespace cyclamenhatch::membership
