--- a/tests/scenarios/checks.cpp
+++ b/tests/scenarios/checks.cpp
@@ -153,6 +153,14 @@
              return compare(membership::live_records(node.process->members).size(),
                             number(at.at(1)));
          }},
+        {"alive",
+         [](const cluster&, const host& node, const words& at) {
+             const auto records = membership::live_records(node.process->members);
+             const auto alive = std::count_if(records.begin(), records.end(), [](const auto* each) {
+                 return each->state == msg::liveness::alive;
+             });
+             return compare(static_cast<std::uint64_t>(alive), number(at.at(1)));
+         }},
         {"pauses",
          [](const cluster&, const host& node, const words& at) {
              return compare(node.process->members.pauses, number(at.at(1)));
@@ -206,6 +214,10 @@
          [](const cluster& all, const words& at) {
              return at_most(std::max(all.most_writes, all.writes), at.at(1));
          }},
+        {"snapshots_at_most",
+         [](const cluster& all, const words& at) {
+             return at_most(all.net.most_snapshots, at.at(1));
+         }},
         {"watches",
          [](const cluster& all, const words& at) {
              return compare(all.store.watches.size(), number(at.at(1)));
--- a/tests/scenarios/cluster.cpp
+++ b/tests/scenarios/cluster.cpp
@@ -134,7 +134,9 @@
         const auto shares = moves::shares(self.moves, all.now);
         const auto share = shares.find(load.service);
         std::vector<call::call_sample> samples;
-        const auto count = static_cast<int>(load.calls_per_s / ticks_per_s);
+        // Rounded at random, so that less than one call a tick comes out right on average.
+        const auto fraction = static_cast<double>(all.random() % 1000) / 1000;
+        const auto count = static_cast<int>(load.calls_per_s / ticks_per_s + fraction);
         for (int i = 0; i < count && !part.routes.empty(); ++i) {
             const bool is_new =
                 share != shares.end() && all.random() % 1000 < share->second.permille;
@@ -169,6 +171,7 @@
 void count_store_second(cluster& all) {
     all.most_reads = std::max(all.most_reads, std::exchange(all.reads, 0));
     all.most_writes = std::max(all.most_writes, std::exchange(all.writes, 0));
+    std::fill(all.net.snapshots.begin(), all.net.snapshots.end(), 0);
 }
 
 void add_matching(const cluster& all, const std::string& item, std::vector<std::size_t>& found) {
@@ -219,6 +222,7 @@
     all.by_name[name] = index;
     all.net.places.push_back(place);
     all.net.bytes_sent.push_back(0);
+    all.net.snapshots.push_back(0);
 }
 
 void start_process(cluster& all, std::size_t index) {
--- a/tests/scenarios/commands.cpp
+++ b/tests/scenarios/commands.cpp
@@ -371,6 +371,10 @@
         {"leave", for_hosts(leave_cluster)},
         {"cut", cut},
         {"silent", silence},
+        {"block",
+         [](cluster& all, const words& at) {
+             all.net.blocked_kinds.insert(std::next(at.begin()), at.end());
+         }},
         {"heal", [](cluster& all, const words& /*at*/) { all.net.cuts.clear(); }},
         {"loss",
          [](cluster& all, const words& at) { all.net.loss_permille = number(at.at(1)) * 10; }},
--- a/tests/scenarios/network.cpp
+++ b/tests/scenarios/network.cpp
@@ -34,7 +34,12 @@
           random_source& random) {
     ++net.messages;
     net.bytes_sent[from] += encode_envelope(message.from, message.message).size() + frame_bytes;
-    if (net.cuts.contains({from, to}) || is_silent(net, from, to, now) ||
+    const auto* whole = std::get_if<msg::config_snapshot_msg>(&message.message);
+    if (whole != nullptr && !whole->sections.empty()) {
+        net.most_snapshots = std::max(net.most_snapshots, ++net.snapshots[from]);
+    }
+    if (net.blocked_kinds.contains(std::string(kind_name(message.message))) ||
+        net.cuts.contains({from, to}) || is_silent(net, from, to, now) ||
         random() % 1000 < net.loss_permille) {
         return;
     }
--- a/tests/scenarios/network.h
+++ b/tests/scenarios/network.h
@@ -44,7 +44,12 @@
     /// A heap, the earliest first.
     std::vector<delivery> in_flight;
     std::uint64_t next_order = 1;
+    /// Kinds of messages that are dropped, to see what a mechanism is good for.
+    std::set<std::string> blocked_kinds;
     std::uint64_t messages = 0;
+    /// Whole configurations sent by each node in the present second, and the most in any one.
+    std::vector<std::size_t> snapshots;
+    std::size_t most_snapshots = 0;
     std::vector<std::uint64_t> bytes_sent;
 };
 
--- a/tests/scenarios/script.cpp
+++ b/tests/scenarios/script.cpp
@@ -44,6 +44,25 @@
             .command = tail(line, 5)};
 }
 
+void read_line(script& read, const std::string& line, int number) {
+    const auto found = split(line);
+    if (found.empty()) {
+        return;
+    }
+    try {
+        auto step = read_step(found);
+        step.line = number;
+        if (step.command.front() == "seed") {
+            read.seed = std::stoull(step.command.at(1));
+            return;
+        }
+        read.length = std::max(read.length, step.to + milliseconds{100});
+        read.steps.push_back(std::move(step));
+    } catch (const std::exception& wrong) {
+        read.errors.push_back("line " + std::to_string(number) + ": " + wrong.what());
+    }
+}
+
 } // namespace
 
 milliseconds read_duration(const std::string& text) {
@@ -57,28 +76,19 @@
     return milliseconds{static_cast<std::int64_t>(number * factor)};
 }
 
-script read_script(const std::string& path) {
+script read_script(const std::string& path, const std::string& extra) {
     script read;
     std::ifstream file(path);
+    if (!file) {
+        read.errors.push_back("there is no such file");
+    }
+    std::istringstream before(extra);
+    for (std::string line; std::getline(before, line, ';');) {
+        read_line(read, line, 0);
+    }
     int number = 0;
     for (std::string line; std::getline(file, line);) {
-        ++number;
-        const auto found = split(line);
-        if (found.empty()) {
-            continue;
-        }
-        try {
-            auto step = read_step(found);
-            step.line = number;
-            if (step.command.front() == "seed") {
-                read.seed = std::stoull(step.command.at(1));
-                continue;
-            }
-            read.length = std::max(read.length, step.to + milliseconds{100});
-            read.steps.push_back(std::move(step));
-        } catch (const std::exception& wrong) {
-            read.errors.push_back("line " + std::to_string(number) + ": " + wrong.what());
-        }
+        read_line(read, line, ++number);
     }
     return read;
 }
--- a/tests/scenarios/script.h
+++ b/tests/scenarios/script.h
@@ -41,7 +41,8 @@
     std::vector<std::string> errors;
 };
 
-[[nodiscard]] script read_script(const std::string& path);
+/// Reads a file; `extra` is a set-up command that is put before its first line.
+[[nodiscard]] script read_script(const std::string& path, const std::string& extra = {});
 
 /// "250ms", "3s" or "2m"; throws std::invalid_argument for anything else.
 [[nodiscard]] milliseconds read_duration(const std::string& text);
