store: test the writer against faults of the store

A failed comparison is proof that nothing was written, so it is no longer read back as unresolved; a write after a restored backup was reported as unknown before.

--- a/src/store/config_writer.cpp
+++ b/src/store/config_writer.cpp
@@ -318,8 +318,6 @@
             on_swapped(run, done->revision);
             return;
         }
-        // The transport may have sent the transaction twice, so the head is read back here too.
-        mark_unresolved(writer);
         note_lost_race(run);
     }
 }
--- /dev/null
+++ b/tests/store/store_world.h
@@ -0,0 +1,197 @@
+#pragma once
+
+#include "store/config_writer.h"
+#include "store/contacts.h"
+#include "store/head_codec.h"
+#include "store/head_reader.h"
+#include "support/fake_store.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+/// Nodes that use one in-memory store, in virtual time.
+namespace cyclamenhatch::store {
+
+inline const std::string test_prefix = "/test/";
+
+struct test_node {
+    std::string name;
+    config_writer writer;
+    head_reader reader;
+    contact_keeper keeper;
+    bool has_contact_duty = false;
+    bool needs_contacts = false;
+    std::vector<write_reply> replies;
+    std::vector<snapshot_ptr> found;
+    std::vector<config_version> rejected;
+    std::vector<peer_address> contacts;
+    /// Heads that were read and found to be no news.
+    int currents = 0;
+};
+
+struct store_world {
+    fakes::fake_store store;
+    instant now = from_unix_ms(1'800'000'000'000);
+    random_source random{20261204};
+    std::vector<test_node> nodes;
+};
+
+inline test_node make_test_node(const std::string& name, instant now) {
+    test_node node;
+    node.name = name;
+    node.writer = make_config_writer({.prefix = test_prefix}, now);
+    node.reader = make_head_reader(test_prefix, 5, now);
+    node.keeper = make_contact_keeper(test_prefix, name, {"10.0.0.1", 7400}, 30, now);
+    return node;
+}
+
+inline store_world make_world(std::size_t nodes) {
+    store_world world;
+    for (std::size_t i = 0; i < nodes; ++i) {
+        world.nodes.push_back(make_test_node("n" + std::to_string(i), world.now));
+    }
+    return world;
+}
+
+inline void carry_out(store_world& world, test_node& node, writer_actions actions) {
+    for (const auto& each : actions.requests) {
+        fakes::send(world.store, node.name, each, world.now);
+    }
+    std::move(actions.replies.begin(), actions.replies.end(), std::back_inserter(node.replies));
+}
+
+inline void carry_out(store_world& world, test_node& node, reader_actions actions) {
+    for (const auto& each : actions.requests) {
+        fakes::send(world.store, node.name, each, world.now);
+    }
+    if (actions.found) {
+        node.found.push_back(actions.found);
+        on_held(node.reader, actions.found);
+        on_newer(node.writer, actions.found);
+    }
+    if (!actions.rejected_for.empty()) {
+        node.rejected.push_back(actions.rejected);
+    }
+    node.currents += actions.is_current ? 1 : 0;
+}
+
+inline void carry_out(store_world& world, test_node& node, contact_actions actions) {
+    for (const auto& each : actions.requests) {
+        fakes::send(world.store, node.name, each, world.now);
+    }
+    std::move(actions.found.begin(), actions.found.end(), std::back_inserter(node.contacts));
+}
+
+inline void deliver(store_world& world, test_node& node, const kv_response& response) {
+    writer_actions written;
+    reader_actions read;
+    contact_actions contact;
+    const bool is_taken = on_response(node.writer, response, world.now, world.random, written) ||
+                          on_response(node.reader, response, world.now, world.random, read) ||
+                          on_response(node.keeper, response, world.now, world.random, contact);
+    if (is_taken) {
+        carry_out(world, node, std::move(written));
+        carry_out(world, node, std::move(read));
+        carry_out(world, node, std::move(contact));
+    }
+}
+
+inline void tick(store_world& world, test_node& node) {
+    writer_actions written;
+    on_tick(node.writer, world.now, world.random, written);
+    carry_out(world, node, std::move(written));
+    reader_actions read;
+    on_tick(node.reader, world.now, world.random, read);
+    carry_out(world, node, std::move(read));
+    contact_actions contact;
+    on_tick(node.keeper, node.has_contact_duty, node.needs_contacts, world.now, world.random,
+            contact);
+    carry_out(world, node, std::move(contact));
+}
+
+/// Lets time pass: answers every millisecond, ticks every 100 ms.
+inline void run(store_world& world, milliseconds time) {
+    const instant end = world.now + time;
+    while (world.now < end) {
+        world.now += milliseconds{1};
+        for (const auto& each : fakes::advance(world.store, world.now)) {
+            for (auto& node : world.nodes) {
+                if (node.name == each.client) {
+                    deliver(world, node, each.response);
+                }
+            }
+        }
+        if (to_unix_ms(world.now) % 100 == 0) {
+            for (auto& node : world.nodes) {
+                tick(world, node);
+            }
+        }
+    }
+}
+
+inline void submit(store_world& world, std::size_t node, const std::string& operation,
+                   change wanted, milliseconds limit = milliseconds{5000}) {
+    writer_actions actions;
+    submit(world.nodes[node].writer,
+           {operation_id{operation}, std::move(wanted), world.now + limit}, world.now, world.random,
+           actions);
+    carry_out(world, world.nodes[node], std::move(actions));
+}
+
+inline resource_write make_service_write(const std::string& name) {
+    resource_write wanted;
+    wanted.services.push_back(
+        {.name = service_id{name}, .owner = owner_id{"shops"}, .version = version_id{"v1"}});
+    wanted.versions.push_back({.name = version_id{"v1"}, .service = service_id{name}});
+    return wanted;
+}
+
+/// Adds an upstream version that must be absent, so that a second run would be refused.
+inline resource_write make_version_write(const std::string& service, const std::string& name) {
+    resource_write wanted;
+    wanted.versions.push_back({.name = version_id{name}, .service = service_id{service}});
+    wanted.preconditions.push_back(
+        {{resource_kind::upstream_version, service_id{service}, name}, std::nullopt});
+    return wanted;
+}
+
+/// "accepted", "invalid", "conflict", "not_run", "unknown", or "none".
+inline std::string outcome_of(const test_node& node, const std::string& operation) {
+    for (const auto& each : node.replies) {
+        if (each.operation.value != operation) {
+            continue;
+        }
+        if (const auto* refused = std::get_if<change_refused>(&each.outcome)) {
+            return refused->kind == refusal_kind::invalid ? "invalid" : "conflict";
+        }
+        if (std::holds_alternative<write_not_run>(each.outcome)) {
+            return "not_run";
+        }
+        return std::holds_alternative<write_accepted>(each.outcome) ? "accepted" : "unknown";
+    }
+    return "none";
+}
+
+/// Every head that the store ever held, oldest first.
+inline std::vector<stored_head> list_heads(const fakes::fake_store& store) {
+    std::vector<stored_head> heads;
+    for (const auto& each : store.history) {
+        if (each.entry.key == head_key(test_prefix) && !each.is_delete) {
+            heads.push_back(std::get<stored_head>(decode_head(each.entry.value)));
+        }
+    }
+    return heads;
+}
+
+/// How many heads carried the operation.
+inline std::ptrdiff_t count_runs(const fakes::fake_store& store, const std::string& operation) {
+    std::ptrdiff_t runs = 0;
+    for (const auto& head : list_heads(store)) {
+        runs += std::count(head.operations.begin(), head.operations.end(), operation_id{operation});
+    }
+    return runs;
+}
+
+} // namespace cyclamenhatch::store
