--- /dev/null
+++ b/tests/store/head_reader_test.cpp
@@ -0,0 +1,220 @@
+#include "store_world.h"
+
+#include <functional>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace cyclamenhatch::store {
+namespace {
+
+constexpr std::size_t writing_node = 1;
+
+/// A world in which the first node watches and the second has written version 1.
+store_world make_watched_world() {
+    auto world = make_world(2);
+    submit(world, writing_node, "first", make_service_write("layouts"));
+    run(world, milliseconds{200});
+    reader_actions actions;
+    set_watching(world.nodes[0].reader, true, world.now, actions);
+    carry_out(world, world.nodes[0], std::move(actions));
+    run(world, milliseconds{200});
+    return world;
+}
+
+/// What goes wrong with the watch, and how soon a version written right after it must be found.
+struct reader_row {
+    const char* name;
+    std::function<void(store_world&)> fault;
+    std::function<void(store_world&)> later;
+    milliseconds found_within;
+};
+
+class reader_fault : public testing::TestWithParam<reader_row> {};
+
+TEST_P(reader_fault, is_overcome) {
+    auto world = make_watched_world();
+    ASSERT_EQ(world.nodes[0].found.back()->version.value, 1U);
+    GetParam().fault(world);
+    submit(world, writing_node, "op", make_version_write("layouts", "v2"));
+    run(world, milliseconds{500});
+    GetParam().later(world);
+    run(world, GetParam().found_within);
+    EXPECT_EQ(world.nodes[0].found.back()->version.value, 2U);
+    EXPECT_TRUE(world.nodes[0].reader.is_watching);
+    EXPECT_FALSE(world.nodes[0].reader.is_store_down);
+    EXPECT_EQ(world.nodes[0].found.back()->sections.begin()->second->content.versions.size(), 2U);
+}
+
+void nothing(store_world& /*world*/) {}
+void close_watches(store_world& world) {
+    fakes::close_watches(world.store, world.now);
+}
+
+/// The watch is closed, and what it missed is forgotten by the store.
+void close_and_compact(store_world& world) {
+    world.store.faults.request_delay = milliseconds{50};
+    submit(world, writing_node, "before", make_version_write("layouts", "v3"));
+    close_watches(world);
+    run(world, milliseconds{60});
+    fakes::compact(world.store);
+    world.store.faults = {};
+}
+
+/// The connection of the watch goes silent while others work.
+void silence_watch(store_world& world) {
+    world.store.watches.clear();
+}
+
+void go_down(store_world& world) {
+    fakes::set_down(world.store, true, world.now);
+    run(world, milliseconds{3000});
+    EXPECT_TRUE(world.nodes[0].reader.is_store_down);
+    fakes::set_down(world.store, false, world.now);
+}
+
+void lose_answers(store_world& world) {
+    world.store.faults.loses_answers = true;
+}
+void heal(store_world& world) {
+    world.store.faults = {};
+}
+
+const std::vector<reader_row> reader_faults = {
+    {"no_fault", nothing, nothing, milliseconds{1}},
+    {"watch_closed", close_watches, nothing, milliseconds{500}},
+    {"watch_silent", silence_watch, nothing, milliseconds{13'000}},
+    {"store_down_for_a_while", go_down, nothing, milliseconds{4000}},
+    {"section_read_lost", lose_answers, heal, milliseconds{3000}},
+};
+
+INSTANTIATE_TEST_SUITE_P(table, reader_fault, testing::ValuesIn(reader_faults),
+                         [](const auto& each) { return std::string(each.param.name); });
+
+TEST(head_reader, reads_again_after_compaction) {
+    auto world = make_watched_world();
+    close_and_compact(world);
+    submit(world, writing_node, "op", make_version_write("layouts", "v2"));
+    run(world, milliseconds{2000});
+    EXPECT_EQ(world.nodes[0].found.back()->version.value, 3U);
+    EXPECT_TRUE(world.nodes[0].reader.is_watching);
+}
+
+/// Sections are deleted by a newer head between the reads of the head and of its sections.
+TEST(head_reader, reads_the_head_again_when_its_sections_were_replaced) {
+    auto world = make_world(2);
+    submit(world, writing_node, "first", make_service_write("layouts"));
+    run(world, milliseconds{200});
+    reader_actions actions;
+    refresh(world.nodes[0].reader, world.now, actions);
+    carry_out(world, world.nodes[0], std::move(actions));
+    submit(world, writing_node, "op", make_version_write("layouts", "v2"));
+    // The read of the head arrives with the swap, the read of the section after it.
+    run(world, milliseconds{1000});
+    ASSERT_FALSE(world.nodes[0].found.empty());
+    EXPECT_EQ(world.nodes[0].found.back()->version.value, 2U);
+}
+
+TEST(head_reader, rejects_a_head_whose_configuration_is_invalid) {
+    auto world = make_watched_world();
+    section dangling;
+    dangling.service = {
+        .name = service_id{"layouts"}, .owner = owner_id{"shops"}, .version = version_id{"absent"}};
+    const auto part = make_stored_section(dangling);
+    stored_head head;
+    head.version = config_version{7};
+    head.entries.emplace(service_id{"layouts"}, part->digest);
+    kv_transaction put;
+    put.puts = {{section_key(test_prefix, part->digest), part->encoded},
+                {head_key(test_prefix), encode_head(head)}};
+    fakes::send(world.store, "operator", {1, put}, world.now);
+    run(world, milliseconds{300});
+    ASSERT_EQ(world.nodes[0].rejected.size(), 1U);
+    EXPECT_EQ(world.nodes[0].rejected[0].value, 7U);
+    EXPECT_EQ(world.nodes[0].found.back()->version.value, 1U);
+    run(world, milliseconds{30'000});
+    EXPECT_EQ(world.nodes[0].rejected.size(), 1U);
+}
+
+TEST(head_reader, rejects_a_section_that_is_not_what_its_name_says) {
+    auto world = make_watched_world();
+    stored_head head;
+    head.version = config_version{7};
+    head.entries.emplace(service_id{"layouts"}, digest_id{"abc"});
+    kv_transaction put;
+    put.puts = {{section_key(test_prefix, digest_id{"abc"}), "damaged"},
+                {head_key(test_prefix), encode_head(head)}};
+    fakes::send(world.store, "operator", {1, put}, world.now);
+    run(world, milliseconds{300});
+    ASSERT_EQ(world.nodes[0].rejected.size(), 1U);
+    EXPECT_EQ(world.nodes[0].found.back()->version.value, 1U);
+}
+
+TEST(head_reader, tells_after_a_refresh_that_what_is_held_is_current) {
+    auto world = make_watched_world();
+    const auto before = world.nodes[0].currents;
+    reader_actions actions;
+    refresh(world.nodes[0].reader, world.now, actions);
+    carry_out(world, world.nodes[0], std::move(actions));
+    run(world, milliseconds{300});
+    EXPECT_EQ(world.nodes[0].currents, before + 1);
+    EXPECT_EQ(world.nodes[0].found.size(), 1U);
+}
+
+TEST(head_reader, fetches_only_what_it_lacks) {
+    auto world = make_world(2);
+    resource_write wanted;
+    for (int i = 0; i < 6; ++i) {
+        const auto one = make_service_write("s" + std::to_string(i));
+        wanted.services.push_back(one.services[0]);
+        wanted.versions.push_back(one.versions[0]);
+    }
+    submit(world, writing_node, "first", wanted);
+    run(world, milliseconds{200});
+    reader_actions actions;
+    set_watching(world.nodes[0].reader, true, world.now, actions);
+    carry_out(world, world.nodes[0], std::move(actions));
+    run(world, milliseconds{300});
+    // The head, all sections in one read, and the watch.
+    const auto reads = world.store.reads;
+    submit(world, writing_node, "op", make_version_write("s3", "v2"));
+    run(world, milliseconds{300});
+    EXPECT_EQ(world.store.reads, reads + 1);
+    const auto& found = world.nodes[0].found;
+    ASSERT_EQ(found.size(), 2U);
+    EXPECT_EQ(found[0]->sections.at(service_id{"s1"}), found[1]->sections.at(service_id{"s1"}));
+}
+
+/// Whatever happens to the store, a watching node ends up with the newest head, in a bounded number
+/// of reads.
+RC_GTEST_PROP(head_reader, ends_with_the_newest_head, ()) {
+    auto world = make_watched_world();
+    const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, 6), rc::gen::inRange(0, 900)));
+    const std::vector<std::function<void(store_world&)>> mishaps = {
+        close_watches,
+        silence_watch,
+        lose_answers,
+        heal,
+        [](store_world& each) { fakes::compact(each.store); },
+        [](store_world& each) { each.store.faults.is_silent = true; }};
+    int number = 0;
+    const instant begin = world.now;
+    for (const auto& [what, wait] : steps) {
+        mishaps[static_cast<std::size_t>(what)](world);
+        const auto name = "v" + std::to_string(10 + number++);
+        submit(world, writing_node, name, make_version_write("layouts", name));
+        run(world, milliseconds{wait});
+    }
+    world.store.faults = {};
+    run(world, milliseconds{30'000});
+    const auto newest = world.nodes[writing_node].writer.held->version;
+    RC_ASSERT(world.nodes[0].found.back()->version >= newest);
+    for (std::size_t i = 1; i < world.nodes[0].found.size(); ++i) {
+        RC_ASSERT(world.nodes[0].found[i - 1]->version < world.nodes[0].found[i]->version);
+    }
+    const auto seconds_passed = (to_unix_ms(world.now) - to_unix_ms(begin)) / 1000;
+    RC_ASSERT(world.store.reads <= static_cast<std::uint64_t>(2 * 5 * (seconds_passed + 2)));
+}
+
+} // namespace
+} // namespace cyclamenhatch::store
