--- a/tests/store/head_reader_test.cpp
+++ b/tests/store/head_reader_test.cpp
@@ -42,7 +42,10 @@
     EXPECT_EQ(world.nodes[0].found.back()->version.value, 2U);
     EXPECT_TRUE(world.nodes[0].reader.is_watching);
     EXPECT_FALSE(world.nodes[0].reader.is_store_down);
-    EXPECT_EQ(world.nodes[0].found.back()->sections.begin()->second->content.versions.size(), 2U);
+    submit(world, writing_node, "again", make_version_write("layouts", "v4"));
+    run(world, milliseconds{300});
+    EXPECT_EQ(world.nodes[0].found.back()->version.value, 3U);
+    EXPECT_EQ(world.nodes[0].found.back()->sections.begin()->second->content.versions.size(), 3U);
 }
 
 void nothing(store_world& /*world*/) {}
