--- a/src/store/contacts.cpp
+++ b/src/store/contacts.cpp
@@ -16,6 +16,8 @@
 constexpr backoff_limits read_backoff{milliseconds{500}, milliseconds{10'000}};
 /// How long to wait before looking again when contacts were read but led nowhere.
 constexpr milliseconds read_interval{2000};
+/// Largest wait before the first look, so that a returning herd does not read at one instant.
+constexpr milliseconds first_read_spread{500};
 
 /// One step of the keeper with all that it needs.
 struct keeper_run {
@@ -188,7 +190,6 @@
     keeper.own = std::move(own);
     keeper.lease_s = std::max<std::uint32_t>(lease_s, 1);
     keeper.own_due = now;
-    keeper.read_due = now;
     return keeper;
 }
 
@@ -197,7 +198,14 @@
     keeper_run run{keeper, now, random, actions};
     give_up_lost(run);
     attend_own_entry(run, has_duty);
-    if (needs_contacts && keeper.read_request == 0 && now >= keeper.read_due) {
+    if (!needs_contacts) {
+        return;
+    }
+    if (!keeper.read_due) {
+        std::uniform_int_distribution<std::int64_t> wait(0, first_read_spread.count());
+        keeper.read_due = now + milliseconds{wait(random)};
+    }
+    if (keeper.read_request == 0 && now >= *keeper.read_due) {
         keeper.read_request = keeper.next_request++;
         keeper.read_sent = now;
         actions.requests.push_back(
--- a/src/store/contacts.h
+++ b/src/store/contacts.h
@@ -6,6 +6,7 @@
 #include "store/kv.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,7 +42,8 @@
     std::uint32_t own_failures = 0;
     std::uint64_t read_request = 0;
     instant read_sent;
-    instant read_due;
+    /// When contacts are next read; nothing before the first time.
+    std::optional<instant> read_due;
     std::uint32_t read_failures = 0;
 };
 
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -28,8 +28,7 @@
     return config;
 }
 
-/// Whether the error was met before any byte of the request was sent. Anything else is not proof:
-/// the library also repeats a request by itself when a pooled connection has been closed.
+/// Whether the error was met before any byte of the request was sent. Anything else is not proof.
 bool is_connect_failure(const http::http_exception& error) {
     const auto& code = error.error_code();
     const bool is_unreachable =
@@ -55,11 +54,14 @@
 
 struct store_client : std::enable_shared_from_this<store_client> {
     store_client(const msg::store_settings_msg& settings, std::function<void(kv_response)> answer)
-        : calls(settings.url,
-                make_config(std::max(milliseconds{settings.timeout_ms}, shortest_timeout))),
-          streams(settings.url, make_config(watch_quiet_limit)), respond(std::move(answer)) {}
+        : url(settings.url),
+          read_calls(url,
+                     make_config(std::max(milliseconds{settings.timeout_ms}, shortest_timeout))),
+          streams(url, make_config(watch_quiet_limit)), respond(std::move(answer)) {}
 
-    http::client::http_client calls;
+    std::string url;
+
+    http::client::http_client read_calls;
     http::client::http_client streams;
     std::function<void(kv_response)> respond;
 
@@ -238,6 +240,10 @@
     finish(*client, request.id, std::move(outcome));
 }
 
+http::client::http_client make_single_client(const store_client& client) {
+    return {client.url, client.read_calls.client_config()};
+}
+
 void send_call(const std::shared_ptr<store_client>& client, const kv_request& request) {
     if (client->in_flight.fetch_add(1) >= max_in_flight) {
         // Not from here: the caller may hold a lock that `respond` takes.
@@ -247,9 +253,13 @@
         });
         return;
     }
-    ++(std::holds_alternative<kv_range>(request.operation) ? client->reads : client->writes);
-    client->calls.request(make_post(encode_call(request.operation)), client->all_calls.get_token())
-        .then([client, request](const pplx::task<http::http_response>& answered) {
+    const bool is_read = std::holds_alternative<kv_range>(request.operation);
+    ++(is_read ? client->reads : client->writes);
+    // The library sends a request again by itself when a kept connection turns out to be closed,
+    // even if the service has read the request. So each write gets a connection of its own.
+    auto sender = is_read ? client->read_calls : make_single_client(*client);
+    sender.request(make_post(encode_call(request.operation)), client->all_calls.get_token())
+        .then([client, sender, request](const pplx::task<http::http_response>& answered) {
             on_answer(client, request, answered);
         });
 }
--- /dev/null
+++ b/tests/store/change_test.cpp
@@ -0,0 +1,229 @@
+#include "store/change.h"
+
+#include <functional>
+#include <gtest/gtest.h>
+
+namespace cyclamenhatch::store {
+namespace {
+
+using section_map = std::map<service_id, section_ptr>;
+
+const service_id layouts{"layouts"};
+
+move make_move(const std::string& name) {
+    move made;
+    made.name = move_id{name};
+    made.service = layouts;
+    made.from = version_id{"v1"};
+    made.to = version_id{"v2"};
+    made.deadline = from_unix_ms(1'900'000'000'000);
+    return made;
+}
+
+route make_route(const std::string& name, const service_id& service, const std::string& prefix) {
+    return {.name = route_id{name}, .service = service, .host = "", .path_prefix = prefix};
+}
+
+/// Two services; layouts has a route, two versions, an open move and one that has ended.
+section_map make_sections() {
+    section first;
+    first.service = {.name = layouts, .owner = owner_id{"stores"}, .version = version_id{"v1"}};
+    first.routes = {make_route("all", layouts, "/layouts")};
+    first.versions = {{.name = version_id{"v1"}, .service = layouts},
+                      {.name = version_id{"v2"}, .service = layouts}};
+    first.moves = {make_move("ended"), make_move("open")};
+    first.moves[0].ending = move_ending{.outcome = move_outcome::taken_back};
+    section second;
+    second.service = {
+        .name = service_id{"drawings"}, .owner = owner_id{"stores"}, .version = version_id{"v1"}};
+    second.versions = {{.name = version_id{"v1"}, .service = service_id{"drawings"}}};
+    return {{layouts, make_stored_section(first)},
+            {service_id{"drawings"}, make_stored_section(second)}};
+}
+
+const config_version next{8};
+const operation_id operation{"op"};
+
+std::variant<section_map, change_refused> apply(const change& wanted) {
+    return apply_change(make_sections(), wanted, next, operation);
+}
+
+section after(const change& wanted) {
+    const auto applied = apply(wanted);
+    const auto* sections = std::get_if<section_map>(&applied);
+    if (sections == nullptr) {
+        ADD_FAILURE() << to_string(std::get<change_refused>(applied).found.front());
+        return {};
+    }
+    return sections->at(layouts)->content;
+}
+
+resource_key layouts_key(resource_kind kind, const std::string& name) {
+    return {kind, layouts, name};
+}
+
+struct refusal_row {
+    const char* name;
+    std::function<change()> wanted;
+    refusal_kind kind;
+    const char* path;
+    /// How many findings there are in all.
+    std::size_t count;
+};
+
+class change_refusal : public testing::TestWithParam<refusal_row> {};
+
+TEST_P(change_refusal, names_what_is_wrong) {
+    const auto applied = apply(GetParam().wanted());
+    const auto* refused = std::get_if<change_refused>(&applied);
+    ASSERT_NE(refused, nullptr);
+    EXPECT_EQ(refused->kind, GetParam().kind);
+    ASSERT_EQ(refused->found.size(), GetParam().count);
+    EXPECT_EQ(refused->found[0].path, GetParam().path);
+}
+
+template <class Member, class... Values>
+std::function<change()> write_of(Member member, Values... values) {
+    return [=] {
+        resource_write wanted;
+        wanted.*member = {values...};
+        return change{wanted};
+    };
+}
+
+std::function<change()> close_of(const std::string& name, std::uint32_t attempt) {
+    return [=] { return change{move_close{layouts, move_id{name}, attempt, {}}}; };
+}
+
+move changed_move(const std::function<void(move&)>& alter) {
+    move made = make_move("open");
+    alter(made);
+    return made;
+}
+
+const auto conflict = refusal_kind::conflict;
+const auto invalid = refusal_kind::invalid;
+const auto services = &resource_write::services;
+const auto routes = &resource_write::routes;
+const auto versions = &resource_write::versions;
+const auto moves = &resource_write::moves;
+const auto deletes = &resource_write::deletes;
+const auto preconditions = &resource_write::preconditions;
+
+const std::vector<refusal_row> refusals = {
+    {"stale_revision",
+     write_of(preconditions,
+              precondition{layouts_key(resource_kind::route, "all"), config_version{3}}),
+     conflict, "route \"all\" of service \"layouts\"", 1},
+    {"exists_already",
+     write_of(preconditions, precondition{layouts_key(resource_kind::service, "layouts"), {}}),
+     conflict, "service \"layouts\"", 1},
+    {"must_exist",
+     write_of(preconditions,
+              precondition{layouts_key(resource_kind::move, "absent"), config_version{0}}),
+     conflict, "move \"absent\" of service \"layouts\"", 1},
+    {"route_without_service", write_of(routes, make_route("r", service_id{"absent"}, "/r")),
+     invalid, "route[0].service", 1},
+    {"all_findings_together",
+     write_of(routes, make_route("r", service_id{"absent"}, "/r"), make_route("s", layouts, "s"),
+              make_route("t", service_id{"drawings"}, "/layouts")),
+     invalid, "route[0].service", 3},
+    {"named_twice",
+     write_of(versions, upstream_version{version_id{"v3"}, layouts, {}},
+              upstream_version{version_id{"v3"}, layouts, {}}),
+     invalid, "upstream_version[1].name", 1},
+    {"service_on_absent_version",
+     write_of(services, service{layouts, owner_id{"stores"}, version_id{"v9"}, 1, {}}), invalid,
+     "layouts.service.version", 2},
+    {"service_still_referred_to", write_of(deletes, layouts_key(resource_kind::service, "layouts")),
+     invalid, "service \"layouts\"", 5},
+    {"version_in_use", write_of(deletes, layouts_key(resource_kind::upstream_version, "v2")),
+     invalid, "layouts.move[1].to", 1},
+    {"open_move_deleted", write_of(deletes, layouts_key(resource_kind::move, "open")), invalid,
+     "delete[0]", 1},
+    {"absent_deleted", write_of(deletes, layouts_key(resource_kind::route, "absent")), conflict,
+     "delete[0]", 1},
+    {"open_move_redirected",
+     write_of(moves, changed_move([](move& each) { each.to = version_id{"v1"}; })), invalid,
+     "move[0].to", 1},
+    {"second_open_move", write_of(moves, make_move("ended")), invalid, "layouts.move[1].service",
+     1},
+    {"cancel_of_an_ended_move", write_of(moves, changed_move([](move& each) {
+                                             each.name = move_id{"ended"};
+                                             each.cancel = true;
+                                         })),
+     conflict, "move[0].cancel", 1},
+    {"close_of_an_ended_move", close_of("ended", 1), conflict,
+     "move \"ended\" of service \"layouts\"", 1},
+    {"close_of_another_attempt", close_of("open", 2), conflict,
+     "move \"open\" of service \"layouts\"", 1},
+    {"close_of_an_absent_move", close_of("absent", 1), conflict,
+     "move \"absent\" of service \"layouts\"", 1},
+};
+
+INSTANTIATE_TEST_SUITE_P(table, change_refusal, testing::ValuesIn(refusals),
+                         [](const auto& each) { return std::string(each.param.name); });
+
+TEST(change, stamps_only_what_it_touches) {
+    resource_write wanted;
+    wanted.routes = {make_route("all", layouts, "/layouts"), make_route("new", layouts, "/new")};
+    const auto part = after(wanted);
+    EXPECT_EQ(part.routes[0].written, provenance{});
+    EXPECT_EQ(part.routes[1].written, (provenance{next, operation}));
+    EXPECT_EQ(part.service.written, provenance{});
+}
+
+TEST(change, keeps_the_pointers_of_sections_that_do_not_change) {
+    const auto before = make_sections();
+    resource_write wanted;
+    wanted.versions = {{version_id{"v3"}, layouts, {}}};
+    const auto applied = apply_change(before, wanted, next, operation);
+    const auto& sections = std::get<section_map>(applied);
+    EXPECT_EQ(sections.at(service_id{"drawings"}), before.at(service_id{"drawings"}));
+    EXPECT_NE(sections.at(layouts), before.at(layouts));
+}
+
+TEST(change, deletes_a_service_with_everything) {
+    resource_write wanted;
+    wanted.deletes = {{resource_kind::service, service_id{"drawings"}, "drawings"},
+                      {resource_kind::upstream_version, service_id{"drawings"}, "v1"}};
+    const auto applied = apply(wanted);
+    EXPECT_EQ(std::get<section_map>(applied).size(), 1U);
+}
+
+TEST(change, cancels_an_open_move_for_good) {
+    auto sections = make_sections();
+    for (const bool is_cancelled : {true, false}) {
+        resource_write wanted;
+        wanted.moves = {changed_move([&](move& each) { each.cancel = is_cancelled; })};
+        sections = std::get<section_map>(apply_change(sections, wanted, next, operation));
+        const auto& open = sections.at(layouts)->content.moves[1];
+        EXPECT_TRUE(open.cancel);
+        EXPECT_EQ(open.attempt, 1U);
+    }
+}
+
+TEST(change, closes_a_move_once_and_starts_it_again_as_another_attempt) {
+    auto sections = make_sections();
+    const move_close taken_back{
+        layouts, move_id{"open"}, 1, {.outcome = move_outcome::taken_back, .reason = "errors"}};
+    sections = std::get<section_map>(apply_change(sections, taken_back, next, operation));
+    EXPECT_EQ(sections.at(layouts)->content.moves[1].ending->reason, "errors");
+    EXPECT_EQ(sections.at(layouts)->content.service.version.value, "v1");
+    EXPECT_TRUE(std::holds_alternative<change_refused>(
+        apply_change(sections, taken_back, next, operation)));
+
+    resource_write again;
+    again.moves = {make_move("open")};
+    sections = std::get<section_map>(apply_change(sections, again, next, operation));
+    EXPECT_EQ(sections.at(layouts)->content.moves[1].attempt, 2U);
+    EXPECT_FALSE(sections.at(layouts)->content.moves[1].ending);
+
+    const move_close done{layouts, move_id{"open"}, 2, {.outcome = move_outcome::done}};
+    sections = std::get<section_map>(apply_change(sections, done, next, operation));
+    EXPECT_EQ(sections.at(layouts)->content.service.version.value, "v2");
+    EXPECT_EQ(sections.at(layouts)->content.service.written.revision, next);
+}
+
+} // namespace
+} // namespace cyclamenhatch::store
