--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -1,6 +1,8 @@
 #include "cli/command.h"
+#include "document/suggestion.h"
 
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <map>
 #include <memory>
 
@@ -166,6 +168,23 @@
     add_connection(*operation.app, operation.made->to);
 }
 
+/// The library would only say that a subcommand is missing.
+std::string describe_unknown_verb(const CLI::App& app, const std::vector<std::string>& arguments) {
+    std::vector<std::string> verbs;
+    for (const auto* each : app.get_subcommands([](const CLI::App*) { return true; })) {
+        verbs.push_back(each->get_name());
+    }
+    const bool is_known = arguments.empty() || arguments[0].starts_with("-") ||
+                          std::find(verbs.begin(), verbs.end(), arguments[0]) != verbs.end();
+    if (is_known) {
+        return "";
+    }
+    const auto meant = suggest_name(arguments[0], verbs);
+    return "unknown verb \"" + arguments[0] + "\"; " +
+           (meant.empty() ? "cyclamenhatch --help lists the verbs" : suggestion_remedy(meant)) +
+           "\n";
+}
+
 } // namespace
 
 std::variant<command, command_line_end>
@@ -180,6 +199,9 @@
     add_resource_verbs(app, target);
     add_move_verbs(app, target);
     add_page_verbs(app, target);
+    if (auto text = describe_unknown_verb(app, arguments); !text.empty()) {
+        return command_line_end{.is_error = true, .text = std::move(text)};
+    }
     try {
         app.parse(std::vector<std::string>(arguments.rbegin(), arguments.rend()));
     } catch (const CLI::ParseError& end) {
--- a/src/cli/table_printer.cpp
+++ b/src/cli/table_printer.cpp
@@ -32,7 +32,7 @@
     std::string line;
     for (std::size_t i = 0; i < cells.size(); ++i) {
         line += cells[i];
-        line.append(widths[i] + gap - cells[i].size(), ' ');
+        line.append(std::max(widths[i], cells[i].size()) + gap - cells[i].size(), ' ');
     }
     line.erase(line.find_last_not_of(' ') + 1);
     out << line << "\n";
