store: keep later answers about an operation true; survive a restored backup

What the writer knows as accepted is now answered at once, and what it answered with unknown stays unknown until the head proves otherwise. An empty operation id, which would match every resource that no operation wrote, is refused.

The reader knows heads by their digest and drops its watch when revisions run backwards: after a restored backup revisions repeat, and a watch from a later one stays quiet.

--- a/src/store/change.cpp
+++ b/src/store/change.cpp
@@ -1,6 +1,7 @@
 #include "store/change.h"
 
 #include "model/validation.h"
+#include "store/resource_key.h"
 
 #include <algorithm>
 #include <set>
@@ -9,30 +10,6 @@
 namespace cyclamenhatch::store {
 namespace {
 
-using section_map = std::map<service_id, section_ptr>;
-
-std::string_view kind_text(resource_kind kind) {
-    switch (kind) {
-    case resource_kind::service:
-        return "service";
-    case resource_kind::route:
-        return "route";
-    case resource_kind::upstream_version:
-        return "upstream_version";
-    case resource_kind::move:
-        return "move";
-    }
-    return "resource";
-}
-
-std::string describe(const resource_key& key) {
-    std::string text = std::string(kind_text(key.kind)) + " \"" + key.name + "\"";
-    if (key.kind != resource_kind::service) {
-        text += " of service \"" + key.service.value + "\"";
-    }
-    return text;
-}
-
 std::string indexed(std::string_view kind, std::size_t index, std::string_view field) {
     return std::string(kind) + "[" + std::to_string(index) + "]." + std::string(field);
 }
@@ -75,34 +52,6 @@
     return &run.touched.emplace(name, held->second->content).first->second;
 }
 
-/// The revision that last wrote a resource, or nothing when it does not exist.
-std::optional<config_version> find_revision(const section_map& from, const resource_key& key) {
-    const auto held = from.find(key.service);
-    if (held == from.end()) {
-        return std::nullopt;
-    }
-    const auto& part = held->second->content;
-    const auto revision_in = [&](const auto& resources) -> std::optional<config_version> {
-        for (const auto& each : resources) {
-            if (each.name.value == key.name) {
-                return each.written.revision;
-            }
-        }
-        return std::nullopt;
-    };
-    switch (key.kind) {
-    case resource_kind::service:
-        return part.service.written.revision;
-    case resource_kind::route:
-        return revision_in(part.routes);
-    case resource_kind::upstream_version:
-        return revision_in(part.versions);
-    case resource_kind::move:
-        return revision_in(part.moves);
-    }
-    return std::nullopt;
-}
-
 std::string revision_text(const std::optional<config_version>& revision) {
     return revision ? "at revision " + std::to_string(revision->value) : "absent";
 }
--- a/src/store/change.h
+++ b/src/store/change.h
@@ -3,6 +3,7 @@
 #include "model/finding.h"
 #include "model/resources.h"
 #include "model/snapshot.h"
+#include "store/resource_key.h"
 
 #include <map>
 #include <optional>
@@ -14,17 +15,6 @@
 /// configuration after a lost race.
 namespace cyclamenhatch::store {
 
-enum class resource_kind { service, route, upstream_version, move };
-
-struct resource_key {
-    resource_kind kind = resource_kind::service;
-    service_id service;
-    /// The resource's own name; the service's name for a service.
-    std::string name;
-
-    friend auto operator<=>(const resource_key&, const resource_key&) = default;
-};
-
 /// Holds when the resource was last written by this version; absent means that it must not exist.
 struct precondition {
     resource_key key;
--- a/src/store/config_writer.cpp
+++ b/src/store/config_writer.cpp
@@ -1,6 +1,7 @@
 #include "store/config_writer.h"
 
 #include "store/write_batch.h"
+#include "store/writer_run.h"
 
 #include <algorithm>
 #include <utility>
@@ -8,61 +9,12 @@
 namespace cyclamenhatch::store {
 namespace {
 
-/// Failures in a row after which changes that were never sent are given back.
-constexpr std::uint32_t failures_to_open = 3;
 /// A response that takes longer than this is taken as lost.
 constexpr seconds response_limit{10};
+/// Operations are remembered in every head, so their ids stay short.
+constexpr std::size_t max_operation_length = 128;
 constexpr backoff_limits failure_backoff{milliseconds{100}, milliseconds{5000}};
 constexpr backoff_limits race_backoff{milliseconds{20}, milliseconds{1000}};
-constexpr milliseconds shortest_retry{100};
-
-/// One step of the writer with all that it needs.
-struct writer_run {
-    config_writer& writer;
-    instant now;
-    random_source& random;
-    writer_actions& actions;
-};
-
-using write_outcome = decltype(write_reply::outcome);
-
-/// Answers every submission of a queued change. The caller removes it from the queue.
-void reply_all(writer_run& run, const queued_write& queued, const write_outcome& outcome) {
-    for (std::size_t i = 0; i < queued.deadlines.size(); ++i) {
-        run.actions.replies.push_back({queued.operation, outcome});
-    }
-}
-
-template <class Predicate> void remove_queued(config_writer& writer, Predicate is_done) {
-    auto& queue = writer.queue;
-    queue.erase(std::remove_if(queue.begin(), queue.end(), is_done), queue.end());
-}
-
-milliseconds retry_after(const config_writer& writer, instant now) {
-    const auto wait = std::chrono::ceil<milliseconds>(writer.not_before - now);
-    return std::max(wait, shortest_retry);
-}
-
-bool is_store_away(const config_writer& writer) {
-    return writer.failures >= failures_to_open;
-}
-
-write_not_run make_away_reply(const config_writer& writer, instant now) {
-    return {"the store is away: " + writer.last_failure, retry_after(writer, now)};
-}
-
-/// Gives back the changes that no transaction has carried.
-void give_back_unsent(writer_run& run) {
-    const auto reply = make_away_reply(run.writer, run.now);
-    remove_queued(run.writer, [&](const queued_write& each) {
-        if (each.unresolved) {
-            return false;
-        }
-        reply_all(run, each, reply);
-        return true;
-    });
-}
-
 void note_failure(writer_run& run, const std::string& reason) {
     auto& writer = run.writer;
     writer.step = writer_step::idle;
@@ -134,38 +86,6 @@
     writer.base = std::move(base);
 }
 
-/// Answers what the base tells about the queued changes.
-void resolve_queue(writer_run& run) {
-    const auto& base = *run.writer.base;
-    remove_queued(run.writer, [&](queued_write& each) {
-        if (const auto version = find_accepted(base, each.operation)) {
-            reply_all(run, each, write_accepted{*version});
-            return true;
-        }
-        if (!each.unresolved || base.mod_revision == each.unresolved->mod_revision) {
-            return false;
-        }
-        if (is_absence_proven(base, *each.unresolved)) {
-            each.unresolved.reset();
-            return false;
-        }
-        reply_all(run, each, write_unknown{});
-        return true;
-    });
-}
-
-void answer_refused(writer_run& run, std::vector<batch_refusal> refused) {
-    std::vector<operation_id> gone;
-    for (auto& each : refused) {
-        const auto& queued = run.writer.queue[each.index];
-        reply_all(run, queued, std::move(each.refused));
-        gone.push_back(queued.operation);
-    }
-    remove_queued(run.writer, [&](const queued_write& each) {
-        return std::find(gone.begin(), gone.end(), each.operation) != gone.end();
-    });
-}
-
 void start_swap(writer_run& run, const write_batch& batch) {
     auto& writer = run.writer;
     if (!try_take(writer.writes, run.now)) {
@@ -178,6 +98,10 @@
 }
 
 void run_batch(writer_run& run) {
+    // Without a write to spend the batch would only be formed in vain.
+    if (!has_token(run.writer.writes, run.now)) {
+        return;
+    }
     auto batch = form_batch(*run.writer.base, run.writer.queue);
     const bool has_work = !batch.included.empty() || batch.needs_fence;
     if (has_work) {
@@ -204,13 +128,6 @@
     }
 }
 
-/// Whether the swap under way carries this operation.
-bool is_in_swap(const config_writer& writer, const operation_id& operation) {
-    const auto& carried = writer.swap.operations;
-    return writer.step == writer_step::swapping &&
-           std::find(carried.begin(), carried.end(), operation) != carried.end();
-}
-
 /// Records that the swap's effect has to be read back.
 void mark_unresolved(config_writer& writer) {
     for (auto& each : writer.queue) {
@@ -223,13 +140,7 @@
 
 void on_swapped(writer_run& run, std::int64_t revision) {
     auto& writer = run.writer;
-    remove_queued(writer, [&](const queued_write& each) {
-        if (!is_in_swap(writer, each.operation)) {
-            return false;
-        }
-        reply_all(run, each, write_accepted{writer.swap.version});
-        return true;
-    });
+    answer_accepted(run);
     writer.step = writer_step::idle;
     writer.failures = 0;
     writer.lost_races = 0;
@@ -274,7 +185,6 @@
     } else if (run.writer.fetch.missing.empty()) {
         establish_base(run);
     } else {
-        run.writer.base.reset();
         note_lost_race(run);
     }
 }
@@ -322,25 +232,11 @@
     }
 }
 
-void expire(writer_run& run) {
-    auto& writer = run.writer;
-    for (auto& each : writer.queue) {
-        const auto expired = std::partition(each.deadlines.begin(), each.deadlines.end(),
-                                            [&](instant limit) { return limit > run.now; });
-        if (expired == each.deadlines.end()) {
-            continue;
-        }
-        write_outcome outcome = write_unknown{};
-        if (!each.unresolved && !is_in_swap(writer, each.operation)) {
-            outcome = write_not_run{"the deadline passed before the change was sent",
-                                    retry_after(writer, run.now)};
-        }
-        for (auto limit = expired; limit != each.deadlines.end(); ++limit) {
-            run.actions.replies.push_back({each.operation, outcome});
-        }
-        each.deadlines.erase(expired, each.deadlines.end());
-    }
-    remove_queued(writer, [](const queued_write& each) { return each.deadlines.empty(); });
+change_refused refuse_operation() {
+    return {refusal_kind::invalid,
+            {{.path = "operation",
+              .problem = "the operation id is empty or longer than 128 characters",
+              .remedy = "use a unique id, such as a UUID"}}};
 }
 
 } // namespace
@@ -363,19 +259,30 @@
         same->deadlines.push_back(request.deadline);
         return;
     }
+    if (request.operation.empty() || request.operation.value.size() > max_operation_length) {
+        actions.replies.push_back({request.operation, refuse_operation()});
+        return;
+    }
+    // What has been accepted stays so, however old the base.
+    if (const auto version =
+            writer.base ? find_accepted(*writer.base, request.operation) : std::nullopt) {
+        actions.replies.push_back({request.operation, write_accepted{*version}});
+        return;
+    }
     if (is_store_away(writer) && now < writer.not_before) {
-        actions.replies.push_back({request.operation, make_away_reply(writer, now)});
+        give_back(run, request.operation, "the store is away: " + writer.last_failure);
         return;
     }
     if (writer.queue.size() >= writer.config.max_queue) {
-        actions.replies.push_back(
-            {request.operation, write_not_run{"the queue of writes is full", seconds{1}}});
+        give_back(run, request.operation, "the queue of writes is full");
         return;
     }
+    const auto unresolved = find_unknown(writer, request.operation);
     writer.queue.push_back({.operation = std::move(request.operation),
                             .wanted = std::move(request.wanted),
                             .submitted = now,
-                            .deadlines = {request.deadline}});
+                            .deadlines = {request.deadline},
+                            .unresolved = unresolved});
     proceed(run);
 }
 
--- a/src/store/config_writer.h
+++ b/src/store/config_writer.h
@@ -9,6 +9,7 @@
 #include "store/section_fetch.h"
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 #include <variant>
@@ -64,6 +65,12 @@
     config_version version;
 };
 
+/// An operation that was answered with unknown, so that a later answer about it stays true.
+struct unknown_operation {
+    operation_id operation;
+    unresolved_swap sent_on;
+};
+
 /// A change that waits for its outcome.
 struct queued_write {
     operation_id operation;
@@ -106,6 +113,8 @@
     token_bucket reads;
     token_bucket writes;
     std::vector<queued_write> queue;
+    /// Bounded; oldest first.
+    std::deque<unknown_operation> unknowns;
     std::optional<writer_base> base;
     /// The newest configuration known on this node.
     snapshot_ptr held;
@@ -128,7 +137,8 @@
 
 /// Queues a change. A full queue, or a service known to be away, is answered at once with
 /// write_not_run. An operation that was accepted before is answered with its version; one that is
-/// queued already gets one reply for each submission.
+/// queued already gets one reply for each submission. One that this writer answered with unknown is
+/// not reported as not run before that is proven; other nodes do not know of it.
 void submit(config_writer& writer, write_request request, instant now, random_source& random,
             writer_actions& actions);
 
--- a/src/store/contacts.cpp
+++ b/src/store/contacts.cpp
@@ -75,8 +75,7 @@
     ++keeper.own_failures;
     keeper.own_due = run.now + backoff_delay(own_backoff, keeper.own_failures, run.random);
     keeper.own_request = 0;
-    // A lease that may have lapsed while the service was away is not trusted.
-    if (keeper.lease == 0 || run.now >= keeper.lease_until) {
+    if (keeper.lease == 0) {
         start_over(run);
     }
 }
@@ -88,7 +87,6 @@
         return;
     }
     keeper.lease = lease.lease;
-    keeper.lease_until = keeper.own_sent + lease.ttl;
     keeper.own_failures = 0;
     if (keeper.step == contact_step::granting) {
         send_put(run);
--- a/src/store/contacts.h
+++ b/src/store/contacts.h
@@ -37,8 +37,6 @@
     instant own_sent;
     /// When the own entry is next attended to.
     instant own_due;
-    /// Until when the lease is sure to last.
-    instant lease_until;
     std::uint32_t own_failures = 0;
     std::uint64_t read_request = 0;
     instant read_sent;
--- a/src/store/head_reader.cpp
+++ b/src/store/head_reader.cpp
@@ -1,5 +1,7 @@
 #include "store/head_reader.h"
 
+#include "model/digest.h"
+
 #include <algorithm>
 #include <limits>
 #include <utility>
@@ -49,14 +51,13 @@
     run.reader.next_check = run.now + milliseconds{part(random)};
 }
 
-/// Reports a completely read head, unless it is what is held already.
+/// Reports a completely read head.
 void settle(reader_run& run) {
     auto& reader = run.reader;
     auto fetch = std::move(*reader.fetch);
     reader.fetch.reset();
     reader.opened.clear();
-    reader.settled_revision = fetch.mod_revision;
-    reader.settled = fetch.head.version;
+    reader.settled = reader.fetched;
     auto built = build_snapshot(fetch.head.version, list_sections(fetch.have),
                                 std::move(fetch.head.operations));
     if (auto* found = std::get_if<snapshot_ptr>(&built)) {
@@ -67,28 +68,38 @@
     run.actions.rejected_for = std::get<findings>(std::move(built));
 }
 
+void reject(reader_run& run, const known_head& head, findings found) {
+    run.reader.settled = head;
+    run.reader.fetch.reset();
+    run.actions.rejected = head.version;
+    run.actions.rejected_for = std::move(found);
+}
+
 bool is_held(const head_reader& reader, const stored_head& head) {
     return reader.held && reader.held->version == head.version &&
            names_sections(head, reader.held->sections);
 }
 
+bool is_settled(const head_reader& reader, const digest_id& head) {
+    return reader.settled && reader.settled->digest == head;
+}
+
 /// Begins to complete a head, keeping the sections that were opened for an earlier one.
-void take_head(reader_run& run, stored_head head, std::int64_t mod_revision) {
+void take_head(reader_run& run, stored_head head, known_head known, std::int64_t mod_revision) {
     auto& reader = run.reader;
-    if (mod_revision == reader.settled_revision ||
-        (reader.fetch && reader.fetch->mod_revision >= mod_revision)) {
+    if (reader.fetch && reader.fetch->mod_revision >= mod_revision) {
         return;
     }
     if (is_held(reader, head)) {
         reader.fetch.reset();
-        reader.settled_revision = mod_revision;
-        reader.settled = head.version;
+        reader.settled = std::move(known);
         return;
     }
     if (reader.fetch) {
         reader.opened.merge(reader.fetch->have);
     }
     reader.section_read = {};
+    reader.fetched = std::move(known);
     reader.fetch = begin_fetch(std::move(head), mod_revision,
                                {reader.held ? &reader.held->sections : nullptr, &reader.opened});
     if (reader.fetch->missing.empty()) {
@@ -96,18 +107,24 @@
     }
 }
 
-void take_encoded_head(reader_run& run, const kv_entry& entry) {
+/// Takes a head that was read or reported; an absent one stands for version 0.
+void take_entry(reader_run& run, const kv_entry& entry) {
+    const auto digest = compute_digest(entry.value);
+    if (is_settled(run.reader, digest)) {
+        return;
+    }
+    if (entry.value.empty()) {
+        take_head(run, {}, {digest, {}}, entry.mod_revision);
+        return;
+    }
     auto decoded = decode_head(entry.value);
-    if (const auto* found = std::get_if<findings>(&decoded)) {
-        if (run.reader.settled_revision != entry.mod_revision) {
-            run.reader.settled_revision = entry.mod_revision;
-            run.reader.settled = unreadable_version;
-            run.actions.rejected = config_version{};
-            run.actions.rejected_for = *found;
-        }
+    if (auto* found = std::get_if<findings>(&decoded)) {
+        reject(run, {digest, unreadable_version}, std::move(*found));
         return;
     }
-    take_head(run, std::get<stored_head>(std::move(decoded)), entry.mod_revision);
+    auto& head = std::get<stored_head>(decoded);
+    const auto version = head.version;
+    take_head(run, std::move(head), {digest, version}, entry.mod_revision);
 }
 
 void close_watch(reader_run& run) {
@@ -119,27 +136,34 @@
     reader.is_watching = false;
 }
 
-/// After a read the next watch starts behind it. A head that an open watch should have reported by
-/// then shows that the watch has gone silent.
+/// Whether an open watch should have reported a head by the time that a read was sent.
+bool has_watch_missed(const head_reader& reader, std::int64_t mod_revision) {
+    return reader.is_watching && reader.watch.sent < reader.head_read.sent &&
+           mod_revision >= reader.watch_from;
+}
+
+/// After a read the next watch starts behind it.
 void on_head_read(reader_run& run, const kv_entries& read) {
     auto& reader = run.reader;
-    const auto mod_revision = read.entries.empty() ? 0 : read.entries.front().mod_revision;
-    const bool has_watch_missed = reader.is_watching && reader.watch.sent < reader.head_read.sent &&
-                                  mod_revision >= reader.watch_from;
-    if (has_watch_missed || read.revision + 1 < reader.watch_from) {
+    const auto entry = read.entries.empty() ? kv_entry{} : read.entries.front();
+    const bool is_behind = read.revision + 1 < reader.watch_from;
+    if (is_behind || has_watch_missed(reader, entry.mod_revision)) {
         close_watch(run);
     }
+    reader.head_read = {};
+    if (is_behind) {
+        // An answer that was overtaken, or a restored backup: the next read tells which.
+        reader.watch_from = 0;
+        reader.wants_read = true;
+        return;
+    }
     if (!reader.is_watching) {
         reader.watch_from = read.revision + 1;
     }
-    reader.head_read = {};
-    if (read.entries.empty()) {
-        take_head(run, {}, 0);
-    } else {
-        take_encoded_head(run, read.entries.front());
-    }
-    const bool is_settled = reader.settled_revision == mod_revision && !run.actions.found;
-    run.actions.is_current = is_settled && reader.held && reader.held->version >= reader.settled;
+    take_entry(run, entry);
+    const bool is_known = is_settled(reader, compute_digest(entry.value)) && !run.actions.found;
+    run.actions.is_current =
+        is_known && reader.held && reader.held->version >= reader.settled->version;
 }
 
 void on_sections_read(reader_run& run, const kv_entries& read) {
@@ -150,11 +174,7 @@
     }
     auto found = absorb(*reader.fetch, reader.prefix, read.entries);
     if (!found.empty()) {
-        run.actions.rejected = reader.fetch->head.version;
-        run.actions.rejected_for = std::move(found);
-        reader.settled_revision = reader.fetch->mod_revision;
-        reader.settled = reader.fetch->head.version;
-        reader.fetch.reset();
+        reject(run, reader.fetched, std::move(found));
     } else if (reader.fetch->missing.empty()) {
         settle(run);
     } else {
@@ -175,7 +195,7 @@
         if (each.is_delete) {
             reader.wants_read = true;
         } else {
-            take_encoded_head(run, each.entry);
+            take_entry(run, each.entry);
         }
     }
 }
--- a/src/store/head_reader.h
+++ b/src/store/head_reader.h
@@ -34,6 +34,12 @@
     instant sent;
 };
 
+/// A stored head by the digest of its bytes, since revisions repeat after a restored backup.
+struct known_head {
+    digest_id digest;
+    config_version version;
+};
+
 /// Plain data; one per node; the caller serialises access.
 struct head_reader {
     std::string prefix;
@@ -55,11 +61,11 @@
     std::int64_t watch_from = 0;
     /// The head being completed with its sections.
     std::optional<section_fetch> fetch;
+    known_head fetched;
     /// Sections opened for heads that were replaced before they were complete.
     section_map opened;
-    /// Store revision and version of the last head that was found, rejected or held already.
-    std::int64_t settled_revision = -1;
-    config_version settled;
+    /// The last head that was found, rejected or held already.
+    std::optional<known_head> settled;
     std::uint32_t failures = 0;
     /// No request is sent before.
     instant not_before;
--- a/src/store/request_budget.cpp
+++ b/src/store/request_budget.cpp
@@ -9,13 +9,17 @@
     return {.rate_per_s = rate, .tokens = rate, .filled = now};
 }
 
-bool try_take(token_bucket& bucket, instant now) {
+bool has_token(token_bucket& bucket, instant now) {
     if (now > bucket.filled) {
         const double elapsed_s = std::chrono::duration<double>(now - bucket.filled).count();
         bucket.tokens = std::min(bucket.rate_per_s, bucket.tokens + elapsed_s * bucket.rate_per_s);
         bucket.filled = now;
     }
-    if (bucket.tokens < 1) {
+    return bucket.tokens >= 1;
+}
+
+bool try_take(token_bucket& bucket, instant now) {
+    if (!has_token(bucket, now)) {
         return false;
     }
     bucket.tokens -= 1;
--- a/src/store/request_budget.h
+++ b/src/store/request_budget.h
@@ -17,6 +17,9 @@
 
 [[nodiscard]] token_bucket make_token_bucket(std::uint32_t rate_per_s, instant now);
 
+/// Whether a token could be taken now.
+[[nodiscard]] bool has_token(token_bucket& bucket, instant now);
+
 /// Takes one token; false when there is none.
 [[nodiscard]] bool try_take(token_bucket& bucket, instant now);
 
--- /dev/null
+++ b/src/store/resource_key.cpp
@@ -0,0 +1,54 @@
+#include "store/resource_key.h"
+
+namespace cyclamenhatch::store {
+
+std::string_view kind_text(resource_kind kind) {
+    switch (kind) {
+    case resource_kind::service:
+        return "service";
+    case resource_kind::route:
+        return "route";
+    case resource_kind::upstream_version:
+        return "upstream_version";
+    case resource_kind::move:
+        return "move";
+    }
+    return "resource";
+}
+
+std::string describe(const resource_key& key) {
+    std::string text = std::string(kind_text(key.kind)) + " \"" + key.name + "\"";
+    if (key.kind != resource_kind::service) {
+        text += " of service \"" + key.service.value + "\"";
+    }
+    return text;
+}
+
+std::optional<config_version> find_revision(const section_map& from, const resource_key& key) {
+    const auto held = from.find(key.service);
+    if (held == from.end()) {
+        return std::nullopt;
+    }
+    const auto& part = held->second->content;
+    const auto revision_in = [&](const auto& resources) -> std::optional<config_version> {
+        for (const auto& each : resources) {
+            if (each.name.value == key.name) {
+                return each.written.revision;
+            }
+        }
+        return std::nullopt;
+    };
+    switch (key.kind) {
+    case resource_kind::service:
+        return part.service.written.revision;
+    case resource_kind::route:
+        return revision_in(part.routes);
+    case resource_kind::upstream_version:
+        return revision_in(part.versions);
+    case resource_kind::move:
+        return revision_in(part.moves);
+    }
+    return std::nullopt;
+}
+
+} // namespace cyclamenhatch::store
--- a/src/store/section_fetch.h
+++ b/src/store/section_fetch.h
@@ -3,6 +3,7 @@
 #include "model/finding.h"
 #include "store/head_codec.h"
 #include "store/kv.h"
+#include "store/resource_key.h"
 
 #include <cstdint>
 #include <map>
@@ -12,8 +13,6 @@
 /// Completes a head that was read with its sections: those already known, and those still to fetch.
 namespace cyclamenhatch::store {
 
-using section_map = std::map<service_id, section_ptr>;
-
 struct section_fetch {
     stored_head head;
     std::int64_t mod_revision = 0;
--- a/standins/http_server.cpp
+++ b/standins/http_server.cpp
@@ -22,7 +22,8 @@
 } // namespace
 
 struct http_server {
-    http_server(asio::io_context& context, asio::ip::tcp::endpoint where, request_handler handle)
+    http_server(asio::io_context& context, const asio::ip::tcp::endpoint& where,
+                request_handler handle)
         : acceptor(context, where), handler(std::move(handle)) {}
 
     asio::ip::tcp::acceptor acceptor;
--- a/tests/store/config_writer_test.cpp
+++ b/tests/store/config_writer_test.cpp
@@ -177,6 +177,35 @@
     EXPECT_EQ(list_heads(world.store).size(), 2U);
 }
 
+TEST(config_writer, does_not_report_as_not_run_what_it_reported_as_unknown) {
+    auto world = make_world(1);
+    submit(world, 0, "first", make_service_write("layouts"));
+    run(world, milliseconds{300});
+    world.store.faults.loses_answers = true;
+    submit(world, 0, "op", make_version_write("layouts", "v2"));
+    run(world, milliseconds{500});
+    fakes::set_down(world.store, true, world.now);
+    run(world, milliseconds{6000});
+    ASSERT_EQ(outcome_of(world.nodes[0], "op"), "unknown");
+    world.nodes[0].replies.clear();
+    submit(world, 0, "op", make_version_write("layouts", "v2"), milliseconds{100});
+    run(world, milliseconds{200});
+    EXPECT_EQ(outcome_of(world.nodes[0], "op"), "unknown");
+    world.nodes[0].replies.clear();
+    world.store.faults = {};
+    run(world, milliseconds{6000});
+    submit(world, 0, "op", make_version_write("layouts", "v2"));
+    run(world, milliseconds{500});
+    EXPECT_EQ(outcome_of(world.nodes[0], "op"), "accepted");
+    EXPECT_EQ(count_runs(world.store, "op"), 1);
+}
+
+TEST(config_writer, refuses_an_operation_without_an_id) {
+    auto world = make_world(1);
+    submit(world, 0, "", make_service_write("layouts"));
+    EXPECT_EQ(outcome_of(world.nodes[0], ""), "invalid");
+}
+
 TEST(config_writer, builds_on_what_the_fleet_holds_when_the_store_fell_behind) {
     auto world = make_world(2);
     submit(world, 0, "first", make_service_write("layouts"));
@@ -217,104 +246,105 @@
     EXPECT_LE(world.store.writes, 35U);
 }
 
-/// What happens at random to several writers.
-enum class mishap { submit, resubmit, lose, silence, delay, down, heal, restart, race };
+/// Random faults around writers that race.
+struct turmoil {
+    store_world world;
+    std::vector<std::string> operations;
+    std::map<std::string, std::size_t> submissions;
+};
+
+enum class mishap { submit, submit_again, lose, silence, delay, down, heal, restart };
+
+void submit_counted(turmoil& run, std::size_t node, const std::string& operation) {
+    ++run.submissions[operation];
+    submit(run.world, node, operation, make_version_write("layouts", operation));
+}
+
+/// A new process gets no answers to the requests of the one before it.
+void restart(test_node& node, instant now, int number) {
+    node.writer = make_config_writer({.prefix = test_prefix}, now);
+    node.writer.next_request += static_cast<std::uint64_t>(number + 1) << 20U;
+}
 
-void do_mishap(store_world& world, mishap what, int number, std::vector<std::string>& operations) {
-    const auto node = static_cast<std::size_t>(number) % world.nodes.size();
+void do_mishap(turmoil& run, mishap what, int number) {
+    auto& world = run.world;
     auto& faults = world.store.faults;
-    switch (what) {
-    case mishap::submit:
-    case mishap::race:
-        operations.push_back("op" + std::to_string(operations.size()));
-        submit(world, node, operations.back(), make_version_write("layouts", operations.back()));
-        break;
-    case mishap::resubmit: {
-        const auto& operation = operations[static_cast<std::size_t>(number) % operations.size()];
-        submit(world, node, operation, make_version_write("layouts", operation));
-        break;
-    }
-    case mishap::lose:
+    const auto chosen = static_cast<std::size_t>(number);
+    if (what == mishap::submit || run.operations.empty()) {
+        run.operations.push_back("op" + std::to_string(run.operations.size()));
+        submit_counted(run, run.operations.size() % world.nodes.size(), run.operations.back());
+    } else if (what == mishap::submit_again) {
+        const auto index = chosen % run.operations.size();
+        submit_counted(run, (index + 1) % world.nodes.size(), run.operations[index]);
+    } else if (what == mishap::lose) {
         faults.loses_answers = !faults.loses_answers;
-        break;
-    case mishap::silence:
+    } else if (what == mishap::silence) {
         faults.is_silent = !faults.is_silent;
-        break;
-    case mishap::delay:
-        faults.request_delay = milliseconds{number % 4000};
-        break;
-    case mishap::down:
+    } else if (what == mishap::delay) {
+        faults.request_delay = milliseconds{number};
+    } else if (what == mishap::down) {
         fakes::set_down(world.store, true, world.now);
-        break;
-    case mishap::heal:
+    } else if (what == mishap::restart) {
+        restart(world.nodes[chosen % world.nodes.size()], world.now, number);
+    } else {
         faults = {};
-        break;
-    case mishap::restart:
-        // A new process has another name: it gets no answers to its predecessor's requests.
-        world.nodes[node].writer = make_config_writer({.prefix = test_prefix}, world.now);
-        world.nodes[node].writer.next_request += static_cast<std::uint64_t>(number + 1) << 20U;
-        break;
     }
 }
 
-RC_GTEST_PROP(config_writer, tells_the_truth_whatever_happens, ()) {
-    auto world = make_world(3);
-    std::vector<std::string> operations{"first"};
-    submit(world, 0, "first", make_service_write("layouts"));
-    run(world, milliseconds{200});
+turmoil run_turmoil(int mishaps) {
+    turmoil run{.world = make_world(3)};
+    submit(run.world, 0, "first", make_service_write("layouts"));
+    store::run(run.world, milliseconds{200});
     const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
-        rc::gen::pair(rc::gen::inRange(0, 9), rc::gen::inRange(0, 4000)));
+        rc::gen::pair(rc::gen::inRange(0, mishaps), rc::gen::inRange(0, 4000)));
     for (const auto& [what, number] : steps) {
-        do_mishap(world, static_cast<mishap>(what), number, operations);
-        run(world, milliseconds{number % 900});
+        do_mishap(run, static_cast<mishap>(what), number);
+        store::run(run.world, milliseconds{number % 900});
     }
-    world.store.faults = {};
-    run(world, milliseconds{15'000});
+    run.world.store.faults = {};
+    store::run(run.world, milliseconds{15'000});
+    return run;
+}
 
-    const auto heads = list_heads(world.store);
+void check_heads(const turmoil& run) {
+    const auto heads = list_heads(run.world.store);
     for (std::size_t i = 1; i < heads.size(); ++i) {
         RC_ASSERT(heads[i - 1].version < heads[i].version);
     }
-    for (const auto& operation : operations) {
-        RC_ASSERT(count_runs(world.store, operation) <= 1);
+    for (const auto& operation : run.operations) {
+        RC_ASSERT(count_runs(run.world.store, operation) <= 1);
     }
-    for (const auto& node : world.nodes) {
+}
+
+RC_GTEST_PROP(config_writer, runs_each_change_at_most_once_whatever_happens, ()) {
+    const auto run = run_turmoil(8);
+    check_heads(run);
+    for (const auto& node : run.world.nodes) {
         RC_ASSERT(node.writer.queue.empty());
         for (const auto& reply : node.replies) {
-            const auto runs = count_runs(world.store, reply.operation.value);
+            const auto runs = count_runs(run.world.store, reply.operation.value);
             RC_ASSERT(!std::holds_alternative<write_accepted>(reply.outcome) || runs == 1);
         }
     }
 }
 
-/// As above, without resubmission: then a change that was reported as not run or refused must never
-/// be in any head.
-RC_GTEST_PROP(config_writer, never_carries_out_what_it_reported_as_not_run, ()) {
-    auto world = make_world(2);
-    std::vector<std::string> operations{"first"};
-    submit(world, 0, "first", make_service_write("layouts"));
-    run(world, milliseconds{200});
-    const auto steps = *rc::gen::container<std::vector<std::pair<mishap, int>>>(
-        rc::gen::pair(rc::gen::element(mishap::submit, mishap::lose, mishap::silence, mishap::delay,
-                                       mishap::down, mishap::heal),
-                      rc::gen::inRange(0, 4000)));
-    for (const auto& [what, number] : steps) {
-        do_mishap(world, what, number, operations);
-        run(world, milliseconds{number % 900});
-    }
-    world.store.faults = {};
-    run(world, milliseconds{15'000});
-    std::map<std::string, std::size_t> answered;
-    for (const auto& node : world.nodes) {
+/// Without restarts each submission is answered once, and what was last reported as not run or
+/// refused is in no head.
+RC_GTEST_PROP(config_writer, answers_each_submission_once_and_truly, ()) {
+    const auto run = run_turmoil(7);
+    check_heads(run);
+    std::map<std::string, std::vector<write_reply>> replies;
+    for (const auto& node : run.world.nodes) {
         for (const auto& reply : node.replies) {
-            ++answered[reply.operation.value];
-            const bool is_denied = std::holds_alternative<write_not_run>(reply.outcome) ||
-                                   std::holds_alternative<change_refused>(reply.outcome);
-            RC_ASSERT(!is_denied || count_runs(world.store, reply.operation.value) == 0);
+            replies[reply.operation.value].push_back(reply);
         }
     }
-    for (const auto& operation : operations) {
-        RC_ASSERT(answered[operation] == 1U);
+    for (const auto& [operation, submissions] : run.submissions) {
+        RC_ASSERT(replies[operation].size() == submissions);
+        const auto& last = replies[operation].back().outcome;
+        const bool is_denied = std::holds_alternative<write_not_run>(last) ||
+                               std::holds_alternative<change_refused>(last);
+        RC_ASSERT(!is_denied || count_runs(run.world.store, operation) == 0);
     }
 }
 
--- a/tests/store/head_reader_test.cpp
+++ b/tests/store/head_reader_test.cpp
@@ -75,6 +75,16 @@
     fakes::set_down(world.store, false, world.now);
 }
 
+/// A backup is restored; revisions count up again from an older one.
+void restore_backup(store_world& world) {
+    const auto saved = fakes::save(world.store);
+    for (int i = 0; i < 5; ++i) {
+        fakes::send(world.store, "other", {1, kv_transaction{.puts = {{"/else", "x"}}}}, world.now);
+    }
+    run(world, milliseconds{100});
+    fakes::restore(world.store, saved, world.now);
+}
+
 void lose_answers(store_world& world) {
     world.store.faults.loses_answers = true;
 }
@@ -87,6 +97,7 @@
     {"watch_closed", close_watches, nothing, milliseconds{500}},
     {"watch_silent", silence_watch, nothing, milliseconds{13'000}},
     {"store_down_for_a_while", go_down, nothing, milliseconds{4000}},
+    {"backup_restored", restore_backup, nothing, milliseconds{13'000}},
     {"section_read_lost", lose_answers, heal, milliseconds{3000}},
 };
 
--- a/tests/store/store_client_test.cpp
+++ b/tests/store/store_client_test.cpp
@@ -32,7 +32,9 @@
         thread.join();
     }
     scripted_service(const scripted_service&) = delete;
+    scripted_service(scripted_service&&) = delete;
     scripted_service& operator=(const scripted_service&) = delete;
+    scripted_service& operator=(scripted_service&&) = delete;
 
     void serve() {
         while (true) {
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -89,7 +89,8 @@
         return;
     }
     for (const auto& each : fake.watches) {
-        if (is_covered(change.entry.key, each.wanted.key, each.wanted.is_prefix)) {
+        if (change.entry.mod_revision >= each.wanted.from_revision &&
+            is_covered(change.entry.key, each.wanted.key, each.wanted.is_prefix)) {
             answer(fake, now + fake.faults.answer_delay, each.client, each.id,
                    store::kv_changes{change.entry.mod_revision, {change}});
         }
