--- a/src/store/change.cpp
+++ b/src/store/change.cpp
@@ -335,16 +335,17 @@
                                                        const operation_id& operation) {
     application run{.before = before, .stamp = {version, operation}};
     std::visit([&](const auto& each) { apply(run, each); }, wanted);
-    if (!run.conflicts.empty()) {
-        return change_refused{refusal_kind::conflict, std::move(run.conflicts)};
-    }
+    const bool has_conflict = !run.conflicts.empty();
+    auto found = std::move(run.conflicts);
+    const auto collect = [&](findings more) {
+        std::move(more.begin(), more.end(), std::back_inserter(found));
+    };
+    collect(std::move(run.invalid));
     auto after = assemble(run);
-    auto found = std::move(run.invalid);
-    for (auto& each : validate(after)) {
-        found.push_back(std::move(each));
-    }
+    collect(validate(after));
     if (!found.empty()) {
-        return change_refused{refusal_kind::invalid, std::move(found)};
+        return change_refused{has_conflict ? refusal_kind::conflict : refusal_kind::invalid,
+                              std::move(found)};
     }
     return after;
 }
--- a/src/store/config_writer.cpp
+++ b/src/store/config_writer.cpp
@@ -13,7 +13,7 @@
 constexpr seconds response_limit{10};
 /// Operations are remembered in every head, so their ids stay short.
 constexpr std::size_t max_operation_length = 128;
-constexpr backoff_limits failure_backoff{milliseconds{100}, milliseconds{5000}};
+constexpr backoff_limits failure_backoff{milliseconds{100}, milliseconds{2000}};
 constexpr backoff_limits race_backoff{milliseconds{20}, milliseconds{1000}};
 void note_failure(writer_run& run, const std::string& reason) {
     auto& writer = run.writer;
--- a/src/store/head_reader.cpp
+++ b/src/store/head_reader.cpp
@@ -15,7 +15,7 @@
 constexpr milliseconds check_interval{10'000};
 /// Stands for the version of a head that cannot be read: newer than all that is held.
 constexpr config_version unreadable_version{std::numeric_limits<std::uint64_t>::max()};
-constexpr backoff_limits failure_backoff{milliseconds{200}, milliseconds{10'000}};
+constexpr backoff_limits failure_backoff{milliseconds{200}, milliseconds{5000}};
 
 /// One step of the reader with all that it needs.
 struct reader_run {
--- a/tests/store/change_test.cpp
+++ b/tests/store/change_test.cpp
@@ -164,6 +164,16 @@
 INSTANTIATE_TEST_SUITE_P(table, change_refusal, testing::ValuesIn(refusals),
                          [](const auto& each) { return std::string(each.param.name); });
 
+TEST(change, reports_conflicts_and_what_is_invalid_together) {
+    resource_write wanted;
+    wanted.routes = {make_route("r", service_id{"absent"}, "/r")};
+    wanted.deletes = {layouts_key(resource_kind::route, "absent")};
+    const auto applied = apply(wanted);
+    const auto& refused = std::get<change_refused>(applied);
+    EXPECT_EQ(refused.kind, conflict);
+    EXPECT_EQ(refused.found.size(), 2U);
+}
+
 TEST(change, stamps_only_what_it_touches) {
     resource_write wanted;
     wanted.routes = {make_route("all", layouts, "/layouts"), make_route("new", layouts, "/new")};
