--- a/tests/store/head_reader_test.cpp
+++ b/tests/store/head_reader_test.cpp
@@ -75,6 +75,18 @@
     fakes::set_down(world.store, false, world.now);
 }
 
+/// A backup is restored; revisions count up again from an older one. The writer knows of no more.
+void restore_backup(store_world& world) {
+    const auto saved = fakes::save(world.store);
+    for (const auto* name : {"v5", "v6", "v7"}) {
+        submit(world, writing_node, name, make_version_write("layouts", name));
+        run(world, milliseconds{300});
+    }
+    fakes::restore(world.store, saved, world.now);
+    world.nodes[writing_node].writer = make_config_writer({.prefix = test_prefix}, world.now);
+    world.nodes[writing_node].writer.next_request += 1000;
+}
+
 void lose_answers(store_world& world) {
     world.store.faults.loses_answers = true;
 }
@@ -87,6 +99,7 @@
     {"watch_closed", close_watches, nothing, milliseconds{500}},
     {"watch_silent", silence_watch, nothing, milliseconds{13'000}},
     {"store_down_for_a_while", go_down, nothing, milliseconds{4000}},
+    {"backup_restored", restore_backup, nothing, milliseconds{13'000}},
     {"section_read_lost", lose_answers, heal, milliseconds{3000}},
 };
 
