--- a/src/admin/resource_lookup.cpp
+++ b/src/admin/resource_lookup.cpp
@@ -87,6 +87,21 @@
     return {std::move(all)};
 }
 
+std::vector<store::resource_key> list_section_keys(const snapshot& config,
+                                                   const service_id& service) {
+    std::vector<store::resource_key> keys;
+    const auto part = config.sections.find(service);
+    if (part == config.sections.end()) {
+        return keys;
+    }
+    for (const auto& kind : all_kinds) {
+        for_each(part->second->content, kind.kind, [&](const auto& each) {
+            keys.push_back({kind.kind, service, each.name.value});
+        });
+    }
+    return keys;
+}
+
 std::optional<config_version> find_operation(const snapshot& config,
                                              const operation_id& operation) {
     std::optional<config_version> newest;
--- a/src/admin/resource_lookup.h
+++ b/src/admin/resource_lookup.h
@@ -34,6 +34,10 @@
 /// All resources, in the form of a resource file.
 [[nodiscard]] document list_all_resources(const snapshot& config);
 
+/// A service and all that refers to it; empty when there is no such service.
+[[nodiscard]] std::vector<store::resource_key> list_section_keys(const snapshot& config,
+                                                                 const service_id& service);
+
 /// The newest version that an operation is known to have been accepted in.
 [[nodiscard]] std::optional<config_version> find_operation(const snapshot& config,
                                                            const operation_id& operation);
--- a/src/admin/resource_write.cpp
+++ b/src/admin/resource_write.cpp
@@ -250,7 +250,11 @@
         return;
     }
     write_plan plan;
-    plan.wanted.deletes.push_back(key);
+    const bool is_whole =
+        key.kind == store::resource_kind::service && is_flag_set(call.request, "whole");
+    plan.wanted.deletes = is_whole
+                              ? list_section_keys(*call.context.node.configuration(), key.service)
+                              : std::vector{key};
     plan.wanted.preconditions = std::get<0>(std::move(preconditions));
     plan.conflict_status = plan.wanted.preconditions.empty() ? 409 : 412;
     submit(call, std::move(plan));
--- a/src/admin/resource_write.h
+++ b/src/admin/resource_write.h
@@ -16,7 +16,7 @@
 /// PUT of one resource: creates or replaces it.
 void put_resource(const write_call& call, const store::resource_key& key);
 
-/// DELETE of one resource.
+/// DELETE of one resource; of a service with the query whole=1, all that refers to it as well.
 void delete_resource(const write_call& call, const store::resource_key& key);
 
 /// POST of a whole resource set as one change; with the query dry_run=1 only checks it.
--- a/src/admin/server.cpp
+++ b/src/admin/server.cpp
@@ -40,7 +40,8 @@
     return builder.to_uri();
 }
 
-api_request read_head(const http::http_request& from) {
+/// Nothing when the path or the query is not well encoded.
+std::optional<api_request> read_head(const http::http_request& from) try {
     api_request to;
     to.method = from.method();
     const auto uri = from.relative_uri();
@@ -55,6 +56,8 @@
     }
     to.remote_ip = from.remote_address();
     return to;
+} catch (const web::uri_exception&) {
+    return std::nullopt;
 }
 
 http::http_response to_http(const api_response& from) {
@@ -184,7 +187,12 @@
 }
 
 void on_request(const std::shared_ptr<admin_server>& server, const http::http_request& request) {
-    auto read = read_head(request);
+    const auto head = read_head(request);
+    if (!head) {
+        send(request, to_http(make_problem({.status = 400, .detail = "malformed path or query"})));
+        return;
+    }
+    const auto& read = *head;
     if (is_watch(read)) {
         open_watch(*server, request, read);
         return;
--- a/src/admin/watch.cpp
+++ b/src/admin/watch.cpp
@@ -107,7 +107,11 @@
 } // namespace
 
 watch_cursor make_watch_cursor(config_version after, instant now) {
-    return {.accepted = after, .endings = after, .awaited = {after}, .last_event = now};
+    watch_cursor cursor{.accepted = after, .endings = after, .awaited = {}, .last_event = now};
+    if (after > config_version{}) {
+        cursor.awaited.insert(after);
+    }
+    return cursor;
 }
 
 std::vector<document> next_events(watch_cursor& cursor, const backend& node, instant now) {
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -49,6 +49,8 @@
     connection to;
     std::string kind;
     std::vector<std::string> names;
+    /// Deletes a service with all that refers to it.
+    bool is_whole = false;
     std::string operation;
 };
 
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -90,6 +90,8 @@
     remove.app->add_option("names", remove.made->names, "Service, then name")
         ->required()
         ->expected(1, 2);
+    remove.app->add_flag("--whole", remove.made->is_whole,
+                         "Delete a service with its routes, upstream versions and moves");
     add_operation(*remove.app, remove.made->operation);
     add_connection(*remove.app, remove.made->to);
 
--- a/src/cli/resource_verbs.cpp
+++ b/src/cli/resource_verbs.cpp
@@ -182,7 +182,7 @@
     const auto revision = number_or(std::get<document>(held), "revision", 0);
     const auto answer = change(around, asked.to,
                                {.method = "DELETE",
-                                .path = *path,
+                                .path = *path + (asked.is_whole ? "?whole=1" : ""),
                                 .if_match = "\"" + std::to_string(revision) + "\"",
                                 .operation = settle_operation(around, asked.operation)});
     if (const auto* code = std::get_if<exit_code>(&answer)) {
--- a/tests/admin/api_test.cpp
+++ b/tests/admin/api_test.cpp
@@ -262,6 +262,15 @@
     EXPECT_TRUE(cancelled.moves.at(0).cancel);
 }
 
+TEST_F(api, whole_service_is_deleted_in_one_write) {
+    auto request = make_request("DELETE", "/v1/services/catalogue");
+    request.query["whole"] = "1";
+    EXPECT_EQ(ask(request).status, 200);
+    ASSERT_EQ(node.written.size(), 1U);
+    // The service, one route, two versions, two moves.
+    EXPECT_EQ(std::get<store::resource_write>(node.written[0].wanted).deletes.size(), 6U);
+}
+
 TEST_F(api, refused_requests_write_nothing) {
     for (const auto& row : writes) {
         node.written.clear();
--- a/tests/admin/watch_test.cpp
+++ b/tests/admin/watch_test.cpp
@@ -59,6 +59,12 @@
     EXPECT_TRUE(cursor.awaited.empty());
 }
 
+TEST_F(watch, from_the_beginning_leaves_out_the_empty_configuration) {
+    cursor = make_watch_cursor(config_version{}, start);
+    node.progress = {make_progress(0, true), make_progress(1, true)};
+    EXPECT_EQ(tell(), "accepted1 in_force1 move_ended5 ");
+}
+
 TEST_F(watch, never_tells_an_older_version) {
     node.progress = {make_progress(5, true), make_progress(6, true)};
     EXPECT_EQ(tell(), "");
