--- a/tests/cli/examples_test.cpp
+++ b/tests/cli/examples_test.cpp
@@ -42,7 +42,7 @@
             ++checked;
         }
     }
-    EXPECT_EQ(checked, 2U);
+    EXPECT_EQ(checked, 3U);
 }
 
 TEST(examples, the_resources_of_each_deployment_pass_together) {
@@ -53,7 +53,7 @@
             deployments[fs::path(path).parent_path().string()].push_back(path);
         }
     }
-    EXPECT_EQ(deployments.size(), 2U);
+    EXPECT_EQ(deployments.size(), 3U);
     for (const auto& [folder, paths] : deployments) {
         std::vector<std::string> arguments{"check", "--resources"};
         arguments.insert(arguments.end(), paths.begin(), paths.end());
