admin: show and change resources only when the configuration is current

A node that had just started answered reads from an empty configuration and /v1/health said ok. Now both are 503 until the node has compared what it holds with others; backend.is_ready tells.

--- a/src/admin/api.cpp
+++ b/src/admin/api.cpp
@@ -59,11 +59,15 @@
 
 api_response make_not_ready() {
     return make_problem({.status = 503,
-                         .detail = "this node holds no configuration yet",
+                         .detail = "this node does not yet hold a current configuration",
                          .outcome = "not-run",
                          .retry_after = not_ready_retry});
 }
 
+bool is_ready(const backend& node) {
+    return node.configuration() && (!node.is_ready || node.is_ready());
+}
+
 api_response show_operation(const api_context& context, const operation_id& operation) {
     auto version = find_operation(*context.node.configuration(), operation);
     for (const auto& each : context.node.progress()) {
@@ -81,10 +85,10 @@
 }
 
 api_response show_health(const api_context& context) {
-    const auto config = context.node.configuration();
-    if (!config) {
+    if (!is_ready(context.node)) {
         return make_not_ready();
     }
+    const auto config = context.node.configuration();
     return make_json(
         200, document(document::table{
                  {"status", "ok"}, {"version", static_cast<std::int64_t>(config->version.value)}}));
@@ -295,7 +299,7 @@
         reply(make_not_found("no such path"));
         return;
     }
-    if (!context.node.configuration()) {
+    if (!is_ready(context.node)) {
         reply(make_not_ready());
         return;
     }
--- a/src/admin/backend.h
+++ b/src/admin/backend.h
@@ -39,6 +39,9 @@
     std::function<std::string()> metrics;
     /// The upstream beside this node announces itself or its change of state.
     std::function<findings(const announcement&)> announce;
+    /// Whether the configuration held has been compared with others since start or pause; while it
+    /// has not, the API neither shows nor changes resources. Always ready when not set.
+    std::function<bool()> is_ready;
     /// The node's time; the system clock when not set.
     std::function<instant()> now;
 };
--- a/src/node/run_node.cpp
+++ b/src/node/run_node.cpp
@@ -76,6 +76,11 @@
     made.announce = [node](const admin::announcement& announced) {
         return announce(*node, announced);
     };
+    made.is_ready = [node] {
+        const std::lock_guard<std::mutex> guard(node->control_lock);
+        return distribution::is_ready(node->control.spread);
+    };
+    made.now = now;
     return made;
 }
 
--- a/tests/admin/api_test.cpp
+++ b/tests/admin/api_test.cpp
@@ -287,16 +287,25 @@
     EXPECT_TRUE(node.written.empty());
 }
 
-TEST_F(api, node_without_configuration_changes_nothing) {
-    node.config = nullptr;
+struct api_not_ready : api, testing::WithParamInterface<bool> {};
+
+TEST_P(api_not_ready, shows_and_changes_no_resources) {
+    if (GetParam()) {
+        node.config = nullptr;
+    } else {
+        context.node.is_ready = [] { return false; };
+    }
     const auto answer = ask(make_request("POST", "/v1/apply", "{}"));
     EXPECT_EQ(answer.status, 503);
     EXPECT_TRUE(answer.headers.contains("Retry-After"));
     EXPECT_EQ(ask(make_request("GET", "/v1/health")).status, 503);
+    EXPECT_EQ(ask(make_request("GET", "/v1/services/catalogue")).status, 503);
     EXPECT_EQ(ask(make_request("GET", "/v1/dump")).status, 200);
     EXPECT_TRUE(node.written.empty());
 }
 
+INSTANTIATE_TEST_SUITE_P(table, api_not_ready, testing::Bool());
+
 TEST_F(api, long_bodies_are_refused) {
     const auto answer =
         ask(make_request("POST", "/v1/apply", std::string(max_body_bytes + 1, ' ')));
