--- a/src/admin/api.cpp
+++ b/src/admin/api.cpp
@@ -121,8 +121,9 @@
 /// Pages about the node itself; nothing when the path is none of them.
 std::optional<api_response> show_page(const api_context& context, const api_request& request) {
     if (is_at(request, {"metrics"})) {
+        const auto more = context.more_metrics ? context.more_metrics() : std::string();
         return api_response{.content_type = "text/plain; version=0.0.4",
-                            .body = context.node.metrics()};
+                            .body = context.node.metrics() + more};
     }
     if (request.path.size() != 2) {
         return std::nullopt;
--- a/src/admin/api.h
+++ b/src/admin/api.h
@@ -50,6 +50,8 @@
 struct api_context {
     backend node;
     preview_function preview;
+    /// Text that follows the node's own metrics; may be empty.
+    std::function<std::string()> more_metrics;
     /// Empty accepts every request.
     std::string token;
     /// This node's own address; announcements from other hosts are refused.
--- a/src/admin/server.cpp
+++ b/src/admin/server.cpp
@@ -1,5 +1,6 @@
 #include "admin/server.h"
 #include "admin/api.h"
+#include "admin/measures.h"
 #include "admin/problem.h"
 #include "admin/watch_hub.h"
 
@@ -119,6 +120,7 @@
     api_context context;
     std::function<instant()> now;
     std::shared_ptr<watch_hub> watches;
+    std::shared_ptr<measures> measured = make_measures();
     http_listener listener;
     std::atomic<bool> is_stopped{false};
 };
@@ -182,8 +184,13 @@
         send(request, to_http(make_problem({.status = 400, .detail = "the body broke off"})));
         return;
     }
-    handle(server.context, read, server.now(), operation_id{make_operation_name()},
-           [request](const api_response& response) { send(request, to_http(response)); });
+    const auto begin = server.now();
+    handle(server.context, read, begin, operation_id{make_operation_name()},
+           [request, begin, method = read.method, now = server.now,
+            measured = server.measured](const api_response& response) {
+               record_request(*measured, method, response.status, now() - begin);
+               send(request, to_http(response));
+           });
 }
 
 void on_request(const std::shared_ptr<admin_server>& server, const http::http_request& request) {
@@ -215,8 +222,10 @@
     auto server = std::make_shared<admin_server>();
     server->now = node.now ? node.now : read_system_clock;
     server->watches = start_watch_hub(node, server->now);
-    server->context = {.node = std::move(node),
+    server->context = {.node = node,
                        .preview = store::apply_change,
+                       .more_metrics = [measured = server->measured,
+                                        node] { return write_measures(*measured, node); },
                        .token = settings.admin->token,
                        .own_ip = settings.listen->ip,
                        .write_deadline = milliseconds{settings.store->write_deadline_ms}};
