--- a/src/move/evidence.cpp
+++ b/src/move/evidence.cpp
@@ -2,26 +2,31 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace cyclamenhatch::moves {
 
 namespace {
 
 constexpr milliseconds min_window{1000};
-constexpr milliseconds max_window{120000};
-/// Calls of each version that make a window worth closing.
-constexpr double full_window_calls = 5;
-/// Largest score per second of a window: an endpoint that dies gives a short burst of errors, a bad
-/// version goes on.
-constexpr float max_score_per_s = 6.0F;
+/// A window waits this long for enough calls of both versions.
+constexpr milliseconds good_window{4000};
+constexpr double good_window_calls = 4;
+/// Largest score of a window: an endpoint that dies gives a short burst of errors, a bad version
+/// goes on.
+constexpr float max_window_score = 6.0F;
 /// After the share was lowered, calls begun before end within this time, mostly.
 constexpr milliseconds settle_time{1500};
 /// Calls of the old version that set what counts as slow.
-constexpr std::uint64_t calibration_calls = 20;
+constexpr double calibration_calls = 20;
 constexpr double slow_fraction = 0.12;
 constexpr double very_slow_fraction = 0.015;
 /// Calls of the old version that are remembered for comparison.
-constexpr double earlier_calls = 2000;
+constexpr double earlier_calls = 500;
+/// Calls of the old version that show a sudden change.
+constexpr double latest_calls = 50;
+/// Weight of the usual rates, which are assumed before any call was seen.
+constexpr double prior_calls = 50;
 /// The new version has the entry almost to itself: the old one's calls are too few to compare with.
 constexpr double alone_ratio = 50;
 /// Prior probability that a fault begins in one window.
@@ -39,22 +44,22 @@
 }
 
 /// First bucket at and above which at most `fraction` of the calls lie.
-std::size_t upper_bucket(const version_counts& counts, double fraction) {
-    const double allowed = static_cast<double>(counts.calls) * fraction;
+std::size_t upper_bucket(const recent_calls& counts, double fraction) {
+    const double allowed = counts.calls * fraction;
     double above = 0;
     std::size_t bucket = latency_buckets;
-    while (bucket > 0 && above + static_cast<double>(counts.latency.at(bucket - 1)) <= allowed) {
-        above += static_cast<double>(counts.latency.at(--bucket));
+    while (bucket > 0 && above + counts.latency.at(bucket - 1) <= allowed) {
+        above += counts.latency.at(--bucket);
     }
     return bucket;
 }
 
 void calibrate(route_record& route) {
-    if (route.on_old.calls < calibration_calls) {
+    if (route.earlier.calls < calibration_calls) {
         return;
     }
-    route.slow_from = upper_bucket(route.on_old, slow_fraction);
-    route.very_slow_from = upper_bucket(route.on_old, very_slow_fraction);
+    route.slow_from = upper_bucket(route.earlier, slow_fraction);
+    route.very_slow_from = upper_bucket(route.earlier, very_slow_fraction);
 }
 
 void add_to_window(window_counts& counts, const route_record& route,
@@ -79,6 +84,15 @@
             .old_hits = from.on_old.hits[of]};
 }
 
+double earlier_hits(const route_record& route, measure of) {
+    if (of == measure::errors) {
+        return route.earlier.errors;
+    }
+    const std::size_t from = of == measure::slow ? route.slow_from : route.very_slow_from;
+    const auto& counts = route.earlier.latency;
+    return std::accumulate(counts.begin() + static_cast<std::ptrdiff_t>(from), counts.end(), 0.0);
+}
+
 /// Against the old version's earlier calls, for as long as it has next to none now.
 split earlier_split(const route_record& route, std::size_t of) {
     const window& from = route.open;
@@ -88,39 +102,51 @@
     return {.new_calls = from.on_new.calls,
             .old_calls = route.earlier.calls,
             .new_hits = from.on_new.hits[of],
-            .old_hits = route.earlier.hits[of]};
+            .old_hits = earlier_hits(route, static_cast<measure>(of))};
+}
+
+/// The old version's rate as known before the open window, by its latest calls, so that a change
+/// that both versions share is followed.
+double old_rate(const route_record& route, std::size_t of) {
+    constexpr std::array<double, measure_count> usual_rates{0.002, slow_fraction,
+                                                            very_slow_fraction};
+    const double prior_hits = usual_rates.at(of) * prior_calls;
+    return (route.latest.hits[of] + prior_hits) / (route.latest.calls + prior_calls);
 }
 
 score_table score_window(const route_record& route) {
     score_table scores{};
     for (std::size_t of = 0; of < measure_count; ++of) {
-        scores[0][of] = score(concurrent_split(route.open, of));
-        scores[1][of] = score(earlier_split(route, of));
+        const effect_sizes odds = odds_ratios(static_cast<measure>(of), old_rate(route, of));
+        scores[0][of] = score(concurrent_split(route.open, of), odds);
+        scores[1][of] = score(earlier_split(route, of), odds);
     }
     return scores;
 }
 
-float window_limit(const window& from, instant now) {
-    const auto age = std::chrono::duration<float>(std::max(now - from.opened, microseconds{0}));
-    return max_score_per_s * std::max(age.count(), 1.0F);
-}
-
 void remember_old(route_record& route) {
-    window_counts& kept = route.earlier;
+    recent_calls& kept = route.earlier;
     const double fade = kept.calls > earlier_calls ? earlier_calls / kept.calls : 1.0;
-    kept.calls = kept.calls * fade + route.open.on_old.calls;
+    kept.calls = kept.calls * fade + route.old_now.calls;
+    kept.errors = kept.errors * fade + route.old_now.errors;
+    for (std::size_t i = 0; i < latency_buckets; ++i) {
+        kept.latency.at(i) = kept.latency.at(i) * fade + route.old_now.latency.at(i);
+    }
+    route.old_now = {};
+    const double seen = route.open.on_old.calls;
+    const double latest_fade = std::max(1 - seen / latest_calls, 0.0);
+    route.latest.calls = route.latest.calls * latest_fade + seen;
     for (std::size_t of = 0; of < measure_count; ++of) {
-        kept.hits[of] = kept.hits[of] * fade + route.open.on_old.hits[of];
+        route.latest.hits[of] = route.latest.hits[of] * latest_fade + route.open.on_old.hits[of];
     }
 }
 
 void close_window(route_record& route, instant now) {
-    const float limit = window_limit(route.open, now);
     score_table scores = score_window(route);
     for (std::size_t of = 0; of < measure_count; ++of) {
         for (std::size_t with = 0; with < reference_count; ++with) {
-            limit_scores(scores[with][of], limit);
-            for (std::size_t i = 0; i < effects.size(); ++i) {
+            limit_scores(scores[with][of], max_window_score);
+            for (std::size_t i = 0; i < effect_count; ++i) {
                 route.closed[with][of][i] += scores[with][of][i];
             }
         }
@@ -131,12 +157,16 @@
     route.open = window{.opened = now};
 }
 
-bool is_full(const route_record& route, instant now) {
+/// By calls alone, never by hits, so that closing does not favour either outcome. Windows with very
+/// few calls of either version would overstate its share.
+bool is_full(const route_record& route, std::uint32_t permille, instant now) {
+    const double fewer = std::min(route.open.on_new.calls, route.open.on_old.calls);
     const auto age = now - route.open.opened;
-    const bool has_both = route.open.on_new.calls >= full_window_calls &&
-                          route.open.on_old.calls >= full_window_calls;
-    const bool is_alone = route.open.on_new.calls >= alone_ratio;
-    return (age >= min_window && (has_both || is_alone)) || age >= max_window;
+    if (age < min_window) {
+        return false;
+    }
+    const bool is_alone = permille >= 1000 && route.open.on_new.calls >= 1;
+    return is_alone || fewer >= good_window_calls || (fewer >= 1 && age >= good_window);
 }
 
 } // namespace
@@ -161,12 +191,17 @@
         return;
     }
     add_to_window(is_new ? route.open.on_new : route.open.on_old, route, sample);
+    if (!is_new) {
+        route.old_now.calls += 1;
+        route.old_now.errors += sample.kind == call::sample_kind::error ? 1 : 0;
+        route.old_now.latency.at(latency_bucket(sample.latency)) += 1;
+    }
 }
 
 void close_windows(entry_evidence& self, std::uint32_t permille, instant now) {
     const bool share_changed = permille != self.permille;
     for (auto& [name, route] : self.routes) {
-        if (share_changed || is_full(route, now)) {
+        if (share_changed || is_full(route, permille, now)) {
             close_window(route, now);
         }
     }
@@ -176,20 +211,6 @@
     self.permille = permille;
 }
 
-score_table total_scores(const route_record& route, instant now) {
-    const float limit = window_limit(route.open, now);
-    score_table scores = score_window(route);
-    for (std::size_t with = 0; with < reference_count; ++with) {
-        for (std::size_t of = 0; of < measure_count; ++of) {
-            limit_scores(scores[with][of], limit);
-            for (std::size_t i = 0; i < effects.size(); ++i) {
-                scores[with][of][i] += route.closed[with][of][i];
-            }
-        }
-    }
-    return scores;
-}
-
 local_finding strongest_local(const entry_evidence& self) {
     local_finding found;
     for (const auto& [name, route] : self.routes) {
