--- a/src/admin/server.cpp
+++ b/src/admin/server.cpp
@@ -1,5 +1,6 @@
 #include "admin/server.h"
 #include "admin/api.h"
+#include "admin/measures.h"
 #include "admin/problem.h"
 #include "admin/watch_hub.h"
 
@@ -40,7 +41,8 @@
     return builder.to_uri();
 }
 
-api_request read_head(const http::http_request& from) {
+/// Nothing when the path or the query is not well encoded.
+std::optional<api_request> read_head(const http::http_request& from) try {
     api_request to;
     to.method = from.method();
     const auto uri = from.relative_uri();
@@ -55,6 +57,8 @@
     }
     to.remote_ip = from.remote_address();
     return to;
+} catch (const web::uri_exception&) {
+    return std::nullopt;
 }
 
 http::http_response to_http(const api_response& from) {
@@ -116,6 +120,7 @@
     api_context context;
     std::function<instant()> now;
     std::shared_ptr<watch_hub> watches;
+    std::shared_ptr<measures> measured = make_measures();
     http_listener listener;
     std::atomic<bool> is_stopped{false};
 };
@@ -179,12 +184,22 @@
         send(request, to_http(make_problem({.status = 400, .detail = "the body broke off"})));
         return;
     }
-    handle(server.context, read, server.now(), operation_id{make_operation_name()},
-           [request](const api_response& response) { send(request, to_http(response)); });
+    const auto begin = server.now();
+    handle(server.context, read, begin, operation_id{make_operation_name()},
+           [request, begin, method = read.method, now = server.now,
+            measured = server.measured](const api_response& response) {
+               record_request(*measured, method, response.status, now() - begin);
+               send(request, to_http(response));
+           });
 }
 
 void on_request(const std::shared_ptr<admin_server>& server, const http::http_request& request) {
-    auto read = read_head(request);
+    const auto head = read_head(request);
+    if (!head) {
+        send(request, to_http(make_problem({.status = 400, .detail = "malformed path or query"})));
+        return;
+    }
+    const auto& read = *head;
     if (is_watch(read)) {
         open_watch(*server, request, read);
         return;
@@ -207,8 +222,10 @@
     auto server = std::make_shared<admin_server>();
     server->now = node.now ? node.now : read_system_clock;
     server->watches = start_watch_hub(node, server->now);
-    server->context = {.node = std::move(node),
+    server->context = {.node = node,
                        .preview = store::apply_change,
+                       .more_metrics = [measured = server->measured,
+                                        node] { return write_measures(*measured, node); },
                        .token = settings.admin->token,
                        .own_ip = settings.listen->ip,
                        .write_deadline = milliseconds{settings.store->write_deadline_ms}};
