--- a/src/edge/call_path.cpp
+++ b/src/edge/call_path.cpp
@@ -28,6 +28,7 @@
 call::gate_settings gate_settings_from(const msg::call_settings_msg& from) {
     call::gate_settings settings;
     settings.queue_limit = from.queue_limit;
+    settings.has_limits = from.has_limits;
     settings.memory.keep_answers = milliseconds(from.outcome_memory_ms);
     settings.memory.max_answer_bytes = from.outcome_memory_bytes;
     return settings;
