call: test decisions by tables and random interleavings

Cause: the promises (one run, true not-run) rest on entry and gate together. Change: RapidCheck drives one entry and three gates through loss, duplication, reordering, restarts, link loss and timers; tables for the gate's admission and the endpoint choice; sharing, ejection, memory bounds and budgets. Refusals are remembered as long as answers; tombstones are not forgotten early; failures cost latency, so that an endpoint that fails fast gets no calls.

--- a/src/call/choose_endpoint.cpp
+++ b/src/call/choose_endpoint.cpp
@@ -8,8 +8,8 @@
 constexpr std::uint32_t all_permille = 1000;
 /// Weight at the start of the ramp, as a share of the full weight.
 constexpr double first_ramp_share = 0.1;
-/// How strongly failures make an endpoint look slower.
-constexpr double failure_penalty = 20;
+/// What a failed call is worth in latency: an endpoint that fails fast must not look fast.
+constexpr double failure_cost_us = 200'000;
 /// Latencies below this count as equal: their differences are noise.
 constexpr double least_latency_us = 500;
 
@@ -47,7 +47,7 @@
     const auto latency = std::max(least_latency_us, static_cast<double>(load.latency.count()));
     const auto slots = std::max(1.0, static_cast<double>(from.at->slots));
     const auto busy = (estimate_in_flight(load, now) + 1) / (slots * ramp_share(load, now));
-    return busy * latency * (1 + failure_penalty * load.failure_share);
+    return busy * (latency + failure_cost_us * load.failure_share);
 }
 
 bool has_room(const candidate& from, instant now) {
--- a/src/call/outcome_memory.cpp
+++ b/src/call/outcome_memory.cpp
@@ -7,9 +7,6 @@
 
 /// Calls are forgotten in batches of this length of time.
 constexpr microseconds batch_time{100'000};
-/// Refusals outlast their deadline by this, against duplicates that crossed them.
-constexpr microseconds keep_refusals{1'000'000};
-
 std::size_t size_of(const msg::call_answer_msg& answer) {
     std::size_t bytes = answer.body.size();
     for (const auto& each : answer.headers) {
@@ -56,6 +53,22 @@
     }
 }
 
+/// Forgets a batch before its time, but for tombstones: those have a bound of their own. Returns
+/// the next batch.
+std::map<instant, std::vector<call_id>>::iterator
+forget_early(outcome_memory& memory, std::map<instant, std::vector<call_id>>::iterator batch,
+             instant now) {
+    std::erase_if(batch->second, [&](const call_id& each) {
+        const auto found = memory.calls.find(each);
+        if (found != memory.calls.end() && found->second.state == memory_state::tombstone) {
+            return false;
+        }
+        forget(memory, each, now);
+        return true;
+    });
+    return batch->second.empty() ? memory.due.erase(batch) : std::next(batch);
+}
+
 } // namespace
 
 void remember_answer(outcome_memory& memory, const call_id& call, stored_answer answer,
@@ -77,7 +90,7 @@
     auto& entry = memory.calls[call];
     entry.state = memory_state::refused;
     entry.refused = std::move(refused);
-    forget_at(memory, call, std::max(entry.keep_until, now + keep_refusals));
+    forget_at(memory, call, std::max(entry.keep_until, now + bounds.keep_answers));
     trim(memory, bounds, now);
 }
 
@@ -99,13 +112,16 @@
                                             memory.kept_answers.front().drop_at <= now)) {
         drop_oldest_answer(memory);
     }
-    while (!memory.due.empty() &&
-           (memory.calls.size() > bounds.max_calls || memory.due.begin()->first <= now)) {
+    while (!memory.due.empty() && memory.due.begin()->first <= now) {
         for (const auto& each : memory.due.begin()->second) {
             forget(memory, each, now);
         }
         memory.due.erase(memory.due.begin());
     }
+    for (auto batch = memory.due.begin();
+         batch != memory.due.end() && memory.calls.size() > bounds.max_calls;) {
+        batch = forget_early(memory, batch, now);
+    }
 }
 
 } // namespace cyclamenhatch::call
--- /dev/null
+++ b/tests/call/choice_test.cpp
@@ -0,0 +1,220 @@
+#include "call/choose_endpoint.h"
+#include "call/retry_budget.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <ostream>
+#include <string>
+
+namespace cyclamenhatch::call {
+namespace {
+
+constexpr instant start{microseconds(1'000'000'000)};
+constexpr microseconds ejection{2'000'000};
+constexpr int draws = 2000;
+
+endpoint make_endpoint(const std::string& node, const std::string& data_centre = "milan") {
+    return {.node = node_id(node),
+            .link = {},
+            .region = {},
+            .data_centre = data_centre_id(data_centre),
+            .version = version_id("v1"),
+            .state = msg::upstream_state::ready,
+            .slots = 4,
+            .incarnation = 1};
+}
+
+/// Three endpoints, "c" in another data centre, all ramped up.
+struct scene {
+    scene() {
+        for (const auto& each : endpoints) {
+            auto& load = touch_load(loads, each, start);
+            load.latency = microseconds(10'000);
+        }
+        now = start + ramp_time;
+    }
+
+    endpoint_load& load(const std::string& node) { return loads[node_id(node)]; }
+
+    std::string pick_one() {
+        const version_id version("v1");
+        const data_centre_id data_centre("milan");
+        const auto* chosen =
+            choose_endpoint({endpoints, version, data_centre, tried}, loads, now, random);
+        return chosen == nullptr ? "none" : chosen->node.value;
+    }
+
+    /// Share of choices in percent.
+    std::map<std::string, int> pick_many() {
+        std::map<std::string, int> picked;
+        for (int each = 0; each < draws; ++each) {
+            ++picked[pick_one()];
+        }
+        for (auto& [node, count] : picked) {
+            count = count * 100 / draws;
+        }
+        return picked;
+    }
+
+    std::vector<endpoint> endpoints{make_endpoint("a"), make_endpoint("b"),
+                                    make_endpoint("c", "turin")};
+    load_table loads;
+    std::vector<node_id> tried;
+    random_source random{1};
+    instant now{};
+};
+
+struct choice_row {
+    const char* name;
+    void (*set)(scene&);
+    /// Least and most share of the choices that "a" gets, in percent.
+    int least;
+    int most;
+
+    friend std::ostream& operator<<(std::ostream& out, const choice_row& row) {
+        return out << row.name;
+    }
+};
+
+class choice : public ::testing::TestWithParam<choice_row> {};
+
+TEST_P(choice, gives_the_endpoint_its_share) {
+    scene of;
+    GetParam().set(of);
+    const auto share = of.pick_many()["a"];
+    EXPECT_GE(share, GetParam().least);
+    EXPECT_LE(share, GetParam().most);
+}
+
+const choice_row choice_rows[] = {
+    {"equal", [](scene&) {}, 45, 55},
+    {"busy", [](scene& of) { of.load("a").in_flight = 3; }, 0, 0},
+    {"slow", [](scene& of) { of.load("a").latency *= 5; }, 0, 0},
+    {"failing_fast",
+     [](scene& of) {
+         of.load("a").latency = microseconds(100);
+         of.load("a").failure_share = 0.5;
+     },
+     0, 0},
+    {"reported_busy",
+     [](scene& of) { note_report(of.load("a"), {.in_flight = 4, .queue = 9}, 1, of.now); }, 0, 0},
+    {"old_report_does_not_count",
+     [](scene& of) {
+         note_report(of.load("a"), {.in_flight = 4}, 1, of.now - 2 * report_lifetime);
+     },
+     45, 55},
+    {"report_cannot_hide_own_calls",
+     [](scene& of) {
+         of.load("a").in_flight = 3;
+         note_report(of.load("a"), {.in_flight = 0}, 1, of.now);
+     },
+     0, 0},
+    {"cold", [](scene& of) { of.load("a").ready_since = of.now; }, 0, 0},
+    {"cold_but_the_other_is_busy",
+     [](scene& of) {
+         of.load("a").ready_since = of.now - ramp_time / 2;
+         of.load("b").in_flight = 3;
+     },
+     100, 100},
+    {"full_here_spills_over",
+     [](scene& of) {
+         of.load("a").in_flight = 4;
+         of.load("b").in_flight = 4;
+     },
+     0, 0},
+    {"all_full_stays_here",
+     [](scene& of) {
+         of.load("a").in_flight = 4;
+         of.load("b").in_flight = 8;
+         of.load("c").in_flight = 4;
+     },
+     100, 100},
+    {"tried", [](scene& of) { of.tried = {node_id("a")}; }, 0, 0},
+    {"draining", [](scene& of) { of.endpoints[0].state = msg::upstream_state::draining; }, 0, 0},
+    {"starting", [](scene& of) { of.endpoints[0].state = msg::upstream_state::starting; }, 0, 0},
+    {"other_version", [](scene& of) { of.endpoints[0].version = version_id("v2"); }, 0, 0},
+    {"ejected", [](scene& of) { of.load("a").ejected_until = of.now + ejection; }, 0, 0},
+    {"suspect", [](scene& of) { of.endpoints[0].is_suspect = true; }, 0, 0},
+    {"ejected_is_better_than_none",
+     [](scene& of) {
+         of.load("a").ejected_until = of.now + ejection;
+         of.endpoints.resize(1);
+     },
+     100, 100},
+};
+
+INSTANTIATE_TEST_SUITE_P(rows, choice, ::testing::ValuesIn(choice_rows),
+                         [](const auto& row) { return std::string(row.param.name); });
+
+TEST(ejection, ends_by_one_probe_at_a_time) {
+    scene of;
+    for (std::uint32_t each = 0; each < failures_to_eject; ++each) {
+        note_opened(of.load("a"), of.now);
+        note_ended(of.load("a"), attempt_end::failed, {}, true, ejection, of.now);
+    }
+    EXPECT_EQ(of.pick_many()["a"], 0);
+    of.now += ejection;
+    EXPECT_EQ(of.pick_one(), "a");
+    note_opened(of.load("a"), of.now);
+    EXPECT_EQ(of.pick_many()["a"], 0);
+    note_ended(of.load("a"), attempt_end::failed, {}, true, ejection, of.now);
+    // A failed probe ejects for twice as long.
+    of.now += ejection;
+    EXPECT_EQ(of.pick_many()["a"], 0);
+    of.now += ejection;
+    note_opened(of.load("a"), of.now);
+    note_ended(of.load("a"), attempt_end::ok, microseconds(10'000), true, ejection, of.now);
+    EXPECT_FALSE(is_ejected(of.load("a"), of.now));
+}
+
+TEST(ejection, respects_the_cap) {
+    scene of;
+    const version_id version("v1");
+    EXPECT_TRUE(may_eject_one(of.loads, of.endpoints, version, 50));
+    of.load("a").ejected_until = of.now + ejection;
+    EXPECT_FALSE(may_eject_one(of.loads, of.endpoints, version, 50));
+    EXPECT_TRUE(may_eject_one(of.loads, of.endpoints, version, 67));
+}
+
+TEST(version, follows_the_share_and_the_caller) {
+    scene of;
+    routing_view view;
+    service of_service;
+    of_service.name = service_id("ledger");
+    of_service.version = version_id("v1");
+    view.endpoints[of_service.name] = of.endpoints;
+    view.shares[of_service.name] = {
+        .from = version_id("v1"), .to = version_id("v2"), .permille = 250, .move = move_id("m")};
+    const auto count_new = [&] {
+        int picked = 0;
+        for (int each = 0; each < draws; ++each) {
+            const auto key = "caller-" + std::to_string(each);
+            const auto first = choose_version(view, of_service, key, of.random);
+            EXPECT_EQ(first, choose_version(view, of_service, key, of.random));
+            picked += first == version_id("v2") ? 1 : 0;
+        }
+        return picked;
+    };
+    // No endpoint of the new version is ready, so nothing is lost to it.
+    EXPECT_EQ(count_new(), 0);
+    view.endpoints[of_service.name][0].version = version_id("v2");
+    EXPECT_NEAR(count_new(), draws / 4, draws / 20);
+}
+
+TEST(retry_budget, allows_a_share_of_the_calls) {
+    retry_budget budget;
+    std::uint64_t retries = 0;
+    constexpr int calls = 10'000;
+    for (int each = 0; each < calls; ++each) {
+        note_first_attempt(budget, 10);
+        retries += spend_retry(budget) ? 1 : 0;
+    }
+    // The share and what a quiet time had saved up.
+    EXPECT_GE(retries, 1000U);
+    EXPECT_LE(retries, 1020U);
+    EXPECT_EQ(budget.refused_retries, calls - retries);
+}
+
+} // namespace
+} // namespace cyclamenhatch::call
--- /dev/null
+++ b/tests/call/interleaving_test.cpp
@@ -0,0 +1,329 @@
+#include "call/call_key.h"
+#include "call/entry_call.h"
+#include "call/gate.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <array>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cyclamenhatch::call {
+namespace {
+
+constexpr std::size_t gate_count = 3;
+constexpr microseconds call_timeout{2'000'000};
+/// Links are closed after seconds of silence; nothing is delivered later than this.
+constexpr microseconds message_life{8'000'000};
+constexpr std::uint64_t first_instance = 100;
+constexpr int worlds_per_case = 20;
+
+struct to_gate {
+    enum class kind { open, reattach, cancel } what = kind::open;
+    pick to;
+};
+
+struct to_entry {
+    call_id call;
+    bool is_answer = false;
+    refusal told;
+};
+
+struct packet {
+    std::variant<to_gate, to_entry> content;
+    instant sent_at{};
+    /// It has been on a link: there is another copy, or a later message came before it.
+    bool is_on_link = false;
+};
+
+/// One call of an entry with three gates and a network that may do anything.
+struct world {
+    world(bool is_idempotent, bool is_instance_known) : knows_instance(is_instance_known) {
+        state.deadline = now + call_timeout;
+        state.is_idempotent = is_idempotent;
+        state.max_attempts = 3;
+        for (std::size_t each = 0; each < gate_count; ++each) {
+            start_gate(each);
+        }
+        handle(request_event{});
+    }
+
+    void start_gate(std::size_t number) {
+        gates[number] = {};
+        gates[number].instance = first_instance * (number + 1) + restarts;
+        msg::upstream_record_msg upstream;
+        upstream.service = "ledger";
+        upstream.version = "v1";
+        upstream.state = msg::upstream_state::ready;
+        upstream.slots = 1;
+        (void)on_upstream_change(gates[number], upstream, now);
+    }
+
+    static std::string name_of(std::size_t gate) { return "gate" + std::to_string(gate); }
+    static std::size_t number_of(const node_id& node) { return node.value.back() - '0'; }
+
+    std::optional<pick> choose(const std::vector<node_id>& tried) {
+        for (std::size_t each = 0; each < gate_count; ++each) {
+            const node_id node(name_of(each));
+            if (std::find(tried.begin(), tried.end(), node) == tried.end()) {
+                return pick{.call = {7, ++last_id},
+                            .node = node,
+                            .gate_instance = knows_instance ? gates[each].instance : 0};
+            }
+        }
+        return std::nullopt;
+    }
+
+    void handle(const entry_event& event) {
+        const std::function<std::optional<pick>(const std::vector<node_id>&)> chooser =
+            [this](const std::vector<node_id>& tried) { return choose(tried); };
+        for (const auto& action : advance(state, event, {budget, chooser, now})) {
+            if (const auto* open = std::get_if<open_action>(&action)) {
+                send(to_gate{to_gate::kind::open, open->to});
+            } else if (const auto* again = std::get_if<reattach_action>(&action)) {
+                send(to_gate{to_gate::kind::reattach, again->to});
+            } else if (const auto* cancel = std::get_if<cancel_action>(&action)) {
+                send(to_gate{to_gate::kind::cancel, cancel->to});
+            } else if (const auto* failed = std::get_if<fail_action>(&action)) {
+                ++ends;
+                told_not_run = failed->told.outcome == msg::call_outcome::not_run;
+            } else if (std::holds_alternative<pass_answer_action>(action)) {
+                ++ends;
+                is_answered = true;
+            }
+        }
+    }
+
+    void handle(std::size_t gate, const gate_actions& actions) {
+        for (const auto& action : actions) {
+            if (const auto* run = std::get_if<run_action>(&action)) {
+                ++runs;
+                ++runs_by_id[run->call];
+                running.emplace_back(gate, run->call);
+            } else if (const auto* answer = std::get_if<tell_answer_action>(&action)) {
+                send(to_entry{.call = from_key(answer->answer->call.get()), .is_answer = true});
+            } else if (const auto* refused = std::get_if<tell_refusal_action>(&action)) {
+                const auto& message = refused->refused;
+                send(to_entry{.call = from_key(message.call.get()),
+                              .told = {.outcome = message.outcome,
+                                       .reason = message.reason,
+                                       .retry_helps = message.retry_helps}});
+            }
+        }
+    }
+
+    template <class Content> void send(Content content) {
+        packets.push_back({std::move(content), now});
+    }
+
+    void deliver(const packet& from) {
+        if (now - from.sent_at > message_life) {
+            return;
+        }
+        if (const auto* message = std::get_if<to_entry>(&from.content)) {
+            if (message->is_answer) {
+                handle(answer_event{.call = message->call});
+            } else {
+                handle(refused_event{message->call, message->told});
+            }
+            return;
+        }
+        const auto& message = std::get<to_gate>(from.content);
+        const auto gate = number_of(message.to.node);
+        for (auto& each : packets) {
+            const auto* other = std::get_if<to_gate>(&each.content);
+            const bool is_older = each.sent_at <= from.sent_at;
+            each.is_on_link = each.is_on_link ||
+                              (other != nullptr && is_older && other->to.node == message.to.node);
+        }
+        if (message.what == to_gate::kind::cancel) {
+            handle(gate, on_cancel(gates[gate], message.to.call, now));
+            return;
+        }
+        handle(gate, on_open(gates[gate],
+                             {.call = message.to.call,
+                              .from = node_id("entry"),
+                              .is_reattach = message.what == to_gate::kind::reattach,
+                              .service = service_id("ledger"),
+                              .version = version_id("v1"),
+                              .owner = owner_id("members"),
+                              .deadline = now + (state.deadline - from.sent_at),
+                              .gate_instance = message.to.gate_instance},
+                             now));
+    }
+
+    void finish_run(std::size_t which, bool is_answered_by_upstream) {
+        const auto [gate, call] = running[which];
+        running.erase(running.begin() + static_cast<std::ptrdiff_t>(which));
+        upstream_end end;
+        if (is_answered_by_upstream) {
+            auto answer = std::make_shared<msg::call_answer_msg>();
+            answer->call = make_key(call);
+            end = {.answer = std::move(answer), .is_answered = true};
+        }
+        handle(gate, on_upstream_end(gates[gate], call, end, now));
+    }
+
+    void restart(std::size_t gate) {
+        ++restarts;
+        std::erase_if(running, [&](const auto& each) { return each.first == gate; });
+        // A message that waits at the sender for a new link may reach the new process; what was
+        // once on a link dies with the old one, so no message reaches both.
+        std::erase_if(packets, [&](const packet& each) {
+            const auto* message = std::get_if<to_gate>(&each.content);
+            return message != nullptr && each.is_on_link &&
+                   message->to.node == node_id(name_of(gate));
+        });
+        start_gate(gate);
+        handle(link_lost_event{node_id(name_of(gate))});
+    }
+
+    entry_call state;
+    retry_budget budget;
+    std::array<gate_state, gate_count> gates;
+    instant now{microseconds(1'000'000'000)};
+    std::vector<packet> packets;
+    std::vector<std::pair<std::size_t, call_id>> running;
+    std::map<call_id, int> runs_by_id;
+    std::uint64_t last_id = 0;
+    std::uint64_t restarts = 0;
+    bool knows_instance;
+    int runs = 0;
+    int ends = 0;
+    bool told_not_run = false;
+    bool is_answered = false;
+    bool is_caller_gone = false;
+};
+
+struct fault {
+    unsigned kind = 0;
+    unsigned which = 0;
+};
+
+void apply(world& of, const fault& next) {
+    const auto gate = next.which % gate_count;
+    const auto pick_packet = [&] { return next.which % of.packets.size(); };
+    switch (next.kind % 12) {
+    case 0:
+    case 1:
+    case 2:
+    case 3: // Deliver, out of order too.
+        if (!of.packets.empty()) {
+            const auto at = of.packets.begin() + static_cast<std::ptrdiff_t>(pick_packet());
+            const packet taken = *at;
+            of.packets.erase(at);
+            of.deliver(taken);
+        }
+        break;
+    case 4: // Duplicate.
+        if (!of.packets.empty()) {
+            auto& from = of.packets[pick_packet()];
+            from.is_on_link = true;
+            of.packets.push_back(packet(from));
+        }
+        break;
+    case 5: // Lose.
+        if (!of.packets.empty()) {
+            of.packets.erase(of.packets.begin() + static_cast<std::ptrdiff_t>(pick_packet()));
+        }
+        break;
+    case 6:
+        of.handle(link_lost_event{node_id(world::name_of(gate))});
+        break;
+    case 7:
+        of.now += microseconds(100'000 * (1 + next.which % 10));
+        of.handle(timer_event{});
+        break;
+    case 8:
+        if (!of.running.empty()) {
+            of.finish_run(next.which % of.running.size(), next.which % 4 != 0);
+        }
+        break;
+    case 9:
+        if (next.which % 3 == 0) {
+            of.restart(gate);
+        }
+        break;
+    case 10:
+        of.handle(gate, on_gate_timer(of.gates[gate], of.now));
+        of.handle(gate, next.which % 5 == 0 ? on_drain(of.gates[gate], of.now) : gate_actions{});
+        break;
+    case 11:
+        if (next.which % 7 == 0) {
+            of.handle(endpoint_gone_event{node_id(world::name_of(gate))});
+        } else if (next.which % 7 == 1) {
+            of.is_caller_gone = of.is_caller_gone || of.ends == 0;
+            of.handle(caller_gone_event{});
+        }
+        break;
+    }
+}
+
+/// Delivers all that is still under way, and lets the deadline pass.
+void settle(world& of) {
+    for (int round = 0; round < 200 && !of.packets.empty(); ++round) {
+        const packet taken = of.packets.front();
+        of.packets.erase(of.packets.begin());
+        of.deliver(taken);
+    }
+    of.now += call_timeout;
+    of.handle(timer_event{});
+}
+
+void check(const world& of) {
+    RC_ASSERT(of.ends <= 1);
+    for (const auto& [call, runs] : of.runs_by_id) {
+        RC_ASSERT(runs == 1);
+    }
+    RC_ASSERT(!of.told_not_run || of.runs == 0);
+    if (!of.state.is_idempotent) {
+        RC_ASSERT(of.runs <= 1);
+    }
+    RC_ASSERT(of.runs <= 3);
+}
+
+void run_faults(world& of, const std::vector<std::pair<unsigned, unsigned>>& faults) {
+    for (const auto& [kind, which] : faults) {
+        apply(of, {kind, which});
+        check(of);
+    }
+    settle(of);
+    check(of);
+    RC_ASSERT(of.ends == 1 || of.is_caller_gone);
+}
+
+std::vector<std::pair<unsigned, unsigned>> draw_faults() {
+    const auto one = rc::gen::pair(rc::gen::inRange(0U, 12U), rc::gen::inRange(0U, 1000U));
+    const auto count = *rc::gen::inRange<std::size_t>(0, 120);
+    return *rc::gen::container<std::vector<std::pair<unsigned, unsigned>>>(count, one);
+}
+
+RC_GTEST_PROP(interleaving, a_call_that_is_not_idempotent_runs_at_most_once, ()) {
+    for (int each = 0; each < worlds_per_case; ++each) {
+        world of(false, *rc::gen::arbitrary<bool>());
+        run_faults(of, draw_faults());
+    }
+}
+
+RC_GTEST_PROP(interleaving, not_run_is_never_told_of_a_call_that_ran, ()) {
+    for (int each = 0; each < worlds_per_case; ++each) {
+        world of(true, *rc::gen::arbitrary<bool>());
+        run_faults(of, draw_faults());
+    }
+}
+
+RC_GTEST_PROP(interleaving, answers_of_other_calls_are_dropped, ()) {
+    world of(*rc::gen::arbitrary<bool>(), true);
+    const auto id = *rc::gen::inRange<std::uint64_t>(1000, 2000);
+    of.handle(answer_event{.call = {7, id}});
+    of.handle(refused_event{{7, id}, {.retry_helps = true}});
+    of.handle(answer_end_event{{7, id}});
+    RC_ASSERT(of.ends == 0);
+    RC_ASSERT(of.state.tried.size() == 1U);
+}
+
+} // namespace
+} // namespace cyclamenhatch::call
