move: test the decisions and say when little traffic decided

Cause: no test guarded the moves; with on_little_traffic done the record did not say that too few calls stood behind it.

--- a/src/move/controller.cpp
+++ b/src/move/controller.cpp
@@ -350,6 +350,19 @@
     return next_permit(facts, next.permille, now);
 }
 
+std::string describe_success(const control_state& self, const control_facts& facts, instant now) {
+    const bool is_cut_short = now < facts.known.granted->at + facts.planned.bake;
+    std::string text = is_cut_short
+                           ? "all traffic on the new version, the deadline cut the bake short"
+                           : "all traffic on the new version, bake passed";
+    const std::uint64_t calls = calls_on_new(self);
+    if (calls < facts.planned.min_calls) {
+        text += "; little traffic: " + std::to_string(calls) + " of " +
+                std::to_string(facts.planned.min_calls) + " calls, and on_little_traffic is done";
+    }
+    return text;
+}
+
 decision decide_bake(control_state& self, const control_facts& facts, instant now) {
     const permit& granted = *facts.known.granted;
     const worst_finding earlier = worst_earlier(self);
@@ -369,10 +382,7 @@
     if (worst.level >= late_level(self)) {
         return make_evidence_veto(self, facts, worst, ", at the deadline", now);
     }
-    return finish{.reason = now < granted.at + facts.planned.bake
-                                ? "all traffic on the new version, the deadline cut the bake short"
-                                : "all traffic on the new version, bake passed",
-                  .in_force_at = granted.at};
+    return finish{.reason = describe_success(self, facts, now), .in_force_at = granted.at};
 }
 
 } // namespace
--- /dev/null
+++ b/tests/move/fleet_test.cpp
@@ -0,0 +1,161 @@
+#include "move/fixture.h"
+#include "move/plan.h"
+
+#include <gtest/gtest.h>
+
+namespace cyclamenhatch::moves {
+
+namespace {
+
+std::size_t count_outcomes(const std::vector<store::move_close>& closes, move_outcome of) {
+    return static_cast<std::size_t>(
+        std::count_if(closes.begin(), closes.end(),
+                      [of](const auto& each) { return each.ending.outcome == of; }));
+}
+
+struct fleet_case {
+    const char* name;
+    int new_errors;
+    int old_errors;
+    std::size_t liar;
+    move_outcome outcome;
+};
+
+class fleet_cases : public testing::TestWithParam<fleet_case> {};
+
+TEST_P(fleet_cases, end_as_they_should) {
+    small_fleet fleet(6);
+    fleet.new_errors = GetParam().new_errors;
+    fleet.old_errors = GetParam().old_errors;
+    fleet.liar = GetParam().liar;
+    fleet.run(seconds(130));
+    ASSERT_FALSE(fleet.closes.empty());
+    EXPECT_EQ(count_outcomes(fleet.closes, GetParam().outcome), fleet.closes.size());
+    EXPECT_LE(fleet.closes.front().ending.in_force_at, make_move().deadline);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    rows, fleet_cases,
+    testing::Values(fleet_case{"good", 0, 0, SIZE_MAX, move_outcome::done},
+                    fleet_case{"all_fail", 100, 0, SIZE_MAX, move_outcome::taken_back},
+                    fleet_case{"some_fail", 10, 1, SIZE_MAX, move_outcome::taken_back},
+                    fleet_case{"both_fail", 30, 30, SIZE_MAX, move_outcome::done},
+                    fleet_case{"liar_0", 0, 1, 0, move_outcome::done},
+                    fleet_case{"liar_1", 0, 1, 1, move_outcome::done},
+                    fleet_case{"liar_2", 0, 1, 2, move_outcome::done},
+                    fleet_case{"liar_3", 0, 1, 3, move_outcome::done}),
+    [](const auto& row) { return std::string(row.param.name); });
+
+TEST(fleet, a_version_bad_at_once_meets_few_calls_and_none_after_the_veto) {
+    small_fleet fleet(6);
+    fleet.new_errors = 100;
+    while (fleet.closes.empty() && fleet.now < make_move().deadline) {
+        fleet.tick();
+    }
+    EXPECT_LT(fleet.calls_on_new, 60U);
+    fleet.run(seconds(1));
+    const auto before = fleet.calls_on_new;
+    fleet.run(seconds(10));
+    EXPECT_EQ(fleet.calls_on_new, before);
+}
+
+TEST(fleet, a_store_outage_leaves_traffic_in_time_and_the_record_says_when) {
+    small_fleet fleet(6);
+    fleet.run(seconds(200));
+    EXPECT_EQ(fleet.share(0), full_share_permille);
+    ASSERT_GT(fleet.closes.size(), 3U);
+    const auto& last = fleet.closes.back().ending;
+    EXPECT_EQ(last.outcome, move_outcome::done);
+    EXPECT_EQ(last.in_force_at, fleet.closes.front().ending.in_force_at);
+    EXPECT_LT(last.in_force_at, make_move().deadline);
+    move ended = make_move();
+    ended.ending = last;
+    fleet.set_config(ended);
+    EXPECT_TRUE(shares(fleet.nodes[0], fleet.now).empty());
+    EXPECT_EQ(list_status(fleet.nodes[0], fleet.now).at(0).phase, "done");
+}
+
+TEST(fleet, a_veto_beats_done_until_the_record_is_written) {
+    small_fleet fleet(6);
+    fleet.run(seconds(125));
+    ASSERT_EQ(count_outcomes(fleet.closes, move_outcome::taken_back), 0U);
+    ASSERT_FALSE(fleet.closes.empty());
+    move cancelled = make_move();
+    cancelled.cancel = true;
+    fleet.set_config(cancelled);
+    EXPECT_EQ(fleet.share(0), 0U);
+    fleet.closes.clear();
+    fleet.run(seconds(12));
+    ASSERT_FALSE(fleet.closes.empty());
+    EXPECT_EQ(count_outcomes(fleet.closes, move_outcome::done), 0U);
+}
+
+struct idle_case {
+    const char* name;
+    little_traffic_policy policy;
+    move_outcome outcome;
+    const char* reason;
+};
+
+class idle_cases : public testing::TestWithParam<idle_case> {};
+
+TEST_P(idle_cases, fall_as_the_policy_says) {
+    move planned = make_move();
+    planned.on_little_traffic = GetParam().policy;
+    small_fleet fleet(3, planned);
+    fleet.calls = 0;
+    fleet.run(seconds(130));
+    ASSERT_FALSE(fleet.closes.empty());
+    EXPECT_EQ(fleet.closes.back().ending.outcome, GetParam().outcome);
+    EXPECT_NE(fleet.closes.back().ending.reason.find(GetParam().reason), std::string::npos);
+}
+
+INSTANTIATE_TEST_SUITE_P(rows, idle_cases,
+                         testing::Values(idle_case{"take_back", little_traffic_policy::take_back,
+                                                   move_outcome::taken_back, "only 0 of 50 calls"},
+                                         idle_case{"done", little_traffic_policy::done,
+                                                   move_outcome::done, "little traffic"}),
+                         [](const auto& row) { return std::string(row.param.name); });
+
+TEST(fleet, without_endpoints_of_the_new_version_the_move_waits_and_is_taken_back) {
+    small_fleet fleet(4);
+    for (auto& table : fleet.tables) {
+        table.self.upstream->version = "v1";
+        for (auto& [node, other] : table.members) {
+            other.record.upstream->version = "v1";
+        }
+        ++table.generation;
+    }
+    fleet.run(seconds(60));
+    EXPECT_EQ(fleet.share(0), 0U);
+    fleet.run(seconds(70));
+    ASSERT_FALSE(fleet.closes.empty());
+    EXPECT_EQ(fleet.closes.back().ending.outcome, move_outcome::taken_back);
+    EXPECT_NE(fleet.closes.back().ending.reason.find("no endpoints"), std::string::npos);
+}
+
+TEST(fleet, an_entry_that_is_cut_off_still_stops_a_bad_version_by_itself) {
+    small_fleet fleet(6);
+    fleet.run(seconds(20));
+    ASSERT_GT(fleet.share(5), 0U);
+    fleet.cut_off = 5;
+    fleet.new_errors = 100;
+    fleet.run(seconds(60));
+    EXPECT_EQ(fleet.share(5), 0U);
+}
+
+TEST(fleet, a_newcomer_learns_the_permitted_share) {
+    small_fleet fleet(6);
+    fleet.run(seconds(20));
+    const auto permitted = fleet.share(0);
+    ASSERT_GT(permitted, 0U);
+    fleet.nodes[5] = make_state({}, fleet.now);
+    actions wanted;
+    on_config(fleet.nodes[5], fleet.tables[5], fleet.nodes[0].held, fleet.now, wanted);
+    fleet.run(seconds(1));
+    EXPECT_EQ(fleet.share(5), fleet.share(0));
+}
+
+} // namespace
+
+} // namespace cyclamenhatch::moves
