move: split the judgement of evidence from the controller

Change: judgement.h holds accumulated evidence; evidence of the seconds before endpoints died is dropped when their death is known.

--- a/src/move/controller.cpp
+++ b/src/move/controller.cpp
@@ -11,17 +11,19 @@
 
 /// Largest score per second over all entries, so that a short burst takes nothing back.
 constexpr double max_total_score_per_s = 6.0;
-/// Evidence of the other sources that supports the strongest one.
-constexpr double agreement_level = 200;
-/// Slow calls are no evidence for this time after endpoints of the new version began to serve, at
-/// most once per interval.
+/// Time that others get to report before one source's word may do for want of witnesses.
+constexpr seconds witness_time{10};
+/// Slow calls are no evidence for this time after endpoints of the new version began to serve.
 constexpr seconds cold_time{8};
-constexpr seconds cold_interval{60};
+/// Endpoints that die fail calls for up to this time until their death is known...
+constexpr seconds death_time{6};
+/// ... and for this time after.
+constexpr seconds dying_time{2};
+/// Endpoints that come or go count at most once in this time, each way.
+constexpr seconds endpoint_interval{60};
 /// A controller that begins takes over what its predecessors knew, in the first reports it gets.
 constexpr seconds catch_up_time{3};
 constexpr double max_catch_up_score = 50;
-/// Time that others get to report before one source's word may do for want of witnesses.
-constexpr seconds witness_time{10};
 /// Evidence above which the ramp waits.
 constexpr double suspicion_level = 20;
 /// Evidence above which no stage is entered before its latest start.
@@ -81,31 +83,6 @@
     return sum;
 }
 
-std::array<weighed_evidence, measure_count> make_weighed() {
-    std::array<weighed_evidence, measure_count> made;
-    const auto fresh = make_detectors();
-    for (std::size_t of = 0; of < measure_count; ++of) {
-        made.at(of) = {.all = fresh.at(of), .without_strongest = fresh.at(of)};
-    }
-    return made;
-}
-
-/// A check is made on a suspicion: as likely as not, the version is bad now.
-void begin_check(control_state& self) {
-    const auto fresh = make_detectors();
-    for (auto& [route, judged] : self.routes) {
-        for (std::size_t of = 0; of < measure_count; ++of) {
-            for (std::size_t i = 0; i < effect_count; ++i) {
-                const double start = fresh.at(of).value.at(i);
-                auto& both = judged.concurrent.at(of);
-                both.all.value.at(i) = std::max(both.all.value.at(i), start);
-                both.without_strongest.value.at(i) =
-                    std::max(both.without_strongest.value.at(i), start);
-            }
-        }
-    }
-}
-
 void note_stage(control_state& self, const attempt_record& known) {
     const std::uint32_t stage = known.granted ? known.granted->stage : 0;
     if (stage == self.stage) {
@@ -114,78 +91,38 @@
     const std::uint32_t share = known.granted ? known.granted->permille : 0;
     if (share == check_permille && self.permille >= full_share_permille) {
         ++self.checks;
-        begin_check(self);
+        begin_check(self.routes);
     }
     self.stage = stage;
     self.permille = share;
     self.calls_before_stage = calls_on_new(self);
-    for (auto& [route, judged] : self.routes) {
-        judged.earlier = make_weighed();
-    }
+    forget_earlier(self.routes);
+    self.past.clear();
 }
 
-/// Notes when endpoints of the new version begin to serve: they are slow at first. Endpoints that
-/// come and go mute the evidence for a small part of the time only.
-void note_cold_start(control_state& self, const ready_slots& ready, instant now) {
+/// Notes when endpoints of the new version begin to serve, which are slow at first, and when they
+/// disappear: the errors of the seconds before came from their death. Endpoints that come and go
+/// mute the evidence for a small part of the time only.
+void note_endpoints(control_state& self, const ready_slots& ready, instant now) {
     const bool is_more = self.ready_on_new > 0 && ready.on_new > self.ready_on_new;
+    const bool is_less = ready.on_new < self.ready_on_new;
     self.ready_on_new = ready.on_new;
-    if (is_more && now >= self.cold_since + cold_interval) {
+    if (is_more && now >= self.cold_since + endpoint_interval) {
         self.cold_since = now;
     }
-}
-
-void advance_both(weighed_evidence& self, effect_scores all, effect_scores others, float limit,
-                  double weight) {
-    limit_scores(all, limit);
-    limit_scores(others, limit);
-    advance(self.all, all, weight);
-    advance(self.without_strongest, others, weight);
-}
-
-route_judgement make_judgement() {
-    return {.concurrent = make_weighed(), .earlier = make_weighed()};
-}
-
-void add_table(score_table& sum, const score_table& added) {
-    for (std::size_t with = 0; with < reference_count; ++with) {
-        for (std::size_t of = 0; of < measure_count; ++of) {
-            for (std::size_t i = 0; i < effect_count; ++i) {
-                sum[with][of][i] += added[with][of][i];
-            }
+    if (is_less && now >= self.lost_since + endpoint_interval) {
+        self.lost_since = now;
+        if (!self.past.empty()) {
+            self.routes = self.past.front().routes;
         }
     }
 }
 
-/// Each route, and all together for a fault that shows on every route a little.
-std::map<route_id, route_step> with_sum(std::map<route_id, route_step> steps) {
-    route_step sum;
-    for (const auto& [route, step] : steps) {
-        add_table(sum.all, step.all);
-        add_table(sum.without_strongest, step.without_strongest);
-        sum.has_witnesses = sum.has_witnesses || step.has_witnesses;
-    }
-    if (steps.size() > 1) {
-        steps.emplace(route_id(std::string(all_routes)), sum);
+void remember_judgements(control_state& self, instant now) {
+    std::erase_if(self.past, [now](const auto& each) { return each.at + death_time < now; });
+    if (self.past.empty() || self.past.back().at + seconds(1) <= now) {
+        self.past.push_back({.at = now, .routes = self.routes});
     }
-    return steps;
-}
-
-template <class Detectors>
-worst_finding worst_of(const std::map<route_id, route_judgement>& routes, Detectors detectors) {
-    worst_finding worst;
-    for (const auto& [route, judged] : routes) {
-        for (std::size_t of = 0; of < measure_count; ++of) {
-            const double found = agreed_level(detectors(judged).at(of), judged.has_witnesses);
-            if (found > worst.level) {
-                worst = {.route = route, .what = static_cast<measure>(of), .level = found};
-            }
-        }
-    }
-    return worst;
-}
-
-worst_finding worst_earlier(const control_state& self) {
-    return worst_of(self.routes, [](const route_judgement& of) { return of.earlier; });
 }
 
 double veto_level(const control_state& self, std::uint32_t false_alarm_ppm) {
@@ -255,7 +192,7 @@
 /// The deadline is here and the traffic is not on the new version.
 decision decide_overdue(const control_state& self, const control_facts& facts, instant now) {
     const std::uint32_t share = facts.known.granted ? facts.known.granted->permille : 0;
-    const worst_finding worst = worst_concurrent(self);
+    const worst_finding worst = worst_concurrent(self.routes);
     if (worst.level >= late_level(self)) {
         return make_evidence_veto(self, facts, worst, ", at the deadline", now);
     }
@@ -293,7 +230,7 @@
     const std::uint64_t calls = calls_on_new(self) - self.calls_before_stage;
     const bool has_calls = calls >= check_calls_factor * std::uint64_t{facts.planned.min_calls};
     const bool is_long = dwell >= longest_check_time || (has_calls && dwell >= check_time);
-    return !is_long || worst_concurrent(self).level >= clear_level;
+    return !is_long || worst_concurrent(self.routes).level >= clear_level;
 }
 
 /// How long a stage that is due waits for clearer evidence.
@@ -315,7 +252,7 @@
     }
     const stage& next = left.front();
     const auto dwell = now - entered;
-    const worst_finding worst = worst_concurrent(self);
+    const worst_finding worst = worst_concurrent(self.routes);
     const bool is_check = self.checks > 0 && granted.permille == check_permille;
     const std::uint64_t calls = calls_on_new(self);
     if (is_check && is_check_open(self, facts, dwell, now)) {
@@ -365,7 +302,7 @@
 
 decision decide_bake(control_state& self, const control_facts& facts, instant now) {
     const permit& granted = *facts.known.granted;
-    const worst_finding earlier = worst_earlier(self);
+    const worst_finding earlier = worst_earlier(self.routes);
     if (earlier.level >= check_level) {
         if (self.checks >= max_checks && earlier.level >= veto_level(self, facts.false_alarm_ppm)) {
             return make_evidence_veto(self, facts, earlier, ", at the full share only", now);
@@ -374,7 +311,7 @@
             return next_permit(facts, check_permille, now);
         }
     }
-    const worst_finding worst = worst_concurrent(self);
+    const worst_finding worst = worst_concurrent(self.routes);
     const bool is_overdue = now >= facts.planned.deadline;
     if (!is_overdue && (now < granted.at + facts.planned.bake || worst.level >= suspicion_level)) {
         return {};
@@ -387,16 +324,6 @@
 
 } // namespace
 
-double agreed_level(const weighed_evidence& of, bool has_witnesses) {
-    const double all = level(of.all);
-    const double others = level(of.without_strongest);
-    return !has_witnesses || others >= agreement_level ? all : std::min(all, others);
-}
-
-worst_finding worst_concurrent(const control_state& self) {
-    return worst_of(self.routes, [](const route_judgement& of) { return of.concurrent; });
-}
-
 void observe(control_state& self, const control_facts& facts, instant now) {
     note_stage(self, facts.known);
     if (now < self.last_step + control_step) {
@@ -406,24 +333,18 @@
     self.last_step = now;
     observe_load(self, step_s);
     drop_silent_groups(self.collected, now);
-    note_cold_start(self, facts.ready, now);
-    const bool is_cold = now < self.cold_since + cold_time;
-    const double weight = step_weight(self, facts.planned, step_s);
+    note_endpoints(self, facts.ready, now);
     const bool is_catching_up = now < self.collected.begun + catch_up_time;
-    const auto full_limit =
+    const auto limit =
         static_cast<float>(is_catching_up ? max_catch_up_score : max_total_score_per_s * step_s);
-    for (const auto& [route, step] : with_sum(take_steps(self.collected))) {
-        route_judgement& judged = self.routes.try_emplace(route, make_judgement()).first->second;
-        judged.has_witnesses = step.has_witnesses || now < self.collected.begun + witness_time;
-        for (std::size_t of = 0; of < measure_count; ++of) {
-            const bool is_muted = is_cold && of != static_cast<std::size_t>(measure::errors);
-            const float limit = is_muted ? 0 : full_limit;
-            advance_both(judged.concurrent[of], step.all[0][of], step.without_strongest[0][of],
-                         limit, weight);
-            advance_both(judged.earlier[of], step.all[1][of], step.without_strongest[1][of], limit,
-                         weight);
-        }
-    }
+    const bool is_cold = now < self.cold_since + cold_time;
+    const bool is_dying = now < self.lost_since + dying_time;
+    add_steps(self.routes, take_steps(self.collected),
+              {.max_errors_score = is_dying ? 0 : limit,
+               .max_slow_score = is_cold || is_dying ? 0 : limit,
+               .weight = step_weight(self, facts.planned, step_s),
+               .awaits_witnesses = now < self.collected.begun + witness_time});
+    remember_judgements(self, now);
 }
 
 bool is_borne_out(const control_state& self, const control_facts& facts, const veto& heard,
@@ -433,12 +354,12 @@
     switch (heard.reason) {
     case msg::veto_reason::errors:
     case msg::veto_reason::latency:
-        return worst_concurrent(self).level >=
+        return worst_concurrent(self.routes).level >=
                    second_part * (now >= latest_bake_start(planned)
                                       ? late_level(self)
                                       : veto_level(self, facts.false_alarm_ppm)) ||
                (share >= full_share_permille && self.checks >= max_checks &&
-                worst_earlier(self).level >= second_part * check_level);
+                worst_earlier(self.routes).level >= second_part * check_level);
     case msg::veto_reason::operator_cancel:
         return planned.cancel;
     case msg::veto_reason::deadline:
@@ -456,7 +377,7 @@
     if (find_veto(facts.known) != nullptr) {
         return {};
     }
-    const worst_finding worst = worst_concurrent(self);
+    const worst_finding worst = worst_concurrent(self.routes);
     if (worst.level >= veto_level(self, facts.false_alarm_ppm)) {
         return make_evidence_veto(self, facts, worst, "", now);
     }
--- a/src/move/controller.h
+++ b/src/move/controller.h
@@ -2,16 +2,14 @@
 
 #include "model/resources.h"
 #include "model/time.h"
+#include "move/judgement.h"
 #include "move/permits.h"
 #include "move/reports.h"
-#include "move/verdict.h"
 
-#include <array>
 #include <cstdint>
-#include <map>
 #include <string>
-#include <string_view>
 #include <variant>
+#include <vector>
 
 /// What the controller of a move decides from the evidence of all entries. Pure. Two controllers at
 /// once do no harm, since all they give out are permits and vetoes; a new one goes on from the
@@ -35,25 +33,17 @@
     bool holds_alone = false;
 };
 
-/// Evidence on one measure from all sources, and from all but the strongest.
-struct weighed_evidence {
-    detector all;
-    detector without_strongest;
+/// The judgements as they stood at a time.
+struct past_judgements {
+    instant at;
+    judgements routes;
 };
 
-struct route_judgement {
-    std::array<weighed_evidence, measure_count> concurrent;
-    /// Against the old version's earlier calls; only makes the controller compare side by side.
-    std::array<weighed_evidence, measure_count> earlier;
-    bool has_witnesses = false;
-};
-
-/// Name under which the evidence of all routes together is judged.
-inline constexpr std::string_view all_routes = "*";
-
 struct control_state {
     collection collected;
-    std::map<route_id, route_judgement> routes;
+    judgements routes;
+    /// Those of the last seconds, oldest first, to return to when endpoints turn out to have died.
+    std::vector<past_judgements> past;
     instant last_step;
     /// The stage that the counts below belong to.
     std::uint32_t stage = 0;
@@ -67,6 +57,8 @@
     /// Ready slots of the new version, and when some of them last began to serve.
     std::uint32_t ready_on_new = 0;
     instant cold_since;
+    /// When endpoints of the new version last disappeared.
+    instant lost_since;
     /// Why the next stage waits, for logs and status; empty when it does not.
     std::string waiting_for;
 };
@@ -90,17 +82,4 @@
 [[nodiscard]] bool is_borne_out(const control_state& self, const control_facts& facts,
                                 const veto& heard, instant now);
 
-/// The level of the evidence that counts: all of it when the sources other than the strongest agree
-/// or carry no calls of the route, otherwise theirs.
-[[nodiscard]] double agreed_level(const weighed_evidence& of, bool has_witnesses);
-
-/// The strongest evidence against the new version over all routes.
-struct worst_finding {
-    route_id route;
-    measure what = measure::errors;
-    double level = 0;
-};
-
-[[nodiscard]] worst_finding worst_concurrent(const control_state& self);
-
 } // namespace cyclamenhatch::moves
