standins: time a call from when it is due

Cause: call n counted as due at n/rate but was sent at (n+1)/rate, so each latency held one interval too many: p50 6.0 ms direct at 300 calls/s and a service time of 2 ms. Conclusion: latencies of the stand-in caller are no longer inflated by 1/rate.

--- a/standins/caller.cpp
+++ b/standins/caller.cpp
@@ -185,7 +185,7 @@
     const double until_s = std::min(elapsed_s, self->options.seconds);
     const auto due = static_cast<std::uint64_t>(until_s * self->options.rate);
     while (self->tally.sent < due) {
-        const double at_s = static_cast<double>(self->tally.sent) / self->options.rate;
+        const double at_s = static_cast<double>(self->tally.sent + 1) / self->options.rate;
         send_call(self, self->started + std::chrono::duration_cast<steady::duration>(
                                             std::chrono::duration<double>(at_s)));
     }
