--- a/src/node/state_document.cpp
+++ b/src/node/state_document.cpp
@@ -148,12 +148,9 @@
 document describe_store(const node_runtime& node) {
     const auto& reader = node.control.reader;
     const auto counts = store::counters(*node.store);
-    return document::table{{"is_down", reader.is_store_down},
-                           {"is_watching", reader.is_watching},
-                           {"reads", number(counts.reads)},
-                           {"writes", number(counts.writes)},
-                           {"watches", number(counts.watches)},
-                           {"not_run", number(counts.not_run)},
+    return document::table{{"is_down", reader.is_store_down},   {"is_watching", reader.is_watching},
+                           {"reads", number(counts.reads)},     {"writes", number(counts.writes)},
+                           {"watches", number(counts.watches)}, {"not_run", number(counts.not_run)},
                            {"unknown", number(counts.unknown)}};
 }
 
