--- a/src/admin/server.cpp
+++ b/src/admin/server.cpp
@@ -222,13 +222,14 @@
     auto server = std::make_shared<admin_server>();
     server->now = node.now ? node.now : read_system_clock;
     server->watches = start_watch_hub(node, server->now);
-    server->context = {.node = node,
+    server->context = {.node = {},
                        .preview = store::apply_change,
                        .more_metrics = [measured = server->measured,
                                         node] { return write_measures(*measured, node); },
                        .token = settings.admin->token,
                        .own_ip = settings.listen->ip,
                        .write_deadline = milliseconds{settings.store->write_deadline_ms}};
+    server->context.node = std::move(node);
     const auto address = make_address(*settings.listen);
     server->listener = http_listener(address);
     server->listener.support(
