--- a/src/store/config_writer.cpp
+++ b/src/store/config_writer.cpp
@@ -19,9 +19,11 @@
     auto& writer = run.writer;
     writer.step = writer_step::idle;
     writer.last_failure = reason;
-    ++writer.failures;
+    if (++writer.failures == 1) {
+        writer.failing_since = run.now;
+    }
     writer.not_before = run.now + backoff_delay(failure_backoff, writer.failures, run.random);
-    if (is_store_away(writer)) {
+    if (is_store_away(writer, run.now)) {
         give_back_unsent(run);
     }
 }
@@ -269,7 +271,7 @@
         actions.replies.push_back({request.operation, write_accepted{*version}});
         return;
     }
-    if (is_store_away(writer) && now < writer.not_before) {
+    if (is_store_away(writer, now) && now < writer.not_before) {
         give_back(run, request.operation, "the store is away: " + writer.last_failure);
         return;
     }
--- a/src/store/config_writer.h
+++ b/src/store/config_writer.h
@@ -128,6 +128,7 @@
     /// Failures of the service in a row, and lost races in a row.
     std::uint32_t failures = 0;
     std::uint32_t lost_races = 0;
+    instant failing_since;
     std::string last_failure;
     /// No request is sent before.
     instant not_before;
--- a/src/store/writer_run.cpp
+++ b/src/store/writer_run.cpp
@@ -7,6 +7,8 @@
 
 /// Failures in a row after which changes that were never sent are given back.
 constexpr std::uint32_t failures_to_open = 3;
+/// Answers that get lost now and then are no outage.
+constexpr milliseconds failing_to_open{1000};
 constexpr milliseconds shortest_retry{100};
 constexpr std::size_t max_unknowns = 256;
 
@@ -50,8 +52,8 @@
 
 } // namespace
 
-bool is_store_away(const config_writer& writer) {
-    return writer.failures >= failures_to_open;
+bool is_store_away(const config_writer& writer, instant now) {
+    return writer.failures >= failures_to_open && now - writer.failing_since >= failing_to_open;
 }
 
 bool is_in_swap(const config_writer& writer, const operation_id& operation) {
--- a/src/store/writer_run.h
+++ b/src/store/writer_run.h
@@ -19,8 +19,9 @@
 
 using write_outcome = decltype(write_reply::outcome);
 
-/// Whether the service has failed so often that changes are given back without an attempt.
-[[nodiscard]] bool is_store_away(const config_writer& writer);
+/// Whether the service has failed so often and so long that changes are given back without an
+/// attempt.
+[[nodiscard]] bool is_store_away(const config_writer& writer, instant now);
 
 /// Whether the swap under way carries this operation.
 [[nodiscard]] bool is_in_swap(const config_writer& writer, const operation_id& operation);
