--- a/tests/store/head_reader_test.cpp
+++ b/tests/store/head_reader_test.cpp
@@ -229,7 +229,7 @@
         RC_ASSERT(world.nodes[0].found[i - 1]->version < world.nodes[0].found[i]->version);
     }
     const auto seconds_passed = (to_unix_ms(world.now) - to_unix_ms(begin)) / 1000;
-    RC_ASSERT(world.store.reads <= static_cast<std::uint64_t>(2 * 5 * (seconds_passed + 2)));
+    RC_ASSERT(world.store.reads <= 10 * static_cast<std::uint64_t>(seconds_passed + 2));
 }
 
 } // namespace
