store: report what is held as found when a read shows that it is current

After a pause a node is ready only once it has compared what it holds with others or the store. The reader was silent when the store held the same, so a node alone with the store had no answer to compare with.

--- a/src/store/head_reader.cpp
+++ b/src/store/head_reader.cpp
@@ -162,8 +162,10 @@
     }
     take_entry(run, entry);
     const bool is_known = is_settled(reader, compute_digest(entry.value)) && !run.actions.found;
-    run.actions.is_current =
-        is_known && reader.held && reader.held->version >= reader.settled->version;
+    if (is_known && reader.held && reader.held->version >= reader.settled->version) {
+        run.actions.is_current = true;
+        run.actions.found = reader.held;
+    }
 }
 
 void on_sections_read(reader_run& run, const kv_entries& read) {
--- a/src/store/head_reader.h
+++ b/src/store/head_reader.h
@@ -19,7 +19,8 @@
 
 struct reader_actions {
     std::vector<kv_request> requests;
-    /// Set when a configuration was read and is valid.
+    /// Set when a configuration was read and is valid, and to what this node holds when a read
+    /// showed that this is current.
     snapshot_ptr found;
     /// Set when the head was read and is not newer than what this node holds.
     bool is_current = false;
