--- /dev/null
+++ b/src/move/controller.cpp
@@ -0,0 +1,399 @@
+#include "move/controller.h"
+
+#include "move/plan.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace cyclamenhatch::moves {
+
+namespace {
+
+/// Largest score per second over all entries, so that a short burst takes nothing back.
+constexpr double max_total_score_per_s = 6.0;
+/// Time that others get to report before one source's word may do for want of witnesses.
+constexpr seconds witness_time{10};
+/// Slow calls are no evidence for this time after endpoints of the new version began to serve.
+constexpr seconds cold_time{8};
+/// Endpoints that die fail calls for up to this time until their death is known...
+constexpr seconds death_time{6};
+/// ... and for this time after.
+constexpr seconds dying_time{2};
+/// Endpoints that come or go count at most once in this time, each way.
+constexpr seconds endpoint_interval{60};
+/// A controller that begins takes over what its predecessors knew, in the first reports it gets.
+constexpr seconds catch_up_time{3};
+constexpr double max_catch_up_score = 50;
+/// Evidence above which the ramp waits.
+constexpr double suspicion_level = 20;
+/// Evidence above which no stage is entered before its latest start.
+constexpr double early_level = 3;
+/// Evidence that takes a move back when there is no time to wait.
+constexpr double late_veto_level = 1000;
+/// Part of a veto's evidence that bears out another controller's veto: its reports may be older.
+constexpr double second_part = 0.1;
+constexpr milliseconds clock_tolerance{1000};
+/// The same after a check was called for.
+constexpr double checked_veto_level = 100;
+/// Evidence below which a check is over.
+constexpr double clear_level = 5;
+/// Evidence against earlier calls that makes the controller compare side by side.
+constexpr double check_level = 100;
+constexpr std::uint32_t check_permille = 500;
+constexpr std::uint32_t max_checks = 3;
+constexpr milliseconds check_time{4000};
+/// Without evidence against the new version a check ends then.
+constexpr milliseconds longest_check_time{15000};
+/// Calls on the new version that a check takes, in units of the move's min_calls.
+constexpr std::uint64_t check_calls_factor = 4;
+/// A check must be over before the deadline.
+constexpr milliseconds check_margin{8000};
+/// Shortest time in a stage that is entered before its latest start.
+constexpr milliseconds early_stage_time{3000};
+/// Part of the new version's ready slots that a stage may fill.
+constexpr double slot_use = 0.8;
+constexpr double busy_smoothing = 0.3;
+
+double seconds_of(microseconds span) {
+    return std::chrono::duration<double>(span).count();
+}
+
+double step_weight(const control_state& self, const move& planned, double step_s) {
+    const double whole = seconds_of(planned.deadline - self.collected.begun);
+    return 0.5 * step_s / std::max(whole, 60.0);
+}
+
+void observe_load(control_state& self, double step_s) {
+    std::uint64_t busy_us = 0;
+    for (const auto& [route, totals] : sum_totals(self.collected)) {
+        busy_us += totals.busy_us;
+    }
+    if (busy_us > self.last_busy_us && step_s > 0) {
+        const double slots = static_cast<double>(busy_us - self.last_busy_us) / (step_s * 1e6);
+        self.busy_slots += busy_smoothing * (slots - self.busy_slots);
+    }
+    self.last_busy_us = busy_us;
+}
+
+std::uint64_t calls_on_new(const control_state& self) {
+    std::uint64_t sum = 0;
+    for (const auto& [route, totals] : sum_totals(self.collected)) {
+        sum += totals.new_calls;
+    }
+    return sum;
+}
+
+void note_stage(control_state& self, const attempt_record& known) {
+    const std::uint32_t stage = known.granted ? known.granted->stage : 0;
+    if (stage == self.stage) {
+        return;
+    }
+    const std::uint32_t share = known.granted ? known.granted->permille : 0;
+    if (share == check_permille && self.permille >= full_share_permille) {
+        ++self.checks;
+        begin_check(self.routes);
+    }
+    self.stage = stage;
+    self.permille = share;
+    self.calls_before_stage = calls_on_new(self);
+    forget_earlier(self.routes);
+    self.past.clear();
+}
+
+/// Notes when endpoints of the new version begin to serve, which are slow at first, and when they
+/// disappear: the errors of the seconds before came from their death. Endpoints that come and go
+/// mute the evidence for a small part of the time only.
+void note_endpoints(control_state& self, const ready_slots& ready, instant now) {
+    const bool is_more = self.ready_on_new > 0 && ready.on_new > self.ready_on_new;
+    const bool is_less = ready.on_new < self.ready_on_new;
+    self.ready_on_new = ready.on_new;
+    if (is_more && now >= self.cold_since + endpoint_interval) {
+        self.cold_since = now;
+    }
+    if (is_less && now >= self.lost_since + endpoint_interval) {
+        self.lost_since = now;
+        if (!self.past.empty()) {
+            self.routes = self.past.front().routes;
+        }
+    }
+}
+
+void remember_judgements(control_state& self, instant now) {
+    std::erase_if(self.past, [now](const auto& each) { return each.at + death_time < now; });
+    if (self.past.empty() || self.past.back().at + seconds(1) <= now) {
+        self.past.push_back({.at = now, .routes = self.routes});
+    }
+}
+
+double veto_level(const control_state& self, std::uint32_t false_alarm_ppm) {
+    const double tests = static_cast<double>(std::max<std::size_t>(self.routes.size(), 1)) *
+                         static_cast<double>(measure_count);
+    return tests * 1e6 / std::max(false_alarm_ppm, 1U);
+}
+
+std::string describe(const control_state& self, const worst_finding& worst) {
+    const auto sums = sum_totals(self.collected);
+    const auto found = sums.find(worst.route);
+    std::string text = std::string(measure_name(worst.what));
+    if (found == sums.end()) {
+        return text;
+    }
+    const route_totals& totals = found->second;
+    std::array<char, 160> figures{};
+    std::snprintf(figures.data(), figures.size(),
+                  ": new %llu errors of %llu calls, old %llu of %llu, evidence 1:%.0f",
+                  static_cast<unsigned long long>(totals.new_errors),
+                  static_cast<unsigned long long>(totals.new_calls),
+                  static_cast<unsigned long long>(totals.old_errors),
+                  static_cast<unsigned long long>(totals.old_calls), worst.level);
+    return text + figures.data();
+}
+
+/// Times in permits and vetoes travel in milliseconds; equal values must be equal everywhere.
+instant whole_ms(instant time) {
+    return from_unix_ms(to_unix_ms(time));
+}
+
+veto make_veto(const control_facts& facts, msg::veto_reason reason, std::string detail,
+               instant now) {
+    return {.reason = reason,
+            .detail = std::move(detail),
+            .raised_by = facts.self,
+            .at = whole_ms(now),
+            .is_confirmed = facts.holds_alone};
+}
+
+veto make_evidence_veto(const control_state& self, const control_facts& facts,
+                        const worst_finding& worst, const std::string& addition, instant now) {
+    const auto reason =
+        worst.what == measure::errors ? msg::veto_reason::errors : msg::veto_reason::latency;
+    veto made = make_veto(facts, reason, describe(self, worst) + addition, now);
+    made.route = worst.route;
+    return made;
+}
+
+permit next_permit(const control_facts& facts, std::uint32_t permille, instant now) {
+    const std::uint32_t stage = facts.known.granted ? facts.known.granted->stage + 1 : 1;
+    return {.stage = stage, .permille = permille, .at = whole_ms(now)};
+}
+
+bool has_slots_for(const control_state& self, const control_facts& facts, std::uint32_t permille) {
+    if (facts.ready.on_new == 0) {
+        return false;
+    }
+    const double needed = self.busy_slots * permille / full_share_permille;
+    return needed <= slot_use * facts.ready.on_new;
+}
+
+double late_level(const control_state& self) {
+    return self.checks > 0 ? checked_veto_level : late_veto_level;
+}
+
+/// The deadline is here and the traffic is not on the new version.
+decision decide_overdue(const control_state& self, const control_facts& facts, instant now) {
+    const std::uint32_t share = facts.known.granted ? facts.known.granted->permille : 0;
+    const worst_finding worst = worst_concurrent(self.routes);
+    if (worst.level >= late_level(self)) {
+        return make_evidence_veto(self, facts, worst, ", at the deadline", now);
+    }
+    if (!has_slots_for(self, facts, full_share_permille)) {
+        return make_veto(facts, msg::veto_reason::no_endpoints,
+                         "deadline reached with " + std::to_string(facts.ready.on_new) +
+                             " ready slots of the new version",
+                         now);
+    }
+    if (share >= check_permille) {
+        return next_permit(facts, full_share_permille, now);
+    }
+    return make_veto(facts, msg::veto_reason::deadline,
+                     "deadline reached at a share of " + std::to_string(share) + " permille", now);
+}
+
+/// The full share is due with fewer calls than a verdict takes.
+decision decide_little_traffic(const control_facts& facts, std::uint64_t calls, instant now) {
+    if (facts.planned.on_little_traffic == little_traffic_policy::done) {
+        return next_permit(facts, full_share_permille, now);
+    }
+    return make_veto(facts, msg::veto_reason::little_traffic,
+                     "only " + std::to_string(calls) + " of " +
+                         std::to_string(facts.planned.min_calls) +
+                         " calls on the new version, and on_little_traffic is take_back",
+                     now);
+}
+
+/// Whether a side by side comparison has to go on: until it is clear, or the deadline is near.
+bool is_check_open(const control_state& self, const control_facts& facts, microseconds dwell,
+                   instant now) {
+    if (now + check_margin >= facts.planned.deadline) {
+        return false;
+    }
+    const std::uint64_t calls = calls_on_new(self) - self.calls_before_stage;
+    const bool has_calls = calls >= check_calls_factor * std::uint64_t{facts.planned.min_calls};
+    const bool is_long = dwell >= longest_check_time || (has_calls && dwell >= check_time);
+    return !is_long || worst_concurrent(self.routes).level >= clear_level;
+}
+
+/// How long a stage that is due waits for clearer evidence.
+instant hold_until(const move& planned, instant due, double level) {
+    const instant last = latest_bake_start(planned);
+    if (level >= suspicion_level) {
+        return last;
+    }
+    return level >= early_level && due < last ? due + (last - due) / 2 : due;
+}
+
+decision decide_ramp(control_state& self, const control_facts& facts, instant now) {
+    const permit granted = facts.known.granted.value_or(permit{});
+    const bool is_first = !facts.known.granted;
+    const instant entered = is_first ? now : granted.at;
+    const auto left = schedule_after(facts.planned, granted.permille, entered);
+    if (left.empty()) {
+        return {};
+    }
+    const stage& next = left.front();
+    const auto dwell = now - entered;
+    const worst_finding worst = worst_concurrent(self.routes);
+    const bool is_check = self.checks > 0 && granted.permille == check_permille;
+    const std::uint64_t calls = calls_on_new(self);
+    if (is_check && is_check_open(self, facts, dwell, now)) {
+        self.waiting_for = "a comparison side by side";
+        return {};
+    }
+    if (!is_first && dwell < min_stage_time) {
+        return {};
+    }
+    if (!has_slots_for(self, facts, next.permille)) {
+        self.waiting_for = "ready slots of the new version";
+        return {};
+    }
+    const bool is_due = now >= next.latest_start;
+    const bool is_early = calls >= self.calls_before_stage + facts.planned.min_calls &&
+                          dwell >= early_stage_time && worst.level < early_level;
+    if (!is_due && !is_early) {
+        self.waiting_for = "calls or the schedule";
+        return {};
+    }
+    if (now < hold_until(facts.planned, next.latest_start, worst.level)) {
+        self.waiting_for = "clearer evidence";
+        return {};
+    }
+    if (worst.level >= late_level(self)) {
+        return make_evidence_veto(self, facts, worst, ", no time left to gather more", now);
+    }
+    self.waiting_for.clear();
+    if (next.permille == full_share_permille && calls < facts.planned.min_calls) {
+        return decide_little_traffic(facts, calls, now);
+    }
+    return next_permit(facts, next.permille, now);
+}
+
+std::string describe_success(const control_state& self, const control_facts& facts, instant now) {
+    const bool is_cut_short = now < facts.known.granted->at + facts.planned.bake;
+    std::string text = is_cut_short
+                           ? "all traffic on the new version, the deadline cut the bake short"
+                           : "all traffic on the new version, bake passed";
+    const std::uint64_t calls = calls_on_new(self);
+    if (calls < facts.planned.min_calls) {
+        text += "; little traffic: " + std::to_string(calls) + " of " +
+                std::to_string(facts.planned.min_calls) + " calls, and on_little_traffic is done";
+    }
+    return text;
+}
+
+decision decide_bake(control_state& self, const control_facts& facts, instant now) {
+    const permit& granted = *facts.known.granted;
+    const worst_finding earlier = worst_earlier(self.routes);
+    if (earlier.level >= check_level) {
+        if (self.checks >= max_checks && earlier.level >= veto_level(self, facts.false_alarm_ppm)) {
+            return make_evidence_veto(self, facts, earlier, ", at the full share only", now);
+        }
+        if (self.checks < max_checks && now + check_margin < facts.planned.deadline) {
+            return next_permit(facts, check_permille, now);
+        }
+    }
+    const worst_finding worst = worst_concurrent(self.routes);
+    const bool is_overdue = now >= facts.planned.deadline;
+    if (!is_overdue && (now < granted.at + facts.planned.bake || worst.level >= suspicion_level)) {
+        return {};
+    }
+    if (worst.level >= late_level(self)) {
+        return make_evidence_veto(self, facts, worst, ", at the deadline", now);
+    }
+    return finish{.reason = describe_success(self, facts, now), .in_force_at = granted.at};
+}
+
+} // namespace
+
+void observe(control_state& self, const control_facts& facts, instant now) {
+    note_stage(self, facts.known);
+    if (now < self.last_step + control_step) {
+        return;
+    }
+    const double step_s = std::min(seconds_of(now - self.last_step), 2 * seconds_of(control_step));
+    self.last_step = now;
+    observe_load(self, step_s);
+    drop_silent_groups(self.collected, now);
+    note_endpoints(self, facts.ready, now);
+    const bool is_catching_up = now < self.collected.begun + catch_up_time;
+    const auto limit =
+        static_cast<float>(is_catching_up ? max_catch_up_score : max_total_score_per_s * step_s);
+    const bool is_cold = now < self.cold_since + cold_time;
+    const bool is_dying = now < self.lost_since + dying_time;
+    add_steps(self.routes, take_steps(self.collected),
+              {.max_errors_score = is_dying ? 0 : limit,
+               .max_slow_score = is_cold || is_dying ? 0 : limit,
+               .weight = step_weight(self, facts.planned, step_s),
+               .awaits_witnesses = now < self.collected.begun + witness_time});
+    remember_judgements(self, now);
+}
+
+bool is_borne_out(const control_state& self, const control_facts& facts, const veto& heard,
+                  instant now) {
+    const move& planned = facts.planned;
+    const std::uint32_t share = facts.known.granted ? facts.known.granted->permille : 0;
+    switch (heard.reason) {
+    case msg::veto_reason::errors:
+    case msg::veto_reason::latency:
+        return worst_concurrent(self.routes).level >=
+                   second_part * (now >= latest_bake_start(planned)
+                                      ? late_level(self)
+                                      : veto_level(self, facts.false_alarm_ppm)) ||
+               (share >= full_share_permille && self.checks >= max_checks &&
+                worst_earlier(self.routes).level >= second_part * check_level);
+    case msg::veto_reason::operator_cancel:
+        return planned.cancel;
+    case msg::veto_reason::deadline:
+    case msg::veto_reason::no_endpoints:
+        return now + clock_tolerance >= planned.deadline && share < full_share_permille;
+    case msg::veto_reason::little_traffic:
+        return planned.on_little_traffic == little_traffic_policy::take_back &&
+               now + clock_tolerance >= latest_bake_start(planned) &&
+               calls_on_new(self) < planned.min_calls + planned.min_calls / 2;
+    }
+    return false;
+}
+
+decision decide(control_state& self, const control_facts& facts, instant now) {
+    if (find_veto(facts.known) != nullptr) {
+        return {};
+    }
+    const worst_finding worst = worst_concurrent(self.routes);
+    if (worst.level >= veto_level(self, facts.false_alarm_ppm)) {
+        return make_evidence_veto(self, facts, worst, "", now);
+    }
+    if (facts.planned.start && now < *facts.planned.start) {
+        self.waiting_for = "the start";
+        return {};
+    }
+    const bool is_full =
+        facts.known.granted && facts.known.granted->permille >= full_share_permille;
+    if (is_full) {
+        return decide_bake(self, facts, now);
+    }
+    if (now >= facts.planned.deadline) {
+        return decide_overdue(self, facts, now);
+    }
+    return decide_ramp(self, facts, now);
+}
+
+} // namespace cyclamenhatch::moves
--- /dev/null
+++ b/src/move/controller.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "model/resources.h"
+#include "model/time.h"
+#include "move/judgement.h"
+#include "move/permits.h"
+#include "move/reports.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// What the controller of a move decides from the evidence of all entries. Pure. Two controllers at
+/// once do no harm, since all they give out are permits and vetoes; a new one goes on from the
+/// permits it knows.
+namespace cyclamenhatch::moves {
+
+/// Ready slots of both versions.
+struct ready_slots {
+    std::uint32_t on_new = 0;
+    std::uint32_t on_old = 0;
+};
+
+/// What a decision rests on besides the evidence.
+struct control_facts {
+    const move& planned;
+    const attempt_record& known;
+    ready_slots ready;
+    node_id self;
+    std::uint32_t false_alarm_ppm = 100;
+    /// A veto of this node needs no second.
+    bool holds_alone = false;
+};
+
+/// The judgements as they stood at a time.
+struct past_judgements {
+    instant at;
+    judgements routes;
+};
+
+struct control_state {
+    collection collected;
+    judgements routes;
+    /// Those of the last seconds, oldest first, to return to when endpoints turn out to have died.
+    std::vector<past_judgements> past;
+    instant last_step;
+    /// The stage that the counts below belong to.
+    std::uint32_t stage = 0;
+    std::uint32_t permille = 0;
+    std::uint64_t calls_before_stage = 0;
+    /// How often the controller stepped back from the full share to compare.
+    std::uint32_t checks = 0;
+    /// Slots in use, estimated from latencies.
+    double busy_slots = 0;
+    std::uint64_t last_busy_us = 0;
+    /// Ready slots of the new version, and when some of them last began to serve.
+    std::uint32_t ready_on_new = 0;
+    instant cold_since;
+    /// When endpoints of the new version last disappeared.
+    instant lost_since;
+    /// Why the next stage waits, for logs and status; empty when it does not.
+    std::string waiting_for;
+};
+
+/// The move has succeeded.
+struct finish {
+    std::string reason;
+    instant in_force_at;
+};
+
+using decision = std::variant<std::monostate, permit, veto, finish>;
+
+/// Takes over what was reported since the last step. Call at any rate; steps are
+/// `control_step` apart.
+void observe(control_state& self, const control_facts& facts, instant now);
+inline constexpr milliseconds control_step{500};
+
+[[nodiscard]] decision decide(control_state& self, const control_facts& facts, instant now);
+
+/// Whether this controller's own view agrees with a veto that another node raised.
+[[nodiscard]] bool is_borne_out(const control_state& self, const control_facts& facts,
+                                const veto& heard, instant now);
+
+} // namespace cyclamenhatch::moves
