membership: let a suspicion ripen before hearsay of a death counts; give up waiting earlier when asked

parted_shortly failed at 19.1 s (6 of 8 members left at home): the second claim of a death from the far side hit a member that the first claim had made suspect. A claim now needs a suspicion of half of suspicion_ms. Nodes that others ask for their table stop waiting for contacts after 1 s, the rest after 2 to 6 s; news of a draining, gone or departed member keeps its eager rounds when the byte budget is low.

--- a/src/membership/joiner.cpp
+++ b/src/membership/joiner.cpp
@@ -2,6 +2,7 @@
 
 #include "membership/prober.h"
 #include "membership/record_merge.h"
+#include "membership/stable_hash.h"
 #include "membership/updates.h"
 
 #include <algorithm>
@@ -14,8 +15,11 @@
 constexpr std::size_t page_records = 64;
 constexpr milliseconds page_timeout{500};
 constexpr std::uint64_t page_jitter_ms = 300;
-/// Silence after which this node counts as joined without anybody's table.
+/// Silence after which this node counts as joined without anybody's table. When all start at once,
+/// those that others ask give up first, so that the others find a table instead of joining alone.
 constexpr milliseconds join_patience{2000};
+constexpr milliseconds asked_patience{1000};
+constexpr std::uint64_t patience_spread_ms = 4000;
 /// Rounds are repeated, at most this often, while one brings more than a fiftieth of the table.
 constexpr int round_limit = 6;
 constexpr std::size_t news_divisor = 50;
@@ -84,6 +88,17 @@
     return !state.sync.has_wrapped && state.sync.after == state.self.node;
 }
 
+milliseconds patience(const table& state) {
+    if (state.sync.is_asked) {
+        return asked_patience;
+    }
+    if (state.contacts.empty()) {
+        return join_patience;
+    }
+    const auto spread = stable_hash(state.self.node) % patience_spread_ms;
+    return join_patience + milliseconds{static_cast<std::int64_t>(spread)};
+}
+
 void tick_sync(table& state, instant now, random_source& random, std::vector<outgoing>& sends) {
     auto& sync = state.sync;
     if (!sync.is_active && now >= sync.next_round) {
@@ -92,7 +107,7 @@
     if (!sync.is_active) {
         return;
     }
-    if (now - sync.progress >= join_patience) {
+    if (now - sync.progress >= patience(state)) {
         end_round(state, false, now, random);
         return;
     }
@@ -215,6 +230,7 @@
 
 void start_sync(table& state, instant now) {
     state.has_joined = false;
+    state.sync.is_asked = false;
     state.sync.rounds = 0;
     begin_round(state, now);
 }
@@ -229,6 +245,7 @@
 
 void answer_sync(table& state, const node_id& from, const msg::member_sync_msg& request,
                  instant now, std::vector<outgoing>& sends) {
+    state.sync.is_asked |= !state.has_joined;
     if (!state.has_joined || !take_page_turn(state, now)) {
         return;
     }
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -63,6 +63,8 @@
     instant progress;
     /// Contacts are asked in turn.
     std::size_t next_contact = 0;
+    /// Others asked this node for its table before it had joined: it is a contact of theirs.
+    bool is_asked = false;
     /// Members that this round brought. Rounds are repeated until one brings hardly any.
     std::size_t news = 0;
     int rounds = 0;
--- a/src/membership/record_merge.cpp
+++ b/src/membership/record_merge.cpp
@@ -33,6 +33,13 @@
     return true;
 }
 
+/// Whether the member has been suspect here long enough for others' claim of its death: it had the
+/// time to refute.
+bool is_ripe(const table& state, const member& held, instant now) {
+    return held.record.state == msg::liveness::suspect &&
+           now - held.since >= milliseconds{state.settings.suspicion_ms} / 2;
+}
+
 void replace_record(table& state, member& held, const msg::member_record_msg& record, instant now) {
     const auto before = held.record.state;
     held.record = record;
@@ -93,9 +100,13 @@
     if (!is_same_incarnation || record.state <= held.record.state) {
         return false;
     }
-    const bool is_unsuspected_death =
-        record.state == msg::liveness::dead && held.record.state == msg::liveness::alive;
-    set_liveness(state, held, is_unsuspected_death ? msg::liveness::suspect : record.state, now);
+    if (record.state != msg::liveness::dead) {
+        set_liveness(state, held, record.state, now);
+    } else if (is_ripe(state, held, now)) {
+        set_liveness(state, held, msg::liveness::dead, now);
+    } else if (held.record.state == msg::liveness::alive) {
+        set_liveness(state, held, msg::liveness::suspect, now);
+    }
     return true;
 }
 
--- a/src/membership/record_merge.h
+++ b/src/membership/record_merge.h
@@ -15,8 +15,9 @@
 };
 
 /// Merges one record. A claim about this node that is not true is refuted. A claim that a member
-/// which is alive here has died only starts a suspicion, so that the far side of a healed
-/// partition can't make live members vanish. Returns whether anything changed.
+/// has died only starts a suspicion unless it has been suspect here for half of suspicion_ms, so
+/// that the far side of a healed partition can't make live members vanish. Returns whether anything
+/// changed.
 bool merge_record(table& state, const msg::member_record_msg& record, record_source source,
                   instant now);
 
--- a/src/membership/updates.cpp
+++ b/src/membership/updates.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t push_fan_out = 3;
 /// Rounds of eager pushes that each node makes for one update; the rest rides on probes.
 constexpr std::uint32_t push_rounds = 4;
+constexpr std::uint32_t low_budget_rounds = 2;
 constexpr double push_bytes_per_s = 5000;
 constexpr double push_burst_bytes = 12'000;
 constexpr double message_overhead_bytes = 120;
@@ -45,6 +46,24 @@
         });
 }
 
+/// Calls must stop going to this member.
+bool is_urgent(const table& state, const node_id& about) {
+    const auto* record = find_record(state, about);
+    if (record == nullptr) {
+        return false;
+    }
+    const auto upstream = record->upstream ? record->upstream->state : msg::upstream_state::none;
+    return !is_live(*record) || upstream == msg::upstream_state::draining ||
+           upstream == msg::upstream_state::gone;
+}
+
+/// Eager rounds that an update gets. While the budget is low, the first rounds of a new update go
+/// before the repetition of older ones.
+std::uint32_t allowed_rounds(const table& state, const node_id& about) {
+    const bool is_ample = state.push_budget_bytes > push_burst_bytes / 2;
+    return is_ample || is_urgent(state, about) ? push_rounds : low_budget_rounds;
+}
+
 /// The updates whose eager rounds are not over, least sent first; bounded.
 std::vector<node_id> choose_pushed(table& state) {
     sort_least_sent(state, state.settings.updates_per_message);
@@ -53,7 +72,7 @@
         if (chosen.size() >= state.settings.updates_per_message) {
             break;
         }
-        if (each.times_pushed < push_rounds) {
+        if (each.times_pushed < allowed_rounds(state, each.about)) {
             chosen.push_back(each.about);
         }
     }
