move: ask fresh evidence of a controller that begins and let a check count

Change: taken-over evidence is capped, with no verdict for 3 s; while endpoints may be dying the share is lowered to 5% before a verdict; doubtful stages wait a quarter of the time left; the cause of a check counts 30 times in its verdict; a last check when the bake ends in doubt.

--- a/src/move/controller.cpp
+++ b/src/move/controller.cpp
@@ -16,7 +16,7 @@
 /// Slow calls are no evidence for this time after endpoints of the new version began to serve.
 constexpr seconds cold_time{8};
 /// Endpoints that die fail calls for up to this time until their death is known...
-constexpr seconds death_time{6};
+constexpr milliseconds death_time{5000};
 /// ... and for this time after.
 constexpr seconds dying_time{2};
 /// Endpoints that come or go count at most once in this time, each way.
@@ -24,10 +24,14 @@
 /// A controller that begins takes over what its predecessors knew, in the first reports it gets.
 constexpr seconds catch_up_time{3};
 constexpr double max_catch_up_score = 50;
+/// It needs fresh evidence for a verdict.
+constexpr double max_catch_up_value = 50;
 /// Evidence above which the ramp waits.
 constexpr double suspicion_level = 20;
 /// Evidence above which no stage is entered before its latest start.
 constexpr double early_level = 3;
+/// Part of the time left until the bake that a stage waits for then.
+constexpr int doubtful_wait_part = 4;
 /// Evidence that takes a move back when there is no time to wait.
 constexpr double late_veto_level = 1000;
 /// Part of a veto's evidence that bears out another controller's veto: its reports may be older.
@@ -39,7 +43,13 @@
 constexpr double clear_level = 5;
 /// Evidence against earlier calls that makes the controller compare side by side.
 constexpr double check_level = 100;
+/// What a check's cause counts for in the verdict after it.
+constexpr double check_evidence = 30;
 constexpr std::uint32_t check_permille = 500;
+/// Largest share while a verdict waits for news of dead endpoints.
+constexpr std::uint32_t doubtful_permille = 50;
+/// The same when the bake is over and time is left.
+constexpr double last_check_level = 5;
 constexpr std::uint32_t max_checks = 3;
 constexpr milliseconds check_time{4000};
 /// Without evidence against the new version a check ends then.
@@ -128,17 +138,27 @@
 double veto_level(const control_state& self, std::uint32_t false_alarm_ppm) {
     const double tests = static_cast<double>(std::max<std::size_t>(self.routes.size(), 1)) *
                          static_cast<double>(measure_count);
-    return tests * 1e6 / std::max(false_alarm_ppm, 1U);
+    const double whole = tests * 1e6 / std::max(false_alarm_ppm, 1U);
+    // A check stands on evidence of its own.
+    return self.checks > 0 ? whole / check_evidence : whole;
+}
+
+route_totals sum_of_routes(const std::map<route_id, route_totals>& routes) {
+    route_totals sum;
+    for (const auto& [route, totals] : routes) {
+        sum.new_calls += totals.new_calls;
+        sum.new_errors += totals.new_errors;
+        sum.old_calls += totals.old_calls;
+        sum.old_errors += totals.old_errors;
+    }
+    return sum;
 }
 
 std::string describe(const control_state& self, const worst_finding& worst) {
     const auto sums = sum_totals(self.collected);
     const auto found = sums.find(worst.route);
     std::string text = std::string(measure_name(worst.what));
-    if (found == sums.end()) {
-        return text;
-    }
-    const route_totals& totals = found->second;
+    const route_totals totals = found == sums.end() ? sum_of_routes(sums) : found->second;
     std::array<char, 160> figures{};
     std::snprintf(figures.data(), figures.size(),
                   ": new %llu errors of %llu calls, old %llu of %llu, evidence 1:%.0f",
@@ -185,6 +205,18 @@
     return needed <= slot_use * facts.ready.on_new;
 }
 
+/// The evidence suffices. While it may still be the death of endpoints the share is only lowered.
+decision decide_bad(const control_state& self, const control_facts& facts,
+                    const worst_finding& worst, instant now) {
+    if (now >= self.clear_at + death_time || !facts.known.granted) {
+        return make_evidence_veto(self, facts, worst, "", now);
+    }
+    if (facts.known.granted->permille > doubtful_permille) {
+        return next_permit(facts, doubtful_permille, now);
+    }
+    return {};
+}
+
 double late_level(const control_state& self) {
     return self.checks > 0 ? checked_veto_level : late_veto_level;
 }
@@ -239,7 +271,7 @@
     if (level >= suspicion_level) {
         return last;
     }
-    return level >= early_level && due < last ? due + (last - due) / 2 : due;
+    return level >= early_level && due < last ? due + (last - due) / doubtful_wait_part : due;
 }
 
 decision decide_ramp(control_state& self, const control_facts& facts, instant now) {
@@ -311,9 +343,14 @@
             return next_permit(facts, check_permille, now);
         }
     }
+    const bool is_baked = now >= granted.at + facts.planned.bake;
+    const bool has_time = now + longest_check_time + check_margin < facts.planned.deadline;
+    if (is_baked && has_time && earlier.level >= last_check_level && self.checks < max_checks) {
+        return next_permit(facts, check_permille, now);
+    }
     const worst_finding worst = worst_concurrent(self.routes);
     const bool is_overdue = now >= facts.planned.deadline;
-    if (!is_overdue && (now < granted.at + facts.planned.bake || worst.level >= suspicion_level)) {
+    if (!is_overdue && (!is_baked || worst.level >= suspicion_level)) {
         return {};
     }
     if (worst.level >= late_level(self)) {
@@ -343,8 +380,12 @@
               {.max_errors_score = is_dying ? 0 : limit,
                .max_slow_score = is_cold || is_dying ? 0 : limit,
                .weight = step_weight(self, facts.planned, step_s),
+               .max_value = is_catching_up ? max_catch_up_value : 0,
                .awaits_witnesses = now < self.collected.begun + witness_time});
     remember_judgements(self, now);
+    if (worst_concurrent(self.routes).level < early_level) {
+        self.clear_at = now;
+    }
 }
 
 bool is_borne_out(const control_state& self, const control_facts& facts, const veto& heard,
@@ -374,12 +415,13 @@
 }
 
 decision decide(control_state& self, const control_facts& facts, instant now) {
-    if (find_veto(facts.known) != nullptr) {
+    const bool is_catching_up = now < self.collected.begun + catch_up_time;
+    if (find_veto(facts.known) != nullptr || is_catching_up) {
         return {};
     }
     const worst_finding worst = worst_concurrent(self.routes);
     if (worst.level >= veto_level(self, facts.false_alarm_ppm)) {
-        return make_evidence_veto(self, facts, worst, "", now);
+        return decide_bad(self, facts, worst, now);
     }
     if (facts.planned.start && now < *facts.planned.start) {
         self.waiting_for = "the start";
--- a/src/move/controller.h
+++ b/src/move/controller.h
@@ -59,6 +59,8 @@
     instant cold_since;
     /// When endpoints of the new version last disappeared.
     instant lost_since;
+    /// When there was last no evidence to speak of.
+    instant clear_at;
     /// Why the next stage waits, for logs and status; empty when it does not.
     std::string waiting_for;
 };
--- a/src/move/judgement.cpp
+++ b/src/move/judgement.cpp
@@ -36,6 +36,13 @@
     advance(self.without_strongest, others, weight);
 }
 
+void cap(weighed_evidence& self, double most) {
+    for (std::size_t i = 0; most > 0 && i < effect_count; ++i) {
+        self.all.value.at(i) = std::min(self.all.value.at(i), most);
+        self.without_strongest.value.at(i) = std::min(self.without_strongest.value.at(i), most);
+    }
+}
+
 void add_table(score_table& sum, const score_table& added) {
     for (std::size_t with = 0; with < reference_count; ++with) {
         for (std::size_t of = 0; of < measure_count; ++of) {
@@ -85,6 +92,8 @@
                          limit, rules.weight);
             advance_both(judged.earlier[of], step.all[1][of], step.without_strongest[1][of], limit,
                          rules.weight);
+            cap(judged.concurrent[of], rules.max_value);
+            cap(judged.earlier[of], rules.max_value);
         }
     }
 }
--- a/src/move/judgement.h
+++ b/src/move/judgement.h
@@ -35,6 +35,8 @@
     float max_slow_score = 0;
     /// Prior probability that a fault begins in this step.
     double weight = 0;
+    /// Values that the detectors must not exceed yet; none when zero.
+    double max_value = 0;
     /// Other sources have not had the time to report.
     bool awaits_witnesses = false;
 };
