move: ask more agreement before one source decides

Change: agreement and seconding take more evidence; 5 s after the deadline the first controller's veto is seconded.

--- a/bench/moves_bench.cpp
+++ b/bench/moves_bench.cpp
@@ -3,8 +3,9 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cmath>
 #include <cstdio>
-#include <fstream>
+#include <memory>
 #include <stdexcept>
 #include <thread>
 
@@ -97,7 +98,7 @@
     }
     std::sort(values.begin(), values.end());
     const auto last = static_cast<double>(values.size() - 1);
-    return values[static_cast<std::size_t>(part * last + 0.5)];
+    return values[static_cast<std::size_t>(std::lround(part * last))];
 }
 
 template <class Value> std::vector<double> collect(const matrix_row& row, Value value) {
@@ -205,7 +206,10 @@
         throw std::runtime_error("no row of the matrix fits the options");
     }
     run_rows(rows, options);
-    std::FILE* csv = options.csv.empty() ? nullptr : std::fopen(options.csv.c_str(), "w");
+    using file = std::unique_ptr<std::FILE, int (*)(std::FILE*)>;
+    const file opened(options.csv.empty() ? nullptr : std::fopen(options.csv.c_str(), "w"),
+                      &std::fclose);
+    std::FILE* csv = opened.get();
     const char* columns =
         "policy,version,fault,calls_per_s,seeds,in_time_percent,taken_back_percent,"
         "hurt_median,hurt_p99,met_percent_median,met_percent_of_move_p99,"
@@ -221,9 +225,6 @@
             print_reasons(row);
         }
     }
-    if (csv != nullptr) {
-        std::fclose(csv);
-    }
     print_summary(rows);
 }
 
--- a/bench/moves_traffic.cpp
+++ b/bench/moves_traffic.cpp
@@ -155,7 +155,7 @@
                              (self.wanted.version.tail_factor > 1 && deviate > p99_deviate / 2);
         note_met(self, is_slow || (is_error && drawn >= base_error_rate), now);
     }
-    self.pending[entry].push({.end = now + sample.latency, .sample = std::move(sample)});
+    self.pending[entry].push({.end = now + sample.latency, .sample = sample});
 }
 
 } // namespace
--- a/src/move/controller.cpp
+++ b/src/move/controller.cpp
@@ -35,7 +35,7 @@
 /// Evidence that takes a move back when there is no time to wait.
 constexpr double late_veto_level = 1000;
 /// Part of a veto's evidence that bears out another controller's veto: its reports may be older.
-constexpr double second_part = 0.1;
+constexpr double second_part = 0.25;
 constexpr milliseconds clock_tolerance{1000};
 /// The same after a check was called for.
 constexpr double checked_veto_level = 100;
--- a/src/move/judgement.cpp
+++ b/src/move/judgement.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Evidence of the other sources that supports the strongest one.
-constexpr double agreement_level = 200;
+constexpr double agreement_level = 2000;
 
 std::array<weighed_evidence, measure_count> make_weighed() {
     std::array<weighed_evidence, measure_count> made;
--- a/src/move/on_tick.cpp
+++ b/src/move/on_tick.cpp
@@ -144,7 +144,9 @@
     }
     const veto* holding = find_veto(known);
     const veto& heard = holding != nullptr ? *holding : known.vetoes.begin()->second;
-    if (holding == nullptr &&
+    const bool is_overdue = now > open.planned.deadline + longest_dispute &&
+                            is_controller(open.around, heard.raised_by, 1);
+    if (holding == nullptr && !is_overdue &&
         !is_borne_out(open.control, make_facts(self, key, open), heard, now)) {
         return;
     }
