--- a/bench/bench_upstream.cpp
+++ b/bench/bench_upstream.cpp
@@ -152,6 +152,10 @@
     return {.runs = upstream.runs, .doubled = upstream.doubled};
 }
 
+bool has_run(const bench_upstream& upstream, const std::string& id) {
+    return upstream.seen.count(id) > 0;
+}
+
 void set_service_time(bench_upstream& upstream, microseconds to) {
     upstream.service_us = to.count();
 }
--- a/bench/http_load.cpp
+++ b/bench/http_load.cpp
@@ -114,6 +114,7 @@
             std::chrono::duration_cast<std::chrono::microseconds>(took).count()));
     } else if (is_answered && outcome == "not-run") {
         ++result.not_run;
+        result.not_run_ids.emplace_back(from.request["x-call"]);
     } else if (is_answered && outcome == "unknown") {
         ++result.unknown;
     } else {
@@ -196,6 +197,8 @@
     into.ok += from.ok;
     into.ok_in_time += from.ok_in_time;
     into.not_run += from.not_run;
+    into.not_run_ids.insert(into.not_run_ids.end(), from.not_run_ids.begin(),
+                            from.not_run_ids.end());
     into.unknown += from.unknown;
     into.other += from.other;
     into.not_sent += from.not_sent;
--- a/bench/http_load.h
+++ b/bench/http_load.h
@@ -31,6 +31,8 @@
 [[nodiscard]] std::shared_ptr<bench_upstream> start_upstream(const upstream_options& options);
 [[nodiscard]] std::uint16_t port_of(const bench_upstream& upstream);
 [[nodiscard]] upstream_counts counts_of(const bench_upstream& upstream);
+/// Whether a call with this id was run. Precondition: no load is under way.
+[[nodiscard]] bool has_run(const bench_upstream& upstream, const std::string& id);
 /// Makes the upstream slower or faster from now on.
 void set_service_time(bench_upstream& upstream, microseconds to);
 
@@ -60,6 +62,8 @@
     /// Calls for which no connection was free in time to send them.
     std::uint64_t not_sent = 0;
     double seconds = 0;
+    /// Calls that were told not to have run.
+    std::vector<std::string> not_run_ids;
 };
 
 /// Sends calls at a steady rate whatever becomes of them, and waits for the last one.
--- a/src/call/gate.cpp
+++ b/src/call/gate.cpp
@@ -31,15 +31,6 @@
     return typical_latency(gate) * (ahead + 1) / limit;
 }
 
-std::size_t count_ahead(const gate_state& gate, instant deadline) {
-    std::size_t ahead = 0;
-    for (const auto& [owner, queue] : gate.queues) {
-        ahead += static_cast<std::size_t>(
-            std::distance(queue.begin(), queue.lower_bound({deadline, 0})));
-    }
-    return ahead;
-}
-
 msg::call_refused_msg make_refusal(const gate_state& gate, const call_id& call, refusal told) {
     const auto load = current_load(gate);
     msg::call_refused_msg refused;
@@ -66,7 +57,7 @@
 }
 
 milliseconds wait_in_ms(const gate_state& gate) {
-    const auto wait = expected_wait(gate, gate.queued);
+    const auto wait = expected_wait(gate, gate.queue.size);
     return std::max(milliseconds(1), std::chrono::ceil<milliseconds>(wait));
 }
 
@@ -103,9 +94,9 @@
     if (gate.running.empty() || !gate.settings.has_limits) {
         return std::nullopt;
     }
-    const bool must_wait = gate.running.size() >= effective_limit(gate) || gate.queued > 0;
-    const auto wait =
-        must_wait ? expected_wait(gate, count_ahead(gate, request.deadline)) : microseconds{0};
+    const bool must_wait = gate.running.size() >= effective_limit(gate) || gate.queue.size > 0;
+    const auto wait = must_wait ? expected_wait(gate, count_ahead(gate.queue, request.deadline))
+                                : microseconds{0};
     if (now + wait + typical_latency(gate) > request.deadline) {
         return refusal{.reason = refusal_reason::deadline,
                        .retry_helps = must_wait,
@@ -123,88 +114,43 @@
     out.emplace_back(run_action{call});
 }
 
-void remove_queued(gate_state& gate, const owner_id& owner, deadline_queue::iterator at) {
-    auto queue = gate.queues.find(owner);
-    queue->second.erase(at);
-    --gate.queued;
-    --gate.shares.owners[owner].queued;
-    if (queue->second.empty()) {
-        gate.queues.erase(queue);
-    }
-}
-
-/// The queued owner that has the least of its reservation in use.
-std::map<owner_id, deadline_queue>::iterator find_next_owner(gate_state& gate) {
-    return std::min_element(gate.queues.begin(), gate.queues.end(),
-                            [&](const auto& left, const auto& right) {
-                                return used_ratio(gate.shares.owners[left.first]) <
-                                       used_ratio(gate.shares.owners[right.first]);
-                            });
-}
-
-void refuse_queued(gate_state& gate, const owner_id& owner, deadline_queue::iterator at,
-                   const refusal& told, instant now, gate_actions& out) {
-    const auto call = at->second.call;
-    remove_queued(gate, owner, at);
+void refuse_queued(gate_state& gate, const queued_call& waiting, const refusal& told, instant now,
+                   gate_actions& out) {
+    const auto call = waiting.at->second;
+    remove(gate.queue, gate.shares, waiting);
     refuse(gate, call, told, now, out);
     out.emplace_back(release_action{call});
 }
 
 void fill_slots(gate_state& gate, instant now, gate_actions& out) {
-    while (gate.queued > 0 && gate.running.size() < effective_limit(gate)) {
-        const auto queue = find_next_owner(gate);
-        const auto owner = queue->first;
-        const auto first = queue->second.begin();
-        if (first->first.first <= now) {
-            refuse_queued(gate, owner, first, {.reason = refusal_reason::deadline}, now, out);
+    while (gate.queue.size > 0 && gate.running.size() < effective_limit(gate)) {
+        const auto next = find_next(gate.queue, gate.shares);
+        const auto deadline = next.at->first.first;
+        if (deadline <= now) {
+            refuse_queued(gate, next, {.reason = refusal_reason::deadline}, now, out);
             continue;
         }
-        const auto call = first->second.call;
-        const auto deadline = first->first.first;
-        remove_queued(gate, owner, first);
-        start(gate, call, owner, deadline, now, out);
+        const auto call = next.at->second;
+        remove(gate.queue, gate.shares, next);
+        start(gate, call, next.owner, deadline, now, out);
     }
 }
 
-/// Makes room in a full queue for an owner that has less than its share of it, by refusing the
-/// latest call of the owner that has the most beyond its share.
-bool displace(gate_state& gate, const owner_id& newcomer, instant now, gate_actions& out) {
-    const auto share = [&](const owner_id& owner) {
-        const auto& of = gate.shares.owners[owner];
-        return of.queued / std::max(0.25, static_cast<double>(of.reserved_slots));
-    };
-    const auto most = std::max_element(gate.queues.begin(), gate.queues.end(),
-                                       [&](const auto& left, const auto& right) {
-                                           return share(left.first) < share(right.first);
-                                       });
-    const auto& own = gate.shares.owners[newcomer];
-    const double own_after =
-        (own.queued + 1) / std::max(0.25, static_cast<double>(own.reserved_slots));
-    if (most == gate.queues.end() || most->first == newcomer || share(most->first) <= own_after) {
-        return false;
-    }
-    const auto owner = most->first;
-    refuse_queued(gate, owner, std::prev(most->second.end()),
-                  {.reason = refusal_reason::queue_full,
-                   .retry_helps = true,
-                   .retry_after = wait_in_ms(gate)},
-                  now, out);
-    return true;
+refusal make_full(const gate_state& gate) {
+    return {
+        .reason = refusal_reason::queue_full, .retry_helps = true, .retry_after = wait_in_ms(gate)};
 }
 
 void enqueue(gate_state& gate, const gate_request& request, instant now, gate_actions& out) {
-    if (gate.queued >= gate.settings.queue_limit && !displace(gate, request.owner, now, out)) {
-        refuse(gate, request.call,
-               {.reason = refusal_reason::queue_full,
-                .retry_helps = true,
-                .retry_after = wait_in_ms(gate)},
-               now, out);
-        return;
+    if (gate.queue.size >= gate.settings.queue_limit) {
+        const auto displaced = find_displaced(gate.queue, gate.shares, request.owner);
+        if (!displaced) {
+            refuse(gate, request.call, make_full(gate), now, out);
+            return;
+        }
+        refuse_queued(gate, *displaced, make_full(gate), now, out);
     }
-    gate.queues[request.owner].emplace(std::pair{request.deadline, gate.next_number++},
-                                       queued_call{request.call});
-    ++gate.queued;
-    ++gate.shares.owners[request.owner].queued;
+    push(gate.queue, gate.shares, request.owner, request.call, request.deadline);
 }
 
 void answer_unknown(gate_state& gate, const gate_request& request, instant now, gate_actions& out) {
@@ -250,19 +196,6 @@
     }
 }
 
-/// Takes a call out of the queue, wherever it stands there.
-bool unqueue(gate_state& gate, const call_id& call) {
-    for (auto& [owner, queue] : gate.queues) {
-        const auto found = std::find_if(queue.begin(), queue.end(),
-                                        [&](const auto& each) { return each.second.call == call; });
-        if (found != queue.end()) {
-            remove_queued(gate, owner_id(owner), found);
-            return true;
-        }
-    }
-    return false;
-}
-
 void stop_running(gate_state& gate, const call_id& call, instant now) {
     const auto found = gate.running.find(call);
     count_usage(gate.shares, gate.limit.slots, now);
@@ -283,9 +216,8 @@
 }
 
 void refuse_all_queued(gate_state& gate, const refusal& told, instant now, gate_actions& out) {
-    while (gate.queued > 0) {
-        const auto queue = gate.queues.begin();
-        refuse_queued(gate, owner_id(queue->first), queue->second.begin(), told, now, out);
+    while (gate.queue.size > 0) {
+        refuse_queued(gate, find_next(gate.queue, gate.shares), told, now, out);
     }
 }
 
@@ -318,7 +250,7 @@
         return out;
     }
     count_usage(gate.shares, gate.limit.slots, now);
-    if (gate.queued == 0 && gate.running.size() < effective_limit(gate)) {
+    if (gate.queue.size == 0 && gate.running.size() < effective_limit(gate)) {
         start(gate, request.call, request.owner, request.deadline, now, out);
         return out;
     }
@@ -346,7 +278,7 @@
         stop_running(gate, call, now);
         out.emplace_back(abort_action{call});
     } else {
-        (void)unqueue(gate, call);
+        remove(gate.queue, gate.shares, *find_queued(gate.queue, call));
     }
     out.emplace_back(release_action{call});
     remember_refusal(
@@ -395,16 +327,17 @@
     const auto least =
         microseconds(static_cast<std::int64_t>(std::min(gate.limit.baseline_us, 50'000.0)));
     std::vector<owner_id> owners;
-    for (const auto& [owner, queue] : gate.queues) {
+    for (const auto& [owner, calls] : gate.queue.by_owner) {
         owners.push_back(owner);
     }
     for (const auto& owner : owners) {
-        // The queue may vanish with its last call, so it is looked up each time.
-        for (auto queue = gate.queues.find(owner);
-             queue != gate.queues.end() && queue->second.begin()->first.first <= now + least;
-             queue = gate.queues.find(owner)) {
-            refuse_queued(gate, owner, queue->second.begin(), {.reason = refusal_reason::deadline},
-                          now, out);
+        // The owner's queue goes with its last call, so it is looked up each time.
+        for (auto calls = gate.queue.by_owner.find(owner);
+             calls != gate.queue.by_owner.end() &&
+             calls->second.begin()->first.first <= now + least;
+             calls = gate.queue.by_owner.find(owner)) {
+            refuse_queued(gate, {owner, calls->second.begin()},
+                          {.reason = refusal_reason::deadline}, now, out);
         }
     }
     trim(gate.memory, gate.settings.memory, now);
@@ -457,7 +390,7 @@
 
 load_report current_load(const gate_state& gate) {
     return {.in_flight = static_cast<std::uint32_t>(gate.running.size()),
-            .queue = static_cast<std::uint32_t>(gate.queued),
+            .queue = static_cast<std::uint32_t>(gate.queue.size),
             .slots = current_limit(gate.limit)};
 }
 
--- a/src/call/gate.h
+++ b/src/call/gate.h
@@ -2,6 +2,7 @@
 
 #include "call/concurrency_limit.h"
 #include "call/entry_call.h"
+#include "call/gate_queue.h"
 #include "call/load_table.h"
 #include "call/outcome_memory.h"
 #include "call/owner_shares.h"
@@ -41,13 +42,6 @@
     std::uint64_t gate_instance = 0;
 };
 
-struct queued_call {
-    call_id call;
-};
-
-/// Deadline order; the number keeps calls with the same deadline apart.
-using deadline_queue = std::map<std::pair<instant, std::uint64_t>, queued_call>;
-
 struct running_call {
     owner_id owner;
     instant started_at{};
@@ -77,9 +71,7 @@
     bool is_draining = false;
     concurrency_limit limit;
     owner_shares shares;
-    std::map<owner_id, deadline_queue> queues;
-    std::size_t queued = 0;
-    std::uint64_t next_number = 0;
+    gate_queue queue;
     std::unordered_map<call_id, running_call> running;
     outcome_memory memory;
     gate_counters counters;
--- /dev/null
+++ b/src/call/gate_queue.cpp
@@ -0,0 +1,80 @@
+#include "call/gate_queue.h"
+
+#include "call/owner_shares.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace cyclamenhatch::call {
+namespace {
+
+/// Weight in a full queue of an owner that reserved nothing.
+constexpr double unreserved_weight = 0.25;
+
+double queue_share(const owner_share& of, std::uint32_t more) {
+    return (of.queued + more) / std::max(unreserved_weight, static_cast<double>(of.reserved_slots));
+}
+
+} // namespace
+
+void push(gate_queue& queue, owner_shares& shares, const owner_id& owner, const call_id& call,
+          instant deadline) {
+    queue.by_owner[owner].emplace(std::pair{deadline, queue.next_number++}, call);
+    ++queue.size;
+    ++shares.owners[owner].queued;
+}
+
+void remove(gate_queue& queue, owner_shares& shares, const queued_call& call) {
+    const auto owner = queue.by_owner.find(call.owner);
+    owner->second.erase(call.at);
+    --queue.size;
+    --shares.owners[call.owner].queued;
+    if (owner->second.empty()) {
+        queue.by_owner.erase(owner);
+    }
+}
+
+queued_call find_next(gate_queue& queue, owner_shares& shares) {
+    const auto next = std::min_element(
+        queue.by_owner.begin(), queue.by_owner.end(), [&](const auto& left, const auto& right) {
+            return used_ratio(shares.owners[left.first]) < used_ratio(shares.owners[right.first]);
+        });
+    return {next->first, next->second.begin()};
+}
+
+std::optional<queued_call> find_displaced(gate_queue& queue, owner_shares& shares,
+                                          const owner_id& newcomer) {
+    const auto share = [&](const owner_id& owner) { return queue_share(shares.owners[owner], 0); };
+    const auto most = std::max_element(queue.by_owner.begin(), queue.by_owner.end(),
+                                       [&](const auto& left, const auto& right) {
+                                           return share(left.first) < share(right.first);
+                                       });
+    const double own_after = queue_share(shares.owners[newcomer], 1);
+    if (most == queue.by_owner.end() || most->first == newcomer ||
+        share(most->first) <= own_after) {
+        return std::nullopt;
+    }
+    return queued_call{most->first, std::prev(most->second.end())};
+}
+
+std::optional<queued_call> find_queued(gate_queue& queue, const call_id& call) {
+    for (auto& [owner, calls] : queue.by_owner) {
+        const auto found = std::find_if(calls.begin(), calls.end(),
+                                        [&](const auto& each) { return each.second == call; });
+        if (found != calls.end()) {
+            return queued_call{owner, found};
+        }
+    }
+    return std::nullopt;
+}
+
+std::size_t count_ahead(const gate_queue& queue, instant deadline) {
+    std::size_t ahead = 0;
+    for (const auto& [owner, calls] : queue.by_owner) {
+        ahead += static_cast<std::size_t>(
+            std::distance(calls.begin(), calls.lower_bound({deadline, 0})));
+    }
+    return ahead;
+}
+
+} // namespace cyclamenhatch::call
--- a/src/edge/call_report.cpp
+++ b/src/edge/call_report.cpp
@@ -109,7 +109,7 @@
                            {"slots", std::int64_t{gate.limit.slots}},
                            {"limit", std::int64_t{call::current_limit(gate.limit)}},
                            {"running", to_number(gate.running.size())},
-                           {"queued", to_number(gate.queued)},
+                           {"queued", to_number(gate.queue.size)},
                            {"baseline_us", gate.limit.baseline_us},
                            {"latency_us", gate.limit.latency_us},
                            {"remembered_calls", to_number(gate.memory.calls.size())},
@@ -193,7 +193,7 @@
     add_gauge(out, "gate_slots", gate.limit.slots);
     add_gauge(out, "gate_limit", call::current_limit(gate.limit));
     add_gauge(out, "gate_running", gate.running.size());
-    add_gauge(out, "gate_queued", gate.queued);
+    add_gauge(out, "gate_queued", gate.queue.size);
     add_gauge(out, "gate_remembered_bytes", gate.memory.answer_bytes);
     add_counter(out, "gate_dispatched_total", gate.counters.dispatched);
     add_counter(out, "gate_duplicates_total", gate.counters.duplicates);
--- a/src/edge/entry_side.cpp
+++ b/src/edge/entry_side.cpp
@@ -275,6 +275,7 @@
             touched.push_back(flow);
         }
     }
+    all.reserve(touched.size());
     for (const auto& flow : touched) {
         all.emplace_back(flow, step(side, flow, call::link_lost_event{peer}));
     }
--- a/src/edge/latency_histogram.cpp
+++ b/src/edge/latency_histogram.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <sstream>
 #include <vector>
 
 namespace cyclamenhatch::edge {
@@ -12,6 +13,7 @@
 
 namespace bh = boost::histogram;
 
+constexpr double us_per_s = 1e6;
 constexpr double least_us = 10;
 constexpr double most_us = 100'000'000;
 /// Ten bins per factor of ten.
@@ -80,25 +82,24 @@
 }
 
 std::string latency_histograms::to_prometheus(std::string_view name) const {
-    const std::string metric(name);
-    std::string out = "# TYPE " + metric + " histogram\n";
+    std::ostringstream out;
+    out << "# TYPE " << name << " histogram\n";
     for (std::size_t each = 0; each < segment_count; ++each) {
         const auto& from = bins_->by_segment[each];
-        const auto label = "segment=\"" + std::string(segment_name(static_cast<segment>(each)));
+        const auto of = static_cast<segment>(each);
         std::uint64_t seen = bin_value(from, -1);
         for (int index = 0; index < static_cast<int>(bin_count); ++index) {
             seen += bin_value(from, index);
-            const auto edge = std::to_string(from.axis().value(index + 1) / 1e6);
-            out += metric + "_bucket{" + label + "\",le=\"" + edge + "\"} " + std::to_string(seen) +
-                   "\n";
+            out << name << "_bucket{segment=\"" << segment_name(of) << "\",le=\""
+                << from.axis().value(index + 1) / us_per_s << "\"} " << seen << '\n';
         }
-        const auto all = std::to_string(count(static_cast<segment>(each)));
-        const auto sum = static_cast<double>(bins_->sums_us.at(each)) / 1e6;
-        out += metric + "_bucket{" + label + "\",le=\"+Inf\"} " + all + "\n";
-        out += metric + "_sum{" + label + "\"} " + std::to_string(sum) + "\n";
-        out += metric + "_count{" + label + "\"} " + all + "\n";
+        const auto all = count(of);
+        const auto sum = static_cast<double>(bins_->sums_us.at(each)) / us_per_s;
+        out << name << "_bucket{segment=\"" << segment_name(of) << "\",le=\"+Inf\"} " << all << '\n'
+            << name << "_sum{segment=\"" << segment_name(of) << "\"} " << sum << '\n'
+            << name << "_count{segment=\"" << segment_name(of) << "\"} " << all << '\n';
     }
-    return out;
+    return out.str();
 }
 
 } // namespace cyclamenhatch::edge
--- a/src/edge/upstream_client.cpp
+++ b/src/edge/upstream_client.cpp
@@ -1,76 +1,35 @@
 #include "edge/upstream_client.h"
 
+#include "edge/upstream_connection.h"
+
 #include <boost/asio/dispatch.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/strand.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
-#include <sys/socket.h>
-
 #include <algorithm>
-#include <chrono>
 #include <limits>
-#include <mutex>
 #include <optional>
 #include <utility>
 #include <vector>
 
 namespace cyclamenhatch::edge {
 
-namespace asio = boost::asio;
-namespace beast = boost::beast;
 namespace http = boost::beast::http;
-using tcp = asio::ip::tcp;
 using boost::system::error_code;
 
 namespace {
 
-/// Connections idle for longer are not used again: the upstream may be closing them just then.
-constexpr std::chrono::seconds max_idle{4};
 /// An answer's head may take this much, the callers' bound notwithstanding.
 constexpr std::uint32_t max_answer_header_bytes = 65'536;
 
-using strand = asio::strand<asio::io_context::executor_type>;
-using socket_type = asio::basic_stream_socket<tcp, strand>;
-
-struct connection {
-    explicit connection(asio::io_context& io) : socket(asio::make_strand(io)) {}
-
-    socket_type socket;
-    beast::flat_buffer buffer;
-    std::uint64_t generation = 0;
-    std::chrono::steady_clock::time_point idle_since;
-};
-
-/// Whether the peer has neither closed the idle connection nor sent anything on it.
-bool is_quiet(connection& of) {
-    char byte = 0;
-    const auto got = ::recv(of.socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 } // namespace
 
-struct upstream_client {
-    explicit upstream_client(asio::io_context& context) : io(context) {}
-
-    asio::io_context& io;
-    mutable std::mutex lock;
-    // Guarded by lock.
-    std::vector<tcp::endpoint> targets;
-    std::uint64_t generation = 0;
-    std::size_t max_kept = 0;
-    std::vector<std::unique_ptr<connection>> idle;
-};
-
 struct upstream_exchange {
-    explicit upstream_exchange(strand on) : executor(std::move(on)) {}
+    explicit upstream_exchange(upstream_strand on) : executor(std::move(on)) {}
 
-    const strand executor;
+    const upstream_strand executor;
     std::shared_ptr<upstream_client> client;
     // All below is used on the strand only.
-    std::unique_ptr<connection> link;
+    std::unique_ptr<upstream_connection> link;
     std::vector<tcp::endpoint> targets;
     std::size_t next_target = 0;
     upstream_events events;
@@ -91,7 +50,7 @@
 
 using exchange_ptr = upstream_exchange_ptr;
 
-void close_quietly(connection& link) {
+void close_quietly(upstream_connection& link) {
     error_code ignored;
     link.socket.close(ignored);
 }
@@ -115,12 +74,7 @@
         close_quietly(*self->link);
         return;
     }
-    self->link->idle_since = std::chrono::steady_clock::now();
-    const std::lock_guard guard(self->client->lock);
-    if (self->link->generation == self->client->generation &&
-        self->client->idle.size() < self->client->max_kept) {
-        self->client->idle.push_back(std::move(self->link));
-    }
+    give_back(*self->client, std::move(self->link));
 }
 
 void fill_request(upstream_exchange& of, bool is_whole) {
@@ -317,62 +271,8 @@
                       });
 }
 
-/// A kept connection that is still good, or a new one that is not connected yet.
-std::unique_ptr<connection> take_connection(upstream_client& client,
-                                            std::vector<tcp::endpoint>& targets, bool& is_reused) {
-    const auto now = std::chrono::steady_clock::now();
-    const std::lock_guard guard(client.lock);
-    targets = client.targets;
-    while (!client.idle.empty()) {
-        auto link = std::move(client.idle.back());
-        client.idle.pop_back();
-        if (now - link->idle_since < max_idle && is_quiet(*link)) {
-            is_reused = true;
-            return link;
-        }
-    }
-    auto link = std::make_unique<connection>(client.io);
-    link->generation = client.generation;
-    is_reused = false;
-    return link;
-}
-
 } // namespace
 
-std::shared_ptr<upstream_client> make_upstream_client(asio::io_context& io) {
-    return std::make_shared<upstream_client>(io);
-}
-
-void set_target(upstream_client& client, const std::vector<std::string>& ips, std::uint16_t port,
-                std::size_t max_kept) {
-    std::vector<tcp::endpoint> targets;
-    for (const auto& ip : ips) {
-        error_code failed;
-        const auto address = asio::ip::make_address(ip, failed);
-        if (!failed) {
-            targets.emplace_back(address, port);
-        }
-    }
-    const std::lock_guard guard(client.lock);
-    client.max_kept = max_kept;
-    if (client.targets != targets) {
-        client.targets = std::move(targets);
-        ++client.generation;
-        client.idle.clear();
-    }
-}
-
-std::size_t count_kept(const upstream_client& client) {
-    const std::lock_guard guard(client.lock);
-    return client.idle.size();
-}
-
-void close_client(upstream_client& client) {
-    const std::lock_guard guard(client.lock);
-    client.max_kept = 0;
-    client.idle.clear();
-}
-
 upstream_exchange_ptr prepare_exchange(const std::shared_ptr<upstream_client>& client) {
     std::vector<tcp::endpoint> targets;
     bool is_reused = false;
--- /dev/null
+++ b/src/edge/upstream_connection.cpp
@@ -0,0 +1,87 @@
+#include "edge/upstream_connection.h"
+
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <utility>
+
+namespace cyclamenhatch::edge {
+
+using boost::system::error_code;
+
+namespace {
+
+/// Connections idle for longer are not used again: the upstream may be closing them just then.
+constexpr std::chrono::seconds max_idle{4};
+
+/// Whether the peer has neither closed the idle connection nor sent anything on it.
+bool is_quiet(upstream_connection& of) {
+    char byte = 0;
+    const auto got = ::recv(of.socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace
+
+std::unique_ptr<upstream_connection>
+take_connection(upstream_client& client, std::vector<tcp::endpoint>& targets, bool& is_reused) {
+    const auto now = std::chrono::steady_clock::now();
+    const std::lock_guard guard(client.lock);
+    targets = client.targets;
+    while (!client.idle.empty()) {
+        auto link = std::move(client.idle.back());
+        client.idle.pop_back();
+        if (now - link->idle_since < max_idle && is_quiet(*link)) {
+            is_reused = true;
+            return link;
+        }
+    }
+    auto link = std::make_unique<upstream_connection>(client.io);
+    link->generation = client.generation;
+    is_reused = false;
+    return link;
+}
+
+void give_back(upstream_client& client, std::unique_ptr<upstream_connection> link) {
+    link->idle_since = std::chrono::steady_clock::now();
+    const std::lock_guard guard(client.lock);
+    if (link->generation == client.generation && client.idle.size() < client.max_kept) {
+        client.idle.push_back(std::move(link));
+    }
+}
+
+std::shared_ptr<upstream_client> make_upstream_client(asio::io_context& io) {
+    return std::make_shared<upstream_client>(io);
+}
+
+void set_target(upstream_client& client, const std::vector<std::string>& ips, std::uint16_t port,
+                std::size_t max_kept) {
+    std::vector<tcp::endpoint> targets;
+    for (const auto& ip : ips) {
+        error_code failed;
+        const auto address = asio::ip::make_address(ip, failed);
+        if (!failed) {
+            targets.emplace_back(address, port);
+        }
+    }
+    const std::lock_guard guard(client.lock);
+    client.max_kept = max_kept;
+    if (client.targets != targets) {
+        client.targets = std::move(targets);
+        ++client.generation;
+        client.idle.clear();
+    }
+}
+
+std::size_t count_kept(const upstream_client& client) {
+    const std::lock_guard guard(client.lock);
+    return client.idle.size();
+}
+
+void close_client(upstream_client& client) {
+    const std::lock_guard guard(client.lock);
+    client.max_kept = 0;
+    client.idle.clear();
+}
+
+} // namespace cyclamenhatch::edge
--- /dev/null
+++ b/src/edge/upstream_connection.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "edge/upstream_client.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include <chrono>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+/// Connections to the upstream: the inside of upstream_client, used by its own files only.
+namespace cyclamenhatch::edge {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using upstream_strand = asio::strand<asio::io_context::executor_type>;
+using upstream_socket = asio::basic_stream_socket<tcp, upstream_strand>;
+
+struct upstream_connection {
+    explicit upstream_connection(asio::io_context& io) : socket(asio::make_strand(io)) {}
+
+    upstream_socket socket;
+    boost::beast::flat_buffer buffer;
+    std::uint64_t generation = 0;
+    std::chrono::steady_clock::time_point idle_since;
+};
+
+struct upstream_client {
+    explicit upstream_client(asio::io_context& context) : io(context) {}
+
+    asio::io_context& io;
+    mutable std::mutex lock;
+    // Guarded by lock.
+    std::vector<tcp::endpoint> targets;
+    std::uint64_t generation = 0;
+    std::size_t max_kept = 0;
+    std::vector<std::unique_ptr<upstream_connection>> idle;
+};
+
+/// A kept connection that is still good, or a new one that is not connected yet. `targets` are the
+/// addresses to connect to.
+[[nodiscard]] std::unique_ptr<upstream_connection>
+take_connection(upstream_client& client, std::vector<tcp::endpoint>& targets, bool& is_reused);
+
+/// Keeps a connection for the next exchange, or closes it.
+void give_back(upstream_client& client, std::unique_ptr<upstream_connection> link);
+
+} // namespace cyclamenhatch::edge
--- a/tests/call/interleaving_test.cpp
+++ b/tests/call/interleaving_test.cpp
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <map>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -52,14 +53,14 @@
     }
 
     void start_gate(std::size_t number) {
-        gates[number] = {};
-        gates[number].instance = first_instance * (number + 1) + restarts;
+        gates[number] = std::make_unique<gate_state>();
+        gates[number]->instance = first_instance * (number + 1) + restarts;
         msg::upstream_record_msg upstream;
         upstream.service = "ledger";
         upstream.version = "v1";
         upstream.state = msg::upstream_state::ready;
         upstream.slots = 1;
-        (void)on_upstream_change(gates[number], upstream, now);
+        (void)on_upstream_change(*gates[number], upstream, now);
     }
 
     static std::string name_of(std::size_t gate) { return "gate" + std::to_string(gate); }
@@ -71,7 +72,7 @@
             if (std::find(tried.begin(), tried.end(), node) == tried.end()) {
                 return pick{.call = {7, ++last_id},
                             .node = node,
-                            .gate_instance = knows_instance ? gates[each].instance : 0};
+                            .gate_instance = knows_instance ? gates[each]->instance : 0};
             }
         }
         return std::nullopt;
@@ -140,10 +141,10 @@
                               (other != nullptr && is_older && other->to.node == message.to.node);
         }
         if (message.what == to_gate::kind::cancel) {
-            handle(gate, on_cancel(gates[gate], message.to.call, now));
+            handle(gate, on_cancel(*gates[gate], message.to.call, now));
             return;
         }
-        handle(gate, on_open(gates[gate],
+        handle(gate, on_open(*gates[gate],
                              {.call = message.to.call,
                               .from = node_id("entry"),
                               .is_reattach = message.what == to_gate::kind::reattach,
@@ -164,7 +165,7 @@
             answer->call = make_key(call);
             end = {.answer = std::move(answer), .is_answered = true};
         }
-        handle(gate, on_upstream_end(gates[gate], call, end, now));
+        handle(gate, on_upstream_end(*gates[gate], call, end, now));
     }
 
     void restart(std::size_t gate) {
@@ -183,7 +184,7 @@
 
     entry_call state;
     retry_budget budget;
-    std::array<gate_state, gate_count> gates;
+    std::array<std::unique_ptr<gate_state>, gate_count> gates;
     instant now{microseconds(1'000'000'000)};
     std::vector<packet> packets;
     std::vector<std::pair<std::size_t, call_id>> running;
@@ -248,8 +249,8 @@
         }
         break;
     case 10:
-        of.handle(gate, on_gate_timer(of.gates[gate], of.now));
-        of.handle(gate, next.which % 5 == 0 ? on_drain(of.gates[gate], of.now) : gate_actions{});
+        of.handle(gate, on_gate_timer(*of.gates[gate], of.now));
+        of.handle(gate, next.which % 5 == 0 ? on_drain(*of.gates[gate], of.now) : gate_actions{});
         break;
     case 11:
         if (next.which % 7 == 0) {
