membership: audit one page of somebody's table every few seconds; heartbeat summaries sooner

Virtual time: after 640 nodes had joined in waves one node still lacked one member at 35 s, which only that member's own probe would have brought. Each node now reads one page from a random position of a random member every 5 to 10 s. Urgent updates are pushed also when the byte budget is used up (160 nodes with a backlog: a draining upstream was unknown on one node after 0.5 s).

--- a/src/distribution/in_force.cpp
+++ b/src/distribution/in_force.cpp
@@ -11,11 +11,11 @@
 namespace cyclamenhatch::distribution {
 namespace {
 
-constexpr seconds report_heartbeat{5};
+constexpr seconds report_heartbeat{2};
 constexpr seconds report_jitter{1};
-/// A summary is sent once more after a change, in case that one was lost, then seldom.
+/// A summary is sent once more after a change, in case that one was lost, then as a heartbeat.
 constexpr seconds summary_repeat{1};
-constexpr seconds summary_heartbeat{10};
+constexpr seconds summary_heartbeat{5};
 /// A new aggregator waits for the reports of its data centre.
 constexpr seconds aggregator_grace{1};
 constexpr std::size_t laggard_limit = 8;
--- a/src/membership/joiner.cpp
+++ b/src/membership/joiner.cpp
@@ -34,6 +34,8 @@
 constexpr milliseconds hurried_rejoin_interval{200};
 constexpr milliseconds hurry_time{10'000};
 constexpr std::uint64_t rejoin_jitter_ms = 500;
+constexpr milliseconds audit_interval{5000};
+constexpr std::uint64_t audit_jitter_ms = 5000;
 constexpr int rechecks_per_tick = 2;
 
 milliseconds jitter(std::uint64_t limit_ms, random_source& random) {
@@ -186,6 +188,22 @@
     }
 }
 
+/// Reads one page of a random member's table from a random position, to find what gossip has
+/// missed.
+void audit(table& state, instant now, random_source& random, std::vector<outgoing>& sends) {
+    if (now < state.next_audit) {
+        return;
+    }
+    state.next_audit = now + audit_interval + jitter(audit_jitter_ms, random);
+    const auto chosen = choose_members(state, 2, random);
+    if (chosen.size() < 2) {
+        return;
+    }
+    auto request = make_sync(state, node_id{chosen[0]->node}, link_address(*chosen[0]));
+    std::get<msg::member_sync_msg>(request.message).after = chosen[1]->node;
+    sends.push_back(std::move(request));
+}
+
 milliseconds rejoin_wait(const table& state, instant now) {
     if (now < state.rejoining_until) {
         return hurried_rejoin_interval;
@@ -238,6 +256,7 @@
 void tick_joins(table& state, instant now, random_source& random, std::vector<outgoing>& sends) {
     tick_sync(state, now, random, sends);
     if (!state.sync.is_active) {
+        audit(state, now, random, sends);
         recheck(state, sends);
         rejoin(state, now, random, sends);
     }
@@ -271,7 +290,7 @@
         news += record && merge_record(state, *record, record_source::page, now) ? 1 : 0;
     }
     auto& sync = state.sync;
-    if (!sync.is_active && news > 0) {
+    if (!sync.is_active && news * news_divisor > state.members.size()) {
         // A contact that was tried again leads to members that were not known: read on there.
         sync.rounds = 0;
         begin_round(state, now);
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -73,6 +73,7 @@
     state.last_tick = now;
     state.next_probe = now;
     state.next_rejoin = now;
+    state.next_audit = now + seconds{10};
     state.push_refilled = now;
     add_contacts(state, contacts);
     queue_update(state, node_id{state.self.node});
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -90,6 +90,8 @@
     table_sync sync;
     /// When a departed member or a contact that is no member is next tried again.
     instant next_rejoin;
+    /// When a page of somebody's table is next compared with this one.
+    instant next_audit;
     /// Departed members are tried more often until then, after one of them answered.
     instant rejoining_until;
     /// Bytes that eager pushes may still take.
--- a/src/membership/updates.cpp
+++ b/src/membership/updates.cpp
@@ -58,10 +58,12 @@
 }
 
 /// Eager rounds that an update gets. While the budget is low, the first rounds of a new update go
-/// before the repetition of older ones.
+/// before the repetition of older ones; once it is used up, only urgent ones are pushed.
 std::uint32_t allowed_rounds(const table& state, const node_id& about) {
-    const bool is_ample = state.push_budget_bytes > push_burst_bytes / 2;
-    return is_ample || is_urgent(state, about) ? push_rounds : low_budget_rounds;
+    if (state.push_budget_bytes > push_burst_bytes / 2 || is_urgent(state, about)) {
+        return push_rounds;
+    }
+    return state.push_budget_bytes < message_overhead_bytes + record_bytes ? 0 : low_budget_rounds;
 }
 
 /// The updates whose eager rounds are not over, least sent first; bounded.
@@ -125,7 +127,7 @@
 
 void push_updates(table& state, instant now, random_source& random, std::vector<outgoing>& sends) {
     refill_budget(state, now);
-    if (state.updates.empty() || state.push_budget_bytes < message_overhead_bytes + record_bytes) {
+    if (state.updates.empty() || state.push_budget_bytes < -push_burst_bytes) {
         return;
     }
     const auto pushed = choose_pushed(state);
