call: pass over endpoints whose gate refuses all calls

Change: a refusal that holds for all calls (draining, no upstream, other version, unreachable) keeps calls away for 1 s.

--- a/src/call/choose_endpoint.cpp
+++ b/src/call/choose_endpoint.cpp
@@ -83,7 +83,7 @@
             continue;
         }
         const candidate next{&each, &touch_load(loads, each, now)};
-        if (is_ejected(*next.load, now)) {
+        if (is_ejected(*next.load, now) || now < next.load->closed_until) {
             lists.ejected.push_back(next);
             continue;
         }
--- a/src/call/load_table.cpp
+++ b/src/call/load_table.cpp
@@ -63,6 +63,16 @@
     load.gate_instance = gate_instance;
 }
 
+void note_refusal(endpoint_load& load, msg::refusal_reason reason, instant now) {
+    using msg::refusal_reason;
+    const bool is_closed =
+        reason == refusal_reason::draining || reason == refusal_reason::no_endpoint ||
+        reason == refusal_reason::wrong_version || reason == refusal_reason::upstream_unreachable;
+    if (is_closed) {
+        load.closed_until = now + closed_time;
+    }
+}
+
 void note_ended(endpoint_load& load, attempt_end end, microseconds latency, bool may_eject,
                 microseconds ejection, instant now) {
     load.in_flight -= load.in_flight > 0 ? 1 : 0;
--- a/src/call/load_table.h
+++ b/src/call/load_table.h
@@ -14,6 +14,9 @@
 inline constexpr microseconds report_lifetime{500'000};
 /// Time over which a newly ready endpoint's weight grows to its full size.
 inline constexpr microseconds ramp_time{5'000'000};
+/// How long an endpoint whose gate refused all calls is passed over. What the entry is told by the
+/// gate itself outranks a view that still calls the endpoint ready.
+inline constexpr microseconds closed_time{1'000'000};
 /// Failures in a row that eject an endpoint.
 inline constexpr std::uint32_t failures_to_eject = 5;
 /// Share of failures, smoothed, that ejects an endpoint.
@@ -56,6 +59,8 @@
     std::optional<instant> ejected_until;
     std::uint32_t ejections = 0;
     bool is_probing = false;
+    /// Set by a refusal that holds for all calls, such as that of a draining gate.
+    instant closed_until{};
 };
 
 /// By node. Not thread safe; the holder guards it.
@@ -69,6 +74,10 @@
 void note_report(endpoint_load& load, const load_report& report, std::uint64_t gate_instance,
                  instant now);
 
+/// Books a refusal. One that holds for all calls keeps calls away for a while: a gate that refuses
+/// at once would otherwise look idle and draw them all.
+void note_refusal(endpoint_load& load, msg::refusal_reason reason, instant now);
+
 /// Ends an attempt. Ejects the endpoint when it failed too often and `may_eject` allows it.
 void note_ended(endpoint_load& load, attempt_end end, microseconds latency, bool may_eject,
                 microseconds ejection, instant now);
--- a/src/edge/entry_side.cpp
+++ b/src/edge/entry_side.cpp
@@ -220,7 +220,9 @@
         return;
     }
     const call::load_report load{message.in_flight, message.queue, message.slots};
-    call::note_report(side.loads[from], load, message.gate_instance, current_time());
+    const auto now = current_time();
+    call::note_report(side.loads[from], load, message.gate_instance, now);
+    call::note_refusal(side.loads[from], message.reason, now);
     const call::refusal told{.outcome = message.outcome,
                              .reason = message.reason,
                              .retry_helps = message.retry_helps,
--- a/tests/call/choice_test.cpp
+++ b/tests/call/choice_test.cpp
@@ -135,6 +135,16 @@
     {"starting", [](scene& of) { of.endpoints[0].state = msg::upstream_state::starting; }, 0, 0},
     {"other_version", [](scene& of) { of.endpoints[0].version = version_id("v2"); }, 0, 0},
     {"ejected", [](scene& of) { of.load("a").ejected_until = of.now + ejection; }, 0, 0},
+    {"refuses_all_calls",
+     [](scene& of) { note_refusal(of.load("a"), msg::refusal_reason::draining, of.now); }, 0, 0},
+    {"refused_all_calls_a_while_ago",
+     [](scene& of) {
+         note_refusal(of.load("a"), msg::refusal_reason::draining, of.now - closed_time);
+     },
+     45, 55},
+    {"refused_one_call",
+     [](scene& of) { note_refusal(of.load("a"), msg::refusal_reason::queue_full, of.now); }, 45,
+     55},
     {"suspect", [](scene& of) { of.endpoints[0].is_suspect = true; }, 0, 0},
     {"ejected_is_better_than_none",
      [](scene& of) {
