--- a/src/move/on_config.cpp
+++ b/src/move/on_config.cpp
@@ -37,6 +37,10 @@
                                     {"to", planned.to.value},
                                     {"deadline", format_rfc3339(planned.deadline)},
                                     {"ready_slots", std::to_string(open.around.ready.on_new)}}));
+    for (const auto& found : check_endpoints(open.around.ready, planned)) {
+        wanted.logs.push_back(make_log(key, log_level::warning, "move_endpoints",
+                                       {{"field", found.path}, {"problem", found.problem}}));
+    }
 }
 
 /// Leaves out what the configuration has ended or replaced.
--- a/src/move/topology.cpp
+++ b/src/move/topology.cpp
@@ -85,6 +85,22 @@
     return self.live_members < min_members_for_second;
 }
 
+findings check_endpoints(const ready_slots& ready, const move& planned) {
+    findings found;
+    if (ready.on_new == 0) {
+        found.push_back({.path = "to",
+                         .problem = "no ready endpoint announces " + planned.to.value,
+                         .remedy = "start its endpoints; the move waits for them"});
+    }
+    if (ready.on_old == 0) {
+        found.push_back({.path = "from",
+                         .problem = "no ready endpoint announces " + planned.from.value +
+                                    ": a take-back leaves nothing to serve the calls",
+                         .remedy = "keep its endpoints until the move has ended"});
+    }
+    return found;
+}
+
 milliseconds report_interval(const topology& self, std::uint32_t shortest_ms) {
     const std::size_t factor =
         std::max<std::size_t>((self.fan_in + relaxed_fan_in - 1) / relaxed_fan_in, 1);
--- a/src/move/topology.h
+++ b/src/move/topology.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "membership/membership.h"
+#include "model/finding.h"
 #include "model/ids.h"
 #include "model/resources.h"
 #include "move/attempt_key.h"
@@ -47,6 +48,10 @@
 /// Whether a veto of one node holds by itself: there are too few members for a second opinion.
 [[nodiscard]] bool is_too_small_for_second(const topology& self);
 
+/// What the announced endpoints mean for a move now: none of the new version, so that it waits;
+/// none of the old one, so that a take-back leaves nothing to serve the calls.
+[[nodiscard]] findings check_endpoints(const ready_slots& ready, const move& planned);
+
 /// Time between reports, so that no receiver gets more than about 32 reports a second.
 [[nodiscard]] milliseconds report_interval(const topology& self, std::uint32_t shortest_ms);
 
--- a/tests/move/plan_test.cpp
+++ b/tests/move/plan_test.cpp
@@ -39,6 +39,12 @@
                                          plan_case{"all_at_once", 34, 30, 1000, true}),
                          [](const auto& row) { return std::string(row.param.name); });
 
+TEST(plan, missing_endpoints_of_either_version_are_found) {
+    EXPECT_TRUE(check_endpoints({.on_new = 1, .on_old = 1}, make_move()).empty());
+    EXPECT_EQ(check_endpoints({.on_new = 0, .on_old = 1}, make_move()).at(0).path, "to");
+    EXPECT_EQ(check_endpoints({.on_new = 1, .on_old = 0}, make_move()).at(0).path, "from");
+}
+
 RC_GTEST_PROP(plan_properties, stages_rise_and_keep_the_deadline, ()) {
     move planned = make_move();
     planned.first_share_permille = *rc::gen::inRange(1U, 1001U);
