--- a/bench/call_faults_bench.cpp
+++ b/bench/call_faults_bench.cpp
@@ -71,7 +71,8 @@
     // Enough connections that the callers never wait for one.
     load_with.connections = 2000;
     std::thread fault([&] {
-        std::this_thread::sleep_for(std::chrono::milliseconds(1000 + options.seconds * 333));
+        std::this_thread::sleep_for(std::chrono::seconds(1) +
+                                    std::chrono::seconds(options.seconds) / 3.0);
         if (what.fault) {
             what.fault(*mesh, upstreams);
         }
--- a/bench/http_load.cpp
+++ b/bench/http_load.cpp
@@ -210,6 +210,7 @@
     static std::uint64_t runs = 0;
     std::vector<std::unique_ptr<load_worker>> workers;
     std::vector<std::thread> threads;
+    threads.reserve(options.threads);
     for (unsigned each = 0; each < options.threads; ++each) {
         workers.push_back(std::unique_ptr<load_worker>(
             new load_worker{.options = options,
