--- a/src/move/controller.h
+++ b/src/move/controller.h
@@ -78,6 +78,9 @@
 void observe(control_state& self, const control_facts& facts, instant now);
 inline constexpr milliseconds control_step{500};
 
+/// Calls on the new version over all sources.
+[[nodiscard]] std::uint64_t calls_on_new(const control_state& self);
+
 [[nodiscard]] decision decide(control_state& self, const control_facts& facts, instant now);
 
 /// Whether this controller's own view agrees with a veto that another node raised.
