control: take no duty before joining, refresh a lone node after a pause, mind the gap before its first tick

Cause: 160 nodes starting at once sent 318 writes and 196 reads to the store in one second, since each took the contact duty while it knew of nobody else. A lone node stayed not ready for 10 s after a pause, since a read that confirmed what it held was ignored. Between waking and its first tick a paused node counted as ready. Change: the contact duty waits for the join; a confirming read is offered as the configuration held; the call path's view is not ready when no tick has passed for pause_ms. Conclusion: duties and readiness rest on what a node has compared.

--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -106,7 +106,9 @@
                              from_spread);
         take(wanted, std::move(from_spread));
     }
-    offer_config(self, from.found, now, wanted);
+    // A read that shows what is held as current also refreshes a node that woke up alone.
+    const bool is_confirmed = !from.found && from.is_current;
+    offer_config(self, is_confirmed ? self.spread.held : from.found, now, wanted);
 }
 
 void take_contacts(state& self, store::contact_actions&& from, actions& wanted) {
@@ -184,7 +186,9 @@
         return;
     }
     store::contact_actions from_contacts;
+    // Before it has joined a node knows of nobody else and would take every duty.
     const bool is_contact =
+        self.members.has_joined &&
         membership::has_duty(self.members, "contact", contacts_per_data_centre,
                              data_centre_id{self.settings.identity->data_centre});
     store::on_tick(self.contacts, is_contact, !self.members.has_joined, now, self.random,
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -35,7 +35,7 @@
     return matched;
 }
 
-/// Publishes a new view when anything that it is built from has changed.
+/// Publishes a new view, with its stale twin, when anything that it is built from has changed.
 void refresh_view(node_runtime& node, instant at) {
     const bool is_ready = distribution::is_ready(node.control.spread);
     const bool has_moves = !moves::shares(node.control.moves, at).empty();
@@ -50,8 +50,11 @@
     node.view_is_ready = is_ready;
     auto built =
         std::make_shared<const call::routing_view>(control::make_routing_view(node.control, at));
+    auto stale = std::make_shared<call::routing_view>(*built);
+    stale->is_ready = false;
     const std::lock_guard<std::mutex> guard(node.view_lock);
     node.view = std::move(built);
+    node.stale_view = std::move(stale);
 }
 
 void carry_out(node_runtime& node, control::actions&& wanted,
@@ -136,6 +139,8 @@
         expire_announcement(node, at, wanted);
         control::on_tick(node.control, at, wanted);
     });
+    const std::lock_guard<std::mutex> guard(node.view_lock);
+    node.last_tick = now();
 }
 
 void dispatch(node_runtime& node, incoming message) {
@@ -182,8 +187,10 @@
 }
 
 call::routing_view_ptr current_view(const node_runtime& node) {
+    const auto at = now();
     const std::lock_guard<std::mutex> guard(node.view_lock);
-    return node.view;
+    const bool is_stale = at - node.last_tick > milliseconds{node.settings.membership->pause_ms};
+    return is_stale && node.stale_view ? node.stale_view : node.view;
 }
 
 void record_samples(node_runtime& node, std::vector<call::call_sample> samples) {
--- a/src/node/node_runtime.h
+++ b/src/node/node_runtime.h
@@ -42,6 +42,9 @@
 
     mutable std::mutex view_lock;
     call::routing_view_ptr view;
+    /// The view as of a node that is not ready, for the time between a pause and the next tick.
+    call::routing_view_ptr stale_view;
+    instant last_tick;
 
     std::shared_ptr<wire::link_pool> links;
     std::shared_ptr<store::store_client> store;
@@ -66,7 +69,8 @@
 /// Takes an announcement of the upstream beside this node. Thread safe.
 [[nodiscard]] findings announce(node_runtime& node, const admin::announcement& announced);
 
-/// The present view for the call path. Thread safe; never null.
+/// The present view for the call path; not ready when no tick has passed for the pause setting, as
+/// right after the process stood still. Thread safe; never null.
 [[nodiscard]] call::routing_view_ptr current_view(const node_runtime& node);
 
 /// Adds ends of calls as evidence for moves. Thread safe.
