admin: take back what an operator has read

Change: a listing's `version` and every `operation` are passed over. A `revision` above 0 becomes a precondition on that resource: 412 for PUT, 409 for apply, with a finding that names both revisions. `attempt` and `ending` of a move stay findings, but for a move that equals the held one in all that is shown (operation aside): it is left out of the write, with its revision kept as a condition, so an ended move does not start again, also when the store is ahead of this node. A file that begins with a brace is read as JSON whatever its name.

Tests replaced, since the meaning changed: api_test `system_field` said that a service's `revision` is a finding. Now a revision of another type is one (`revision_text`), a move's `attempt` without a revision is one (`system_field`), and shown_write_test holds the store's own rules to it: a second write of the same text must conflict with both revisions named, an edited, older or absent move that shows its attempt or ending must be refused and leave the configuration as it is. schema_reader_test keeps `attempt` as a finding and adds `ending`, bad revisions and `version` that is no number.

Conclusion: services, routes and upstream versions can be read, edited and written; moves come back unchanged. When an unchanged move stands before another in one apply, the store counts `move[N]` in its findings without it.

--- a/src/admin/resource_write.cpp
+++ b/src/admin/resource_write.cpp
@@ -1,6 +1,7 @@
 #include "admin/resource_write.h"
 #include "admin/problem.h"
 #include "admin/resource_lookup.h"
+#include "admin/shown_write.h"
 #include "document/schema_reader.h"
 
 #include <algorithm>
@@ -173,27 +174,25 @@
     return std::get<resource_set>(std::move(read));
 }
 
-store::resource_write to_write(resource_set from) {
-    return {.services = std::move(from.services),
-            .routes = std::move(from.routes),
-            .versions = std::move(from.versions),
-            .moves = std::move(from.moves)};
-}
-
 bool is_flag_set(const api_request& request, const std::string& name) {
     const auto found = request.query.find(name);
     return found != request.query.end() && found->second != "0" && found->second != "false";
 }
 
+void refuse_change(const write_call& call, const store::change_refused& refused,
+                   int conflict_status) {
+    auto response = make_refused(call.operation, refused, conflict_status);
+    response.headers[operation_header] = call.operation.value;
+    call.reply(std::move(response));
+}
+
 /// What would become of the change now, without writing it.
 void preview(const write_call& call, const store::change& wanted) {
     const auto config = call.context.node.configuration();
     const config_version next{config->version.value + 1};
     const auto changed = call.context.preview(config->sections, wanted, next, call.operation);
     if (const auto* refused = std::get_if<store::change_refused>(&changed)) {
-        auto response = make_refused(call.operation, *refused, 409);
-        response.headers[operation_header] = call.operation.value;
-        call.reply(std::move(response));
+        refuse_change(call, *refused, 409);
         return;
     }
     document::array services;
@@ -230,8 +229,16 @@
                {.status = 422, .detail = "the resource is not valid", .found = std::move(*found)});
         return;
     }
-    write_plan plan{.wanted = to_write(std::get<resource_set>(std::move(read)))};
-    plan.wanted.preconditions = std::get<0>(std::move(preconditions));
+    auto settled =
+        settle_write(std::get<resource_set>(std::move(read)), *call.context.node.configuration());
+    if (const auto* refused = std::get_if<store::change_refused>(&settled)) {
+        refuse_change(call, *refused, 412);
+        return;
+    }
+    write_plan plan{.wanted = std::get<0>(std::move(settled))};
+    const auto& asked = std::get<0>(preconditions);
+    auto& conditions = plan.wanted.preconditions;
+    conditions.insert(conditions.begin(), asked.begin(), asked.end());
     const bool has_conditions = !plan.wanted.preconditions.empty();
     const bool is_create = has_conditions && !plan.wanted.preconditions.front().expected;
     plan.accepted_status = is_create ? 201 : 200;
@@ -273,7 +280,13 @@
             {.status = 422, .detail = "the resources are not valid", .found = std::move(*found)});
         return;
     }
-    write_plan plan{.wanted = to_write(std::get<resource_set>(std::move(read)))};
+    auto settled =
+        settle_write(std::get<resource_set>(std::move(read)), *call.context.node.configuration());
+    if (const auto* refused = std::get_if<store::change_refused>(&settled)) {
+        refuse_change(call, *refused, 409);
+        return;
+    }
+    write_plan plan{.wanted = std::get<0>(std::move(settled))};
     if (is_flag_set(call.request, "dry_run")) {
         preview(call, plan.wanted);
         return;
--- a/src/cli/resource_files.cpp
+++ b/src/cli/resource_files.cpp
@@ -1,14 +1,23 @@
 #include "cli/resource_files.h"
 
 namespace cyclamenhatch::cli {
+namespace {
+
+/// Saved answers of the API need no ending .json: no TOML text begins with a brace.
+bool is_json(const std::string& path, const std::string& text) {
+    const auto first = text.find_first_not_of(" \t\r\n");
+    return path.ends_with(".json") || (first != std::string::npos && text[first] == '{');
+}
+
+} // namespace
 
 result<document> read_document(const environment& around, const std::string& path) {
     const auto text = around.read_file(path);
     if (const auto* found = std::get_if<findings>(&text)) {
         return *found;
     }
-    return path.ends_with(".json") ? parse_json(std::get<std::string>(text), path)
-                                   : parse_toml(std::get<std::string>(text), path);
+    const auto& held = std::get<std::string>(text);
+    return is_json(path, held) ? parse_json(held, path) : parse_toml(held, path);
 }
 
 result<resource_files> read_resource_files(const environment& around,
--- a/src/document/schema_reader.cpp
+++ b/src/document/schema_reader.cpp
@@ -5,13 +5,23 @@
 #include "model/resource_codec.h"
 
 #include <algorithm>
+#include <array>
 #include <tuple>
 
 namespace cyclamenhatch {
 namespace {
 
+constexpr std::array<std::string_view, 2> move_system_fields{"attempt", "ending"};
+
+/// Fields of a move that no operator writes. Revisions and operations may come back as shown.
 bool is_system_set(std::string_view name) {
-    return name == "revision" || name == "operation" || name == "attempt" || name == "ending";
+    return std::find(move_system_fields.begin(), move_system_fields.end(), name) !=
+           move_system_fields.end();
+}
+
+/// The version of a listing as the API shows it.
+bool is_listed_version(const document_member& member) {
+    return member.key == "version" && std::holds_alternative<std::int64_t>(member.value.value);
 }
 
 template <class Table> void make_present(std::unique_ptr<Table>& table) {
@@ -100,7 +110,8 @@
     const auto list = list_kind(from, kind);
     for (std::size_t i = 0; i < list.items->size(); ++i) {
         const auto& item = (*list.items)[i];
-        auto message = read_message<Message>(item, list.path(i), is_system_set, found);
+        auto message = read_message<Message>(item, list.path(i), nullptr, found);
+        message.operation.clear();
         if (std::holds_alternative<document::table>(item.value)) {
             check_required(item, list.path(i), required, found);
         }
@@ -108,12 +119,28 @@
     }
 }
 
-void read_moves(const document& from, std::vector<move>& to, findings& found) {
+/// What stands against a move that shows fields only the system sets.
+findings list_system_fields(const document& item, const std::string& path) {
+    findings found;
+    for (const auto& each : move_system_fields) {
+        if (const auto* value = find_member(item, each)) {
+            found.push_back({.where = value->where,
+                             .path = std::string(path).append(".").append(each),
+                             .problem = "is set by the system",
+                             .remedy = "leave it out"});
+        }
+    }
+    return found;
+}
+
+void read_moves(const document& from, resource_set& to, findings& found) {
     const auto list = list_kind(from, "move");
     for (std::size_t i = 0; i < list.items->size(); ++i) {
         const auto& item = (*list.items)[i];
-        auto message =
-            read_message<msg::move_resource_msg>(item, list.path(i), is_system_set, found);
+        const bool is_shown = number_or(item, "revision", 0) > 0;
+        auto message = read_message<msg::move_resource_msg>(
+            item, list.path(i), is_shown ? nullptr : is_system_set, found);
+        message.operation.clear();
         check_required(item, list.path(i), {"name", "service", "from", "to", "deadline"}, found);
         auto read = from_message(message);
         if (auto* problems = std::get_if<findings>(&read)) {
@@ -127,7 +154,11 @@
             }
             continue;
         }
-        to.push_back(std::get<move>(std::move(read)));
+        auto shown = is_shown ? list_system_fields(item, list.path(i)) : findings{};
+        if (!shown.empty()) {
+            to.shown_moves.emplace(to.moves.size(), std::move(shown));
+        }
+        to.moves.push_back(std::get<move>(std::move(read)));
     }
 }
 
@@ -139,6 +170,9 @@
     if (members != nullptr) {
         document::table shallow;
         for (const auto& each : *members) {
+            if (is_listed_version(each)) {
+                continue;
+            }
             const bool is_array = std::holds_alternative<document::array>(each.value.value);
             shallow.push_back(each);
             if (is_array) {
@@ -178,7 +212,7 @@
                                        found);
     read_kind<msg::upstream_version_resource_msg>(from, "upstream_version", {"name", "service"},
                                                   to.versions, found);
-    read_moves(from, to.moves, found);
+    read_moves(from, to, found);
     if (!found.empty()) {
         sort_by_place(found);
         return found;
@@ -194,6 +228,9 @@
             return file;
         }
         for (const auto& each : *members) {
+            if (is_listed_version(each)) {
+                continue;
+            }
             const auto held =
                 std::find_if(merged.begin(), merged.end(),
                              [&](const document_member& other) { return other.key == each.key; });
--- a/src/document/schema_reader.h
+++ b/src/document/schema_reader.h
@@ -6,6 +6,8 @@
 #include "resources_generated.h"
 #include "settings_generated.h"
 
+#include <cstddef>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -19,6 +21,9 @@
     std::vector<route> routes;
     std::vector<upstream_version> versions;
     std::vector<move> moves;
+    /// By position in `moves`: what is wrong with a move that shows fields only the system sets,
+    /// unless it equals the move that is held. Only whoever holds the configuration can tell.
+    std::map<std::size_t, findings> shown_moves;
 };
 
 /// Reads and checks settings: required fields, ranges, addresses. Every sub-table is present in the
@@ -26,8 +31,10 @@
 [[nodiscard]] result<msg::settings_msg> read_settings(const document& from);
 
 /// Reads resources as an operator writes them: [[service]], [[route]], [[upstream_version]] and
-/// [[move]] tables. Fields that the system sets (revision, operation, attempt, ending) are
-/// findings.
+/// [[move]] tables, or as the API shows them. `operation` is dropped; a `revision` above 0 stays in
+/// the resource as a condition; the top-level `version` of a listing is passed over. The attempt
+/// and the ending of a move are findings, which a move that carries a revision keeps in
+/// `shown_moves`.
 [[nodiscard]] result<resource_set> read_resources(const document& from);
 
 /// All that is wrong with resources as a whole, by the checks of model/validation.h, at the places
@@ -35,7 +42,8 @@
 /// among the resources when any service is; otherwise the configuration in force decides.
 [[nodiscard]] findings check_resources(const document& from, const resource_set& read);
 
-/// One document with the resources of several; values keep their places.
+/// One document with the resources of several; values keep their places. Versions of listings are
+/// left out.
 [[nodiscard]] document merge_resources(const std::vector<document>& files);
 
 /// All settings with their values, defaults included, in the order of the schema.
--- a/tests/cli/cli_test.cpp
+++ b/tests/cli/cli_test.cpp
@@ -1,4 +1,5 @@
 #include "cli/fake_environment.h"
+#include "document/document.h"
 
 #include <gtest/gtest.h>
 
@@ -24,6 +25,10 @@
 to = "v2"
 deadline = 2027-06-01T06:00:00Z
 )";
+/// As `get --output json` shows it.
+const std::string shown_file = R"({"version": 8, "service": [], "route": [], "upstream_version": [],
+  "move": [{"name": "m", "service": "catalogue", "from": "v1", "to": "v2",
+            "deadline": "2027-06-01T06:00:00Z", "attempt": 2, "revision": 7, "operation": "o"}]})";
 const std::string bad_file = "[[route]]\nname = 1\n[[servic]]\n";
 
 struct run_row {
@@ -40,6 +45,7 @@
 TEST_P(verb, has_its_exit_code) {
     fake_environment around{
         .files = {{"move.toml", good_move}, {"bad.toml", bad_file}, {"bad.json", "{\"move\": [}"}}};
+    around.files["shown"] = shown_file;
     around.answers.assign(GetParam().answers.begin(), GetParam().answers.end());
     EXPECT_EQ(around.run(GetParam().arguments), GetParam().expected)
         << around.out.str() << around.err.str();
@@ -127,6 +133,7 @@
      {answer(200, accepted)},
      exit_code::done,
      "accepted operation=made version=8"},
+    {"apply_shown", {"apply", "-f", "shown"}, {answer(200, accepted)}, exit_code::done, "accepted"},
     {"apply_findings",
      {"apply", "-f", "move.toml"},
      {answer(422, problem)},
@@ -228,6 +235,19 @@
         << around.out.str();
 }
 
+TEST(change, leaves_the_versions_of_listings_out) {
+    fake_environment around{.files = {{"a", shown_file}, {"b.json", shown_file}}};
+    around.answers = {answer(200, accepted)};
+    EXPECT_EQ(around.run({"apply", "-f", "a", "-f", "b.json"}), exit_code::done);
+    const auto body = parse_json(around.calls.at(0).body, "");
+    ASSERT_TRUE(std::holds_alternative<document>(body));
+    EXPECT_EQ(find_member(std::get<document>(body), "version"), nullptr);
+    const auto* moves = find_member(std::get<document>(body), "move");
+    ASSERT_NE(moves, nullptr);
+    EXPECT_EQ(std::get<document::array>(moves->value).size(), 2U);
+    EXPECT_EQ(number_or(std::get<document::array>(moves->value)[0], "revision", 0), 7);
+}
+
 TEST(change, carries_token_operation_and_condition) {
     fake_environment around;
     around.answers = {answer(200, R"({"revision":4})"), answer(200, accepted)};
--- a/tests/document/schema_reader_test.cpp
+++ b/tests/document/schema_reader_test.cpp
@@ -172,6 +172,10 @@
     table, resource_fault,
     testing::Values(
         resource_row{"system_field", "attempt = 2\n", "move[0].attempt", 22},
+        resource_row{"system_table", "ending = { reason = \"x\" }\n", "move[0].ending", 22},
+        resource_row{"revision_text", "revision = \"7\"\n", "move[0].revision", 22},
+        resource_row{"revision_below_0", "revision = -1\n", "move[0].revision", 22},
+        resource_row{"no_number_of_a_listing", "[version]\n", "version", 22},
         resource_row{"bad_time", "start = \"noon\"\n", "move[0].start", 22},
         resource_row{"unknown_kind", "[[rout]]\nname = \"x\"\n", "rout", 22},
         resource_row{"no_prefix", "[[route]]\nname = \"x\"\nservice = \"catalogue\"\n",
@@ -194,6 +198,38 @@
                      "service[1].version", 25}),
     [](const auto& each) { return std::string(each.param.name); });
 
+TEST(resources, are_read_as_they_are_shown) {
+    auto set = std::get<resource_set>(read_resources(parse(good_resources)));
+    const provenance written{config_version{7}, operation_id{"op-7"}};
+    set.services[0].written = set.routes[0].written = set.versions[0].written = written;
+    set.moves[0].written = written;
+    set.moves[0].attempt = 2;
+    set.moves[0].ending = move_ending{.reason = "errors"};
+    const document shown(
+        document::table{{"version", std::int64_t{9}},
+                        {"service", document::array{write_resource(set.services[0])}},
+                        {"route", document::array{write_resource(set.routes[0])}},
+                        {"upstream_version", document::array{write_resource(set.versions[0])}},
+                        {"move", document::array{write_resource(set.moves[0])}}});
+    const auto back = read_resources(std::get<document>(parse_json(write_json(shown), "")));
+    ASSERT_TRUE(std::holds_alternative<resource_set>(back)) << to_text(std::get<findings>(back));
+    const provenance kept{config_version{7}, {}};
+    set.services[0].written = set.routes[0].written = set.versions[0].written = kept;
+    set.moves[0].written = kept;
+    const auto& read = std::get<resource_set>(back);
+    EXPECT_EQ(read.services.at(0), set.services[0]);
+    EXPECT_EQ(read.routes.at(0), set.routes[0]);
+    EXPECT_EQ(read.versions.at(0), set.versions[0]);
+    EXPECT_EQ(read.moves.at(0), set.moves[0]);
+    ASSERT_TRUE(read.shown_moves.contains(0));
+    const auto& against = read.shown_moves.at(0);
+    ASSERT_EQ(against.size(), 2U) << to_text(against);
+    EXPECT_EQ(against[0].path, "move[0].attempt");
+    EXPECT_EQ(against[1].path, "move[0].ending");
+    const auto merged = merge_resources({shown, shown});
+    EXPECT_EQ(find_member(merged, "version"), nullptr);
+}
+
 TEST(resources, of_several_files_are_checked_together) {
     const auto cut = good_resources.find("[[route]]");
     const auto first = std::get<document>(parse_toml(good_resources.substr(0, cut), "a"));
