admin: end watch streams before a node drains

Cause: the watches were closed with the listener, after the calls under way had ended, so a watcher kept a stream from a node that was leaving.

Change: end_watches ends all streams and refuses new ones with 503; the node calls it at the signal, before it drains. All else is still answered meanwhile.

Conclusion: a watcher learns at once that it must go to another node.

--- a/src/admin/server.cpp
+++ b/src/admin/server.cpp
@@ -248,11 +248,15 @@
     return server;
 }
 
+void end_watches(admin_server& server) {
+    stop(*server.watches);
+}
+
 void stop(admin_server& server) {
     if (server.is_stopped.exchange(true)) {
         return;
     }
-    stop(*server.watches);
+    end_watches(server);
     server.listener.close().wait();
 }
 
--- a/src/admin/server.h
+++ b/src/admin/server.h
@@ -18,6 +18,10 @@
 [[nodiscard]] std::shared_ptr<admin_server> start_admin_server(const msg::settings_msg& settings,
                                                                backend node);
 
+/// Ends all watches at once and refuses new ones; every other request is still served, so that a
+/// node which drains can be asked how it goes. Called from one thread, as stop is.
+void end_watches(admin_server& server);
+
 /// Ends all watches and closes the listener. Does nothing the second time.
 void stop(admin_server& server);
 
--- a/src/node/run_node.cpp
+++ b/src/node/run_node.cpp
@@ -141,6 +141,7 @@
     });
     const int signal_number = wait_for_stop();
     write_log({log_level::info, "node_draining", {{"signal", std::to_string(signal_number)}}});
+    admin::end_watches(*operators);
     shut_down(*node);
     is_stopping = true;
     ticker.join();
--- a/tests/admin/server_test.cpp
+++ b/tests/admin/server_test.cpp
@@ -91,6 +91,22 @@
     EXPECT_TRUE(lines[0].starts_with(R"({"event":"accepted","version":8)")) << lines[0];
 }
 
+TEST_F(admin_server_test, ends_watches_before_it_stops) {
+    node.progress = {{.version = config_version{8}, .accepted = from_unix_ms(1)}};
+    const cli::http_call watch{
+        "GET", "/v1/watch?after=7", {{"Authorization", "Bearer secret"}}, ""};
+    int lines = 0;
+    const auto sent = http.stream(url, watch, [&](const std::string&) {
+        ++lines;
+        end_watches(*server);
+        return true;
+    });
+    EXPECT_TRUE(std::holds_alternative<cli::http_answer>(sent));
+    EXPECT_EQ(lines, 1);
+    EXPECT_EQ(ask("GET", "/v1/services/catalogue").status, 200);
+    EXPECT_EQ(std::get<cli::http_answer>(http.stream(url, watch, {})).status, 503);
+}
+
 TEST_F(admin_server_test, watch_needs_the_token) {
     const auto sent =
         http.stream(url, {"GET", "/v1/watch", {}, ""}, [](const std::string&) { return true; });
