--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -8,6 +8,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import urllib.error
@@ -48,15 +49,29 @@
     raise FleetError(f"{what}: not within {timeout_s} s")
 
 
+# Below the range from which outgoing connections take their ports, so that none takes a port that a
+# process is about to listen on.
+LISTEN_PORTS = iter(range(12000, 32000))
+
+
+def is_free(port):
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
 def free_ports(count):
-    """Ports that are free at this moment."""
-    held = [socket.socket() for _ in range(count)]
-    for each in held:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in held]
-    for each in held:
-        each.close()
-    return ports
+    """Ports that nobody listens on at this moment; each is given once."""
+    found = []
+    while len(found) < count:
+        port = next(LISTEN_PORTS)
+        if is_free(port):
+            found.append(port)
+    return found
 
 
 class Host:
@@ -127,10 +142,13 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="cyclamenhatch-"))
         self.processes = []
         self.hosts = []
-        (self.store_port,) = free_ports(1)
+        # The stand-in takes the next port for its faults and counters.
+        self.store_port, _ = free_ports(2)
         self.store_url = f"http://127.0.0.1:{self.store_port}"
 
     def __enter__(self):
+        # An ended script still ends its processes.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
         return self
 
     def __exit__(self, *_):
