distribution: let the pushes reach every member however small a data centre is

Targets across data centres were chosen by a hash of the pair alone, so with one node a data centre some node could be nobody's target. Ruled out: links (all established, none undelivered), member tables (complete), the duty (each data centre had its aggregator). Change: the first target across is the next member of another data centre on the ring of all; with the ring inside a data centre every member is reached from every other.

--- a/src/distribution/peers.cpp
+++ b/src/distribution/peers.cpp
@@ -3,42 +3,48 @@
 #include "membership/stable_hash.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace cyclamenhatch::distribution {
 namespace {
 
-using ranked_member = std::pair<std::uint64_t, const msg::member_record_msg*>;
+using record_list = std::vector<const msg::member_record_msg*>;
 
-/// The members with the lowest ranks.
-void take_lowest(std::vector<ranked_member>& ranked, std::size_t count,
-                 std::vector<const msg::member_record_msg*>& chosen) {
-    const auto kept = std::min(count, ranked.size());
-    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(kept),
-                      ranked.end(), [](const auto& left, const auto& right) {
-                          return std::tie(left.first, left.second->node) <
-                                 std::tie(right.first, right.second->node);
-                      });
-    for (std::size_t i = 0; i < kept; ++i) {
-        chosen.push_back(ranked[i].second);
-    }
-}
-
-/// Takes the next member on the ring out of `local` and puts it first into `chosen`.
-void take_successor(std::vector<const msg::member_record_msg*>& local, std::uint64_t own_position,
-                    std::vector<const msg::member_record_msg*>& chosen) {
+/// Takes the next member on the hash ring out of `from` and adds it to `chosen`.
+void take_successor(record_list& from, std::uint64_t own_position, record_list& chosen) {
     const auto distance = [&](const msg::member_record_msg* each) {
         return membership::stable_hash(each->node) - own_position;
     };
     const auto next =
-        std::min_element(local.begin(), local.end(), [&](const auto* left, const auto* right) {
+        std::min_element(from.begin(), from.end(), [&](const auto* left, const auto* right) {
             return distance(left) < distance(right);
         });
-    if (next != local.end()) {
+    if (next != from.end()) {
         chosen.push_back(*next);
-        local.erase(next);
+        from.erase(next);
+    }
+}
+
+/// The members with the lowest hash of the pair with this node.
+void take_lowest(record_list from, std::size_t count, std::uint64_t own_position,
+                 record_list& chosen) {
+    const auto kept = std::min(count, from.size());
+    const auto rank = [&](const msg::member_record_msg* each) {
+        return std::pair{membership::stable_hash(each->node, own_position), each->node};
+    };
+    std::partial_sort(
+        from.begin(), from.begin() + static_cast<std::ptrdiff_t>(kept), from.end(),
+        [&](const auto* left, const auto* right) { return rank(left) < rank(right); });
+    chosen.insert(chosen.end(), from.begin(), from.begin() + static_cast<std::ptrdiff_t>(kept));
+}
+
+void take_targets(record_list from, std::size_t count, std::uint64_t own_position,
+                  record_list& chosen) {
+    if (count == 0) {
+        return;
     }
+    take_successor(from, own_position, chosen);
+    take_lowest(std::move(from), count - 1, own_position, chosen);
 }
 
 } // namespace
@@ -46,30 +52,18 @@
 std::vector<const msg::member_record_msg*> push_targets(const membership::table& members,
                                                         std::size_t within, std::size_t across) {
     const auto own_position = membership::stable_hash(members.self.node);
-    std::vector<const msg::member_record_msg*> local;
-    std::vector<ranked_member> remote;
+    record_list local;
+    record_list remote;
     for (const auto& [node, each] : members.members) {
         if (each.record.state != msg::liveness::alive) {
             continue;
         }
-        if (each.record.data_centre == members.self.data_centre) {
-            local.push_back(&each.record);
-        } else {
-            remote.emplace_back(membership::stable_hash(each.record.node, own_position),
-                                &each.record);
-        }
-    }
-    std::vector<const msg::member_record_msg*> chosen;
-    if (within > 0) {
-        take_successor(local, own_position, chosen);
-    }
-    std::vector<ranked_member> ranked;
-    ranked.reserve(local.size());
-    for (const auto* each : local) {
-        ranked.emplace_back(membership::stable_hash(each->node, own_position), each);
+        const bool is_local = each.record.data_centre == members.self.data_centre;
+        (is_local ? local : remote).push_back(&each.record);
     }
-    take_lowest(ranked, within > 0 ? within - 1 : 0, chosen);
-    take_lowest(remote, across, chosen);
+    record_list chosen;
+    take_targets(std::move(local), within, own_position, chosen);
+    take_targets(std::move(remote), across, own_position, chosen);
     return chosen;
 }
 
--- a/src/distribution/peers.h
+++ b/src/distribution/peers.h
@@ -8,9 +8,10 @@
 /// Which members this node sends to of its own accord.
 namespace cyclamenhatch::distribution {
 
-/// Members that this node pushes to: the next one on a ring of its data centre, so that each member
-/// is somebody's target, and others by a hash of the pair, so that links are used again. Members
-/// under suspicion are left out. `across` counts members of other data centres.
+/// Members that this node pushes to: the next one on a ring of its data centre and the next one of
+/// another data centre on the ring of all, and more by a hash of the pair, so that links are used
+/// again. The two rings alone reach every member from every other, however few nodes a data centre
+/// has. Members under suspicion are left out. `across` counts members of other data centres.
 [[nodiscard]] std::vector<const msg::member_record_msg*>
 push_targets(const membership::table& members, std::size_t within, std::size_t across);
 
