clock: give the process one clock; name call messages in one place

Cause: wire, edge and node each had their own clock with its own start, so the same moment differed between them, and 'is this a call's message' stood twice. Change: src/clock holds the one clock; is_call_message stands with the messages.

--- a/src/edge/clock.cpp
+++ b/src/clock/process_clock.cpp
@@ -1,6 +1,6 @@
-#include "edge/clock.h"
+#include "clock/process_clock.h"
 
-namespace cyclamenhatch::edge {
+namespace cyclamenhatch {
 
 instant current_time() {
     using std::chrono::floor;
@@ -9,4 +9,4 @@
     return start + floor<microseconds>(std::chrono::steady_clock::now() - steady_start);
 }
 
-} // namespace cyclamenhatch::edge
+} // namespace cyclamenhatch
--- a/src/edge/call_path.cpp
+++ b/src/edge/call_path.cpp
@@ -1,8 +1,8 @@
 #include "edge/call_path.h"
 
 #include "call/call_key.h"
+#include "clock/process_clock.h"
 #include "edge/call_path_state.h"
-#include "edge/clock.h"
 
 #include <algorithm>
 #include <random>
--- a/src/edge/call_report.cpp
+++ b/src/edge/call_report.cpp
@@ -1,7 +1,7 @@
 #include "edge/call_path.h"
 
+#include "clock/process_clock.h"
 #include "edge/call_path_state.h"
-#include "edge/clock.h"
 
 #include <algorithm>
 #include <array>
--- a/src/edge/entry_side.cpp
+++ b/src/edge/entry_side.cpp
@@ -1,8 +1,8 @@
 #include "edge/entry_side.h"
 
 #include "call/call_key.h"
+#include "clock/process_clock.h"
 #include "edge/call_headers.h"
-#include "edge/clock.h"
 #include "edge/entry_steps.h"
 
 #include <algorithm>
--- a/src/edge/gate_side.cpp
+++ b/src/edge/gate_side.cpp
@@ -1,8 +1,8 @@
 #include "edge/gate_side.h"
 
 #include "call/call_key.h"
+#include "clock/process_clock.h"
 #include "edge/call_headers.h"
-#include "edge/clock.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/messages/peer_message.cpp
+++ b/src/messages/peer_message.cpp
@@ -2,6 +2,15 @@
 
 namespace cyclamenhatch {
 
+bool is_call_message(const peer_message& message) {
+    return std::holds_alternative<msg::call_open_msg>(message) ||
+           std::holds_alternative<msg::call_data_msg>(message) ||
+           std::holds_alternative<msg::call_credit_msg>(message) ||
+           std::holds_alternative<msg::call_answer_msg>(message) ||
+           std::holds_alternative<msg::call_refused_msg>(message) ||
+           std::holds_alternative<msg::call_cancel_msg>(message);
+}
+
 std::string_view kind_name(const peer_message& message) {
     return std::visit(
         [](const auto& each) -> std::string_view {
--- a/src/messages/peer_message.h
+++ b/src/messages/peer_message.h
@@ -43,6 +43,9 @@
     peer_message message;
 };
 
+/// Whether a message belongs to a call; all others are control traffic.
+[[nodiscard]] bool is_call_message(const peer_message& message);
+
 /// The name of a message's kind, for logs and counters.
 [[nodiscard]] std::string_view kind_name(const peer_message& message);
 
--- a/src/node/log_writer.cpp
+++ b/src/node/log_writer.cpp
@@ -1,7 +1,7 @@
 #include "node/log_writer.h"
 
+#include "clock/process_clock.h"
 #include "model/time.h"
-#include "node/node_clock.h"
 
 #include <glog/logging.h>
 #include <map>
@@ -73,7 +73,7 @@
     {
         const std::lock_guard<std::mutex> guard(limits().lock);
         auto& rate = limits().rates[event.name];
-        report = open_window(rate, event.name, now());
+        report = open_window(rate, event.name, current_time());
         is_written = rate.written < max_lines_per_second;
         auto& count = is_written ? rate.written : rate.suppressed;
         ++count;
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -1,7 +1,7 @@
 #include "node/node_runtime.h"
 
+#include "clock/process_clock.h"
 #include "node/log_writer.h"
-#include "node/node_clock.h"
 
 #include <random>
 #include <utility>
@@ -89,15 +89,6 @@
     wanted.logs.push_back({log_level::warning, "upstream_expired", {{"service", expired.service}}});
 }
 
-bool is_call_kind(const peer_message& message) {
-    return std::holds_alternative<msg::call_open_msg>(message) ||
-           std::holds_alternative<msg::call_data_msg>(message) ||
-           std::holds_alternative<msg::call_credit_msg>(message) ||
-           std::holds_alternative<msg::call_answer_msg>(message) ||
-           std::holds_alternative<msg::call_refused_msg>(message) ||
-           std::holds_alternative<msg::call_cancel_msg>(message);
-}
-
 /// What the gate would have said, had it refused.
 peer_message make_refusal(const msg::call_open_msg& open) {
     msg::call_refused_msg refused;
@@ -111,16 +102,16 @@
 } // namespace
 
 node_runtime::node_runtime(const msg::settings_msg& from)
-    : settings(from), control(control::make_state(from, std::random_device{}(), now())),
-      view(std::make_shared<const call::routing_view>(control::make_routing_view(control, now()))) {
-}
+    : settings(from), control(control::make_state(from, std::random_device{}(), current_time())),
+      view(std::make_shared<const call::routing_view>(
+          control::make_routing_view(control, current_time()))) {}
 
 void step(node_runtime& node, const std::function<void(instant, control::actions&)>& event) {
     control::actions wanted;
     std::vector<matched_reply> replies;
     {
         const std::lock_guard<std::mutex> guard(node.control_lock);
-        const auto at = now();
+        const auto at = current_time();
         event(at, wanted);
         refresh_view(node, at);
         replies = match_replies(node, std::exchange(wanted.replies, {}));
@@ -140,11 +131,11 @@
         control::on_tick(node.control, at, wanted);
     });
     const std::lock_guard<std::mutex> guard(node.view_lock);
-    node.last_tick = now();
+    node.last_tick = current_time();
 }
 
 void dispatch(node_runtime& node, incoming message) {
-    if (is_call_kind(message.message)) {
+    if (is_call_message(message.message)) {
         edge::on_message(*node.calls, message);
         return;
     }
@@ -154,7 +145,7 @@
 }
 
 void handle_undelivered(node_runtime& node, const outgoing& message) {
-    if (!is_call_kind(message.message)) {
+    if (!is_call_message(message.message)) {
         return; // Control messages are repeated by those who need them.
     }
     const auto* open = std::get_if<msg::call_open_msg>(&message.message);
@@ -187,7 +178,7 @@
 }
 
 call::routing_view_ptr current_view(const node_runtime& node) {
-    const auto at = now();
+    const auto at = current_time();
     const std::lock_guard<std::mutex> guard(node.view_lock);
     const bool is_stale = at - node.last_tick > milliseconds{node.settings.membership->pause_ms};
     return is_stale && node.stale_view ? node.stale_view : node.view;
--- a/src/node/run_node.cpp
+++ b/src/node/run_node.cpp
@@ -1,8 +1,8 @@
 #include "node/run_node.h"
 
 #include "admin/server.h"
+#include "clock/process_clock.h"
 #include "node/log_writer.h"
-#include "node/node_clock.h"
 #include "node/node_runtime.h"
 #include "node/state_document.h"
 
@@ -67,7 +67,7 @@
     };
     made.move_statuses = [node] {
         const std::lock_guard<std::mutex> guard(node->control_lock);
-        return moves::list_status(node->control.moves, now());
+        return moves::list_status(node->control.moves, current_time());
     };
     made.status = [node] { return describe_fleet(*node); };
     made.dump = [node] { return dump_state(*node); };
@@ -80,7 +80,7 @@
         const std::lock_guard<std::mutex> guard(node->control_lock);
         return distribution::is_ready(node->control.spread);
     };
-    made.now = now;
+    made.now = current_time;
     return made;
 }
 
@@ -101,8 +101,8 @@
 
 /// Waits until no call is under way, or the drain timeout has passed.
 void wait_for_calls(node_runtime& node) {
-    const auto give_up = now() + milliseconds{node.settings.call->drain_timeout_ms};
-    while (edge::count_in_flight(*node.calls) > 0 && now() < give_up) {
+    const auto give_up = current_time() + milliseconds{node.settings.call->drain_timeout_ms};
+    while (edge::count_in_flight(*node.calls) > 0 && current_time() < give_up) {
         std::this_thread::sleep_for(milliseconds{20});
     }
 }
--- a/src/node/state_document.cpp
+++ b/src/node/state_document.cpp
@@ -1,7 +1,7 @@
 #include "node/state_document.h"
 
+#include "clock/process_clock.h"
 #include "membership/duty.h"
-#include "node/node_clock.h"
 
 #include <algorithm>
 
@@ -209,7 +209,7 @@
     document::table whole;
     {
         const std::lock_guard<std::mutex> guard(node.control_lock);
-        const auto at = now();
+        const auto at = current_time();
         const auto& from = node.control;
         whole = {{"node", node.settings.identity->node},
                  {"release", CYCLAMENHATCH_VERSION},
@@ -233,7 +233,7 @@
 
 document describe_fleet(node_runtime& node) {
     const std::lock_guard<std::mutex> guard(node.control_lock);
-    const auto at = now();
+    const auto at = current_time();
     const auto& from = node.control;
     const auto live = membership::live_records(from.members);
     const auto suspects =
--- a/src/wire/link_io.cpp
+++ b/src/wire/link_io.cpp
@@ -1,3 +1,4 @@
+#include "clock/process_clock.h"
 #include "messages/envelope.h"
 #include "wire/link_pool_state.h"
 
@@ -15,15 +16,6 @@
 constexpr std::size_t max_frames_per_write = 64;
 constexpr std::uint32_t protocol_version = 1;
 
-bool is_call_message(const peer_message& message) {
-    return std::holds_alternative<msg::call_open_msg>(message) ||
-           std::holds_alternative<msg::call_data_msg>(message) ||
-           std::holds_alternative<msg::call_credit_msg>(message) ||
-           std::holds_alternative<msg::call_answer_msg>(message) ||
-           std::holds_alternative<msg::call_refused_msg>(message) ||
-           std::holds_alternative<msg::call_cancel_msg>(message);
-}
-
 /// Whether the peer's silence after this message would mean something.
 bool is_link_message(const peer_message& message) {
     return std::holds_alternative<msg::hello_msg>(message) ||
@@ -159,7 +151,7 @@
     if (std::holds_alternative<msg::pong_msg>(message.message)) {
         return true;
     }
-    from->times.last_used = now_of_pool();
+    from->times.last_used = current_time();
     if (is_call_message(message.message)) {
         from->times.last_call = from->times.last_used;
     }
@@ -204,7 +196,7 @@
                                            close_link(*pool, reader);
                                            return;
                                        }
-                                       reader->times.last_received = now_of_pool();
+                                       reader->times.last_received = current_time();
                                        append(reader->reader, {reader->input.data(), bytes});
                                        if (!handle_frames(pool, reader)) {
                                            close_link(*pool, reader);
@@ -216,14 +208,6 @@
 
 } // namespace
 
-instant now_of_pool() {
-    static const auto wall_start = std::chrono::system_clock::now();
-    static const auto steady_start = std::chrono::steady_clock::now();
-    return std::chrono::time_point_cast<microseconds>(
-        wall_start + std::chrono::duration_cast<std::chrono::system_clock::duration>(
-                         std::chrono::steady_clock::now() - steady_start));
-}
-
 void log_link(link_pool& pool, log_level level, const char* name, const link& about,
               const std::string& detail) {
     pool.events.on_log({level,
@@ -263,7 +247,7 @@
         return_undelivered(*pool, std::move(message));
         return;
     }
-    const auto now = now_of_pool();
+    const auto now = current_time();
     const bool is_own = is_link_message(message.message);
     writer->times.last_sent = now;
     if (!is_own) {
@@ -291,7 +275,7 @@
 
 link_ptr add_link(link_pool& pool) {
     auto added = std::make_shared<link>(pool.context);
-    const auto now = now_of_pool();
+    const auto now = current_time();
     added->times.opened = now;
     added->times.last_used = now;
     added->reader.max_frame_bytes = pool.settings.link->max_frame_bytes;
--- a/src/wire/link_pool.cpp
+++ b/src/wire/link_pool.cpp
@@ -1,5 +1,6 @@
 #include "wire/link_pool.h"
 
+#include "clock/process_clock.h"
 #include "messages/envelope.h"
 #include "wire/link_pool_state.h"
 
@@ -43,7 +44,7 @@
     if (pool->pacing.size() > max_paced_addresses) {
         pool->pacing.clear();
     }
-    if (error || address.port == 0 || !may_dial(pool->pacing[address], now_of_pool())) {
+    if (error || address.port == 0 || !may_dial(pool->pacing[address], current_time())) {
         return nullptr;
     }
     auto dialled = add_link(*pool);
@@ -51,7 +52,7 @@
     dialled->address = address;
     pool->by_address[address] = dialled;
     // Counted as failed until the peer's hello says otherwise.
-    on_dial_failed(pool->pacing[address], *pool->settings.link, now_of_pool(), pool->random);
+    on_dial_failed(pool->pacing[address], *pool->settings.link, current_time(), pool->random);
     dialled->socket.async_connect(tcp::endpoint(ip, address.port),
                                   [pool, dialled](const error_code& failed) {
                                       if (dialled->is_closed) {
@@ -116,7 +117,7 @@
         if (error || pool->is_stopping) {
             return;
         }
-        const auto now = now_of_pool();
+        const auto now = current_time();
         const auto checked = pool->links; // Closing a link changes the list.
         for (const auto& each : checked) {
             check_link(pool, each, now);
@@ -154,7 +155,7 @@
 void stop_when_flushed(const pool_ptr& pool, instant give_up) {
     const bool is_flushed = std::all_of(pool->links.begin(), pool->links.end(),
                                         [](const link_ptr& each) { return each->queue.empty(); });
-    if (is_flushed || now_of_pool() >= give_up) {
+    if (is_flushed || current_time() >= give_up) {
         pool->context.stop();
         return;
     }
@@ -223,7 +224,7 @@
     auto ready = listed->get_future();
     asio::post(pool.context, [owner = pool.shared_from_this(), listed, limit] {
         std::vector<link_status> found;
-        const auto now = now_of_pool();
+        const auto now = current_time();
         for (const auto& each : owner->links) {
             if (found.size() == limit) {
                 break;
@@ -243,7 +244,7 @@
         owner->is_stopping = true;
         error_code ignored;
         owner->acceptor.close(ignored);
-        stop_when_flushed(owner, now_of_pool() + flush_timeout);
+        stop_when_flushed(owner, current_time() + flush_timeout);
     });
     if (pool.thread.joinable()) {
         pool.thread.join();
--- a/src/wire/link_pool_state.h
+++ b/src/wire/link_pool_state.h
@@ -53,9 +53,6 @@
 
 using pool_ptr = std::shared_ptr<link_pool>;
 
-/// The pool's time: steady, in microseconds since the Unix epoch.
-[[nodiscard]] instant now_of_pool();
-
 /// Adds a closed socket's link to the pool's list.
 [[nodiscard]] link_ptr add_link(link_pool& pool);
 
