--- a/src/admin/backend.h
+++ b/src/admin/backend.h
@@ -17,8 +17,10 @@
 /// What the upstream beside this node announced, as its HTTP request said it.
 struct announcement {
     msg::upstream_record_msg upstream;
-    /// Where the node reaches the upstream; the address is the node's own host.
+    /// Where the node reaches the upstream.
     std::uint16_t port = 0;
+    /// The node's own host when it is empty.
+    std::string ip;
 };
 
 /// The operators' API sees the node only through these functions. Each may be called from any
--- a/src/call/call_sample.h
+++ b/src/call/call_sample.h
@@ -3,6 +3,8 @@
 #include "model/ids.h"
 #include "model/time.h"
 
+#include <optional>
+
 namespace cyclamenhatch::call {
 
 enum class sample_kind {
@@ -22,6 +24,8 @@
     data_centre_id data_centre;
     sample_kind kind = sample_kind::ok;
     microseconds latency{0};
+    /// The time at the upstream alone, when an answer told it.
+    std::optional<microseconds> run_time;
 };
 
 } // namespace cyclamenhatch::call
--- a/src/call/concurrency_limit.cpp
+++ b/src/call/concurrency_limit.cpp
@@ -31,7 +31,9 @@
         state.baseline_us += (mean - state.baseline_us) * baseline_drift;
     }
     const double slow = std::max(least_slow_us, slow_factor * state.baseline_us);
-    if (overloads >= overload_share) {
+    if (!state.is_adaptive) {
+        state.limit = state.slots;
+    } else if (overloads >= overload_share) {
         state.limit *= overload_decrease;
     } else if (mean > slow) {
         state.limit *= decrease;
--- a/src/call/concurrency_limit.h
+++ b/src/call/concurrency_limit.h
@@ -9,6 +9,8 @@
 /// How many calls an upstream is given at once: at most its slots, fewer while its latency stands
 /// well above what it was. Additive increase, multiplicative decrease per window of samples.
 struct concurrency_limit {
+    /// Whether the limit follows the latency; else it is the number of slots.
+    bool is_adaptive = true;
     double limit = 1;
     std::uint32_t slots = 0;
     /// Latency of the unloaded upstream, as far as seen; zero before the first window.
--- a/src/call/entry_call.cpp
+++ b/src/call/entry_call.cpp
@@ -1,6 +1,7 @@
 #include "call/entry_call.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cyclamenhatch::call {
 namespace {
@@ -9,6 +10,13 @@
 constexpr std::uint32_t max_reattach_doublings = 4;
 /// Advice to a caller when no gate gave one.
 constexpr milliseconds default_retry_after{1000};
+/// Gates that may refuse one call before it is given up: enough to find the free ones of a few, and
+/// a bound on what an overload costs.
+constexpr std::uint32_t max_refusals = 4;
+/// A call that may run twice is sent elsewhere once its gate has not answered this many questions.
+constexpr std::uint32_t max_idempotent_reattaches = 2;
+/// An answer that tells a server error is no reason to try elsewhere with less time left than this.
+constexpr microseconds least_retry_time{20'000};
 
 using actions = std::vector<entry_action>;
 
@@ -26,38 +34,65 @@
         out.emplace_back(break_off_action{});
         return;
     }
+    if (state.has_kept_answer) {
+        out.emplace_back(pass_kept_answer_action{});
+        return;
+    }
     if (state.may_have_run) {
         told.outcome = msg::call_outcome::unknown;
     }
     out.emplace_back(fail_action{told});
 }
 
+/// The next endpoint: one that was not tried, or, when all had no free slot, one to wait at.
+std::optional<pick> choose_next(entry_call& state, const entry_context& context) {
+    auto chosen = context.choose(state.tried);
+    if (chosen || state.busy.empty()) {
+        return chosen;
+    }
+    const auto busy = std::exchange(state.busy, {});
+    std::erase_if(state.tried, [&](const node_id& each) {
+        return std::find(busy.begin(), busy.end(), each) != busy.end();
+    });
+    state.may_wait = true;
+    return context.choose(state.tried);
+}
+
 /// Opens an attempt elsewhere, or ends the call with the refusal at hand.
 void open_elsewhere(entry_call& state, const refusal& at_hand, const entry_context& context,
                     actions& out) {
-    const bool is_first = state.tried.empty();
+    const bool is_first = state.arrivals == 0;
     if (context.now >= state.deadline) {
         fail(state, {.reason = msg::refusal_reason::deadline}, out);
         return;
     }
-    if (!is_first && (state.tried.size() >= state.max_attempts || !at_hand.retry_helps)) {
+    const bool is_spent = state.arrivals >= state.max_attempts || state.refusals > max_refusals ||
+                          (state.refusals + state.arrivals > 0 && !at_hand.retry_helps);
+    if (is_spent || (!is_first && !has_retry(context.budget, context.rules, context.now))) {
         fail(state, at_hand, out);
         return;
     }
-    auto chosen = context.choose(state.tried);
-    if (!chosen || (!is_first && !spend_retry(context.budget))) {
+    state.no_choice.reset();
+    auto chosen = choose_next(state, context);
+    if (!chosen && state.no_choice) {
+        fail(state, *state.no_choice, out);
+        return;
+    }
+    if (!chosen || (!is_first && !spend_retry(context.budget, context.rules, context.now))) {
         fail(state, at_hand, out);
         return;
     }
     state.tried.push_back(chosen->node);
     state.current = attempt{.to = *chosen, .opened_at = context.now};
+    const bool no_wait = chosen->has_room && !state.may_wait;
     out.emplace_back(
-        open_action{std::move(*chosen), static_cast<std::uint32_t>(state.tried.size())});
+        open_action{std::move(*chosen), static_cast<std::uint32_t>(state.arrivals + 1), no_wait});
 }
 
 /// Ends the current attempt, whose outcome is not known.
 void give_up_attempt(entry_call& state, instant now, actions& out) {
     state.may_have_run = true;
+    ++state.arrivals;
     out.emplace_back(cancel_action{state.current->to});
     // The attempt of an answer that has begun was booked with its head.
     if (!state.is_answering) {
@@ -76,7 +111,7 @@
 
 void on_event(entry_call& state, const request_event& /*event*/, const entry_context& context,
               actions& out) {
-    if (state.is_over || !state.tried.empty()) {
+    if (state.is_over || state.current || !state.tried.empty()) {
         return;
     }
     open_elsewhere(state,
@@ -87,6 +122,13 @@
                    context, out);
 }
 
+/// Whether a server error may be answered by another attempt.
+bool may_try_again(const entry_call& state, const entry_context& context) {
+    return state.is_idempotent && state.arrivals + 1 < state.max_attempts &&
+           context.now + least_retry_time < state.deadline &&
+           has_retry(context.budget, context.rules, context.now);
+}
+
 void on_event(entry_call& state, const answer_event& event, const entry_context& context,
               actions& out) {
     if (!is_current(state, event.call) || state.is_answering) {
@@ -95,6 +137,15 @@
     }
     const auto end = event.is_error ? attempt_end::failed : attempt_end::ok;
     out.emplace_back(ended_action{state.current->to, end, age(*state.current, context.now)});
+    if (event.is_error && event.is_whole && may_try_again(state, context)) {
+        out.emplace_back(keep_answer_action{});
+        ++state.arrivals;
+        state.may_have_run = true;
+        state.has_kept_answer = true;
+        state.current.reset();
+        open_elsewhere(state, lost_attempt(), context, out);
+        return;
+    }
     out.emplace_back(pass_answer_action{});
     state.is_over = event.is_whole;
     state.is_answering = !event.is_whole;
@@ -128,8 +179,12 @@
     // A run whose end is unknown was no refusal: the upstream broke off.
     const auto end = is_proven ? attempt_end::refused : attempt_end::failed;
     out.emplace_back(ended_action{state.current->to, end, age(*state.current, context.now)});
+    if (event.told.reason == msg::refusal_reason::busy) {
+        state.busy.push_back(state.current->to.node);
+    }
     state.current.reset();
     state.may_have_run = state.may_have_run || !is_proven;
+    ++(has_arrived(event.told) ? state.arrivals : state.refusals);
     if (state.may_have_run && !state.is_idempotent) {
         fail(state, event.told, out);
         return;
@@ -180,6 +235,11 @@
     if (!now_open.reattach_at || context.now < *now_open.reattach_at) {
         return;
     }
+    if (state.is_idempotent && now_open.reattaches >= max_idempotent_reattaches) {
+        give_up_attempt(state, context.now, out);
+        open_elsewhere(state, lost_attempt(), context, out);
+        return;
+    }
     ++now_open.reattaches;
     const auto doublings = std::min(now_open.reattaches, max_reattach_doublings);
     now_open.reattach_at = context.now + first_reattach_delay * (1U << doublings);
@@ -205,6 +265,12 @@
 
 } // namespace
 
+bool has_arrived(const refusal& told) {
+    return told.outcome != msg::call_outcome::not_run ||
+           told.reason == msg::refusal_reason::upstream_refused ||
+           told.reason == msg::refusal_reason::wrong_instance;
+}
+
 std::vector<entry_action> advance(entry_call& state, const entry_event& event,
                                   const entry_context& context) {
     actions out;
--- a/src/call/entry_call.h
+++ b/src/call/entry_call.h
@@ -19,10 +19,22 @@
     node_id node;
     peer_address address;
     data_centre_id data_centre;
+    /// Version of the endpoint, for the evidence of moves.
+    version_id version;
+    /// The endpoint is believed to have a free slot, so that the gate need not let the call wait.
+    bool has_room = false;
     /// Run of the gate's process as last told; 0 when not known.
     std::uint64_t gate_instance = 0;
 };
 
+/// The ways in which a gate's or this entry's refusal reads; see refusal_reason.
+struct refusal {
+    msg::call_outcome outcome = msg::call_outcome::not_run;
+    msg::refusal_reason reason = msg::refusal_reason::none;
+    bool retry_helps = false;
+    milliseconds retry_after{0};
+};
+
 /// One dispatch to a gate.
 struct attempt {
     pick to;
@@ -36,7 +48,20 @@
 struct entry_call {
     instant deadline{};
     bool is_idempotent = false;
+    /// Most endpoints that the call may be sent to. A gate that refuses is none of them.
     std::uint32_t max_attempts = 1;
+    /// Endpoints that the call has reached, or may have.
+    std::uint32_t arrivals = 0;
+    /// Gates that had no free slot; they are asked again, to let the call wait, once no other is
+    /// left.
+    std::vector<node_id> busy;
+    /// The call waits at the next gate that takes it.
+    bool may_wait = false;
+    std::uint32_t refusals = 0;
+    /// A server error is at hand that is passed on when no other endpoint gives a better answer.
+    bool has_kept_answer = false;
+    /// Why no endpoint was chosen, when the choice says more than that none is left.
+    std::optional<refusal> no_choice;
     /// The attempt that is under way.
     std::optional<attempt> current;
     std::vector<node_id> tried;
@@ -47,13 +72,8 @@
     bool is_answering = false;
 };
 
-/// The ways in which a gate's or this entry's refusal reads; see refusal_reason.
-struct refusal {
-    msg::call_outcome outcome = msg::call_outcome::not_run;
-    msg::refusal_reason reason = msg::refusal_reason::none;
-    bool retry_helps = false;
-    milliseconds retry_after{0};
-};
+/// Whether the upstream itself saw the call, so that another attempt costs it or others work.
+[[nodiscard]] bool has_arrived(const refusal& told);
 
 struct request_event {};
 /// An answer's head came. `is_whole` when its body came with it.
@@ -89,6 +109,8 @@
 struct open_action {
     pick to;
     std::uint32_t attempt_number = 1;
+    /// The gate shall refuse at once when no slot is free.
+    bool no_wait = false;
 };
 /// Ask the gate for the call with this id; never starts a run.
 struct reattach_action {
@@ -99,6 +121,10 @@
 };
 /// Pass the answer of this event on to the caller.
 struct pass_answer_action {};
+/// Keep the answer of this event in case no better one comes.
+struct keep_answer_action {};
+/// Pass the kept answer on to the caller.
+struct pass_kept_answer_action {};
 /// Answer the caller without an upstream's answer.
 struct fail_action {
     refusal told;
@@ -115,7 +141,8 @@
 struct drop_action {};
 
 using entry_action = std::variant<open_action, reattach_action, cancel_action, pass_answer_action,
-                                  fail_action, break_off_action, ended_action, drop_action>;
+                                  keep_answer_action, pass_kept_answer_action, fail_action,
+                                  break_off_action, ended_action, drop_action>;
 
 /// What a step needs besides the call itself.
 struct entry_context {
@@ -123,6 +150,7 @@
     /// An endpoint that is not among those tried, with a fresh id; nothing when there is none.
     const std::function<std::optional<pick>(const std::vector<node_id>& tried)>& choose;
     instant now{};
+    budget_rules rules;
 };
 
 /// Advances a call by one event. Guarantees: a call that is not idempotent is opened again only
--- a/src/call/gate.cpp
+++ b/src/call/gate.cpp
@@ -12,13 +12,31 @@
 using msg::refusal_reason;
 
 constexpr milliseconds retry_elsewhere_after{100};
+/// Calls that have lost their objective wait only while fewer calls than this do.
+constexpr std::size_t late_queue = 2;
 /// A cancel this close to the deadline comes from the deadline.
 constexpr microseconds deadline_tolerance{10'000};
 
+constexpr double run_time_smoothing = 0.15;
+
 microseconds typical_latency(const gate_state& gate) {
     return microseconds(static_cast<std::int64_t>(gate.limit.latency_us));
 }
 
+/// What a call of the route usually takes at the upstream.
+microseconds expected_run(const gate_state& gate, const route_id& route) {
+    const auto known = gate.run_times.find(route);
+    return known == gate.run_times.end() ? typical_latency(gate) : known->second;
+}
+
+void note_run_time(gate_state& gate, const route_id& route, microseconds took) {
+    const auto [known, is_first] = gate.run_times.try_emplace(route, took);
+    if (!is_first) {
+        const auto change = static_cast<double>((took - known->second).count());
+        known->second += microseconds(static_cast<std::int64_t>(change * run_time_smoothing));
+    }
+}
+
 std::uint32_t effective_limit(const gate_state& gate) {
     // Without limits the baseline hands over whatever comes.
     return gate.settings.has_limits ? current_limit(gate.limit)
@@ -31,6 +49,12 @@
     return typical_latency(gate) * (ahead + 1) / limit;
 }
 
+/// What a call that came now would wait, when no other is due later.
+microseconds present_wait(const gate_state& gate) {
+    const bool is_free = gate.queue.size == 0 && gate.running.size() < current_limit(gate.limit);
+    return is_free ? microseconds{0} : expected_wait(gate, gate.queue.size);
+}
+
 msg::call_refused_msg make_refusal(const gate_state& gate, const call_id& call, refusal told) {
     const auto load = current_load(gate);
     msg::call_refused_msg refused;
@@ -42,6 +66,7 @@
     refused.in_flight = load.in_flight;
     refused.queue = load.queue;
     refused.slots = load.slots;
+    refused.wait_us = load.wait_us;
     refused.gate_instance = gate.instance;
     return refused;
 }
@@ -77,6 +102,31 @@
     return std::nullopt;
 }
 
+/// When a call should have started at the latest: for its objective while that can still be met,
+/// else for its deadline, so that calls which are late already do not delay those that are not.
+instant due_time(const gate_state& gate, const gate_request& request, instant now) {
+    const auto run = expected_run(gate, request.route);
+    if (request.objective && now + run <= *request.objective) {
+        return *request.objective - run;
+    }
+    return request.deadline - run;
+}
+
+/// Whether waiting that long would cost the call its objective. A call that has lost it already may
+/// wait behind few others only: those that can still meet theirs come first, and it would wait in
+/// vain.
+bool is_worth_less_for(const gate_state& gate, const gate_request& request, microseconds wait,
+                       instant now) {
+    if (!request.objective) {
+        return false;
+    }
+    const auto run = expected_run(gate, request.route);
+    if (now + run > *request.objective) {
+        return gate.queue.size >= late_queue;
+    }
+    return now + wait + run > *request.objective;
+}
+
 std::optional<refusal> find_refusal(const gate_state& gate, const gate_request& request,
                                     instant now) {
     if (auto closed = find_closed_reason(gate)) {
@@ -95,20 +145,31 @@
         return std::nullopt;
     }
     const bool must_wait = gate.running.size() >= effective_limit(gate) || gate.queue.size > 0;
-    const auto wait = must_wait ? expected_wait(gate, count_ahead(gate.queue, request.deadline))
-                                : microseconds{0};
-    if (now + wait + typical_latency(gate) > request.deadline) {
+    if (must_wait && request.no_wait) {
+        return refusal{
+            .reason = refusal_reason::busy, .retry_helps = true, .retry_after = wait_in_ms(gate)};
+    }
+    const auto wait =
+        must_wait ? expected_wait(gate, count_ahead(gate.queue, due_time(gate, request, now)))
+                  : microseconds{0};
+    if (now + wait + expected_run(gate, request.route) > request.deadline) {
         return refusal{.reason = refusal_reason::deadline,
                        .retry_helps = must_wait,
                        .retry_after = wait_in_ms(gate)};
     }
+    if (must_wait && is_worth_less_for(gate, request, wait, now)) {
+        return refusal{.reason = refusal_reason::queue_full,
+                       .retry_helps = true,
+                       .retry_after = wait_in_ms(gate)};
+    }
     return std::nullopt;
 }
 
 void start(gate_state& gate, const call_id& call, const owner_id& owner, instant deadline,
            instant now, gate_actions& out) {
-    gate.memory.calls[call].state = memory_state::running;
-    gate.running.emplace(call, running_call{owner, now, deadline});
+    auto& known = gate.memory.calls[call];
+    known.state = memory_state::running;
+    gate.running.emplace(call, running_call{owner, known.route, now, deadline});
     ++gate.shares.owners[owner].running;
     ++gate.counters.dispatched;
     out.emplace_back(run_action{call});
@@ -116,7 +177,7 @@
 
 void refuse_queued(gate_state& gate, const queued_call& waiting, const refusal& told, instant now,
                    gate_actions& out) {
-    const auto call = waiting.at->second;
+    const auto call = waiting.at->second.call;
     remove(gate.queue, gate.shares, waiting);
     refuse(gate, call, told, now, out);
     out.emplace_back(release_action{call});
@@ -125,12 +186,12 @@
 void fill_slots(gate_state& gate, instant now, gate_actions& out) {
     while (gate.queue.size > 0 && gate.running.size() < effective_limit(gate)) {
         const auto next = find_next(gate.queue, gate.shares);
-        const auto deadline = next.at->first.first;
+        const auto deadline = next.at->second.deadline;
         if (deadline <= now) {
             refuse_queued(gate, next, {.reason = refusal_reason::deadline}, now, out);
             continue;
         }
-        const auto call = next.at->second;
+        const auto call = next.at->second.call;
         remove(gate.queue, gate.shares, next);
         start(gate, call, next.owner, deadline, now, out);
     }
@@ -150,7 +211,8 @@
         }
         refuse_queued(gate, *displaced, make_full(gate), now, out);
     }
-    push(gate.queue, gate.shares, request.owner, request.call, request.deadline);
+    push(gate.queue, gate.shares, request.owner, {request.call, request.deadline},
+         due_time(gate, request, now));
 }
 
 void answer_unknown(gate_state& gate, const gate_request& request, instant now, gate_actions& out) {
@@ -245,6 +307,7 @@
     auto& entry = gate.memory.calls[request.call];
     entry.waiter = request.from;
     entry.keep_until = request.deadline;
+    entry.route = request.route;
     if (const auto refused = find_refusal(gate, request, now)) {
         refuse(gate, request.call, *refused, now, out);
         return out;
@@ -297,6 +360,9 @@
         return out;
     }
     const auto in_flight = static_cast<std::uint32_t>(gate.running.size());
+    if (end.is_answered) {
+        note_run_time(gate, found->second.route, end.latency);
+    }
     if (end.is_answered || end.is_overload) {
         note_sample(gate.limit, end.latency, end.is_overload, in_flight);
     }
@@ -309,12 +375,13 @@
             out.emplace_back(tell_answer_action{waiter, end.answer});
         }
     } else {
-        refuse(gate, call,
-               {.outcome = end.is_not_run ? call_outcome::not_run : call_outcome::unknown,
-                .reason = refusal_reason::upstream_unreachable,
-                .retry_helps = true,
-                .retry_after = retry_elsewhere_after},
-               now, out);
+        refuse(
+            gate, call,
+            {.outcome = end.is_not_run ? call_outcome::not_run : call_outcome::unknown,
+             .reason = end.is_not_run ? end.not_run_reason : refusal_reason::upstream_unreachable,
+             .retry_helps = true,
+             .retry_after = retry_elsewhere_after},
+            now, out);
     }
     out.emplace_back(release_action{call});
     fill_slots(gate, now, out);
@@ -326,19 +393,8 @@
     count_usage(gate.shares, gate.limit.slots, now);
     const auto least =
         microseconds(static_cast<std::int64_t>(std::min(gate.limit.baseline_us, 50'000.0)));
-    std::vector<owner_id> owners;
-    for (const auto& [owner, calls] : gate.queue.by_owner) {
-        owners.push_back(owner);
-    }
-    for (const auto& owner : owners) {
-        // The owner's queue goes with its last call, so it is looked up each time.
-        for (auto calls = gate.queue.by_owner.find(owner);
-             calls != gate.queue.by_owner.end() &&
-             calls->second.begin()->first.first <= now + least;
-             calls = gate.queue.by_owner.find(owner)) {
-            refuse_queued(gate, {owner, calls->second.begin()},
-                          {.reason = refusal_reason::deadline}, now, out);
-        }
+    for (const auto& each : find_expired(gate.queue, now + least)) {
+        refuse_queued(gate, each, {.reason = refusal_reason::deadline}, now, out);
     }
     trim(gate.memory, gate.settings.memory, now);
     return out;
@@ -358,6 +414,7 @@
     gate.service = service_id(upstream.service);
     gate.version = version_id(upstream.version);
     gate.upstream = upstream.state;
+    gate.limit.is_adaptive = gate.settings.has_adaptive_limit;
     set_slots(gate.limit, upstream.slots);
     refuse_queued_when_closed(gate, now, out);
     fill_slots(gate, now, out);
@@ -391,7 +448,8 @@
 load_report current_load(const gate_state& gate) {
     return {.in_flight = static_cast<std::uint32_t>(gate.running.size()),
             .queue = static_cast<std::uint32_t>(gate.queue.size),
-            .slots = current_limit(gate.limit)};
+            .slots = current_limit(gate.limit),
+            .wait_us = static_cast<std::uint32_t>(present_wait(gate).count())};
 }
 
 } // namespace cyclamenhatch::call
--- a/src/call/gate.h
+++ b/src/call/gate.h
@@ -26,6 +26,8 @@
     /// Switches the adaptive limit, the queue's bound and refusals for time off: the baseline of
     /// measurements.
     bool has_limits = true;
+    /// Whether the bound on what runs follows the upstream's latency below its slots.
+    bool has_adaptive_limit = true;
 };
 
 /// A call_open as far as the gate decides on it.
@@ -40,10 +42,20 @@
     instant deadline{};
     /// Run of the gate's process that the entry knows; 0 for none.
     std::uint64_t gate_instance = 0;
+    /// When the answer loses most of its worth to the caller; the deadline when there is no
+    /// objective.
+    std::optional<instant> objective;
+    /// Rank among the calls that wait here; 0 is the highest.
+    std::uint32_t priority = 0;
+    /// Refuse at once when no slot is free.
+    bool no_wait = false;
+    /// Calls of one route take alike; names the measure of their time.
+    route_id route;
 };
 
 struct running_call {
     owner_id owner;
+    route_id route;
     instant started_at{};
     instant deadline{};
 };
@@ -69,6 +81,8 @@
     version_id version;
     msg::upstream_state upstream = msg::upstream_state::none;
     bool is_draining = false;
+    /// Time from dispatch to answer, smoothed, by route.
+    std::map<route_id, microseconds> run_times;
     concurrency_limit limit;
     owner_shares shares;
     gate_queue queue;
@@ -107,8 +121,11 @@
 struct upstream_end {
     /// Null when there is no answer, or when it was streamed to the waiter as it came.
     stored_answer answer;
-    /// Only true when no byte of the request reached the upstream.
+    /// Proven: no byte of the request reached the upstream, or it said that it did not run the
+    /// call.
     bool is_not_run = false;
+    /// Why a call that was not run was not.
+    msg::refusal_reason not_run_reason = msg::refusal_reason::upstream_unreachable;
     /// An answer came, whether kept or streamed.
     bool is_answered = false;
     /// The upstream shed load or ran out of time.
--- a/src/call/gate_queue.cpp
+++ b/src/call/gate_queue.cpp
@@ -17,9 +17,9 @@
 
 } // namespace
 
-void push(gate_queue& queue, owner_shares& shares, const owner_id& owner, const call_id& call,
-          instant deadline) {
-    queue.by_owner[owner].emplace(std::pair{deadline, queue.next_number++}, call);
+void push(gate_queue& queue, owner_shares& shares, const owner_id& owner, const waiting_call& call,
+          instant due) {
+    queue.by_owner[owner].emplace(std::pair{due, queue.next_number++}, call);
     ++queue.size;
     ++shares.owners[owner].queued;
 }
@@ -60,7 +60,7 @@
 std::optional<queued_call> find_queued(gate_queue& queue, const call_id& call) {
     for (auto& [owner, calls] : queue.by_owner) {
         const auto found = std::find_if(calls.begin(), calls.end(),
-                                        [&](const auto& each) { return each.second == call; });
+                                        [&](const auto& each) { return each.second.call == call; });
         if (found != calls.end()) {
             return queued_call{owner, found};
         }
@@ -68,13 +68,25 @@
     return std::nullopt;
 }
 
-std::size_t count_ahead(const gate_queue& queue, instant deadline) {
+std::size_t count_ahead(const gate_queue& queue, instant due) {
     std::size_t ahead = 0;
     for (const auto& [owner, calls] : queue.by_owner) {
-        ahead += static_cast<std::size_t>(
-            std::distance(calls.begin(), calls.lower_bound({deadline, 0})));
+        ahead +=
+            static_cast<std::size_t>(std::distance(calls.begin(), calls.lower_bound({due, 0})));
     }
     return ahead;
 }
 
+std::vector<queued_call> find_expired(gate_queue& queue, instant by) {
+    std::vector<queued_call> expired;
+    for (auto& [owner, calls] : queue.by_owner) {
+        for (auto each = calls.begin(); each != calls.end(); ++each) {
+            if (each->second.deadline <= by) {
+                expired.push_back({owner, each});
+            }
+        }
+    }
+    return expired;
+}
+
 } // namespace cyclamenhatch::call
--- a/src/call/gate_queue.h
+++ b/src/call/gate_queue.h
@@ -7,17 +7,26 @@
 #include <map>
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace cyclamenhatch::call {
 
 struct owner_shares;
 
-/// Calls of one owner in deadline order; the number keeps calls with the same deadline apart.
-using deadline_queue = std::map<std::pair<instant, std::uint64_t>, call_id>;
+/// A call that waits for a slot.
+struct waiting_call {
+    call_id call;
+    /// It cannot be of use after that.
+    instant deadline{};
+};
+
+/// Calls of one owner in the order in which they should start; the number keeps calls that are due
+/// at the same time apart.
+using due_queue = std::map<std::pair<instant, std::uint64_t>, waiting_call>;
 
 /// Calls that wait for a slot. Not thread safe; the gate's holder guards it.
 struct gate_queue {
-    std::map<owner_id, deadline_queue> by_owner;
+    std::map<owner_id, due_queue> by_owner;
     std::size_t size = 0;
     std::uint64_t next_number = 0;
 };
@@ -25,11 +34,12 @@
 /// One waiting call.
 struct queued_call {
     owner_id owner;
-    deadline_queue::iterator at;
+    due_queue::iterator at;
 };
 
-void push(gate_queue& queue, owner_shares& shares, const owner_id& owner, const call_id& call,
-          instant deadline);
+/// Adds a call that should start before all that are due later.
+void push(gate_queue& queue, owner_shares& shares, const owner_id& owner, const waiting_call& call,
+          instant due);
 void remove(gate_queue& queue, owner_shares& shares, const queued_call& call);
 
 /// The earliest call of the owner that has the least of its reservation in use. Precondition: the
@@ -44,7 +54,10 @@
 /// Wherever the call stands in the queue.
 [[nodiscard]] std::optional<queued_call> find_queued(gate_queue& queue, const call_id& call);
 
-/// Calls that are due before the deadline.
-[[nodiscard]] std::size_t count_ahead(const gate_queue& queue, instant deadline);
+/// Calls that are due before this time.
+[[nodiscard]] std::size_t count_ahead(const gate_queue& queue, instant due);
+
+/// Calls that cannot be of use after this time.
+[[nodiscard]] std::vector<queued_call> find_expired(gate_queue& queue, instant by);
 
 } // namespace cyclamenhatch::call
--- a/src/call/load_table.cpp
+++ b/src/call/load_table.cpp
@@ -120,6 +120,12 @@
     return (ejected + 1) * 100 <= all * max_ejected_percent;
 }
 
+microseconds estimate_wait(const endpoint_load& load, instant now) {
+    const auto age = now - load.reported_at;
+    const microseconds told{load.reported.wait_us};
+    return age > wait_lifetime || age >= told ? microseconds{0} : told - age;
+}
+
 std::uint32_t estimate_in_flight(const endpoint_load& load, instant now) {
     if (now - load.reported_at > report_lifetime) {
         return load.in_flight;
--- a/src/call/load_table.h
+++ b/src/call/load_table.h
@@ -12,6 +12,9 @@
 
 /// How long a load report counts after it came.
 inline constexpr microseconds report_lifetime{500'000};
+/// How long a gate's word on its queue counts. Queues change with each answer, so this is short; it
+/// keeps calls that would be refused from being sent one after the other.
+inline constexpr microseconds wait_lifetime{60'000};
 /// Time over which a newly ready endpoint's weight grows to its full size.
 inline constexpr microseconds ramp_time{5'000'000};
 /// How long an endpoint whose gate refused all calls is passed over. What the entry is told by the
@@ -27,6 +30,8 @@
     std::uint32_t in_flight = 0;
     std::uint32_t queue = 0;
     std::uint32_t slots = 0;
+    /// Time that a call which came now would wait for a slot.
+    std::uint32_t wait_us = 0;
 };
 
 /// How one attempt ended, as the entry saw it.
@@ -90,6 +95,10 @@
 [[nodiscard]] bool may_eject_one(const load_table& table, const std::vector<endpoint>& endpoints,
                                  const version_id& version, std::uint32_t max_ejected_percent);
 
+/// How long a call that is sent now would wait for a slot, by what the gate told last. Zero when
+/// that is too long ago to say, so that an endpoint is tried again.
+[[nodiscard]] microseconds estimate_wait(const endpoint_load& load, instant now);
+
 /// Calls under way at the endpoint: the entry's own, or more when a fresh report says so.
 [[nodiscard]] std::uint32_t estimate_in_flight(const endpoint_load& load, instant now);
 
--- a/src/call/outcome_memory.h
+++ b/src/call/outcome_memory.h
@@ -31,6 +31,7 @@
     memory_state state = memory_state::queued;
     /// Who waits for the end; the last one that asked.
     node_id waiter;
+    route_id route;
     /// Null when it was dropped for room or was streamed.
     stored_answer answer;
     stored_refusal refused;
--- a/src/call/retry_budget.cpp
+++ b/src/call/retry_budget.cpp
@@ -1,29 +1,54 @@
 #include "call/retry_budget.h"
 
-#include <algorithm>
-
 namespace cyclamenhatch::call {
 namespace {
 
-constexpr std::uint64_t millitokens_per_retry = 1000;
-constexpr std::uint64_t millitokens_per_percent = 10;
-/// Bounds a burst of retries after a quiet time.
-constexpr std::uint64_t max_millitokens = 20'000;
+constexpr int buckets_per_window = 10;
+constexpr double all_percent = 100;
+
+microseconds bucket_length(const budget_rules& rules) {
+    return rules.window / buckets_per_window;
+}
+
+/// The bucket of the present, and no bucket of which nothing lies within the window.
+retry_budget::bucket& present_bucket(retry_budget& budget, const budget_rules& rules, instant now) {
+    const auto length = bucket_length(rules);
+    while (!budget.recent.empty() && budget.recent.front().begun + length <= now - rules.window) {
+        budget.recent.pop_front();
+    }
+    if (budget.recent.empty() || now >= budget.recent.back().begun + length) {
+        budget.recent.push_back({.begun = now});
+    }
+    return budget.recent.back();
+}
 
 } // namespace
 
-void note_first_attempt(retry_budget& budget, std::uint32_t percent) {
+void note_first_attempt(retry_budget& budget, const budget_rules& rules, instant now) {
     ++budget.first_attempts;
-    budget.millitokens =
-        std::min(max_millitokens, budget.millitokens + percent * millitokens_per_percent);
+    ++present_bucket(budget, rules, now).calls;
+}
+
+bool has_retry(const retry_budget& budget, const budget_rules& rules, instant now) {
+    std::uint64_t calls = 0;
+    std::uint64_t retries = 0;
+    for (const auto& each : budget.recent) {
+        // A bucket that lies in the window in part only counts for its retries, not for its calls.
+        const bool is_whole = each.begun >= now - rules.window;
+        const bool is_partial = each.begun + bucket_length(rules) > now - rules.window;
+        calls += is_whole ? each.calls : 0;
+        retries += is_partial ? each.retries : 0;
+    }
+    const double allowed = static_cast<double>(calls) * rules.percent / all_percent + rules.slack;
+    return static_cast<double>(retries) + 1 <= allowed;
 }
 
-bool spend_retry(retry_budget& budget) {
-    if (budget.millitokens < millitokens_per_retry) {
+bool spend_retry(retry_budget& budget, const budget_rules& rules, instant now) {
+    if (!has_retry(budget, rules, now)) {
         ++budget.refused_retries;
         return false;
     }
-    budget.millitokens -= millitokens_per_retry;
+    ++present_bucket(budget, rules, now).retries;
     ++budget.retries;
     return true;
 }
--- a/src/call/retry_budget.h
+++ b/src/call/retry_budget.h
@@ -3,23 +3,43 @@
 #include "model/time.h"
 
 #include <cstdint>
+#include <deque>
 
 namespace cyclamenhatch::call {
 
-/// Retries of one service's calls as a token bucket: each first attempt earns a share of a token,
-/// each retry spends one. Not thread safe; the holder guards it.
+/// How many retries may be made, against the calls of the same window.
+struct budget_rules {
+    /// Retries as a share of the calls.
+    std::uint32_t percent = 10;
+    microseconds window{10'000'000};
+    /// Retries beyond the share; this node's part of what the whole fleet may make.
+    double slack = 20;
+};
+
+/// Retries of one service's calls over a sliding window. Since each node keeps its own share of its
+/// own calls, all nodes together keep the share of all calls. Not thread safe; the holder guards
+/// it.
 struct retry_budget {
-    /// Tokens in thousandths, so that earning is exact.
-    std::uint64_t millitokens = 10'000;
+    /// Counts of one tenth of a window.
+    struct bucket {
+        instant begun;
+        std::uint64_t calls = 0;
+        std::uint64_t retries = 0;
+    };
+    /// Oldest first; bounded by the window.
+    std::deque<bucket> recent;
     std::uint64_t first_attempts = 0;
     std::uint64_t retries = 0;
     std::uint64_t refused_retries = 0;
 };
 
-/// Earns `percent` of a token for a first attempt.
-void note_first_attempt(retry_budget& budget, std::uint32_t percent);
+/// Counts a call.
+void note_first_attempt(retry_budget& budget, const budget_rules& rules, instant now);
+
+/// Whether one more retry is within the rules; counts nothing.
+[[nodiscard]] bool has_retry(const retry_budget& budget, const budget_rules& rules, instant now);
 
-/// Spends one token; false when there is none.
-[[nodiscard]] bool spend_retry(retry_budget& budget);
+/// Counts a retry when it is within the rules; false when it is not.
+[[nodiscard]] bool spend_retry(retry_budget& budget, const budget_rules& rules, instant now);
 
 } // namespace cyclamenhatch::call
--- a/src/call/routing_view.h
+++ b/src/call/routing_view.h
@@ -20,13 +20,32 @@
     version_id version;
     msg::upstream_state state = msg::upstream_state::none;
     std::uint32_t slots = 0;
+    /// How much longer the upstream was to stay slow when it last announced itself.
+    milliseconds cold{0};
     /// Changes when the node beside the upstream restarts or its record changes.
     std::uint64_t incarnation = 0;
+    /// Names the run of the upstream; empty when it does not say.
+    std::string instance;
     bool is_suspect = false;
 };
 
+/// The versions that one call may go to.
+struct version_filter {
+    /// The only one; empty for all.
+    version_id only;
+    /// Left out when `only` is empty; empty leaves none out.
+    version_id except;
+
+    [[nodiscard]] bool allows(const version_id& version) const {
+        return only.empty() ? except.empty() || version != except : version == only;
+    }
+
+    friend bool operator==(const version_filter&, const version_filter&) = default;
+};
+
 /// How the calls of a service with an open move are divided.
 struct version_share {
+    /// Empty: every version but `to`.
     version_id from;
     version_id to;
     /// Share of calls that go to `to`, in thousandths.
@@ -41,6 +60,8 @@
     snapshot_ptr config;
     std::map<service_id, std::vector<endpoint>> endpoints;
     std::map<service_id, version_share> shares;
+    /// Nodes that are alive, this one included.
+    std::size_t live_nodes = 1;
     /// This node has the configuration and may take calls.
     bool is_ready = false;
     /// This node is leaving: new calls are refused.
--- a/src/cli/environment.h
+++ b/src/cli/environment.h
@@ -30,8 +30,10 @@
     std::function<result<std::string>(const std::string& path)> read_file;
     std::function<instant()> now;
     std::function<operation_id()> make_operation;
-    /// Runs a node until it is told to stop; returns the exit code.
-    std::function<int(const msg::settings_msg&)> run_node;
+    /// Runs a node until it is told to stop; returns the exit code. The second argument reads the
+    /// settings again.
+    std::function<int(const msg::settings_msg&, const std::function<result<msg::settings_msg>()>&)>
+        run_node;
 };
 
 } // namespace cyclamenhatch::cli
--- a/src/cli/local_verbs.cpp
+++ b/src/cli/local_verbs.cpp
@@ -6,7 +6,14 @@
 namespace {
 
 result<msg::settings_msg> read_settings_file(const environment& around, const std::string& path) {
-    const auto read = read_document(around, path);
+    const auto text = around.read_file(path);
+    if (const auto* found = std::get_if<findings>(&text)) {
+        return *found;
+    }
+    // Settings are TOML whatever the file's name: a platform may place them under a name of its
+    // own.
+    const auto& held = std::get<std::string>(text);
+    const auto read = held.starts_with('{') ? parse_json(held, path) : parse_toml(held, path);
     if (const auto* found = std::get_if<findings>(&read)) {
         return *found;
     }
@@ -47,8 +54,11 @@
     if (const auto* found = std::get_if<findings>(&read)) {
         return refuse(around, *found);
     }
-    return around.run_node(std::get<msg::settings_msg>(read)) == 0 ? exit_code::done
-                                                                   : exit_code::refused;
+    const auto reread = [&around, path = asked.settings] {
+        return read_settings_file(around, path);
+    };
+    return around.run_node(std::get<msg::settings_msg>(read), reread) == 0 ? exit_code::done
+                                                                           : exit_code::refused;
 }
 
 } // namespace cyclamenhatch::cli
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -1,6 +1,10 @@
 #include "control/control.h"
 
+#include "control/feed_steps.h"
+#include "control/steps.h"
+
 #include "membership/duty.h"
+#include "membership/joiner.h"
 #include "messages/address_text.h"
 
 #include <algorithm>
@@ -9,21 +13,12 @@
 namespace cyclamenhatch::control {
 namespace {
 
-constexpr std::size_t contacts_per_data_centre = 3;
+constexpr std::size_t contacts_per_data_centre = 2;
 constexpr seconds close_retry{2};
 constexpr seconds close_deadline{10};
 constexpr milliseconds lonely_read_delay{500};
 constexpr seconds fallback_read_interval{5};
 
-template <class Item> void append(std::vector<Item>& to, std::vector<Item>&& from) {
-    to.insert(to.end(), std::make_move_iterator(from.begin()), std::make_move_iterator(from.end()));
-}
-
-void take(actions& wanted, distribution::actions&& from) {
-    append(wanted.sends, std::move(from.sends));
-    append(wanted.logs, std::move(from.logs));
-}
-
 msg::member_record_msg make_self_record(const msg::settings_msg& settings, instant now) {
     msg::member_record_msg self;
     self.node = settings.identity->node;
@@ -59,39 +54,6 @@
     return config;
 }
 
-void submit_close(state& self, const store::move_close& close, instant now, actions& wanted);
-
-void take_moves(state& self, moves::actions&& from, instant now, actions& wanted) {
-    append(wanted.sends, std::move(from.sends));
-    append(wanted.logs, std::move(from.logs));
-    for (const auto& close : from.closes) {
-        submit_close(self, close, now, wanted);
-    }
-}
-
-/// Tells every library of a configuration that is newly in force here.
-void tell_of_config(state& self, instant now, actions& wanted) {
-    if (self.told == self.spread.held || !self.spread.held) {
-        return;
-    }
-    self.told = self.spread.held;
-    store::on_newer(self.writer, self.told);
-    store::on_held(self.reader, self.told);
-    moves::actions from_moves;
-    moves::on_config(self.moves, self.members, self.told, now, from_moves);
-    take_moves(self, std::move(from_moves), now, wanted);
-}
-
-void offer_config(state& self, const snapshot_ptr& found, instant now, actions& wanted) {
-    if (!found) {
-        return;
-    }
-    distribution::actions from_spread;
-    distribution::offer(self.spread, self.members, found, now, self.random, from_spread);
-    take(wanted, std::move(from_spread));
-    tell_of_config(self, now, wanted);
-}
-
 void take_writer(state& self, store::writer_actions&& from, instant now, actions& wanted) {
     append(wanted.requests, std::move(from.requests));
     append(wanted.replies, std::move(from.replies));
@@ -101,19 +63,22 @@
 void take_reader(state& self, store::reader_actions&& from, instant now, actions& wanted) {
     append(wanted.requests, std::move(from.requests));
     if (!from.rejected_for.empty()) {
-        distribution::actions from_spread;
-        distribution::reject(self.spread, self.members, from.rejected, from.rejected_for, now,
-                             from_spread);
-        take(wanted, std::move(from_spread));
+        reject_config(self, from.rejected, from.rejected_for, now, wanted);
     }
     // A read that shows what is held as current also refreshes a node that woke up alone.
     const bool is_confirmed = !from.found && from.is_current;
     offer_config(self, is_confirmed ? self.spread.held : from.found, now, wanted);
 }
 
-void take_contacts(state& self, store::contact_actions&& from, actions& wanted) {
+void take_contacts(state& self, store::contact_actions&& from, instant now, actions& wanted) {
     append(wanted.requests, std::move(from.requests));
+    if (from.found.empty()) {
+        return;
+    }
     membership::add_contacts(self.members, from.found);
+    if (membership::live_records(self.members).size() <= 1) {
+        membership::hurry_rejoins(self.members, now);
+    }
 }
 
 /// The id is the same for each proposal of the same ending, so that proposing again is idempotent.
@@ -123,16 +88,6 @@
                         std::to_string(close.attempt) + "/" + outcome};
 }
 
-void submit_close(state& self, const store::move_close& close, instant now, actions& wanted) {
-    const moves::attempt_key key{close.service, close.name, close.attempt};
-    const auto proposed = self.close_proposed.find(key);
-    if (proposed != self.close_proposed.end() && now - proposed->second < close_retry) {
-        return;
-    }
-    self.close_proposed[key] = now;
-    submit_write(self, {close_operation(close), close, now + close_deadline}, now, wanted);
-}
-
 void forget_old_proposals(state& self, instant now) {
     for (auto each = self.close_proposed.begin(); each != self.close_proposed.end();) {
         const bool is_old = now - each->second > 10 * close_deadline;
@@ -147,7 +102,8 @@
     }
     self.pauses_seen = self.members.pauses;
     distribution::on_pause(self.spread, now);
-    self.next_fallback_read = now + fallback_read_interval;
+    self.next_fallback_read =
+        self.operators ? now + start_spread(self) : now + fallback_read_interval;
     wanted.logs.push_back(
         {log_level::warning, "pause_noticed", {{"pauses", std::to_string(self.members.pauses)}}});
 }
@@ -169,11 +125,9 @@
     store::refresh(self.reader, now, from_reader);
 }
 
-void tick_store(state& self, instant now, actions& wanted) {
+void tick_head(state& self, bool watches, instant now, actions& wanted) {
     store::reader_actions from_reader;
-    const bool watches = distribution::is_store_watcher(self.spread, self.members);
-    store::set_watching(self.reader, watches && self.members.has_joined && !self.is_leaving, now,
-                        from_reader);
+    store::set_watching(self.reader, watches, now, from_reader);
     read_store_as_fallback(self, now, from_reader);
     store::on_tick(self.reader, now, self.random, from_reader);
     take_reader(self, std::move(from_reader), now, wanted);
@@ -181,6 +135,16 @@
     store::writer_actions from_writer;
     store::on_tick(self.writer, now, self.random, from_writer);
     take_writer(self, std::move(from_writer), now, wanted);
+}
+
+void tick_store(state& self, instant now, actions& wanted) {
+    const bool watches = distribution::is_store_watcher(self.spread, self.members) &&
+                         self.members.has_joined && !self.is_leaving;
+    if (self.operators) {
+        tick_feed(self, watches, now, wanted);
+    } else {
+        tick_head(self, watches, now, wanted);
+    }
 
     if (self.is_leaving) {
         return;
@@ -191,9 +155,14 @@
         self.members.has_joined &&
         membership::has_duty(self.members, "contact", contacts_per_data_centre,
                              data_centre_id{self.settings.identity->data_centre});
-    store::on_tick(self.contacts, is_contact, !self.members.has_joined, now, self.random,
-                   from_contacts);
-    take_contacts(self, std::move(from_contacts), wanted);
+    const bool is_first_contact =
+        self.members.has_joined &&
+        membership::has_duty(self.members, "contact", 1,
+                             data_centre_id{self.settings.identity->data_centre});
+    const bool is_alone = membership::live_records(self.members).size() <= 1;
+    store::on_tick(self.contacts, is_contact, !self.members.has_joined || is_alone, now,
+                   self.random, from_contacts, is_first_contact);
+    take_contacts(self, std::move(from_contacts), now, wanted);
 }
 
 void tick_moves(state& self, instant now, actions& wanted) {
@@ -211,7 +180,9 @@
             .version = version_id{record.upstream->version},
             .state = record.upstream->state,
             .slots = record.upstream->slots,
+            .cold = milliseconds{record.upstream->cold_ms},
             .incarnation = record.incarnation,
+            .instance = record.upstream->instance,
             .is_suspect = record.state == msg::liveness::suspect};
 }
 
@@ -222,7 +193,22 @@
 
 } // namespace
 
-state make_state(const msg::settings_msg& settings, std::uint64_t seed, instant now) {
+void submit_close(state& self, const store::move_close& close, instant now, actions& wanted) {
+    if (self.records) {
+        feed::want_record(*self.records, make_record(self, close), now);
+        return;
+    }
+    const moves::attempt_key key{close.service, close.name, close.attempt};
+    const auto proposed = self.close_proposed.find(key);
+    if (proposed != self.close_proposed.end() && now - proposed->second < close_retry) {
+        return;
+    }
+    self.close_proposed[key] = now;
+    submit_write(self, {close_operation(close), close, now + close_deadline}, now, wanted);
+}
+
+state make_state(const msg::settings_msg& settings, std::uint64_t seed, instant now,
+                 const std::optional<feed::dialect>& words) {
     const auto prefix = store_prefix(settings);
     const auto self_record = make_self_record(settings, now);
     const auto link = membership::link_address(self_record);
@@ -238,9 +224,15 @@
                                                settings.store->contact_lease_s, now),
         .moves = moves::make_state(*settings.move, now),
     };
+    self.contacts.first_read_spread = milliseconds{settings.store->start_spread_ms};
     self.start_ms = static_cast<std::uint64_t>(to_unix_ms(now));
     self.started = now;
     self.next_fallback_read = now;
+    if (words) {
+        self.operators = feed::make_operator_reader(*words, now);
+        self.records = feed::make_record_keeper(*words);
+        self.next_fallback_read = now + start_spread(self);
+    }
     return self;
 }
 
@@ -269,6 +261,9 @@
 
 void on_store_response(state& self, const store::kv_response& response, instant now,
                        actions& wanted) {
+    if (self.operators && on_feed_response(self, response, now, wanted)) {
+        return;
+    }
     store::writer_actions from_writer;
     if (store::on_response(self.writer, response, now, self.random, from_writer)) {
         take_writer(self, std::move(from_writer), now, wanted);
@@ -281,7 +276,7 @@
     }
     store::contact_actions from_contacts;
     if (store::on_response(self.contacts, response, now, self.random, from_contacts)) {
-        take_contacts(self, std::move(from_contacts), wanted);
+        take_contacts(self, std::move(from_contacts), now, wanted);
     }
 }
 
@@ -311,7 +306,7 @@
     append(wanted.sends, membership::leave(self.members, now, self.random));
     store::contact_actions from_contacts;
     store::leave(self.contacts, from_contacts);
-    take_contacts(self, std::move(from_contacts), wanted);
+    take_contacts(self, std::move(from_contacts), now, wanted);
 }
 
 call::routing_view make_routing_view(const state& self, instant now) {
@@ -319,7 +314,9 @@
     view.config = self.spread.held ? self.spread.held : empty_configuration();
     view.is_ready = distribution::is_ready(self.spread);
     view.is_draining = self.is_leaving;
-    for (const auto* record : membership::live_records(self.members)) {
+    const auto live = membership::live_records(self.members);
+    view.live_nodes = live.size();
+    for (const auto* record : live) {
         const bool has_upstream = record->upstream != nullptr &&
                                   record->upstream->state != msg::upstream_state::none &&
                                   record->upstream->state != msg::upstream_state::gone;
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -3,6 +3,8 @@
 #include "call/call_sample.h"
 #include "call/routing_view.h"
 #include "distribution/distribution.h"
+#include "feed/operator_reader.h"
+#include "feed/record_keeper.h"
 #include "membership/membership.h"
 #include "model/log_event.h"
 #include "move/move_table.h"
@@ -12,6 +14,7 @@
 #include "store/head_reader.h"
 
 #include <map>
+#include <optional>
 #include <vector>
 
 /// The control side of one node: all decision libraries joined into one state that is stepped by
@@ -36,6 +39,10 @@
     store::config_writer writer;
     store::head_reader reader;
     store::contact_keeper contacts;
+    /// Where the operators keep their configuration in a form of their own, it is read from there,
+    /// and the head and its writer stay unused.
+    std::optional<feed::operator_reader> operators;
+    std::optional<feed::record_keeper> records;
     moves::state moves;
     /// Milliseconds since the Unix epoch at which this process started; its first incarnation.
     std::uint64_t start_ms = 0;
@@ -50,8 +57,10 @@
     std::map<moves::attempt_key, instant> close_proposed;
 };
 
-/// `seed` decides all randomness; `now` becomes the incarnation.
-[[nodiscard]] state make_state(const msg::settings_msg& settings, std::uint64_t seed, instant now);
+/// `seed` decides all randomness; `now` becomes the incarnation. With a dialect the configuration
+/// is read as operators write it in that dialect.
+[[nodiscard]] state make_state(const msg::settings_msg& settings, std::uint64_t seed, instant now,
+                               const std::optional<feed::dialect>& words = std::nullopt);
 
 /// Call about every 100 ms.
 void on_tick(state& self, instant now, actions& wanted);
--- a/src/distribution/refresh.cpp
+++ b/src/distribution/refresh.cpp
@@ -8,8 +8,6 @@
 namespace {
 
 constexpr std::size_t compared_members = 2;
-/// The store's answer alone is enough when no member has answered for this time.
-constexpr seconds store_alone{2};
 /// A node that finds neither members nor the store goes on with what it held before.
 constexpr seconds lonely_refresh{10};
 
@@ -21,7 +19,7 @@
 
 bool is_compared(const state& self, const step& now) {
     const auto waited = now.now - self.refresh.started;
-    if (self.refresh.has_store_answer && waited >= store_alone) {
+    if (self.refresh.has_store_answer && waited >= milliseconds{self.settings.store_alone_ms}) {
         return true;
     }
     if (!now.members.has_joined) {
--- a/src/document/settings_check.cpp
+++ b/src/document/settings_check.cpp
@@ -15,6 +15,7 @@
 constexpr std::uint32_t max_port = 65'535;
 constexpr std::uint32_t max_ppm = 1'000'000;
 constexpr std::uint32_t max_workers = 256;
+constexpr std::uint32_t full_permille = 1000;
 constexpr std::uint32_t min_frame_bytes = 65'536;
 constexpr std::uint32_t no_limit = UINT32_MAX;
 
@@ -114,6 +115,9 @@
          {"listen.caller_port", listen.caller_port},
          {"listen.admin_port", listen.admin_port}}};
     for (const auto& [path, port] : ports) {
+        if (port == 0 && path == "listen.admin_port") {
+            continue; // Switched off.
+        }
         if (port == 0) {
             report.add(path, "0 is no port to listen on", "use 1 to 65535");
             continue;
@@ -126,7 +130,18 @@
     }
 }
 
+void check_address(settings_report& report, const std::string& path, const std::string& text) {
+    if (!text.empty() && !is_contact(text)) {
+        report.add(path, "\"" + text + "\" is not an address", "use \"ip:port\"");
+    }
+}
+
 void check_addresses(settings_report& report, const msg::settings_msg& read) {
+    check_address(report, "identity.upstream_address", read.identity->upstream_address);
+    check_address(report, "listen.caller_address", read.listen->caller_address);
+    check_address(report, "listen.announcement_address", read.listen->announcement_address);
+    check_address(report, "listen.readiness_address", read.listen->readiness_address);
+    check_address(report, "listen.metrics_address", read.listen->metrics_address);
     for (std::size_t i = 0; i < read.cluster->contacts.size(); ++i) {
         const auto& contact = read.cluster->contacts[i];
         if (!is_contact(contact)) {
@@ -182,6 +197,8 @@
         {"membership.updates_per_message", members.updates_per_message, 1, no_limit},
         {"membership.tombstone_s", members.tombstone_s, 1, no_limit},
         {"membership.pause_ms", members.pause_ms, 1, no_limit},
+        {"membership.join_patience_ms", members.join_patience_ms, 1, no_limit},
+        {"membership.join_spread_ms", members.join_spread_ms, 1, no_limit},
         {"distribution.push_peers", spread.push_peers, 1, no_limit},
         {"distribution.exchange_interval_ms", spread.exchange_interval_ms, 1, no_limit},
         {"distribution.watchers_per_data_centre", spread.watchers_per_data_centre, 1, no_limit},
@@ -189,6 +206,7 @@
         {"distribution.report_interval_ms", spread.report_interval_ms, 1, no_limit},
         {"move.report_interval_ms", read.move->report_interval_ms, 1, no_limit},
         {"move.false_alarm_ppm", read.move->false_alarm_ppm, 1, max_ppm},
+        {"move.exposure_permille", read.move->exposure_permille, 1, full_permille},
     };
 }
 
@@ -208,7 +226,9 @@
         {"link.idle_timeout_s", link.idle_timeout_s, 1, no_limit},
         {"link.max_frame_bytes", link.max_frame_bytes, min_frame_bytes, no_limit},
         {"link.max_reconnect_delay_ms", link.max_reconnect_delay_ms, 1, no_limit},
-        {"process.workers", read.process->workers, 1, max_workers},
+        {"process.workers", read.process->workers, 0, max_workers},
+        {"call.retry_window_ms", call.retry_window_ms, 100, no_limit},
+        {"call.announcement_ttl_ms", call.announcement_ttl_ms, 1, no_limit},
     };
 }
 
--- a/src/edge/call_headers.h
+++ b/src/edge/call_headers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "call/entry_call.h"
+#include "edge/header_names.h"
 #include "edge/http_message.h"
 #include "messages_generated.h"
 #include "model/time.h"
@@ -16,11 +17,6 @@
 /// the call path gives itself.
 namespace cyclamenhatch::edge {
 
-inline constexpr std::string_view hops_header = "cyclamenhatch-hops";
-inline constexpr std::string_view attempts_header = "cyclamenhatch-attempts";
-inline constexpr std::string_view deadline_header = "cyclamenhatch-deadline-ms";
-inline constexpr std::string_view owner_header = "cyclamenhatch-owner";
-inline constexpr std::string_view outcome_header = "cyclamenhatch-outcome";
 inline constexpr std::string_view caller_key_header = "x-caller-key";
 
 using wire_headers = std::vector<std::unique_ptr<msg::http_header_msg>>;
@@ -35,27 +31,29 @@
 };
 
 /// Values that are no numbers count as absent.
-[[nodiscard]] call_limits read_limits(const header_fields& headers);
+[[nodiscard]] call_limits read_limits(const header_names& names, const header_fields& headers);
 
 /// The host without its port, and the path without its query.
 [[nodiscard]] std::string_view host_of(const header_fields& headers);
 [[nodiscard]] std::string_view path_of(std::string_view target);
 
 /// Moves headers into a message, leaving out those that the product itself sets.
-[[nodiscard]] wire_headers to_wire(header_fields headers);
+[[nodiscard]] wire_headers to_wire(const header_names& names, header_fields headers);
 [[nodiscard]] header_fields from_wire(const wire_headers& headers);
 
 /// An answer of the call path itself.
 struct own_answer {
     answer_head head;
     body_bytes body;
+    /// Why, for the log.
+    std::string reason;
 };
 
 /// The answer for a call that ended without an upstream's answer: 404, 503 or 504 with the outcome
 /// header and a problem+json body. Retry-After comes with every refusal that a retry may help.
-[[nodiscard]] own_answer make_failure(const call::refusal& told);
+[[nodiscard]] own_answer make_failure(const header_names& names, const call::refusal& told);
 
 /// The answer for a chain of calls that is longer than it may be.
-[[nodiscard]] own_answer make_too_many_hops(std::uint32_t max_hops);
+[[nodiscard]] own_answer make_too_many_hops(const header_names& names, std::uint32_t max_hops);
 
 } // namespace cyclamenhatch::edge
--- a/src/edge/call_path.cpp
+++ b/src/edge/call_path.cpp
@@ -3,6 +3,7 @@
 #include "call/call_key.h"
 #include "clock/process_clock.h"
 #include "edge/call_path_state.h"
+#include "messages/address_text.h"
 
 #include <algorithm>
 #include <random>
@@ -11,24 +12,29 @@
 namespace cyclamenhatch::edge {
 namespace {
 
-constexpr std::chrono::milliseconds busy_tick{5};
+constexpr std::chrono::milliseconds busy_tick{10};
 constexpr std::chrono::milliseconds idle_tick{50};
-constexpr std::chrono::seconds silence_check{5};
+constexpr std::chrono::milliseconds silence_check{500};
 /// Kept connections beyond the slots, for calls that end while others begin.
 constexpr std::size_t spare_connections = 4;
 
 entry_limits entry_limits_from(const msg::call_settings_msg& from) {
-    return {.retry_budget_percent = from.retry_budget_percent,
+    return {.retries = {.percent = from.retry_budget_percent,
+                        .window = milliseconds(from.retry_window_ms),
+                        .slack = static_cast<double>(from.retry_slack)},
+            .fleet_retry_slack = from.retry_slack,
             .max_attempts = from.max_attempts,
             .max_hops = from.max_hops,
             .ejection = milliseconds(from.ejection_ms),
-            .max_ejected_percent = from.max_ejected_percent};
+            .max_ejected_percent = from.max_ejected_percent,
+            .lingers = from.drain_linger_ms > 0};
 }
 
 call::gate_settings gate_settings_from(const msg::call_settings_msg& from) {
     call::gate_settings settings;
     settings.queue_limit = from.queue_limit;
     settings.has_limits = from.has_limits;
+    settings.has_adaptive_limit = from.adaptive_limit;
     settings.memory.keep_answers = milliseconds(from.outcome_memory_ms);
     settings.memory.max_answer_bytes = from.outcome_memory_bytes;
     return settings;
@@ -126,6 +132,9 @@
     events.on_fault = [&path](edge_fault fault) {
         ++path.edge_faults.at(static_cast<std::size_t>(fault));
     };
+    events.may_overlap = [&path](const request_head& head) {
+        return may_overlap(path.entry, head);
+    };
     return events;
 }
 
@@ -137,6 +146,23 @@
     }
 }
 
+/// Takes over the caller limits of a new configuration.
+void refresh_limits(call_path& path) {
+    const auto config = path.around.view()->config;
+    if (!config || config == path.limits_from) {
+        return;
+    }
+    path.limits_from = config;
+    const auto widest = widest_limits(*config);
+    const listener_limits own{.max_header_bytes = path.settings.max_header_bytes,
+                              .max_body_bytes = path.settings.max_body_bytes};
+    set_limits(*path.listener,
+               {.max_header_bytes = std::min(own.max_header_bytes, widest.max_header_bytes),
+                .max_body_bytes = std::min(own.max_body_bytes, widest.max_body_bytes),
+                .header_timeout = widest.header_timeout,
+                .idle_timeout = widest.idle_timeout});
+}
+
 void tick(call_path& path, std::chrono::steady_clock::time_point checked_at) {
     const bool is_busy = count_in_flight(path) > 0;
     path.timer.expires_after(is_busy ? busy_tick : idle_tick);
@@ -146,6 +172,7 @@
         }
         on_timer(path.entry);
         on_timer(path.gate, path.around.view()->config);
+        refresh_limits(path);
         schedule_silence_check(path, checked_at);
         tick(path, checked_at);
     });
@@ -159,34 +186,50 @@
 
 } // namespace
 
-call_path::call_path(const msg::settings_msg& from, surroundings around_it)
+call_path::call_path(const msg::settings_msg& from, surroundings around_it, header_names header,
+                     boost::asio::io_context* shared)
     : self(from.identity->node), settings(*from.call), ip(from.listen->ip),
-      around(std::move(around_it)), io(static_cast<int>(std::max(1U, from.process->workers))),
+      around(std::move(around_it)), names(std::move(header)),
+      own_io(shared != nullptr ? nullptr
+                               : std::make_unique<boost::asio::io_context>(
+                                     static_cast<int>(std::max(1U, from.process->workers)))),
+      io(shared != nullptr ? *shared : *own_io),
       work(io.get_executor()), entry{.limits = entry_limits_from(settings),
                                      .data_centre = data_centre_id(from.identity->data_centre),
+                                     .names = names,
+                                     .host_service = from.identity->upstream_service,
                                      .around = around,
                                      .to_gate = {},
                                      .histograms = histograms},
-      gate{.client = make_upstream_client(io), .to_entry = {}, .histograms = histograms},
+      gate{.client = make_upstream_client(io),
+           .to_entry = {},
+           .histograms = histograms,
+           .names = names},
       timer(io) {
     entry.random.seed(draw_seed());
     gate.gate.settings = gate_settings_from(settings);
     gate.gate.instance = std::max<std::uint64_t>(1, draw_seed());
 }
 
-std::shared_ptr<call_path> start_call_path(const msg::settings_msg& settings, surroundings around) {
-    auto path =
-        std::shared_ptr<call_path>(new call_path(settings, std::move(around)), [](call_path* of) {
+std::shared_ptr<call_path> start_call_path(const msg::settings_msg& settings, surroundings around,
+                                           const header_names& names,
+                                           boost::asio::io_context* shared) {
+    auto path = std::shared_ptr<call_path>(
+        new call_path(settings, std::move(around), names, shared), [](call_path* of) {
             (void)stop(*of);
             delete of; // NOLINT(cppcoreguidelines-owning-memory)
         });
     connect_sides(*path);
-    path->listener = start_listener(path->io, path->ip, settings.listen->caller_port,
+    const auto at = parse_address(settings.listen->caller_address)
+                        .value_or(peer_address{path->ip, settings.listen->caller_port});
+    path->listener = start_listener(path->io, at.ip, at.port,
                                     {.max_header_bytes = path->settings.max_header_bytes,
                                      .max_body_bytes = path->settings.max_body_bytes},
                                     make_events(*path));
     tick(*path, std::chrono::steady_clock::now());
-    start_workers(*path, settings.process->workers);
+    if (shared == nullptr) {
+        start_workers(*path, settings.process->workers);
+    }
     return path;
 }
 
@@ -202,16 +245,36 @@
     on_link_lost(path.entry, peer);
 }
 
-void set_upstream(call_path& path, const msg::upstream_record_msg& upstream, std::uint16_t port) {
-    set_target(*path.gate.client, {path.ip, "127.0.0.1"}, port, upstream.slots + spare_connections);
+void set_upstream(call_path& path, const msg::upstream_record_msg& upstream, std::uint16_t port,
+                  const std::string& ip) {
+    const std::vector<std::string> here{path.ip, "127.0.0.1"};
+    set_target(*path.gate.client, ip.empty() ? here : std::vector<std::string>{ip}, port,
+               upstream.slots + spare_connections);
+    on_upstream(path.gate, upstream);
+}
+
+void set_upstream_state(call_path& path, const msg::upstream_record_msg& upstream) {
     on_upstream(path.gate, upstream);
 }
 
 void begin_drain(call_path& path) {
-    path.entry.is_draining = true;
+    if (!path.entry.limits.lingers) {
+        path.entry.is_draining = true;
+    }
+    begin_drain(*path.listener);
     on_drain(path.gate);
 }
 
+void set_limits(call_path& path, const msg::settings_msg& settings) {
+    const std::lock_guard guard(path.entry.lock);
+    path.entry.limits = entry_limits_from(*settings.call);
+    path.entry.host_service = settings.identity->upstream_service;
+}
+
+void stop_accepting(call_path& path) {
+    stop_accepting(*path.listener);
+}
+
 std::size_t count_in_flight(const call_path& path) {
     return count_in_flight(path.entry) + count_remote(path.gate, path.self);
 }
@@ -231,7 +294,10 @@
     }
     close_client(*path.gate.client);
     path.work.reset();
-    path.io.stop();
+    path.timer.cancel();
+    if (path.own_io) {
+        path.io.stop();
+    }
     for (auto& each : path.workers) {
         each.join();
     }
--- a/src/edge/call_path.h
+++ b/src/edge/call_path.h
@@ -3,9 +3,13 @@
 #include "call/call_sample.h"
 #include "call/routing_view.h"
 #include "document/document.h"
+#include "edge/header_names.h"
 #include "messages/peer_message.h"
+#include "model/log_event.h"
 #include "settings_generated.h"
 
+#include <boost/asio/io_context.hpp>
+
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -25,15 +29,20 @@
     std::function<call::routing_view_ptr()> view;
     /// Takes the ends of calls as evidence.
     std::function<void(std::vector<call::call_sample>)> record;
+    /// Takes log events; nothing is logged when it is not set.
+    std::function<void(log_event)> log;
 };
 
 /// Opaque; made by start_call_path.
 struct call_path;
 
-/// Opens the listener on the settings' ip and caller_port and begins to serve. Throws
+/// Opens the callers' listener of the settings and begins to serve. With an io_context all work is
+/// done there, and whoever owns it runs it; else on the settings' number of threads. Throws
 /// std::runtime_error when the port cannot be had.
 [[nodiscard]] std::shared_ptr<call_path> start_call_path(const msg::settings_msg& settings,
-                                                         surroundings around);
+                                                         surroundings around,
+                                                         const header_names& names = {},
+                                                         boost::asio::io_context* shared = nullptr);
 
 /// Hands over call_* messages from other nodes; other kinds are ignored. Thread safe, never blocks.
 void on_message(call_path& path, const incoming& from);
@@ -43,12 +52,25 @@
 /// with the same call id. Thread safe.
 void on_link_lost(call_path& path, const node_id& peer);
 
-/// Tells where the upstream beside this node listens, and its state. Thread safe.
-void set_upstream(call_path& path, const msg::upstream_record_msg& upstream, std::uint16_t port);
+/// Tells where the upstream beside this node listens, and its state. Without an address it is
+/// looked for on this host. Thread safe.
+void set_upstream(call_path& path, const msg::upstream_record_msg& upstream, std::uint16_t port,
+                  const std::string& ip = {});
+
+/// Tells a change of the upstream's state; where it listens stays as it is. Thread safe.
+void set_upstream_state(call_path& path, const msg::upstream_record_msg& upstream);
 
-/// Stops new work: entry and gate refuse. Thread safe.
+/// Stops new work at the gate, and at the entry unless the settings let it linger; callers are told
+/// to open other connections. Thread safe.
 void begin_drain(call_path& path);
 
+/// Takes over the limits of changed settings: retries, attempts, ejection and the service of this
+/// host. Thread safe.
+void set_limits(call_path& path, const msg::settings_msg& settings);
+
+/// Accepts no more callers; those that wait for answers still get them. Thread safe.
+void stop_accepting(call_path& path);
+
 /// Calls under way at this node's entry and gate. Thread safe.
 [[nodiscard]] std::size_t count_in_flight(const call_path& path);
 
--- a/src/edge/call_path_state.h
+++ b/src/edge/call_path_state.h
@@ -20,14 +20,17 @@
 /// Lock order: an entry's lock and a gate's lock are never held together; the upstream client's
 /// lock may be taken under the gate's. No lock is held while a message is sent or a callback runs.
 struct call_path {
-    call_path(const msg::settings_msg& from, surroundings around_it);
+    call_path(const msg::settings_msg& from, surroundings around_it, header_names header,
+              boost::asio::io_context* shared);
 
     const node_id self;
     const msg::call_settings_msg settings;
     const std::string ip;
     const surroundings around;
-    // Declared before all that holds sockets, so that it goes last.
-    boost::asio::io_context io;
+    const header_names names;
+    // Declared before all that holds sockets, so that it goes last; null when it is shared.
+    std::unique_ptr<boost::asio::io_context> own_io;
+    boost::asio::io_context& io;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
     latency_histograms histograms;
     std::array<std::atomic<std::uint64_t>, 3> edge_faults{};
@@ -35,6 +38,8 @@
     gate_side gate;
     std::shared_ptr<caller_listener> listener;
     boost::asio::steady_timer timer;
+    /// The configuration whose caller limits the listener has.
+    snapshot_ptr limits_from;
     std::atomic<bool> is_stopped{false};
     std::vector<std::thread> workers;
 };
--- a/src/edge/call_report.cpp
+++ b/src/edge/call_report.cpp
@@ -35,7 +35,6 @@
 
 document dump_budget(const service_id& service, const call::retry_budget& budget) {
     return document::table{{"service", service.value},
-                           {"tokens", static_cast<double>(budget.millitokens) / 1000},
                            {"first_attempts", to_number(budget.first_attempts)},
                            {"retries", to_number(budget.retries)},
                            {"refused_retries", to_number(budget.refused_retries)}};
@@ -162,6 +161,7 @@
     add_counter(out, "callers_gone_total", from.callers_gone);
     add_counter(out, "call_attempts_total", from.attempts);
     add_counter(out, "call_reattaches_total", from.reattaches);
+    add_counter(out, "call_server_errors_retried_total", from.server_errors_retried);
     add_counter(out, "call_messages_dropped_total", from.dropped_messages);
     add_gauge(out, "entry_calls_in_flight", count_in_flight(side));
     const std::lock_guard guard(side.lock);
--- a/src/edge/caller_listener.cpp
+++ b/src/edge/caller_listener.cpp
@@ -15,9 +15,6 @@
 
 namespace {
 
-/// A caller that neither sends nor takes anything for this long is disconnected.
-constexpr std::chrono::seconds max_silence{75};
-
 void accept_next(const std::shared_ptr<caller_listener>& listener) {
     listener->acceptor.async_accept(
         asio::make_strand(listener->io), [listener](error_code failed, caller_socket socket) {
@@ -84,12 +81,21 @@
         listener.acceptor.close(ignored);
     });
     for_each_session(listener, [](const caller_session_ptr& each) {
-        if (!each->current) {
+        if (each->open.empty()) {
             close_session(each);
         }
     });
 }
 
+void set_limits(caller_listener& listener, const listener_limits& limits) {
+    const std::lock_guard guard(listener.lock);
+    listener.limits = limits;
+}
+
+void begin_drain(caller_listener& listener) {
+    listener.is_draining = true;
+}
+
 void close_listener(caller_listener& listener) {
     stop_accepting(listener);
     for_each_session(listener, close_session);
@@ -97,11 +103,7 @@
 
 void close_silent(caller_listener& listener) {
     const auto now = std::chrono::steady_clock::now();
-    for_each_session(listener, [now](const caller_session_ptr& each) {
-        if (each->is_waiting_for_caller && now - each->active_at > max_silence) {
-            close_session(each);
-        }
-    });
+    for_each_session(listener, [now](const caller_session_ptr& each) { check_silence(each, now); });
 }
 
 std::size_t count_connections(const caller_listener& listener) {
@@ -111,41 +113,41 @@
 
 void read_body(const caller_exchange_ptr& exchange, std::function<void(body_piece)> done) {
     asio::dispatch(exchange->owner->executor, [exchange, done = std::move(done)]() mutable {
-        if (exchange->is_over || exchange->owner->current != exchange) {
+        if (exchange->is_over) {
             return;
         }
         exchange->on_piece = std::move(done);
-        read_piece(exchange->owner);
+        read_piece(exchange->owner, exchange);
     });
 }
 
 void start_answer(const caller_exchange_ptr& exchange, answer_head head, body_piece first,
                   std::function<void()> done) {
-    asio::dispatch(exchange->owner->executor,
-                   [exchange, head = std::move(head), first = std::move(first),
-                    done = std::move(done)]() mutable {
-                       if (exchange->is_over || std::exchange(exchange->is_answered, true)) {
-                           return;
-                       }
-                       fill_answer(*exchange, head, first);
-                       exchange->serializer.emplace(exchange->answer);
-                       write_answer(exchange->owner, std::move(first), std::move(done));
-                   });
+    asio::dispatch(exchange->owner->executor, [exchange, head = std::move(head),
+                                               first = std::move(first),
+                                               done = std::move(done)]() mutable {
+        if (exchange->is_over || std::exchange(exchange->is_answered, true)) {
+            return;
+        }
+        queue_piece(exchange,
+                    {.head = std::move(head), .piece = std::move(first), .done = std::move(done)});
+    });
 }
 
 void write_body(const caller_exchange_ptr& exchange, body_piece piece, std::function<void()> done) {
-    asio::dispatch(exchange->owner->executor,
-                   [exchange, piece = std::move(piece), done = std::move(done)]() mutable {
-                       if (!exchange->is_over && exchange->owner->current == exchange) {
-                           write_answer(exchange->owner, std::move(piece), std::move(done));
-                       }
-                   });
+    asio::dispatch(exchange->owner->executor, [exchange, piece = std::move(piece),
+                                               done = std::move(done)]() mutable {
+        if (!exchange->is_over) {
+            queue_piece(exchange,
+                        {.head = std::nullopt, .piece = std::move(piece), .done = std::move(done)});
+        }
+    });
 }
 
 void break_off(const caller_exchange_ptr& exchange) {
     asio::dispatch(exchange->owner->executor, [exchange] {
-        if (!std::exchange(exchange->is_over, true)) {
-            close_session(exchange->owner);
+        if (!exchange->is_over) {
+            break_answer(exchange);
         }
     });
 }
--- a/src/edge/caller_listener.h
+++ b/src/edge/caller_listener.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -23,6 +24,10 @@
 struct listener_limits {
     std::uint32_t max_header_bytes = 32768;
     std::uint64_t max_body_bytes = 1'073'741'824;
+    /// From the first byte of a request's head to its last.
+    std::chrono::milliseconds header_timeout{30'000};
+    /// How long a connection may stay open without a request.
+    std::chrono::milliseconds idle_timeout{75'000};
 };
 
 /// Why a request was refused at the edge.
@@ -35,6 +40,9 @@
     std::function<void(const caller_exchange_ptr&)> on_gone;
     /// A request was refused with an error of its own.
     std::function<void(edge_fault)> on_fault;
+    /// Whether a request that a caller sent before the answer to an earlier one may be worked on at
+    /// the same time; never when not set.
+    std::function<bool(const request_head&)> may_overlap;
 };
 
 /// Throws std::runtime_error when the port cannot be had.
@@ -45,11 +53,17 @@
 /// The port that the listener has, for a listener started on port 0.
 [[nodiscard]] std::uint16_t listening_port(const caller_listener& listener);
 
+/// Sets the limits for requests that are read from now on.
+void set_limits(caller_listener& listener, const listener_limits& limits);
+
+/// Goes on serving, but tells callers with each answer to open another connection.
+void begin_drain(caller_listener& listener);
+
 /// Accepts no more connections, and closes each open one after the answer under way.
 void stop_accepting(caller_listener& listener);
 
-/// Closes connections whose caller neither sends nor takes anything for long. Call it every few
-/// seconds.
+/// Closes connections whose caller neither sends nor takes anything for too long. Call it about
+/// every half second.
 void close_silent(caller_listener& listener);
 
 /// Closes all connections.
--- a/src/edge/caller_session.cpp
+++ b/src/edge/caller_session.cpp
@@ -16,12 +16,26 @@
 /// How much of an unwanted body is read before a connection closes, so that the caller sees the
 /// answer rather than a reset.
 constexpr std::size_t max_discarded_bytes = 1'048'576;
+/// How long the caller may take to close its side after the last answer.
+constexpr std::chrono::seconds max_closing{2};
+/// A caller that neither sends the rest of its request nor takes its answer for this long is
+/// disconnected.
+constexpr std::chrono::seconds max_stall{30};
+/// Beyond the stated idle time, so that a request sent in the last moment does not meet the close.
+constexpr std::chrono::milliseconds idle_margin{1000};
+/// Requests of one connection that may be under way at a time.
+constexpr std::size_t max_pipelined = 16;
 
 void touch(caller_session& of, bool is_waiting_for_caller) {
     of.active_at = std::chrono::steady_clock::now();
     of.is_waiting_for_caller = is_waiting_for_caller;
 }
 
+listener_limits limits_of(const caller_session& session) {
+    const std::lock_guard guard(session.listener->lock);
+    return session.listener->limits;
+}
+
 void discard_rest(const caller_session_ptr& self) {
     self->waste.resize(piece_bytes);
     self->socket.async_read_some(asio::buffer(self->waste),
@@ -35,10 +49,25 @@
                                  });
 }
 
-/// Closes once the caller had a chance to read the answer to a request that is not read whole.
+/// Drops all exchanges but one that is being written to its end.
+void drop_open(const caller_session_ptr& self) {
+    for (const auto& each : std::exchange(self->open, {})) {
+        each->on_piece = nullptr;
+        each->waiting.clear();
+        if (!std::exchange(each->is_over, true) && each->is_handed_over) {
+            self->listener->events.on_gone(each);
+        }
+    }
+}
+
+/// Closes once the caller had a chance to read the last answer. Requests sent behind it count as
+/// not read.
 void close_gently(const caller_session_ptr& self) {
+    self->is_closing = true;
+    touch(*self, true);
+    drop_open(self);
     error_code failed;
-    // A read of the body may be under way; its result is of no use now.
+    // A read of a head or body may be under way; its result is of no use now.
     self->socket.cancel(failed);
     self->socket.shutdown(asio::ip::tcp::socket::shutdown_send, failed);
     if (failed) {
@@ -48,38 +77,33 @@
     discard_rest(self);
 }
 
-void begin_request(const caller_session_ptr& self);
-void on_bad_request(const caller_session_ptr& self, error_code failed);
+void begin_request(const caller_session_ptr& self, const caller_exchange_ptr& of);
+void write_due(const caller_session_ptr& self);
 
-void start_next(const caller_session_ptr& self, error_code failed) {
-    self->current = std::exchange(self->next, nullptr);
-    if (failed) {
-        on_bad_request(self, failed);
-        return;
-    }
-    begin_request(self);
+/// Whether the request is being answered while it is still read, or was given up.
+bool is_read_whole(const caller_exchange& of) {
+    return of.parser && of.parser->is_done();
 }
 
 void finish_answer(const caller_session_ptr& self) {
-    const auto exchange = std::exchange(self->current, nullptr);
+    const auto exchange = self->open.front();
     exchange->is_over = true;
     touch(*self, true);
-    if (!exchange->parser->is_done()) {
+    if (!is_read_whole(*exchange) || !exchange->answer.keep_alive()) {
+        self->open.pop_front();
         close_gently(self);
         return;
     }
-    if (!exchange->answer.keep_alive()) {
-        close_session(self);
-        return;
+    self->open.pop_front();
+    if (!self->open.empty() && !self->open.front()->is_handed_over &&
+        !self->open.front()->is_answered) {
+        begin_request(self, self->open.front());
     }
-    if (const auto result = std::exchange(self->next_result, std::nullopt)) {
-        // Posted, so that a caller that sends ahead does not deepen the stack.
-        asio::post(self->executor, [self, failed = *result] {
-            if (self->next) {
-                start_next(self, failed);
-            }
-        });
+    if (self->open.empty() || is_read_whole(*self->open.back())) {
+        read_head(self);
     }
+    // Posted, so that a caller that sends ahead does not deepen the stack.
+    asio::post(self->executor, [self] { write_due(self); });
 }
 
 bool has_no_body(unsigned status) {
@@ -102,40 +126,110 @@
     }
 }
 
-void answer_fault(const caller_session_ptr& self, edge_fault fault, http::status status,
-                  std::string_view title) {
-    self->listener->events.on_fault(fault);
-    const auto exchange = self->current;
-    if (exchange->is_handed_over && !exchange->is_over) {
-        self->listener->events.on_gone(exchange);
+/// Fills the answer's status, headers and framing from what the call path gave.
+void fill_answer(const caller_session& session, caller_exchange& of, const answer_head& head,
+                 const body_piece& first) {
+    auto& answer = of.answer;
+    answer.version(of.parser->get().version());
+    answer.result(head.status);
+    for (const auto& each : head.headers) {
+        if (!is_connection_header(each.name)) {
+            answer.insert(each.name, each.value);
+        }
     }
-    exchange->is_over = true;
-    exchange->is_answered = true;
-    exchange->on_piece = nullptr;
-    auto& answer = exchange->answer;
-    answer.version(11);
-    answer.result(status);
-    answer.set(http::field::content_type, "application/problem+json");
-    if (!exchange->is_handed_over) {
-        answer.set("cyclamenhatch-outcome", "not-run");
+    set_framing(of, head, first);
+    // Requests behind this one that are under way still get their answers on this connection.
+    const bool is_draining = session.listener->is_draining && session.open.size() == 1;
+    answer.keep_alive(of.parser->get().keep_alive() && is_read_whole(of) && !of.is_last &&
+                      !is_draining && !session.listener->is_stopping);
+}
+
+void write_piece(const caller_session_ptr& self, const caller_exchange_ptr& of,
+                 waiting_piece next) {
+    if (next.head) {
+        fill_answer(*self, *of, *next.head, next.piece);
+        of->serializer.emplace(of->answer);
+    }
+    of->outgoing = std::move(next.piece.bytes);
+    auto& body = of->answer.body();
+    body.data = of->outgoing.empty() ? nullptr : of->outgoing.data();
+    body.size = of->outgoing.size();
+    body.more = !next.piece.is_last;
+    of->is_writing = true;
+    touch(*self, true);
+    http::async_write(self->socket, *of->serializer,
+                      [self, of, is_last = next.piece.is_last,
+                       done = std::move(next.done)](error_code failed, std::size_t /*bytes*/) {
+                          of->is_writing = false;
+                          if (self->open.empty() || self->open.front() != of) {
+                              return;
+                          }
+                          if (failed && failed != http::error::need_buffer) {
+                              close_session(self);
+                              return;
+                          }
+                          touch(*self, false);
+                          if (is_last) {
+                              finish_answer(self);
+                          }
+                          if (done) {
+                              done();
+                          }
+                          if (!is_last) {
+                              write_due(self);
+                          }
+                      });
+}
+
+/// Writes the next piece of the first answer when it is there.
+void write_due(const caller_session_ptr& self) {
+    if (self->open.empty()) {
+        return;
+    }
+    const auto of = self->open.front();
+    if (of->is_broken) {
+        close_session(self);
+        return;
+    }
+    if (of->is_writing || of->waiting.empty()) {
+        return;
     }
-    const std::string text = R"({"title":")" + std::string(title) + R"(","status":)" +
-                             std::to_string(static_cast<unsigned>(status)) + "}";
-    answer.content_length(text.size());
-    answer.keep_alive(false);
-    exchange->serializer.emplace(answer);
-    write_answer(self, {body_bytes(text.begin(), text.end()), true}, nullptr);
+    auto next = std::move(of->waiting.front());
+    of->waiting.pop_front();
+    write_piece(self, of, std::move(next));
 }
 
-void on_bad_request(const caller_session_ptr& self, error_code failed) {
+/// Answers a request that cannot be taken in; the connection closes after that.
+void answer_fault(const caller_session_ptr& self, const caller_exchange_ptr& of, edge_fault fault,
+                  unsigned status, std::string_view title) {
+    self->listener->events.on_fault(fault);
+    answer_head head{.status = status, .headers = {}};
+    head.headers.push_back({"Content-Type", "application/problem+json"});
+    if (of->is_handed_over) {
+        if (!of->is_over) {
+            self->listener->events.on_gone(of);
+        }
+    } else {
+        head.headers.push_back({"cyclamenhatch-outcome", "not-run"});
+    }
+    of->is_answered = true;
+    of->is_last = true;
+    of->on_piece = nullptr;
+    const std::string text =
+        R"({"title":")" + std::string(title) + R"(","status":)" + std::to_string(status) + "}";
+    queue_piece(of, {.head = std::move(head),
+                     .piece = {body_bytes(text.begin(), text.end()), true},
+                     .done = nullptr});
+}
+
+void on_bad_request(const caller_session_ptr& self, const caller_exchange_ptr& of,
+                    error_code failed) {
     if (failed == http::error::header_limit) {
-        answer_fault(self, edge_fault::header_too_large,
-                     http::status::request_header_fields_too_large, "header too large");
+        answer_fault(self, of, edge_fault::header_too_large, 431, "header too large");
     } else if (failed == http::error::body_limit) {
-        answer_fault(self, edge_fault::body_too_large, http::status::payload_too_large,
-                     "body too large");
+        answer_fault(self, of, edge_fault::body_too_large, 413, "body too large");
     } else {
-        answer_fault(self, edge_fault::broken_request, http::status::bad_request, "broken request");
+        answer_fault(self, of, edge_fault::broken_request, 400, "broken request");
     }
 }
 
@@ -154,55 +248,78 @@
     for (const auto& each : request) {
         head.headers.push_back({std::string(each.name_string()), std::string(each.value())});
     }
+    drop_named_by_connection(head.headers);
     return head;
 }
 
-void on_first_piece(const caller_session_ptr& self, body_piece first) {
-    const auto exchange = self->current;
-    exchange->is_handed_over = true;
-    self->listener->events.on_request(exchange, take_head(*exchange), std::move(first));
+void on_first_piece(const caller_session_ptr& self, const caller_exchange_ptr& of,
+                    body_piece first) {
+    of->is_handed_over = true;
+    self->listener->events.on_request(of, take_head(*of), std::move(first));
 }
 
-void continue_and_read(const caller_session_ptr& self) {
+void continue_and_read(const caller_session_ptr& self, const caller_exchange_ptr& of) {
     static constexpr std::string_view text = "HTTP/1.1 100 Continue\r\n\r\n";
-    asio::async_write(self->socket, asio::buffer(text), [self](error_code failed, std::size_t) {
+    asio::async_write(self->socket, asio::buffer(text), [self, of](error_code failed, std::size_t) {
         if (failed) {
             close_session(self);
             return;
         }
-        read_piece(self);
+        read_piece(self, of);
     });
 }
 
-void begin_request(const caller_session_ptr& self) {
-    const auto& exchange = self->current;
-    exchange->on_piece = [self](body_piece piece) { on_first_piece(self, std::move(piece)); };
-    const bool expects_leave = !exchange->parser->get()[http::field::expect].empty();
-    if (expects_leave && !exchange->parser->is_done()) {
-        continue_and_read(self);
+void begin_request(const caller_session_ptr& self, const caller_exchange_ptr& of) {
+    of->on_piece = [self, of](body_piece piece) { on_first_piece(self, of, std::move(piece)); };
+    const bool expects_leave = !of->parser->get()[http::field::expect].empty();
+    if (expects_leave && !of->parser->is_done()) {
+        continue_and_read(self, of);
         return;
     }
-    read_piece(self);
+    read_piece(self, of);
+}
+
+/// Whether a request may be worked on while those before it on the connection are.
+bool may_overlap(const caller_session& self, const caller_exchange& of) {
+    const auto& events = self.listener->events;
+    return is_read_whole(of) && events.may_overlap && events.may_overlap(take_head(of)) &&
+           std::all_of(self.open.begin(), self.open.end(), [](const caller_exchange_ptr& each) {
+               return each->is_handed_over || each->is_answered;
+           });
 }
 
 void on_head(const caller_session_ptr& self, error_code failed) {
-    if (!self->next || (failed && !is_request_fault(failed))) {
+    const auto exchange = std::exchange(self->next, nullptr);
+    self->head_since.reset();
+    if (!exchange || self->is_closing) {
+        return;
+    }
+    if (self->is_head_late) {
+        self->open.push_back(exchange);
+        answer_fault(self, exchange, edge_fault::broken_request, 408, "request took too long");
+        return;
+    }
+    if (failed && !is_request_fault(failed)) {
         close_session(self);
         return;
     }
-    if (self->current) {
-        self->next_result = failed;
+    const bool is_first = self->open.empty();
+    const bool overlaps = !failed && !is_first && may_overlap(*self, *exchange);
+    self->open.push_back(exchange);
+    if (failed) {
+        on_bad_request(self, exchange, failed);
         return;
     }
     touch(*self, false);
-    start_next(self, failed);
+    if (is_first || overlaps) {
+        begin_request(self, exchange);
+    }
 }
 
-void hand_over_piece(const caller_session_ptr& self) {
-    const auto& exchange = self->current;
-    const bool is_last = exchange->parser->is_done();
-    const auto done = std::exchange(exchange->on_piece, nullptr);
-    body_piece piece{std::exchange(exchange->incoming, {}), is_last};
+void hand_over_piece(const caller_session_ptr& self, const caller_exchange_ptr& of) {
+    const bool is_last = of->parser->is_done();
+    const auto done = std::exchange(of->on_piece, nullptr);
+    body_piece piece{std::exchange(of->incoming, {}), is_last};
     touch(*self, false);
     if (is_last) {
         read_head(self);
@@ -212,33 +329,34 @@
     }
 }
 
-void on_body_fault(const caller_session_ptr& self, error_code failed) {
-    if (is_request_fault(failed) && !self->current->is_answered) {
-        on_bad_request(self, failed);
+void on_body_fault(const caller_session_ptr& self, const caller_exchange_ptr& of,
+                   error_code failed) {
+    if (is_request_fault(failed) && !of->is_answered) {
+        on_bad_request(self, of, failed);
         return;
     }
     close_session(self);
 }
 
-void read_some(const caller_session_ptr& self) {
-    const auto exchange = self->current;
-    http::async_read_some(self->socket, self->buffer, *exchange->parser,
-                          [self, exchange](error_code failed, std::size_t /*bytes*/) {
-                              if (exchange != self->current) {
+void read_some(const caller_session_ptr& self, const caller_exchange_ptr& of) {
+    http::async_read_some(self->socket, self->buffer, *of->parser,
+                          [self, of](error_code failed, std::size_t /*bytes*/) {
+                              if (of->is_over || self->is_closing) {
                                   return;
                               }
                               if (failed && failed != http::error::need_buffer) {
-                                  on_body_fault(self, failed);
+                                  on_body_fault(self, of, failed);
                                   return;
                               }
                               touch(*self, true);
-                              const auto room = exchange->parser->get().body().size;
-                              if (!exchange->parser->is_done() && room > 0) {
-                                  read_some(self);
+                              const auto room = of->parser->get().body().size;
+                              if (!of->parser->is_done() && room > 0) {
+                                  read_some(self, of);
                                   return;
                               }
-                              exchange->incoming.resize(exchange->incoming.size() - room);
-                              hand_over_piece(self);
+                              const auto size = of->incoming.size() - room;
+                              of->incoming = trim_piece(std::move(of->incoming), size);
+                              hand_over_piece(self, of);
                           });
 }
 
@@ -256,92 +374,84 @@
 }
 
 void read_head(const caller_session_ptr& self) {
-    if (!self->socket.is_open()) {
+    if (!self->socket.is_open() || self->is_closing || self->next ||
+        self->open.size() >= max_pipelined) {
         return;
     }
+    const auto limits = limits_of(*self);
     const auto next = std::make_shared<caller_exchange>(self);
     self->next = next;
     auto& parser = next->parser.emplace();
-    parser.header_limit(self->listener->limits.max_header_bytes);
-    parser.body_limit(self->listener->limits.max_body_bytes);
+    parser.header_limit(limits.max_header_bytes);
+    parser.body_limit(limits.max_body_bytes);
     // The handler keeps the parser alive when the session drops it on closing.
     http::async_read_header(
         self->socket, self->buffer, parser,
         [self, next](error_code failed, std::size_t /*bytes*/) { on_head(self, failed); });
 }
 
-void read_piece(const caller_session_ptr& self) {
-    auto& exchange = *self->current;
-    auto& parser = *exchange.parser;
+void read_piece(const caller_session_ptr& self, const caller_exchange_ptr& of) {
+    auto& parser = *of->parser;
     if (parser.is_done()) {
-        hand_over_piece(self);
+        hand_over_piece(self, of);
         return;
     }
     const auto remaining = parser.content_length_remaining();
-    const auto wanted = remaining ? std::min<std::uint64_t>(*remaining, piece_bytes) : piece_bytes;
-    exchange.incoming.resize(wanted);
+    const auto wanted =
+        remaining ? std::min<std::uint64_t>(*remaining, piece_bytes) : unsized_piece_bytes;
+    of->incoming.resize(wanted);
     auto& body = parser.get().body();
-    body.data = exchange.incoming.data();
-    body.size = exchange.incoming.size();
+    body.data = of->incoming.data();
+    body.size = of->incoming.size();
     parser.eager(true);
     touch(*self, true);
-    read_some(self);
+    read_some(self, of);
 }
 
-void write_answer(const caller_session_ptr& self, body_piece piece, std::function<void()> done) {
-    const auto exchange = self->current;
-    exchange->outgoing = std::move(piece.bytes);
-    auto& body = exchange->answer.body();
-    body.data = exchange->outgoing.empty() ? nullptr : exchange->outgoing.data();
-    body.size = exchange->outgoing.size();
-    body.more = !piece.is_last;
-    touch(*self, true);
-    http::async_write(self->socket, *exchange->serializer,
-                      [self, exchange, is_last = piece.is_last,
-                       done = std::move(done)](error_code failed, std::size_t /*bytes*/) {
-                          if (exchange != self->current) {
-                              return;
-                          }
-                          if (failed && failed != http::error::need_buffer) {
-                              close_session(self);
-                              return;
-                          }
-                          touch(*self, false);
-                          if (is_last) {
-                              finish_answer(self);
-                          }
-                          if (done) {
-                              done();
-                          }
-                      });
+void queue_piece(const caller_exchange_ptr& of, waiting_piece piece) {
+    of->waiting.push_back(std::move(piece));
+    write_due(of->owner);
+}
+
+void break_answer(const caller_exchange_ptr& of) {
+    of->is_over = true;
+    of->is_broken = true;
+    of->waiting.clear();
+    write_due(of->owner);
 }
 
 void close_session(const caller_session_ptr& self) {
+    self->is_closing = true;
     error_code ignored;
     self->socket.close(ignored);
     self->next.reset();
-    const auto exchange = std::exchange(self->current, nullptr);
-    if (!exchange) {
-        return;
-    }
-    exchange->on_piece = nullptr;
-    if (!std::exchange(exchange->is_over, true) && exchange->is_handed_over) {
-        self->listener->events.on_gone(exchange);
-    }
+    drop_open(self);
 }
 
-void fill_answer(caller_exchange& of, const answer_head& head, const body_piece& first) {
-    auto& answer = of.answer;
-    answer.version(of.parser->get().version());
-    answer.result(head.status);
-    for (const auto& each : head.headers) {
-        if (!is_connection_header(each.name)) {
-            answer.insert(each.name, each.value);
+void check_silence(const caller_session_ptr& self, steady_instant now) {
+    const auto limits = limits_of(*self);
+    if (self->is_closing) {
+        if (now - self->active_at > max_closing) {
+            close_session(self);
         }
+        return;
+    }
+    if (self->next && self->open.empty()) {
+        const bool has_begun = self->buffer.size() > 0 || self->next->parser->got_some();
+        if (!has_begun && now - self->active_at > limits.idle_timeout + idle_margin) {
+            close_session(self);
+        } else if (has_begun && !self->head_since) {
+            self->head_since = now;
+        } else if (has_begun && now - *self->head_since > limits.header_timeout) {
+            self->is_head_late = true;
+            error_code ignored;
+            self->socket.cancel(ignored);
+        }
+        return;
+    }
+    if (self->is_waiting_for_caller && now - self->active_at > max_stall) {
+        close_session(self);
     }
-    set_framing(of, head, first);
-    answer.keep_alive(of.parser->get().keep_alive() && of.parser->is_done() &&
-                      !of.owner->listener->is_stopping);
 }
 
 } // namespace cyclamenhatch::edge
--- a/src/edge/entry_side.cpp
+++ b/src/edge/entry_side.cpp
@@ -12,26 +12,41 @@
 namespace cyclamenhatch::edge {
 namespace {
 
-constexpr milliseconds retry_soon{1000};
+constexpr milliseconds retry_soon{300};
 constexpr microseconds clean_interval{10'000'000};
 /// What was seen of an endpoint is forgotten when no call went there for this long.
 constexpr microseconds idle_load_time{600'000'000};
 
 using lock_type = std::unique_lock<std::mutex>;
 
-own_answer refuse_at_once(msg::refusal_reason reason, milliseconds retry_after) {
-    return make_failure({.reason = reason, .retry_after = retry_after});
+own_answer refuse_at_once(const entry_side& side, msg::refusal_reason reason,
+                          milliseconds retry_after) {
+    return make_failure(side.names,
+                        {.reason = reason, .retry_helps = true, .retry_after = retry_after});
+}
+
+std::string held_version(const entry_side& side) {
+    const auto view = side.around.view();
+    return view->config ? std::to_string(view->config->version.value) : "none";
 }
 
 /// Answers a request that no attempt is made for.
-void answer_at_once(entry_side& side, const caller_exchange_ptr& exchange, own_answer with) {
+void answer_at_once(entry_side& side, const caller_exchange_ptr& exchange,
+                    std::string_view request_id, own_answer with) {
     ++side.counters.not_run;
+    log_call(side, {log_level::info,
+                    "call_refused",
+                    {{"request", std::string(request_id)},
+                     {"status", std::to_string(with.head.status)},
+                     {"config_version", held_version(side)},
+                     {"reason", with.reason}}});
     start_answer(exchange, std::move(with.head), {std::move(with.body), true}, nullptr);
 }
 
 /// The owner that the request names, when any service has that owner; else the service's.
-std::string find_owner(const snapshot& config, const service& of, const header_fields& headers) {
-    const std::string named(find_header(headers, owner_header));
+std::string find_owner(const header_names& names, const snapshot& config, const service& of,
+                       const header_fields& headers) {
+    const std::string named(find_header(headers, names.owner));
     const bool is_known =
         !named.empty() &&
         std::any_of(config.sections.begin(), config.sections.end(), [&](const auto& each) {
@@ -46,45 +61,66 @@
                                                const request_head& head,
                                                const call_limits& limits) {
     if (!view.is_ready || !view.config) {
-        return refuse_at_once(msg::refusal_reason::no_endpoint, retry_soon);
+        return refuse_at_once(side, msg::refusal_reason::no_endpoint, retry_soon);
     }
-    if (view.is_draining || side.is_draining) {
-        return refuse_at_once(msg::refusal_reason::draining, retry_soon);
+    if ((view.is_draining && !side.limits.lingers) || side.is_draining) {
+        return refuse_at_once(side, msg::refusal_reason::draining, retry_soon);
     }
     if (limits.hops >= side.limits.max_hops) {
-        return make_too_many_hops(side.limits.max_hops);
+        return make_too_many_hops(side.names, side.limits.max_hops);
     }
     const auto way = find_route(*view.config, host_of(head.headers), path_of(head.target));
     if (way.matched == nullptr) {
-        return refuse_at_once(msg::refusal_reason::no_route, milliseconds{0});
+        return refuse_at_once(side, msg::refusal_reason::no_route, milliseconds{0});
     }
     return way;
 }
 
+/// The part of the call's state that the route and the caller's limits decide.
+void set_limits(const entry_side& side, entry_flow& flow, const route& matched,
+                const call_limits& limits) {
+    const auto timeout = std::min(matched.timeout, limits.time_left.value_or(milliseconds::max()));
+    flow.state.deadline = flow.received_at + timeout;
+    flow.state.is_idempotent = matched.idempotent;
+    const auto most = matched.max_attempts > 0 ? matched.max_attempts : side.limits.max_attempts;
+    // Only one node of a chain retries: a call that is a retry itself is not multiplied again.
+    flow.state.max_attempts = limits.attempts > 1 ? 1 : std::max(1U, most);
+    if (matched.latency_objective.count() > 0) {
+        flow.objective = flow.received_at + matched.latency_objective;
+    }
+    flow.request.priority = matched.priority;
+    flow.request.idempotent = matched.idempotent;
+}
+
+/// The headers that go to the upstream, with those that the node sets itself.
+wire_headers make_headers(const entry_side& side, header_fields headers) {
+    auto to = to_wire(side.names, std::move(headers));
+    if (!side.names.caller_service.empty() && !side.host_service.empty()) {
+        auto own = std::make_unique<msg::http_header_msg>();
+        own->name = side.names.caller_service;
+        own->value = side.host_service;
+        to.push_back(std::move(own));
+    }
+    return to;
+}
+
 entry_flow_ptr make_flow(entry_side& side, const call::routing_view& view, const route_match& way,
                          const call_limits& limits, request_head head, body_piece first) {
-    const auto& service = way.part->content.service;
-    const auto now = current_time();
     auto flow = std::make_shared<entry_flow>();
-    flow->received_at = now;
-    flow->service = service.name;
+    flow->received_at = current_time();
     flow->route = way.matched->name;
-    const auto timeout =
-        std::min(way.matched->timeout, limits.time_left.value_or(milliseconds::max()));
-    flow->state.deadline = now + timeout;
-    flow->state.is_idempotent = way.matched->idempotent;
-    // Only one node of a chain retries: a call that is a retry itself is not multiplied again.
-    flow->state.max_attempts = limits.attempts > 1 ? 1 : std::max(1U, side.limits.max_attempts);
+    flow->request_id = side.names.request_id.empty()
+                           ? std::string()
+                           : std::string(find_header(head.headers, side.names.request_id));
+    set_limits(side, *flow, *way.matched, limits);
     auto& request = flow->request;
-    request.service = service.name.value;
     request.route = way.matched->name.value;
-    request.owner = find_owner(*view.config, service, head.headers);
+    request.owner = find_owner(side.names, *view.config, way.part->content.service, head.headers);
     request.method = std::move(head.method);
     request.target = std::move(head.target);
     request.hops = static_cast<std::uint8_t>(std::min(limits.hops + 1, 255U));
     request.attempt = static_cast<std::uint8_t>(std::min(limits.attempts, 255U));
-    request.idempotent = way.matched->idempotent;
-    request.headers = to_wire(std::move(head.headers));
+    request.headers = make_headers(side, std::move(head.headers));
     request.last = first.is_last;
     flow->upload_offset = first.bytes.size();
     flow->is_uploaded = first.is_last;
@@ -92,6 +128,25 @@
     return flow;
 }
 
+/// Sets the service and the versions that the call goes to. Precondition: the lock is held.
+void choose_target(entry_side& side, const call::routing_view& view, const route_match& way,
+                   std::optional<std::string_view> caller_key, entry_flow& flow) {
+    flow.service = call::choose_service(*way.matched, side.random);
+    flow.request.service = flow.service.value;
+    const auto part = view.config->sections.find(flow.service);
+    const auto& service = part == view.config->sections.end() ? way.part->content.service
+                                                              : part->second->content.service;
+    flow.versions = call::choose_version(view, service, caller_key, side.random);
+}
+
+/// This node's part of the retries that the fleet may make beyond the share.
+call::budget_rules budget_rules_of(const entry_side& side, const call::routing_view& view) {
+    auto rules = side.limits.retries;
+    rules.slack = static_cast<double>(side.limits.fleet_retry_slack) /
+                  static_cast<double>(std::max<std::size_t>(1, view.live_nodes));
+    return rules;
+}
+
 void upload_on(entry_side& side, const entry_flow_ptr& flow);
 
 /// Passes a further piece of the request's body on.
@@ -154,10 +209,11 @@
                 body_piece first) {
     ++side.counters.requests;
     const auto view = side.around.view();
-    const auto limits = read_limits(head.headers);
+    const auto limits = read_limits(side.names, head.headers);
     auto way = find_way(side, *view, head, limits);
     if (auto* refused = std::get_if<own_answer>(&way)) {
-        answer_at_once(side, exchange, std::move(*refused));
+        const std::string id(find_header(head.headers, side.names.request_id));
+        answer_at_once(side, exchange, id, std::move(*refused));
         return;
     }
     const auto& match = std::get<route_match>(way);
@@ -166,17 +222,25 @@
     flow->exchange = exchange;
     lock_type guard(side.lock);
     const auto caller_key = key.empty() ? std::nullopt : std::optional<std::string_view>(key);
-    flow->version =
-        call::choose_version(*view, match.part->content.service, caller_key, side.random);
-    flow->request.version = flow->version.value;
+    choose_target(side, *view, match, caller_key, *flow);
     side.flows.emplace(exchange.get(), flow);
-    call::note_first_attempt(side.budgets[flow->service], side.limits.retry_budget_percent);
+    side.retry_rules = budget_rules_of(side, *view);
+    call::note_first_attempt(side.budgets[flow->service], side.retry_rules, flow->received_at);
     auto done = step(side, flow, call::request_event{});
     guard.unlock();
     side.histograms.record(segment::entry, current_time() - flow->received_at);
     perform(side, flow, std::move(done), nullptr);
 }
 
+bool may_overlap(const entry_side& side, const request_head& head) {
+    const auto view = side.around.view();
+    if (!view->config) {
+        return false;
+    }
+    const auto way = find_route(*view->config, host_of(head.headers), path_of(head.target));
+    return way.matched != nullptr && way.matched->idempotent;
+}
+
 void on_caller_gone(entry_side& side, const caller_exchange_ptr& exchange) {
     lock_type guard(side.lock);
     const auto found = side.flows.find(exchange.get());
@@ -199,10 +263,11 @@
         return;
     }
     const auto now = current_time();
-    const call::load_report load{message.in_flight, message.queue, message.slots};
+    const call::load_report load{message.in_flight, message.queue, message.slots, message.wait_us};
     call::note_report(side.loads[from], load, message.gate_instance, now);
     record_segments(side, *flow, message, now);
     flow->download_offset = message.body.size();
+    flow->run_time = microseconds(message.upstream_us);
     constexpr unsigned first_server_error = 500;
     auto done = step(side, flow,
                      call::answer_event{.call = call,
@@ -219,7 +284,7 @@
     if (!flow) {
         return;
     }
-    const call::load_report load{message.in_flight, message.queue, message.slots};
+    const call::load_report load{message.in_flight, message.queue, message.slots, message.wait_us};
     const auto now = current_time();
     call::note_report(side.loads[from], load, message.gate_instance, now);
     call::note_refusal(side.loads[from], message.reason, now);
--- a/src/edge/entry_side.h
+++ b/src/edge/entry_side.h
@@ -4,6 +4,7 @@
 #include "call/entry_call.h"
 #include "edge/call_path.h"
 #include "edge/caller_listener.h"
+#include "edge/header_names.h"
 #include "edge/latency_histogram.h"
 #include "messages/peer_message.h"
 
@@ -33,8 +34,16 @@
     msg::call_open_msg request;
     service_id service;
     route_id route;
-    version_id version;
+    call::version_filter versions;
+    /// Names the call to callers and upstreams; empty when the caller did not say.
+    std::string request_id;
     instant received_at{};
+    /// When the answer loses most of its worth to the caller.
+    std::optional<instant> objective;
+    /// What the upstream took for the answer at hand.
+    std::optional<microseconds> run_time;
+    /// A server error that is passed on when no better answer comes.
+    std::unique_ptr<msg::call_answer_msg> kept;
     std::uint64_t upload_offset = 0;
     /// Bytes of the request's body that the gate is ready to take.
     std::int64_t upload_credit = 0;
@@ -57,24 +66,32 @@
     std::atomic<std::uint64_t> broken_off{0};
     std::atomic<std::uint64_t> callers_gone{0};
     std::atomic<std::uint64_t> attempts{0};
+    std::atomic<std::uint64_t> server_errors_retried{0};
     std::atomic<std::uint64_t> reattaches{0};
     /// Late, crossed or repeated messages that nobody waited for.
     std::atomic<std::uint64_t> dropped_messages{0};
 };
 
 struct entry_limits {
-    std::uint32_t retry_budget_percent = 10;
+    call::budget_rules retries;
+    /// Retries beyond the share that all nodes together may make in a window.
+    std::uint32_t fleet_retry_slack = 20;
     std::uint32_t max_attempts = 3;
     std::uint32_t max_hops = 8;
     microseconds ejection{2'000'000};
     std::uint32_t max_ejected_percent = 50;
+    /// Callers are served on while the node drains, until its listener closes.
+    bool lingers = false;
 };
 
 /// Thread safe by its lock, which is never held while a message is sent, a callback runs or the
 /// gate's lock is taken.
 struct entry_side {
-    const entry_limits limits;
+    entry_limits limits;
     const data_centre_id data_centre;
+    const header_names& names;
+    /// The service whose upstream runs on this host, told to other upstreams.
+    std::string host_service;
     const surroundings& around;
     /// Sends to a gate; may be called from any thread.
     std::function<void(const node_id&, const peer_address&, peer_message)> to_gate;
@@ -86,6 +103,8 @@
     random_source random;
     call::load_table loads;
     std::map<service_id, call::retry_budget> budgets;
+    /// The rules for retries at the present size of the fleet.
+    call::budget_rules retry_rules;
     /// Calls by the id of the attempt that is under way.
     std::unordered_map<call_id, entry_flow_ptr> attempts;
     /// Calls whose caller waits or takes its answer.
@@ -104,6 +123,10 @@
 void on_credit(entry_side& side, const node_id& from, const msg::call_credit_msg& message);
 void on_link_lost(entry_side& side, const node_id& peer);
 
+/// Whether a request may be worked on while an earlier one of the same caller is: its route takes
+/// calls that may run twice.
+[[nodiscard]] bool may_overlap(const entry_side& side, const request_head& head);
+
 /// Call it every few milliseconds while calls are under way.
 void on_timer(entry_side& side);
 
--- a/src/edge/entry_steps.cpp
+++ b/src/edge/entry_steps.cpp
@@ -22,24 +22,50 @@
     return found == view.endpoints.end() ? none : found->second;
 }
 
-std::optional<call::pick> choose(entry_side& side, const entry_flow& flow,
+/// Why the call is refused without asking any gate: all that may take it have said of late that it
+/// would wait there past the time until which its answer is of use.
+std::optional<call::refusal> find_hopeless(const entry_side& side, const entry_flow& flow,
+                                           const call::choice_input& from, instant now) {
+    const auto wait = call::least_wait(from, side.loads, now);
+    if (!wait || wait->count() == 0) {
+        return std::nullopt;
+    }
+    const bool has_objective = flow.objective && now < *flow.objective;
+    const auto useful_until = has_objective ? *flow.objective : flow.state.deadline;
+    if (now + *wait < useful_until) {
+        return std::nullopt;
+    }
+    return call::refusal{.outcome = msg::call_outcome::not_run,
+                         .reason = msg::refusal_reason::queue_full,
+                         .retry_helps = true,
+                         .retry_after = std::chrono::ceil<milliseconds>(*wait)};
+}
+
+std::optional<call::pick> choose(entry_side& side, entry_flow& flow,
                                  const std::vector<node_id>& tried, instant now) {
     const auto view = side.around.view();
     const auto& endpoints = endpoints_of(*view, flow.service);
-    const auto* chosen = call::choose_endpoint({.endpoints = endpoints,
-                                                .version = flow.version,
-                                                .data_centre = side.data_centre,
-                                                .tried = tried},
-                                               side.loads, now, side.random);
+    const call::choice_input from{.endpoints = endpoints,
+                                  .versions = flow.versions,
+                                  .data_centre = side.data_centre,
+                                  .tried = tried};
+    flow.state.no_choice = find_hopeless(side, flow, from, now);
+    if (flow.state.no_choice) {
+        return std::nullopt;
+    }
+    const auto* chosen = call::choose_endpoint(from, side.loads, now, side.random);
     if (chosen == nullptr) {
         return std::nullopt;
     }
     auto& load = call::touch_load(side.loads, *chosen, now);
+    const bool has_room = call::has_room(*chosen, load, now);
     call::note_opened(load, now);
     return call::pick{.call = {side.random(), side.random()},
                       .node = chosen->node,
                       .address = chosen->link,
                       .data_centre = chosen->data_centre,
+                      .version = chosen->version,
+                      .has_room = has_room,
                       .gate_instance = load.gate_instance};
 }
 
@@ -59,39 +85,48 @@
     const auto view = side.around.view();
     const bool may_eject = ended.end == call::attempt_end::failed &&
                            call::may_eject_one(side.loads, endpoints_of(*view, flow.service),
-                                               flow.version, side.limits.max_ejected_percent);
+                                               ended.at.version, side.limits.max_ejected_percent);
     call::note_ended(side.loads[ended.at.node], ended.end, ended.latency, may_eject,
                      side.limits.ejection, now);
     if (ended.end != call::attempt_end::cancelled) {
         out.samples.push_back({.service = flow.service,
                                .route = flow.route,
-                               .version = flow.version,
+                               .version = ended.at.version,
                                .data_centre = ended.at.data_centre,
                                .kind = kind_of(ended.end),
-                               .latency = ended.latency});
+                               .latency = ended.latency,
+                               .run_time = flow.run_time});
     }
 }
 
+std::uint64_t time_left(instant until, instant now) {
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, (until - now).count()));
+}
+
 msg::call_open_msg make_reattach(const entry_flow& flow, const call::pick& to, instant now) {
     msg::call_open_msg message;
     message.call = call::make_key(to.call);
     message.reattach = true;
     message.service = flow.request.service;
-    message.version = flow.request.version;
+    message.version = to.version.value;
     message.gate_instance = to.gate_instance;
-    message.deadline_us =
-        static_cast<std::uint64_t>(std::max<std::int64_t>(0, (flow.state.deadline - now).count()));
+    message.deadline_us = time_left(flow.state.deadline, now);
     return message;
 }
 
 msg::call_open_msg make_open(const entry_flow& flow, const call::open_action& action, instant now) {
     msg::call_open_msg message(flow.request);
+    message.version = action.to.version.value;
+    message.no_wait = action.no_wait;
+    if (flow.objective) {
+        // At least one: zero stands for no objective.
+        message.objective_us = std::max<std::uint64_t>(1, time_left(*flow.objective, now));
+    }
     message.call = call::make_key(action.to.call);
     message.gate_instance = action.to.gate_instance;
     message.attempt =
         static_cast<std::uint8_t>(std::min(flow.request.attempt + action.attempt_number - 1, 255U));
-    message.deadline_us =
-        static_cast<std::uint64_t>(std::max<std::int64_t>(0, (flow.state.deadline - now).count()));
+    message.deadline_us = time_left(flow.state.deadline, now);
     return message;
 }
 
@@ -100,6 +135,30 @@
     side.flows.erase(flow->exchange.get());
 }
 
+std::string ms_text(microseconds span) {
+    return std::to_string(std::chrono::duration_cast<milliseconds>(span).count());
+}
+
+/// A line that tells why a call ended without an upstream's answer.
+log_event describe_failure(const entry_flow& flow, const call::refusal& told, unsigned status) {
+    const auto now = current_time();
+    return {log_level::info,
+            "call_failed",
+            {{"request", flow.request_id},
+             {"route", flow.route.value},
+             {"service", flow.service.value},
+             {"status", std::to_string(status)},
+             {"outcome", msg::EnumNamecall_outcome(told.outcome)},
+             {"reason", msg::EnumNamerefusal_reason(told.reason)},
+             {"tried", std::to_string(flow.state.tried.size())},
+             {"last_node", flow.state.tried.empty() ? "" : flow.state.tried.back().value},
+             {"refusals", std::to_string(flow.state.refusals)},
+             {"arrivals", std::to_string(flow.state.arrivals)},
+             {"age_ms", ms_text(now - flow.received_at)},
+             {"left_ms", ms_text(flow.state.deadline - now)},
+             {"retry_after_ms", std::to_string(told.retry_after.count())}}};
+}
+
 void fail_call(entry_side& side, const entry_flow_ptr& flow, call::refusal told) {
     const bool is_not_run = told.outcome == msg::call_outcome::not_run;
     ++(is_not_run ? side.counters.not_run : side.counters.unknown);
@@ -108,7 +167,8 @@
         const auto most = static_cast<std::uint64_t>(told.retry_after.count()) / jitter_divisor + 1;
         told.retry_after += milliseconds(side.random() % most);
     }
-    auto answer = make_failure(told);
+    auto answer = make_failure(side.names, told);
+    log_call(side, describe_failure(*flow, told, answer.head.status));
     start_answer(flow->exchange, std::move(answer.head), {std::move(answer.body), true},
                  [&side, flow] { forget_flow(side, flow); });
 }
@@ -156,10 +216,29 @@
         side.to_gate(cancel->to.node, cancel->to.address, std::move(message));
     } else if (std::holds_alternative<call::pass_answer_action>(action) && answer != nullptr) {
         pass_answer(side, flow, *answer);
+    } else if (std::holds_alternative<call::keep_answer_action>(action) && answer != nullptr) {
+        ++side.counters.server_errors_retried;
+        log_call(side, {log_level::info,
+                        "call_retried",
+                        {{"request", flow->request_id},
+                         {"route", flow->route.value},
+                         {"service", flow->service.value},
+                         {"status", std::to_string(answer->status)},
+                         {"arrivals", std::to_string(flow->state.arrivals)},
+                         {"left_ms", ms_text(flow->state.deadline - now)}}});
+        flow->kept = std::make_unique<msg::call_answer_msg>(std::move(*answer));
+    } else if (std::holds_alternative<call::pass_kept_answer_action>(action) && flow->kept) {
+        pass_answer(side, flow, *flow->kept);
     } else if (const auto* failed = std::get_if<call::fail_action>(&action)) {
         fail_call(side, flow, failed->told);
     } else if (std::holds_alternative<call::break_off_action>(action)) {
         ++side.counters.broken_off;
+        log_call(side, {log_level::info,
+                        "call_broken_off",
+                        {{"request", flow->request_id},
+                         {"route", flow->route.value},
+                         {"service", flow->service.value},
+                         {"age_ms", ms_text(now - flow->received_at)}}});
         break_off(flow->exchange);
         forget_flow(side, flow);
     } else if (std::holds_alternative<call::drop_action>(action)) {
@@ -183,12 +262,19 @@
 
 } // namespace
 
+void log_call(const entry_side& side, log_event event) {
+    if (side.around.log) {
+        side.around.log(std::move(event));
+    }
+}
+
 step_result step(entry_side& side, const entry_flow_ptr& flow, const call::entry_event& event) {
     const auto now = current_time();
     const auto before = flow->state.current;
     const std::function<std::optional<call::pick>(const std::vector<node_id>&)> choose_next =
         [&](const std::vector<node_id>& tried) { return choose(side, *flow, tried, now); };
-    const call::entry_context context{side.budgets[flow->service], choose_next, now};
+    const call::entry_context context{side.budgets[flow->service], choose_next, now,
+                                      side.retry_rules};
     step_result out;
     out.actions = call::advance(flow->state, event, context);
     for (const auto& each : out.actions) {
--- a/src/edge/entry_steps.h
+++ b/src/edge/entry_steps.h
@@ -2,11 +2,16 @@
 
 #include "edge/entry_side.h"
 
+#include "model/log_event.h"
+
 #include <vector>
 
 /// How the entry carries out what its decisions ask for.
 namespace cyclamenhatch::edge {
 
+/// Logs an event about a call, when anybody listens.
+void log_call(const entry_side& side, log_event event);
+
 /// What is left to do after a step, without the lock.
 struct step_result {
     std::vector<call::entry_action> actions;
--- a/src/edge/gate_side.cpp
+++ b/src/edge/gate_side.cpp
@@ -17,6 +17,12 @@
 /// A body that does not move for this long is broken off.
 constexpr microseconds max_stall{30'000'000};
 constexpr unsigned overloaded_status = 503;
+constexpr unsigned misdirected_status = 421;
+/// A call that must not run twice is sent on a connection that was in use a moment ago, or on a new
+/// one: the upstream may have forgotten one that was idle for longer, and nobody could tell then
+/// whether the call ran.
+constexpr milliseconds fresh_idle{500};
+constexpr milliseconds any_idle{60'000};
 
 using lock_type = std::unique_lock<std::mutex>;
 
@@ -105,19 +111,48 @@
     auto answer = std::make_shared<msg::call_answer_msg>();
     answer->call = call::make_key(flow.call);
     answer->status = static_cast<std::uint16_t>(head.status);
-    answer->headers = to_wire(std::move(head.headers));
+    answer->headers = to_wire(side.names, std::move(head.headers));
     answer->body = std::move(piece.bytes);
     answer->last = piece.is_last;
     answer->in_flight = load.in_flight;
     answer->queue = load.queue;
     answer->slots = load.slots;
+    answer->wait_us = load.wait_us;
     answer->gate_us = static_cast<std::uint32_t>(flow.queue_time.count());
     answer->upstream_us = static_cast<std::uint32_t>(flow.upstream_time.count());
     answer->gate_instance = side.gate.instance;
     return answer;
 }
 
+/// Why an answer says that the upstream did not run the call, when it says so.
+std::optional<msg::refusal_reason> find_not_run(const header_names& names,
+                                                const answer_head& head) {
+    if (!names.expected_instance.empty() && head.status == misdirected_status) {
+        return msg::refusal_reason::wrong_instance;
+    }
+    const bool is_not_run =
+        !names.not_run.empty() && !find_header(head.headers, names.not_run).empty();
+    return is_not_run ? std::optional(msg::refusal_reason::upstream_refused) : std::nullopt;
+}
+
+void end_not_run(gate_side& side, const gate_flow_ptr& flow, msg::refusal_reason reason,
+                 bool is_whole) {
+    if (!is_whole) {
+        abort_exchange(flow->exchange);
+    }
+    if (reason == msg::refusal_reason::wrong_instance) {
+        // The upstream that announced itself is gone; the next one has to announce itself first.
+        const std::lock_guard guard(side.lock);
+        side.gate.upstream = msg::upstream_state::none;
+    }
+    end_call(side, flow->call, {.is_not_run = true, .not_run_reason = reason});
+}
+
 void on_answer(gate_side& side, const gate_flow_ptr& flow, answer_head head, body_piece piece) {
+    if (const auto reason = find_not_run(side.names, head)) {
+        end_not_run(side, flow, *reason, piece.is_last);
+        return;
+    }
     lock_type guard(side.lock);
     const auto now = current_time();
     flow->upstream_time = now - flow->started_at;
@@ -144,20 +179,37 @@
     read_on(side, flow);
 }
 
-request_head make_head(gate_flow& flow, instant now) {
+void add_header(header_fields& to, const std::string& name, std::string value) {
+    if (!name.empty()) {
+        to.push_back({name, std::move(value)});
+    }
+}
+
+request_head make_head(const gate_side& side, gate_flow& flow, instant now) {
     request_head head{.method = std::move(flow.request.method),
                       .target = std::move(flow.request.target),
                       .headers = from_wire(flow.request.headers)};
     const auto left = std::max(microseconds{0}, flow.deadline - now);
-    head.headers.push_back(
-        {std::string(deadline_header),
-         std::to_string(std::chrono::duration_cast<milliseconds>(left).count())});
-    head.headers.push_back({std::string(hops_header), std::to_string(flow.request.hops)});
-    head.headers.push_back({std::string(attempts_header), std::to_string(flow.request.attempt)});
+    const auto& names = side.names;
+    add_header(head.headers, names.deadline,
+               std::to_string(std::chrono::duration_cast<milliseconds>(left).count()));
+    add_header(head.headers, names.hops, std::to_string(flow.request.hops));
+    add_header(head.headers, names.attempts, std::to_string(flow.request.attempt));
+    if (!side.instance.empty()) {
+        add_header(head.headers, names.expected_instance, side.instance);
+    }
     flow.request.headers.clear();
     return head;
 }
 
+answer_match make_match(const header_names& names, const request_head& head) {
+    if (names.request_id.empty()) {
+        return {};
+    }
+    const std::string id(find_header(head.headers, names.request_id));
+    return id.empty() ? answer_match{} : answer_match{names.request_id, id};
+}
+
 void run(gate_side& side, const call_id& call) {
     lock_type guard(side.lock);
     const auto found = side.flows.find(call);
@@ -169,9 +221,10 @@
     flow->started_at = now;
     flow->progressed_at = now;
     flow->queue_time = now - flow->received_at;
-    flow->exchange = prepare_exchange(side.client);
+    flow->exchange =
+        prepare_exchange(side.client, flow->request.idempotent ? any_idle : fresh_idle);
     flow->is_writing = !flow->request.last;
-    auto head = make_head(*flow, now);
+    auto head = make_head(side, *flow, now);
     body_piece first{std::move(flow->request.body), flow->request.last};
     flow->upload_offset = first.bytes.size();
     const auto exchange = flow->exchange;
@@ -188,7 +241,8 @@
         grant_upload(side, flow->call, window_bytes);
         continue_upload(side, flow);
     };
-    send_request(exchange, std::move(head), std::move(first), std::move(events));
+    auto match = make_match(side.names, head);
+    send_request(exchange, std::move(head), std::move(first), std::move(match), std::move(events));
 }
 
 void release(gate_side& side, const call_id& call, bool is_abort) {
@@ -258,14 +312,21 @@
 void on_open(gate_side& side, const node_id& from, msg::call_open_msg message) {
     const auto now = current_time();
     const auto call = call::from_key(message.call.get());
-    const call::gate_request request{.call = call,
-                                     .from = from,
-                                     .is_reattach = message.reattach,
-                                     .service = service_id(message.service),
-                                     .version = version_id(message.version),
-                                     .owner = owner_id(message.owner),
-                                     .deadline = now + microseconds(message.deadline_us),
-                                     .gate_instance = message.gate_instance};
+    const call::gate_request request{
+        .call = call,
+        .from = from,
+        .is_reattach = message.reattach,
+        .service = service_id(message.service),
+        .version = version_id(message.version),
+        .owner = owner_id(message.owner),
+        .deadline = now + microseconds(message.deadline_us),
+        .gate_instance = message.gate_instance,
+        .objective = message.objective_us == 0
+                         ? std::nullopt
+                         : std::optional(now + microseconds(message.objective_us)),
+        .priority = message.priority,
+        .no_wait = message.no_wait,
+        .route = route_id(message.route)};
     lock_type guard(side.lock);
     const bool was_under_way = call::is_under_way(side.gate, call);
     auto actions = call::on_open(side.gate, request, now);
@@ -326,6 +387,7 @@
 
 void on_upstream(gate_side& side, const msg::upstream_record_msg& upstream) {
     lock_type guard(side.lock);
+    side.instance = upstream.instance;
     auto actions = call::on_upstream_change(side.gate, upstream, current_time());
     guard.unlock();
     perform(side, std::move(actions));
--- a/src/edge/gate_side.h
+++ b/src/edge/gate_side.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "call/gate.h"
+#include "edge/header_names.h"
 #include "edge/latency_histogram.h"
 #include "edge/upstream_client.h"
 #include "messages/peer_message.h"
@@ -48,9 +49,12 @@
     /// Sends to an entry; may be called from any thread.
     std::function<void(const node_id&, peer_message)> to_entry;
     latency_histograms& histograms;
+    const header_names& names;
     mutable std::mutex lock;
     // Guarded by lock.
     call::gate_state gate;
+    /// Names the present run of the upstream; empty when it does not say.
+    std::string instance;
     std::unordered_map<call_id, gate_flow_ptr> flows;
     snapshot_ptr reservations_from;
 };
--- a/src/edge/http_message.cpp
+++ b/src/edge/http_message.cpp
@@ -24,6 +24,14 @@
 
 } // namespace
 
+body_bytes trim_piece(body_bytes bytes, std::size_t size) {
+    if (bytes.capacity() > 2 * size) {
+        return {bytes.begin(), bytes.begin() + static_cast<std::ptrdiff_t>(size)};
+    }
+    bytes.resize(size);
+    return bytes;
+}
+
 bool equals_without_case(std::string_view left, std::string_view right) {
     return left.size() == right.size() &&
            std::equal(left.begin(), left.end(), right.begin(),
@@ -42,4 +50,32 @@
                        [&](std::string_view each) { return equals_without_case(each, name); });
 }
 
+void drop_named_by_connection(header_fields& headers) {
+    std::vector<std::string> named;
+    for (const auto& each : headers) {
+        if (!equals_without_case(each.name, "connection")) {
+            continue;
+        }
+        std::string_view rest = each.value;
+        while (!rest.empty()) {
+            const auto end = std::min(rest.find(','), rest.size());
+            const auto first = rest.find_first_not_of(" \t");
+            const auto last = rest.find_last_not_of(" \t", end == 0 ? 0 : end - 1);
+            if (first < end && last != std::string_view::npos) {
+                named.emplace_back(rest.substr(first, last - first + 1));
+            }
+            rest.remove_prefix(std::min(end + 1, rest.size()));
+        }
+    }
+    if (named.empty()) {
+        return;
+    }
+    std::erase_if(headers, [&](const header_field& each) {
+        return !equals_without_case(each.name, "connection") &&
+               std::any_of(named.begin(), named.end(), [&](const std::string& name) {
+                   return equals_without_case(each.name, name);
+               });
+    });
+}
+
 } // namespace cyclamenhatch::edge
--- a/src/edge/http_message.h
+++ b/src/edge/http_message.h
@@ -10,6 +10,8 @@
 
 /// Bodies pass in pieces of at most this size.
 inline constexpr std::size_t piece_bytes = 65'536;
+/// Room for a piece of a body whose length is not known beforehand.
+inline constexpr std::size_t unsized_piece_bytes = 16'384;
 
 struct header_field {
     std::string name;
@@ -19,6 +21,10 @@
 using header_fields = std::vector<header_field>;
 using body_bytes = std::vector<std::uint8_t>;
 
+/// The first `size` bytes, without the room that was set aside for more: pieces may be kept for
+/// long.
+[[nodiscard]] body_bytes trim_piece(body_bytes bytes, std::size_t size);
+
 /// A part of a body; `is_last` marks its end.
 struct body_piece {
     body_bytes bytes;
@@ -44,6 +50,9 @@
 /// such headers are not passed on.
 [[nodiscard]] bool is_connection_header(std::string_view name);
 
+/// Drops the headers that a Connection header names: they describe one connection only.
+void drop_named_by_connection(header_fields& headers);
+
 [[nodiscard]] bool equals_without_case(std::string_view left, std::string_view right);
 
 } // namespace cyclamenhatch::edge
--- a/src/edge/upstream_client.cpp
+++ b/src/edge/upstream_client.cpp
@@ -3,9 +3,11 @@
 #include "edge/upstream_connection.h"
 
 #include <boost/asio/dispatch.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <limits>
 #include <optional>
 #include <utility>
@@ -20,19 +22,25 @@
 
 /// An answer's head may take this much, the callers' bound notwithstanding.
 constexpr std::uint32_t max_answer_header_bytes = 65'536;
+/// Time limit for opening a connection to the upstream, which is on this host.
+constexpr std::chrono::milliseconds connect_timeout{400};
+/// An answer to an earlier request is read and dropped up to this size.
+constexpr std::size_t max_stale_bytes = 1'048'576;
 
 } // namespace
 
 struct upstream_exchange {
-    explicit upstream_exchange(upstream_strand on) : executor(std::move(on)) {}
+    explicit upstream_exchange(upstream_strand on) : executor(std::move(on)), timer(executor) {}
 
     const upstream_strand executor;
+    asio::steady_timer timer;
     std::shared_ptr<upstream_client> client;
     // All below is used on the strand only.
     std::unique_ptr<upstream_connection> link;
     std::vector<tcp::endpoint> targets;
     std::size_t next_target = 0;
     upstream_events events;
+    answer_match match;
     request_head head;
     body_bytes outgoing;
     http::request<http::buffer_body> request;
@@ -44,6 +52,7 @@
     bool is_sent = false;
     bool is_head_read = false;
     bool is_done = false;
+    std::size_t stale_bytes = 0;
 };
 
 namespace {
@@ -66,6 +75,22 @@
     events.on_failure(is_not_run);
 }
 
+/// The time for which a Keep-Alive header says that an idle connection stays open, less a margin
+/// for what is under way when it ends.
+std::chrono::milliseconds keep_alive_of(const std::string& header) {
+    constexpr std::string_view name = "timeout=";
+    constexpr std::chrono::milliseconds margin{500};
+    const auto at = header.find(name);
+    unsigned stated = 0;
+    if (at == std::string_view::npos ||
+        std::from_chars(header.data() + at + name.size(), header.data() + header.size(), stated)
+                .ec != std::errc{}) {
+        return default_keep_alive;
+    }
+    return std::min<std::chrono::milliseconds>(std::chrono::seconds{stated} - margin,
+                                               default_keep_alive);
+}
+
 /// Gives the connection back for the next exchange when both sides are through with this one.
 void finish(const exchange_ptr& self) {
     self->is_done = true;
@@ -74,6 +99,8 @@
         close_quietly(*self->link);
         return;
     }
+    self->link->keep_alive =
+        keep_alive_of(std::string(self->parser->get()[http::field::keep_alive]));
     give_back(*self->client, std::move(self->link));
 }
 
@@ -120,6 +147,7 @@
     for (const auto& each : self->parser->get()) {
         answer.headers.push_back({std::string(each.name_string()), std::string(each.value())});
     }
+    drop_named_by_connection(answer.headers);
     const auto on_answer = self->events.on_answer;
     if (is_last) {
         finish(self);
@@ -152,8 +180,9 @@
                                   read_more(self);
                                   return;
                               }
-                              self->incoming.resize(self->incoming.size() -
-                                                    self->parser->get().body().size);
+                              const auto room = self->parser->get().body().size;
+                              const auto size = self->incoming.size() - room;
+                              self->incoming = trim_piece(std::move(self->incoming), size);
                               hand_over(self);
                           });
 }
@@ -164,7 +193,8 @@
         return;
     }
     const auto remaining = self->parser->content_length_remaining();
-    const auto wanted = remaining ? std::min<std::uint64_t>(*remaining, piece_bytes) : piece_bytes;
+    const auto wanted =
+        remaining ? std::min<std::uint64_t>(*remaining, piece_bytes) : unsized_piece_bytes;
     self->incoming.resize(wanted);
     auto& body = self->parser->get().body();
     body.data = self->incoming.data();
@@ -173,6 +203,47 @@
     read_more(self);
 }
 
+void read_answer(const exchange_ptr& self);
+
+/// Whether the answer says which request it belongs to, where answers do.
+bool names_request(const upstream_exchange& of) {
+    return of.match.header.empty() || of.parser->get().count(of.match.header) > 0;
+}
+
+/// Whether the answer whose head was read is that to another request.
+bool is_stale(const upstream_exchange& of) {
+    if (of.match.header.empty()) {
+        return false;
+    }
+    return of.parser->get()[of.match.header] != of.match.value;
+}
+
+/// Reads an answer to an earlier request to its end, then the next one.
+void skip_answer(const exchange_ptr& self) {
+    if (self->parser->is_done()) {
+        self->incoming.clear();
+        read_answer(self);
+        return;
+    }
+    self->incoming.resize(piece_bytes);
+    auto& body = self->parser->get().body();
+    body.data = self->incoming.data();
+    body.size = self->incoming.size();
+    http::async_read_some(self->link->socket, self->link->buffer, *self->parser,
+                          [self](error_code failed, std::size_t bytes) {
+                              if (self->is_done) {
+                                  return;
+                              }
+                              self->stale_bytes += bytes;
+                              const bool is_broken = failed && failed != http::error::need_buffer;
+                              if (is_broken || self->stale_bytes > max_stale_bytes) {
+                                  fail(self, false);
+                                  return;
+                              }
+                              skip_answer(self);
+                          });
+}
+
 void read_answer(const exchange_ptr& self) {
     self->parser.emplace();
     self->parser->header_limit(max_answer_header_bytes);
@@ -192,6 +263,14 @@
                                     read_answer(self);
                                     return;
                                 }
+                                if (!names_request(*self)) {
+                                    fail(self, false);
+                                    return;
+                                }
+                                if (is_stale(*self)) {
+                                    skip_answer(self);
+                                    return;
+                                }
                                 read_piece(self);
                             });
 }
@@ -242,7 +321,14 @@
         return;
     }
     const auto& target = self->targets[self->next_target++];
+    self->timer.expires_after(connect_timeout);
+    self->timer.async_wait([self](error_code cancelled) {
+        if (!cancelled) {
+            close_quietly(*self->link);
+        }
+    });
     self->link->socket.async_connect(target, [self, is_whole](error_code failed) {
+        self->timer.cancel();
         if (self->is_done) {
             return;
         }
@@ -273,10 +359,11 @@
 
 } // namespace
 
-upstream_exchange_ptr prepare_exchange(const std::shared_ptr<upstream_client>& client) {
+upstream_exchange_ptr prepare_exchange(const std::shared_ptr<upstream_client>& client,
+                                       std::chrono::milliseconds max_idle) {
     std::vector<tcp::endpoint> targets;
     bool is_reused = false;
-    auto link = take_connection(*client, targets, is_reused);
+    auto link = take_connection(*client, max_idle, targets, is_reused);
     auto self = std::make_shared<upstream_exchange>(link->socket.get_executor());
     self->client = client;
     self->link = std::move(link);
@@ -286,14 +373,15 @@
 }
 
 void send_request(const upstream_exchange_ptr& exchange, request_head head, body_piece first,
-                  upstream_events events) {
+                  answer_match match, upstream_events events) {
     asio::dispatch(exchange->executor,
                    [self = exchange, head = std::move(head), first = std::move(first),
-                    events = std::move(events)]() mutable {
+                    match = std::move(match), events = std::move(events)]() mutable {
                        if (self->is_done) {
                            return;
                        }
                        self->events = std::move(events);
+                       self->match = std::move(match);
                        self->head = std::move(head);
                        self->outgoing = std::move(first.bytes);
                        if (self->is_reused) {
--- a/src/edge/upstream_client.h
+++ b/src/edge/upstream_client.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -21,6 +22,12 @@
 /// Opaque; made by make_upstream_client.
 struct upstream_client;
 
+/// How an answer is known to belong to its request. Without a name every answer does.
+struct answer_match {
+    std::string header;
+    std::string value;
+};
+
 struct upstream_events {
     /// The answer's head with the first piece of its body.
     std::function<void(answer_head, body_piece)> on_answer;
@@ -42,14 +49,16 @@
 /// Closes kept connections.
 void close_client(upstream_client& client);
 
-/// Takes a connection for one request; nothing is sent yet.
-[[nodiscard]] upstream_exchange_ptr
-prepare_exchange(const std::shared_ptr<upstream_client>& client);
+/// Takes a connection for one request; nothing is sent yet. A connection that was idle for longer
+/// than `max_idle` is not used again: the upstream may be closing it.
+[[nodiscard]] upstream_exchange_ptr prepare_exchange(const std::shared_ptr<upstream_client>& client,
+                                                     std::chrono::milliseconds max_idle);
 
 /// Sends the request. With a first piece that is not the last, more follow by write_body after
-/// on_taken. No callback comes before this function returns. Precondition: called once.
+/// on_taken. Answers that do not match belong to an earlier request and are dropped. No callback
+/// comes before this function returns. Precondition: called once.
 void send_request(const upstream_exchange_ptr& exchange, request_head head, body_piece first,
-                  upstream_events events);
+                  answer_match match, upstream_events events);
 
 /// Sends a further piece; `done` is called when the connection took it. Precondition: the piece
 /// before was taken.
--- a/src/edge/upstream_connection.cpp
+++ b/src/edge/upstream_connection.cpp
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <utility>
 
@@ -11,9 +12,6 @@
 
 namespace {
 
-/// Connections idle for longer are not used again: the upstream may be closing them just then.
-constexpr std::chrono::seconds max_idle{4};
-
 /// Whether the peer has neither closed the idle connection nor sent anything on it.
 bool is_quiet(upstream_connection& of) {
     char byte = 0;
@@ -23,15 +21,17 @@
 
 } // namespace
 
-std::unique_ptr<upstream_connection>
-take_connection(upstream_client& client, std::vector<tcp::endpoint>& targets, bool& is_reused) {
+std::unique_ptr<upstream_connection> take_connection(upstream_client& client,
+                                                     std::chrono::milliseconds max_idle,
+                                                     std::vector<tcp::endpoint>& targets,
+                                                     bool& is_reused) {
     const auto now = std::chrono::steady_clock::now();
     const std::lock_guard guard(client.lock);
     targets = client.targets;
     while (!client.idle.empty()) {
         auto link = std::move(client.idle.back());
         client.idle.pop_back();
-        if (now - link->idle_since < max_idle && is_quiet(*link)) {
+        if (now - link->idle_since < std::min(max_idle, link->keep_alive) && is_quiet(*link)) {
             is_reused = true;
             return link;
         }
--- a/src/edge/upstream_connection.h
+++ b/src/edge/upstream_connection.h
@@ -19,6 +19,9 @@
 using upstream_strand = asio::strand<asio::io_context::executor_type>;
 using upstream_socket = asio::basic_stream_socket<tcp, upstream_strand>;
 
+/// Connections idle for longer are not used again: the upstream may be closing them just then.
+inline constexpr std::chrono::milliseconds default_keep_alive{4000};
+
 struct upstream_connection {
     explicit upstream_connection(asio::io_context& io) : socket(asio::make_strand(io)) {}
 
@@ -26,6 +29,8 @@
     boost::beast::flat_buffer buffer;
     std::uint64_t generation = 0;
     std::chrono::steady_clock::time_point idle_since;
+    /// How long the connection may be idle and still be used again.
+    std::chrono::milliseconds keep_alive = default_keep_alive;
 };
 
 struct upstream_client {
@@ -43,7 +48,8 @@
 /// A kept connection that is still good, or a new one that is not connected yet. `targets` are the
 /// addresses to connect to.
 [[nodiscard]] std::unique_ptr<upstream_connection>
-take_connection(upstream_client& client, std::vector<tcp::endpoint>& targets, bool& is_reused);
+take_connection(upstream_client& client, std::chrono::milliseconds max_idle,
+                std::vector<tcp::endpoint>& targets, bool& is_reused);
 
 /// Keeps a connection for the next exchange, or closes it.
 void give_back(upstream_client& client, std::unique_ptr<upstream_connection> link);
--- a/src/membership/joiner.cpp
+++ b/src/membership/joiner.cpp
@@ -17,9 +17,7 @@
 constexpr std::uint64_t page_jitter_ms = 300;
 /// Silence after which this node counts as joined without anybody's table. When all start at once,
 /// those that others ask give up first, so that the others find a table instead of joining alone.
-constexpr milliseconds join_patience{2000};
-constexpr milliseconds asked_patience{1000};
-constexpr std::uint64_t patience_spread_ms = 4000;
+constexpr int asked_divisor = 2;
 /// Rounds are repeated, at most this often, while one brings more than a fiftieth of the table.
 constexpr int round_limit = 6;
 constexpr std::size_t news_divisor = 50;
@@ -91,14 +89,15 @@
 }
 
 milliseconds patience(const table& state) {
+    const milliseconds patience{state.settings.join_patience_ms};
     if (state.sync.is_asked) {
-        return asked_patience;
+        return patience / asked_divisor;
     }
     if (state.contacts.empty()) {
-        return join_patience;
+        return patience;
     }
-    const auto spread = stable_hash(state.self.node) % patience_spread_ms;
-    return join_patience + milliseconds{static_cast<std::int64_t>(spread)};
+    const auto spread = stable_hash(state.self.node) % std::max(1U, state.settings.join_spread_ms);
+    return patience + milliseconds{static_cast<std::int64_t>(spread)};
 }
 
 void tick_sync(table& state, instant now, random_source& random, std::vector<outgoing>& sends) {
--- /dev/null
+++ b/src/membership/upstream_run.cpp
@@ -0,0 +1,53 @@
+#include "membership/upstream_run.h"
+
+namespace cyclamenhatch::membership {
+namespace {
+
+bool is_same_run(const upstream_run& run, const msg::upstream_record_msg& heard) {
+    const bool knows_starts = run.started_ms > 0 && heard.started_ms > 0;
+    return run.instance == heard.instance && (!knows_starts || run.started_ms == heard.started_ms);
+}
+
+bool is_older_run(const upstream_run& run, const msg::upstream_record_msg& heard) {
+    return run.started_ms > 0 && heard.started_ms > 0 && heard.started_ms < run.started_ms;
+}
+
+bool is_leaving(msg::upstream_state state) {
+    return state == msg::upstream_state::draining || state == msg::upstream_state::gone;
+}
+
+} // namespace
+
+bool take_announcement(upstream_run& run, const msg::upstream_record_msg& heard, instant now) {
+    if (is_older_run(run, heard)) {
+        return false;
+    }
+    if (is_same_run(run, heard)) {
+        // Without an instance id a new run cannot be told from the one that left.
+        const bool returns =
+            !run.instance.empty() && is_leaving(run.state) && !is_leaving(heard.state);
+        const bool is_repeated = heard.sequence > 0 && heard.sequence <= run.sequence;
+        if (run.has_left || returns || is_repeated) {
+            return false;
+        }
+    }
+    run = {.instance = heard.instance,
+           .started_ms = heard.started_ms,
+           .sequence = heard.sequence,
+           .state = heard.state,
+           .has_left = !heard.instance.empty() && heard.state == msg::upstream_state::gone,
+           .heard_at = now};
+    return true;
+}
+
+bool take_leave(upstream_run& run, const std::string& instance, instant now) {
+    if (run.instance != instance) {
+        return false;
+    }
+    run.state = msg::upstream_state::gone;
+    run.has_left = true;
+    run.heard_at = now;
+    return true;
+}
+
+} // namespace cyclamenhatch::membership
--- a/src/model/resource_codec.cpp
+++ b/src/model/resource_codec.cpp
@@ -57,6 +57,16 @@
     to.owner = from.owner.value;
     to.version = from.version.value;
     to.reserved_slots = from.reserved_slots;
+    to.max_connections = from.max_connections;
+    to.health_path = from.health_path;
+    if (from.limits) {
+        to.limits = std::make_unique<msg::caller_limits_msg>();
+        to.limits->max_header_bytes = from.limits->max_header_bytes;
+        to.limits->max_body_bytes = from.limits->max_body_bytes;
+        to.limits->header_timeout_ms =
+            static_cast<std::uint32_t>(from.limits->header_timeout.count());
+        to.limits->idle_timeout_ms = static_cast<std::uint32_t>(from.limits->idle_timeout.count());
+    }
     write_provenance(from.written, to);
     return to;
 }
@@ -69,6 +79,15 @@
     to.path_prefix = from.path_prefix;
     to.idempotent = from.idempotent;
     to.timeout_ms = static_cast<std::uint32_t>(from.timeout.count());
+    to.max_attempts = from.max_attempts;
+    to.latency_objective_ms = static_cast<std::uint32_t>(from.latency_objective.count());
+    to.priority = from.priority;
+    for (const auto& part : from.split) {
+        auto next = std::make_unique<msg::route_part_msg>();
+        next->service = part.service.value;
+        next->weight = part.weight;
+        to.split.push_back(std::move(next));
+    }
     write_provenance(from.written, to);
     return to;
 }
@@ -87,7 +106,8 @@
     to.service = from.service.value;
     to.from = from.from.value;
     to.to = from.to.value;
-    to.deadline = format_rfc3339(from.deadline);
+    to.deadline = from.duration.count() > 0 ? "" : format_rfc3339(from.deadline);
+    to.duration_ms = static_cast<std::uint32_t>(from.duration.count());
     to.start = from.start ? format_rfc3339(*from.start) : "";
     to.first_share_permille = from.first_share_permille;
     to.min_calls = from.min_calls;
@@ -110,6 +130,14 @@
     to.owner = owner_id{from.owner};
     to.version = version_id{from.version};
     to.reserved_slots = from.reserved_slots;
+    to.max_connections = from.max_connections;
+    to.health_path = from.health_path;
+    if (from.limits) {
+        to.limits = caller_limits{.max_header_bytes = from.limits->max_header_bytes,
+                                  .max_body_bytes = from.limits->max_body_bytes,
+                                  .header_timeout = milliseconds{from.limits->header_timeout_ms},
+                                  .idle_timeout = milliseconds{from.limits->idle_timeout_ms}};
+    }
     read_provenance(from, to.written);
     return to;
 }
@@ -122,6 +150,12 @@
     to.path_prefix = from.path_prefix;
     to.idempotent = from.idempotent;
     to.timeout = milliseconds{from.timeout_ms};
+    to.max_attempts = from.max_attempts;
+    to.latency_objective = milliseconds{from.latency_objective_ms};
+    to.priority = from.priority;
+    for (const auto& part : from.split) {
+        to.split.push_back({.service = service_id{part->service}, .weight = part->weight});
+    }
     read_provenance(from, to.written);
     return to;
 }
@@ -141,7 +175,10 @@
     to.service = service_id{from.service};
     to.from = version_id{from.from};
     to.to = version_id{from.to};
-    to.deadline = read_time(from.deadline, "deadline", found);
+    to.duration = milliseconds{from.duration_ms};
+    if (from.duration_ms == 0 || !from.deadline.empty()) {
+        to.deadline = read_time(from.deadline, "deadline", found);
+    }
     if (!from.start.empty()) {
         to.start = read_time(from.start, "start", found);
     }
--- a/src/model/resources.h
+++ b/src/model/resources.h
@@ -20,19 +20,46 @@
     friend bool operator==(const provenance&, const provenance&) = default;
 };
 
+/// What callers may send, and how long they may take for it.
+struct caller_limits {
+    std::uint32_t max_header_bytes = 32'768;
+    std::uint64_t max_body_bytes = 1'073'741'824;
+    /// From the first byte of a request's head to its last.
+    milliseconds header_timeout{30'000};
+    /// How long a connection may stay open without a request.
+    milliseconds idle_timeout{75'000};
+
+    friend bool operator==(const caller_limits&, const caller_limits&) = default;
+};
+
 /// A service: the owner that pays for it and the upstream version that serves its calls.
 struct service {
     service_id name;
     owner_id owner;
-    /// Receives all calls while no move is under way.
+    /// Receives all calls while no move is under way. Empty: every announced version does, but the
+    /// target of the service's move.
     version_id version;
     /// Weight of the owner in fair sharing, in slots.
     std::uint32_t reserved_slots = 1;
     provenance written;
+    /// Connections that one upstream accepts from all nodes together; 0 sets no bound.
+    std::uint32_t max_connections = 0;
+    /// Path that tells whether an upstream is healthy; empty when there is none.
+    std::string health_path;
+    std::optional<caller_limits> limits;
 
     friend bool operator==(const service&, const service&) = default;
 };
 
+/// One of several services that a route divides its calls among.
+struct route_part {
+    service_id service;
+    /// Relative to the weights of the other parts.
+    std::uint32_t weight = 1;
+
+    friend bool operator==(const route_part&, const route_part&) = default;
+};
+
 /// Directs calls to a service by host and longest path prefix.
 struct route {
     route_id name;
@@ -44,6 +71,15 @@
     bool idempotent = false;
     milliseconds timeout{1000};
     provenance written;
+    /// Most endpoints that one call may be sent to; 0 takes the node's setting.
+    std::uint32_t max_attempts = 0;
+    /// Time within which an answer is worth most to the caller; zero states none.
+    milliseconds latency_objective{0};
+    /// Rank among the calls that wait for the same endpoint; 0 is the highest.
+    std::uint32_t priority = 0;
+    /// Divides the calls among services by weight, the route's own among them; empty sends all
+    /// there.
+    std::vector<route_part> split;
 
     friend bool operator==(const route&, const route&) = default;
 };
@@ -77,6 +113,7 @@
 struct move {
     move_id name;
     service_id service;
+    /// Empty: every version but `to`.
     version_id from;
     version_id to;
     instant deadline;
@@ -95,6 +132,8 @@
     /// Present once the move has ended.
     std::optional<move_ending> ending;
     provenance written;
+    /// Time from when the fleet learns of the move to its deadline, when no deadline is stated.
+    milliseconds duration{0};
 
     friend bool operator==(const move&, const move&) = default;
 };
--- a/src/model/snapshot.cpp
+++ b/src/model/snapshot.cpp
@@ -4,6 +4,8 @@
 #include "model/resource_codec.h"
 #include "model/validation.h"
 
+#include <algorithm>
+
 namespace cyclamenhatch {
 namespace {
 
@@ -14,14 +16,31 @@
     return path.size() == prefix.size() || prefix.back() == '/' || path[prefix.size()] == '/';
 }
 
-bool is_better(const route& candidate, const route* best) {
-    if (best == nullptr) {
-        return true;
+route_index make_index(const std::map<service_id, section_ptr>& sections) {
+    route_index index;
+    for (const auto& [name, part] : sections) {
+        for (const auto& each : part->content.routes) {
+            index[each.host].push_back({&each, part.get()});
+        }
     }
-    if (candidate.host.empty() != best->host.empty()) {
-        return best->host.empty();
+    for (auto& [host, routes] : index) {
+        std::stable_sort(routes.begin(), routes.end(), [](const auto& left, const auto& right) {
+            return left.matched->path_prefix.size() > right.matched->path_prefix.size();
+        });
     }
-    return candidate.path_prefix.size() > best->path_prefix.size();
+    return index;
+}
+
+route_match find_among(const route_index& index, std::string_view host, std::string_view path) {
+    const auto found = index.find(host);
+    if (found == index.end()) {
+        return {};
+    }
+    const auto match =
+        std::find_if(found->second.begin(), found->second.end(), [&](const route_match& each) {
+            return is_path_match(path, each.matched->path_prefix);
+        });
+    return match == found->second.end() ? route_match{} : *match;
 }
 
 } // namespace
@@ -80,22 +99,33 @@
         const service_id name = each->content.service.name;
         built->sections.emplace(name, std::move(each));
     }
+    built->routes = make_index(built->sections);
     built->digest = compute_head_digest(version, built->sections);
     return snapshot_ptr{std::move(built)};
 }
 
 route_match find_route(const snapshot& config, std::string_view host, std::string_view path) {
-    route_match best;
+    const auto exact = find_among(config.routes, host, path);
+    return exact.matched != nullptr || host.empty() ? exact : find_among(config.routes, "", path);
+}
+
+caller_limits widest_limits(const snapshot& config) {
+    std::optional<caller_limits> widest;
     for (const auto& [name, part] : config.sections) {
-        for (const auto& each : part->content.routes) {
-            const bool is_host_match = each.host.empty() || each.host == host;
-            if (is_host_match && is_path_match(path, each.path_prefix) &&
-                is_better(each, best.matched)) {
-                best = {&each, part.get()};
-            }
+        const auto& limits = part->content.service.limits;
+        if (!limits) {
+            continue;
+        }
+        if (!widest) {
+            widest = limits;
+            continue;
         }
+        widest->max_header_bytes = std::max(widest->max_header_bytes, limits->max_header_bytes);
+        widest->max_body_bytes = std::max(widest->max_body_bytes, limits->max_body_bytes);
+        widest->header_timeout = std::max(widest->header_timeout, limits->header_timeout);
+        widest->idle_timeout = std::max(widest->idle_timeout, limits->idle_timeout);
     }
-    return best;
+    return widest.value_or(caller_limits{});
 }
 
 } // namespace cyclamenhatch
--- a/src/model/snapshot.h
+++ b/src/model/snapshot.h
@@ -3,6 +3,7 @@
 #include "model/finding.h"
 #include "model/resources.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -20,6 +21,17 @@
 
 using section_ptr = std::shared_ptr<const stored_section>;
 
+/// Where a call goes: its route and the section that the route's service stands in. The pointers
+/// live as long as the snapshot.
+struct route_match {
+    const route* matched = nullptr;
+    const stored_section* part = nullptr;
+};
+
+/// The routes of each host, those with the longest path prefix first; the empty host holds those
+/// that match every host.
+using route_index = std::map<std::string, std::vector<route_match>, std::less<>>;
+
 /// The whole configuration of one version. Immutable once built; shared between threads as
 /// snapshot_ptr and replaced whole, so a reader never sees two versions mixed.
 struct snapshot {
@@ -29,17 +41,11 @@
     /// Operations that led to this version from the one before.
     std::vector<operation_id> operations;
     std::map<service_id, section_ptr> sections;
+    route_index routes;
 };
 
 using snapshot_ptr = std::shared_ptr<const snapshot>;
 
-/// Where a call goes: its route and the section that the route's service stands in. The pointers
-/// live as long as the snapshot.
-struct route_match {
-    const route* matched = nullptr;
-    const stored_section* part = nullptr;
-};
-
 /// Encodes a section and names it.
 [[nodiscard]] section_ptr make_stored_section(section content);
 
@@ -63,4 +69,8 @@
 [[nodiscard]] route_match find_route(const snapshot& config, std::string_view host,
                                      std::string_view path);
 
+/// The widest caller limits of all services, which hold while a request's route is not known yet;
+/// the defaults when no service states any.
+[[nodiscard]] caller_limits widest_limits(const snapshot& config);
+
 } // namespace cyclamenhatch
--- a/src/model/validation.cpp
+++ b/src/model/validation.cpp
@@ -57,9 +57,10 @@
                        [&](const upstream_version& each) { return each.name == name; });
 }
 
+/// An empty name stands for every version that is announced.
 void check_version(section_report& report, const section& part, const std::string& path,
                    const version_id& name) {
-    if (!has_version(part, name)) {
+    if (!name.empty() && !has_version(part, name)) {
         report.add(path,
                    "no upstream version \"" + name.value + "\" of service \"" +
                        part.service.name.value + "\"",
@@ -122,6 +123,9 @@
         report.add(indexed("move", i, "to"), "the move goes to the version that it leaves",
                    "name two different versions");
     }
+    if (checked.to.empty()) {
+        report.add(indexed("move", i, "to"), "is required", "name the version to move to");
+    }
     if (checked.from != part.service.version) {
         report.add(indexed("move", i, "from"),
                    "the service is on \"" + part.service.version.value + "\"",
@@ -157,6 +161,26 @@
     }
 }
 
+/// What one route's split states by itself; whether its services exist is known of all sections
+/// together only.
+void check_split(section_report& report, const route& checked, std::size_t i) {
+    std::uint64_t weights = 0;
+    bool names_own = checked.split.empty();
+    for (const auto& part : checked.split) {
+        weights += part.weight;
+        names_own = names_own || part.service == checked.service;
+    }
+    if (!names_own) {
+        report.add(indexed("route", i, "split"),
+                   "the route's own service \"" + checked.service.value +
+                       "\" is not among the parts",
+                   "make the route's service one of the parts");
+    }
+    if (!checked.split.empty() && weights == 0) {
+        report.add(indexed("route", i, "split"), "all weights are 0", "give a part a weight");
+    }
+}
+
 /// What a call matches a route by.
 struct route_key {
     std::string host;
@@ -171,6 +195,9 @@
     section_report report;
     check_service(report, part);
     check_routes(report, part);
+    for (std::size_t i = 0; i < part.routes.size(); ++i) {
+        check_split(report, part.routes[i], i);
+    }
     check_unique(report, "upstream_version", part.versions);
     for (std::size_t i = 0; i < part.versions.size(); ++i) {
         check_belongs(report, indexed("upstream_version", i, "service"), part.versions[i].service,
@@ -180,8 +207,34 @@
     return report.found;
 }
 
-findings validate_sections(const std::vector<const section*>& parts) {
+namespace {
+
+/// Parts of splits that name services which the configuration lacks.
+findings check_split_services(const std::vector<const section*>& parts) {
+    std::set<service_id> known;
+    for (const section* part : parts) {
+        known.insert(part->service.name);
+    }
     findings all;
+    for (const section* part : parts) {
+        for (std::size_t i = 0; i < part->routes.size(); ++i) {
+            for (const auto& each : part->routes[i].split) {
+                if (!known.contains(each.service)) {
+                    all.push_back(
+                        {.path = part->service.name.value + "." + indexed("route", i, "split"),
+                         .problem = "no service \"" + each.service.value + "\"",
+                         .remedy = "add the service or name another"});
+                }
+            }
+        }
+    }
+    return all;
+}
+
+} // namespace
+
+findings validate_sections(const std::vector<const section*>& parts) {
+    findings all = check_split_services(parts);
     std::set<service_id> services;
     std::map<route_key, route_id> matches;
     for (const section* part : parts) {
--- a/src/move/closing.cpp
+++ b/src/move/closing.cpp
@@ -36,6 +36,8 @@
         return "little traffic";
     case msg::veto_reason::no_endpoints:
         return "no endpoints";
+    case msg::veto_reason::recorded:
+        return "taken back by its record";
     }
     return "unknown";
 }
--- a/src/move/controller.cpp
+++ b/src/move/controller.cpp
@@ -1,5 +1,6 @@
 #include "move/controller.h"
 
+#include "move/brief.h"
 #include "move/controller_limits.h"
 #include "move/plan.h"
 
@@ -283,6 +284,8 @@
                                       : veto_level(self, facts.false_alarm_ppm)) ||
                (share >= full_share_permille && self.checks >= max_checks &&
                 worst_earlier(self.routes).level >= second_part * check_level);
+    case msg::veto_reason::recorded:
+        return true;
     case msg::veto_reason::operator_cancel:
         return planned.cancel;
     case msg::veto_reason::deadline:
@@ -297,6 +300,9 @@
 }
 
 decision decide(control_state& self, const control_facts& facts, instant now) {
+    if (is_brief(facts.planned)) {
+        return find_veto(facts.known) != nullptr ? decision{} : decide_brief(self, facts, now);
+    }
     const bool is_catching_up = now < self.collected.begun + catch_up_time;
     if (find_veto(facts.known) != nullptr || is_catching_up) {
         return {};
--- a/src/move/controller.h
+++ b/src/move/controller.h
@@ -7,6 +7,8 @@
 #include "move/reports.h"
 
 #include <cstdint>
+#include <deque>
+#include <map>
 #include <string>
 #include <variant>
 #include <vector>
@@ -29,6 +31,9 @@
     ready_slots ready;
     node_id self;
     std::uint32_t false_alarm_ppm = 100;
+    /// Share of the service's calls that a bad version may get in all, and calls beyond it.
+    std::uint32_t exposure_permille = 100;
+    std::uint32_t exposure_slack = 50;
     /// A veto of this node needs no second.
     bool holds_alone = false;
 };
@@ -39,8 +44,16 @@
     judgements routes;
 };
 
+/// The counts of all entries as they stood at a time.
+struct past_counts {
+    instant at;
+    std::map<route_id, route_totals> totals;
+};
+
 struct control_state {
     collection collected;
+    /// Used for brief moves: the counts of the last moments, oldest first.
+    std::deque<past_counts> past_totals;
     judgements routes;
     /// Those of the last seconds, oldest first, to return to when endpoints turn out to have died.
     std::vector<past_judgements> past;
--- a/src/move/evidence.cpp
+++ b/src/move/evidence.cpp
@@ -40,7 +40,9 @@
     ++counts.calls;
     counts.errors += sample.kind == call::sample_kind::error ? 1 : 0;
     counts.busy_us += static_cast<std::uint64_t>(std::max<std::int64_t>(sample.latency.count(), 0));
-    ++counts.latency.at(latency_bucket(sample.latency));
+    if (sample.kind == call::sample_kind::ok) {
+        ++counts.latency.at(latency_bucket(sample.run_time.value_or(sample.latency)));
+    }
 }
 
 /// First bucket at and above which at most `fraction` of the calls lie.
--- a/src/move/move_table.cpp
+++ b/src/move/move_table.cpp
@@ -3,6 +3,8 @@
 #include "move/node_share.h"
 #include "move/plan.h"
 
+#include <algorithm>
+
 namespace cyclamenhatch::moves {
 
 namespace {
@@ -26,7 +28,8 @@
                      .phase = phase_of(known, open.closing),
                      .stage = known.granted ? known.granted->stage : 0,
                      .permille = open.permille,
-                     .is_controller = is_controller(open.around, self.self, 1)};
+                     .is_controller = is_controller(open.around, self.self, 1),
+                     .begun = open.evidence.begun};
     if (const veto* why = find_veto(known)) {
         made.veto_reason = std::string(reason_text(why->reason)) + ": " + why->detail;
     }
@@ -77,7 +80,7 @@
         }
         open_move& open = self.open.at(key->second);
         const bool is_new = sample.version == open.planned.to;
-        if (is_new || sample.version == open.planned.from) {
+        if (is_new || open.planned.from.empty() || sample.version == open.planned.from) {
             add_sample(open.evidence, sample, is_new, now);
         }
     }
@@ -106,4 +109,39 @@
     return all;
 }
 
+void adopt_record(state& self, const attempt_key& key, const recorded_move& record, instant now,
+                  actions& wanted) {
+    self.recorded[key] = record;
+    apply_record(self, key, now, wanted);
+}
+
+void apply_record(state& self, const attempt_key& key, instant now, actions& wanted) {
+    const auto found = self.recorded.find(key);
+    const auto open = self.open.find(key);
+    if (found == self.recorded.end() || open == self.open.end()) {
+        return;
+    }
+    const auto& record = found->second;
+    if (record.outcome == move_outcome::taken_back) {
+        raise_veto(self, key,
+                   {.reason = msg::veto_reason::recorded,
+                    .raised_by = self.self,
+                    .at = from_unix_ms(to_unix_ms(now)),
+                    .is_confirmed = true},
+                   wanted);
+    } else if (record.outcome == move_outcome::done) {
+        attempt_record& known = self.records[key];
+        if (merge(known, permit{.stage = recorded_stage,
+                                .permille = full_share_permille,
+                                .at = from_unix_ms(to_unix_ms(now))})) {
+            known.times_sent = 0;
+        }
+    }
+    auto& planned = open->second.planned;
+    if (planned.duration.count() > 0 && record.begun) {
+        planned.deadline = std::min(planned.deadline, *record.begun + planned.duration);
+    }
+    refresh_share(self, key, open->second, now);
+}
+
 } // namespace cyclamenhatch::moves
--- a/src/move/move_table.h
+++ b/src/move/move_table.h
@@ -62,6 +62,17 @@
     move planned;
 };
 
+/// What the record of a move says, where records are kept apart from the configuration.
+struct recorded_move {
+    /// Absent while the move goes on.
+    std::optional<move_outcome> outcome;
+    /// When the move was first acted upon.
+    std::optional<instant> begun;
+};
+
+/// The stage that a record of success stands for; above all that a controller permits.
+inline constexpr std::uint32_t recorded_stage = 1'000'000;
+
 /// State of one node. Plain data; the caller serialises access.
 struct state {
     msg::move_settings_msg settings;
@@ -72,6 +83,8 @@
     /// The open move of each service.
     std::map<service_id, attempt_key> by_service;
     std::vector<ended_move> ended;
+    /// Records that were read, also of attempts whose configuration has not arrived yet.
+    std::map<attempt_key, recorded_move> recorded;
     snapshot_ptr held;
     instant next_exchange;
 };
@@ -94,6 +107,13 @@
 void on_message(state& self, const membership::table& members, const incoming& from, instant now,
                 random_source& random, actions& wanted);
 
+/// Takes over what the record of a move says.
+void adopt_record(state& self, const attempt_key& key, const recorded_move& record, instant now,
+                  actions& wanted);
+
+/// Applies what was recorded about a move that is open here; does nothing when nothing was.
+void apply_record(state& self, const attempt_key& key, instant now, actions& wanted);
+
 /// How calls are divided now, for each service with an open move; a vetoed move has 0 permille, one
 /// whose last stage is permitted 1000.
 [[nodiscard]] std::map<service_id, call::version_share> shares(const state& self, instant now);
@@ -114,6 +134,8 @@
     /// What the next stage waits for; known to the controller only.
     std::string waiting_for;
     bool is_controller = false;
+    /// When this node learnt of the move.
+    instant begun;
     std::optional<move_ending> ending;
 };
 
--- a/src/move/on_config.cpp
+++ b/src/move/on_config.cpp
@@ -1,3 +1,4 @@
+#include "move/brief.h"
 #include "move/move_table.h"
 #include "move/node_share.h"
 
@@ -24,18 +25,21 @@
 void begin(state& self, const membership::table& members, const move& planned, instant now,
            actions& wanted) {
     const attempt_key key = key_of(planned);
-    open_move made{.planned = planned};
-    made.evidence.begun = from_unix_ms(to_unix_ms(now));
-    made.control.collected.begun = made.evidence.begun;
-    made.control.last_step = now;
-    made.around = make_topology(members, key, planned);
-    open_move& open = self.open.emplace(key, std::move(made)).first->second;
-    self.records.try_emplace(key);
+    open_move& open = self.open[key];
+    open.planned = planned;
+    if (planned.duration.count() > 0) {
+        open.planned.deadline = now + planned.duration;
+    }
+    open.evidence.begun = from_unix_ms(to_unix_ms(now));
+    open.control.collected.begun = open.evidence.begun;
+    open.control.last_step = now;
+    open.around = make_topology(members, key, planned);
+    self.records[key].one_raiser_suffices = is_brief(planned);
     refresh_share(self, key, open, now);
     wanted.logs.push_back(make_log(key, log_level::info, "move_opened",
                                    {{"from", planned.from.value},
                                     {"to", planned.to.value},
-                                    {"deadline", format_rfc3339(planned.deadline)},
+                                    {"deadline", format_rfc3339(open.planned.deadline)},
                                     {"ready_slots", std::to_string(open.around.ready.on_new)}}));
     for (const auto& found : check_endpoints(open.around.ready, planned)) {
         wanted.logs.push_back(make_log(key, log_level::warning, "move_endpoints",
@@ -109,7 +113,11 @@
         if (found == self.open.end()) {
             begin(self, members, *planned, now, wanted);
         } else {
+            const instant deadline = found->second.planned.deadline;
             found->second.planned = *planned;
+            if (planned->duration.count() > 0) {
+                found->second.planned.deadline = deadline;
+            }
         }
         self.by_service[key.service] = key;
         open_move& open = self.open.at(key);
@@ -117,7 +125,9 @@
             raise_veto(self, key, operator_veto(self, now), wanted);
         }
         refresh_share(self, key, open, now);
+        apply_record(self, key, now, wanted);
     }
+    std::erase_if(self.recorded, [&](const auto& each) { return !open_now.contains(each.first); });
     drop_records(self, *held);
 }
 
--- a/src/move/on_tick.cpp
+++ b/src/move/on_tick.cpp
@@ -1,3 +1,4 @@
+#include "move/brief.h"
 #include "move/move_table.h"
 #include "move/node_share.h"
 #include "move/plan.h"
@@ -35,7 +36,9 @@
 void judge_locally(state& self, const attempt_key& key, open_move& open, instant now,
                    actions& wanted) {
     const attempt_record& known = find_record(self, key);
-    if (known.vetoes.contains(self.self) || find_veto(known) != nullptr || !known.granted) {
+    const bool is_decided = known.vetoes.contains(self.self) || find_veto(known) != nullptr;
+    // One entry alone sees too few calls of a brief move.
+    if (is_decided || !known.granted || is_brief(open.planned)) {
         return;
     }
     const local_finding found = strongest_local(open.evidence);
@@ -81,7 +84,8 @@
         return;
     }
     open.next_report = now + report_interval(open.around, self.settings.report_interval_ms);
-    const report made = make_report(key, self.self.value, open.evidence, now);
+    const report made =
+        make_report(key, self.self.value, open.evidence, now, is_brief(open.planned));
     if (!open.around.is_combined) {
         report_to_controllers(self, members, open, made, now, wanted);
     } else if (open.around.combiner == self.self) {
@@ -131,7 +135,9 @@
             .ready = open.around.ready,
             .self = self.self,
             .false_alarm_ppm = self.settings.false_alarm_ppm,
-            .holds_alone = is_too_small_for_second(open.around)};
+            .exposure_permille = self.settings.exposure_permille,
+            .exposure_slack = self.settings.exposure_slack,
+            .holds_alone = is_brief(open.planned) || is_too_small_for_second(open.around)};
 }
 
 /// A controller seconds a veto that its own view of the same reports bears out; one that holds
--- a/src/move/permits.cpp
+++ b/src/move/permits.cpp
@@ -67,7 +67,8 @@
         return confirmed;
     }
     constexpr std::size_t enough_raisers = 2;
-    return self.vetoes.size() >= enough_raisers ? first : nullptr;
+    const std::size_t enough = self.one_raiser_suffices ? 1 : enough_raisers;
+    return self.vetoes.size() >= enough ? first : nullptr;
 }
 
 msg::move_permit_msg to_message(const attempt_key& key, const permit& from) {
@@ -103,7 +104,9 @@
             .route = route_id(from.route),
             .detail = from.detail,
             .raised_by = node_id(from.raised_by),
-            .at = from_unix_ms(from.at_ms)};
+            .at = from_unix_ms(from.at_ms),
+            // Whoever raised it has read the record; it needs no second opinion.
+            .is_confirmed = from.reason == msg::veto_reason::recorded};
 }
 
 } // namespace cyclamenhatch::moves
--- a/src/move/permits.h
+++ b/src/move/permits.h
@@ -48,6 +48,8 @@
     std::optional<permit> granted;
     /// By the node that raised it.
     std::map<node_id, veto> vetoes;
+    /// One node's veto holds: there is no time to wait for a second opinion.
+    bool one_raiser_suffices = false;
     /// How often the latest news was passed on.
     std::uint32_t times_sent = 0;
 };
@@ -67,7 +69,7 @@
 [[nodiscard]] msg::move_permit_msg to_message(const attempt_key& key, const permit& from);
 [[nodiscard]] msg::move_veto_msg to_message(const attempt_key& key, const veto& from);
 [[nodiscard]] permit from_message(const msg::move_permit_msg& from);
-/// Not confirmed; the receiver judges who raised it.
+/// Not confirmed, but for what a record says; the receiver judges who raised it.
 [[nodiscard]] veto from_message(const msg::move_veto_msg& from);
 
 } // namespace cyclamenhatch::moves
--- a/src/move/reports.cpp
+++ b/src/move/reports.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace cyclamenhatch::moves {
 
@@ -48,6 +49,21 @@
     return static_cast<std::uint32_t>(std::min<std::uint64_t>(count, UINT32_MAX));
 }
 
+/// The buckets up to the last one that holds calls.
+std::vector<std::uint32_t> write_latency(const latency_counts& counts) {
+    const auto last =
+        std::find_if(counts.rbegin(), counts.rend(), [](std::uint64_t each) { return each > 0; });
+    std::vector<std::uint32_t> written;
+    std::transform(counts.begin(), last.base(), std::back_inserter(written), saturate);
+    return written;
+}
+
+latency_counts read_latency(const std::vector<std::uint32_t>& from) {
+    latency_counts counts{};
+    std::copy_n(from.begin(), std::min(from.size(), counts.size()), counts.begin());
+    return counts;
+}
+
 std::unique_ptr<msg::route_evidence_msg> make_route(const route_id& name, const version_id& version,
                                                     std::uint64_t calls, std::uint64_t errors) {
     auto made = std::make_unique<msg::route_evidence_msg>();
@@ -136,7 +152,7 @@
 } // namespace
 
 report make_report(const attempt_key& key, const std::string& source, const entry_evidence& from,
-                   instant now) {
+                   instant now, bool has_latencies) {
     report made{.key = key,
                 .source = source,
                 .sequence = static_cast<std::uint64_t>(to_unix_ms(now)),
@@ -150,6 +166,10 @@
                                          .old_errors = route.on_old.errors,
                                          .busy_us = route.on_new.busy_us + route.on_old.busy_us,
                                          .scores = route.closed});
+        if (has_latencies) {
+            made.routes[name].new_latency = route.on_new.latency;
+            made.routes[name].old_latency = route.on_old.latency;
+        }
     }
     return made;
 }
@@ -171,8 +191,11 @@
         on_new->refusals = saturate(totals.new_refusals);
         on_new->busy_us = totals.busy_us;
         on_new->scores = flatten(totals.scores);
+        on_new->latency = write_latency(totals.new_latency);
         made.routes.push_back(std::move(on_new));
-        made.routes.push_back(make_route(name, from_version, totals.old_calls, totals.old_errors));
+        auto on_old = make_route(name, from_version, totals.old_calls, totals.old_errors);
+        on_old->latency = write_latency(totals.old_latency);
+        made.routes.push_back(std::move(on_old));
     }
     return made;
 }
@@ -194,12 +217,14 @@
         if (each->version != to_version.value) {
             totals.old_calls = each->calls;
             totals.old_errors = each->errors;
+            totals.old_latency = read_latency(each->latency);
             continue;
         }
         totals.new_calls = each->calls;
         totals.new_errors = each->errors;
         totals.new_refusals = each->refusals;
         totals.busy_us = each->busy_us;
+        totals.new_latency = read_latency(each->latency);
         totals.scores = unflatten(each->scores);
     }
     return made;
@@ -251,17 +276,25 @@
     return joined;
 }
 
+void add_totals(route_totals& sum, const route_totals& added) {
+    sum.new_calls += added.new_calls;
+    sum.new_errors += added.new_errors;
+    sum.new_refusals += added.new_refusals;
+    sum.old_calls += added.old_calls;
+    sum.old_errors += added.old_errors;
+    sum.busy_us += added.busy_us;
+    for (std::size_t i = 0; i < latency_buckets; ++i) {
+        sum.new_latency.at(i) += added.new_latency.at(i);
+        sum.old_latency.at(i) += added.old_latency.at(i);
+    }
+}
+
 std::map<route_id, route_totals> sum_totals(const collection& self) {
     std::map<route_id, route_totals> sums;
     for (const auto& [name, source] : self.sources) {
         for (const auto& [route, totals] : source.latest.routes) {
             route_totals& sum = sums[route];
-            sum.new_calls += totals.new_calls;
-            sum.new_errors += totals.new_errors;
-            sum.new_refusals += totals.new_refusals;
-            sum.old_calls += totals.old_calls;
-            sum.old_errors += totals.old_errors;
-            sum.busy_us += totals.busy_us;
+            add_totals(sum, totals);
         }
     }
     return sums;
--- a/src/move/reports.h
+++ b/src/move/reports.h
@@ -7,6 +7,7 @@
 #include "move/evidence.h"
 #include "move/verdict.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -15,6 +16,9 @@
 /// loss, repetition and reordering cost nothing but time; sums over sources are again reports.
 namespace cyclamenhatch::moves {
 
+/// Calls by latency bucket.
+using latency_counts = std::array<std::uint64_t, latency_buckets>;
+
 /// Totals of one route since a source began to count.
 struct route_totals {
     std::uint64_t new_calls = 0;
@@ -23,9 +27,16 @@
     std::uint64_t old_calls = 0;
     std::uint64_t old_errors = 0;
     std::uint64_t busy_us = 0;
+    /// Calls that did not fail, by the time that they took at the upstream. Only brief moves carry
+    /// them.
+    latency_counts new_latency{};
+    latency_counts old_latency{};
     score_table scores{};
 };
 
+/// Adds counts; scores stay as they are.
+void add_totals(route_totals& sum, const route_totals& added);
+
 /// One report in strong types.
 struct report {
     attempt_key key;
@@ -38,7 +49,8 @@
 };
 
 [[nodiscard]] report make_report(const attempt_key& key, const std::string& source,
-                                 const entry_evidence& from, instant now);
+                                 const entry_evidence& from, instant now,
+                                 bool has_latencies = false);
 
 [[nodiscard]] msg::move_evidence_msg to_message(const report& from, const version_id& from_version,
                                                 const version_id& to_version);
--- a/src/move/topology.cpp
+++ b/src/move/topology.cpp
@@ -28,7 +28,7 @@
     const std::uint32_t slots = std::max(record.upstream->slots, 1U);
     if (record.upstream->version == planned.to.value) {
         made.ready.on_new += slots;
-    } else if (record.upstream->version == planned.from.value) {
+    } else if (planned.from.empty() || record.upstream->version == planned.from.value) {
         made.ready.on_old += slots;
     }
 }
--- /dev/null
+++ b/src/net/http_service.cpp
@@ -0,0 +1,161 @@
+#include "net/http_service.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <optional>
+#include <set>
+#include <stdexcept>
+#include <utility>
+
+namespace cyclamenhatch::net {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr std::uint64_t max_request_bytes = 65'536;
+/// A client that sends nothing for this long is disconnected.
+constexpr std::chrono::seconds max_silence{60};
+
+struct session;
+using session_ptr = std::shared_ptr<session>;
+
+} // namespace
+
+struct http_service : std::enable_shared_from_this<http_service> {
+    http_service(asio::io_context& io, service_handler with)
+        : acceptor(io), handler(std::move(with)) {}
+
+    tcp::acceptor acceptor;
+    service_handler handler;
+    std::set<session_ptr> sessions;
+    bool is_stopped = false;
+};
+
+namespace {
+
+using service_ptr = std::shared_ptr<http_service>;
+
+struct session {
+    explicit session(tcp::socket socket) : stream(std::move(socket)) {}
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    std::optional<http::request_parser<http::string_body>> parser;
+    http::response<http::string_body> answer;
+};
+
+void end_session(const service_ptr& service, const session_ptr& self) {
+    error_code ignored;
+    self->stream.socket().close(ignored);
+    service->sessions.erase(self);
+}
+
+void read_next(const service_ptr& service, const session_ptr& self);
+
+void reply(const service_ptr& service, const session_ptr& self, service_answer answer,
+           bool keeps_alive) {
+    self->answer = {};
+    self->answer.version(11);
+    self->answer.result(answer.status);
+    if (!answer.body.empty()) {
+        self->answer.set(http::field::content_type, answer.content_type);
+    }
+    self->answer.body() = std::move(answer.body);
+    self->answer.keep_alive(keeps_alive);
+    self->answer.prepare_payload();
+    http::async_write(self->stream, self->answer,
+                      [service, self, keeps_alive](error_code failed, std::size_t /*bytes*/) {
+                          if (failed || !keeps_alive) {
+                              end_session(service, self);
+                              return;
+                          }
+                          read_next(service, self);
+                      });
+}
+
+void on_request(const service_ptr& service, const session_ptr& self, error_code failed) {
+    if (service->is_stopped) {
+        return;
+    }
+    if (failed == http::error::body_limit) {
+        reply(service, self, {.status = 413}, false);
+        return;
+    }
+    if (failed) {
+        end_session(service, self);
+        return;
+    }
+    auto& read = self->parser->get();
+    const service_request request{.method = std::string(read.method_string()),
+                                  .target = std::string(read.target()),
+                                  .body = std::move(read.body())};
+    reply(service, self, service->handler(request), read.keep_alive());
+}
+
+void read_next(const service_ptr& service, const session_ptr& self) {
+    self->parser.emplace();
+    self->parser->body_limit(max_request_bytes);
+    self->stream.expires_after(max_silence);
+    http::async_read(self->stream, self->buffer, *self->parser,
+                     [service, self](error_code failed, std::size_t /*bytes*/) {
+                         on_request(service, self, failed);
+                     });
+}
+
+void accept_next(const service_ptr& service) {
+    service->acceptor.async_accept([service](error_code failed, tcp::socket socket) {
+        if (service->is_stopped) {
+            return;
+        }
+        if (!failed) {
+            error_code ignored;
+            socket.set_option(tcp::no_delay(true), ignored);
+            const auto opened = std::make_shared<session>(std::move(socket));
+            service->sessions.insert(opened);
+            read_next(service, opened);
+        }
+        accept_next(service);
+    });
+}
+
+} // namespace
+
+std::shared_ptr<http_service> start_http_service(asio::io_context& io, const std::string& ip,
+                                                 std::uint16_t port, service_handler handler) {
+    auto service = std::make_shared<http_service>(io, std::move(handler));
+    try {
+        const tcp::endpoint at(asio::ip::make_address(ip), port);
+        service->acceptor.open(at.protocol());
+        service->acceptor.set_option(tcp::acceptor::reuse_address(true));
+        service->acceptor.bind(at);
+        service->acceptor.listen();
+    } catch (const boost::system::system_error& failed) {
+        throw std::runtime_error("cannot listen on " + ip + ":" + std::to_string(port) + ": " +
+                                 failed.what());
+    }
+    accept_next(service);
+    return service;
+}
+
+std::uint16_t service_port(const http_service& service) {
+    error_code failed;
+    return service.acceptor.local_endpoint(failed).port();
+}
+
+void stop(http_service& service) {
+    service.is_stopped = true;
+    error_code ignored;
+    service.acceptor.close(ignored);
+    for (const auto& each : std::exchange(service.sessions, {})) {
+        each->stream.socket().close(ignored);
+    }
+}
+
+} // namespace cyclamenhatch::net
