--- /dev/null
+++ b/src/net/http_service.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "model/time.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+/// A small HTTP/1.1 server for short requests and answers, such as readiness, announcements and
+/// metrics, on an io_context.
+namespace cyclamenhatch::net {
+
+struct service_request {
+    std::string method;
+    /// Path and query.
+    std::string target;
+    std::string body;
+};
+
+struct service_answer {
+    unsigned status = 200;
+    std::string content_type = "application/json";
+    std::string body;
+};
+
+/// Answers one request; called from the io_context's thread and must not block.
+using service_handler = std::function<service_answer(const service_request&)>;
+
+/// Opaque; made by start_http_service.
+struct http_service;
+
+/// Listens and begins to serve. Throws std::runtime_error when the port cannot be had.
+[[nodiscard]] std::shared_ptr<http_service> start_http_service(boost::asio::io_context& io,
+                                                               const std::string& ip,
+                                                               std::uint16_t port,
+                                                               service_handler handler);
+
+/// The port that the service has, for one that was started on port 0.
+[[nodiscard]] std::uint16_t service_port(const http_service& service);
+
+/// Closes the listener and all connections. Call from the io_context's thread.
+void stop(http_service& service);
+
+} // namespace cyclamenhatch::net
--- a/src/node/log_writer.cpp
+++ b/src/node/log_writer.cpp
@@ -3,10 +3,13 @@
 #include "clock/process_clock.h"
 #include "model/time.h"
 
+#include <atomic>
 #include <glog/logging.h>
 #include <map>
 #include <mutex>
 #include <optional>
+#include <poll.h>
+#include <unistd.h>
 
 namespace cyclamenhatch::node {
 namespace {
@@ -30,7 +33,25 @@
     return shared;
 }
 
+/// Whether a line can be written without waiting for whoever reads the stream.
+bool is_writable() {
+    pollfd stream{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
+    return ::poll(&stream, 1, 0) > 0 && (stream.revents & POLLOUT) != 0;
+}
+
+std::atomic<std::uint64_t>& dropped_lines() {
+    static std::atomic<std::uint64_t> count{0};
+    return count;
+}
+
 void write_line(log_level level, const std::string& line) {
+    if (!is_writable()) {
+        ++dropped_lines();
+        return;
+    }
+    if (const auto dropped = dropped_lines().exchange(0); dropped > 0) {
+        LOG(WARNING) << "event=lines_dropped count=" << dropped;
+    }
     switch (level) {
     case log_level::info:
         LOG(INFO) << line;
@@ -62,11 +83,15 @@
 } // namespace
 
 void start_logging(msg::log_level lowest) {
-    FLAGS_logtostderr = true;
-    FLAGS_minloglevel = static_cast<int>(lowest);
+    FLAGS_logtostdout = true;
+    set_log_level(lowest);
     google::InitGoogleLogging("cyclamenhatch");
 }
 
+void set_log_level(msg::log_level lowest) {
+    FLAGS_minloglevel = static_cast<int>(lowest);
+}
+
 void write_log(const log_event& event) {
     std::optional<log_event> report;
     bool is_written = false;
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -9,8 +9,6 @@
 namespace cyclamenhatch::node {
 namespace {
 
-/// An upstream that does not renew its announcement for this long counts as gone.
-constexpr milliseconds announcement_ttl{3000};
 /// Evidence beyond this many calls between two ticks is dropped.
 constexpr std::size_t max_samples = 100'000;
 
@@ -63,7 +61,7 @@
         wire::send(*node.links, std::move(message));
     }
     for (const auto& request : wanted.requests) {
-        store::execute(*node.store, request);
+        node.store.execute(request);
     }
     for (const auto& event : wanted.logs) {
         write_log(event);
@@ -75,12 +73,40 @@
     }
 }
 
+/// Whether this node knows the configuration and the other members, so that calls which its
+/// upstream makes in turn find their way.
+bool is_serving(const node_runtime& node) {
+    return node.control.members.has_joined && distribution::is_ready(node.control.spread);
+}
+
+/// Takes a change of the upstream beside this node over into the member table. While the node
+/// itself is not serving, others are told that the upstream is starting.
+void set_own_upstream(node_runtime& node, const msg::upstream_record_msg& upstream, instant at,
+                      control::actions& wanted) {
+    node.held_upstream.reset();
+    if (upstream.state == msg::upstream_state::ready && !is_serving(node)) {
+        node.held_upstream = upstream;
+        return;
+    }
+    const auto& known = node.control.members.self.upstream;
+    // Sequence numbers and the shrinking rest of the cold time are no news to other nodes.
+    auto told = upstream;
+    told.sequence = 0;
+    if (known && known->instance == told.instance && known->started_ms == told.started_ms) {
+        told.cold_ms = known->cold_ms;
+    }
+    if (!known || *known != told) {
+        control::set_upstream(node.control, told, at, wanted);
+    }
+}
+
 /// The upstream is taken for gone when it has stopped to renew its announcement.
 void expire_announcement(node_runtime& node, instant at, control::actions& wanted) {
     const auto& upstream = node.control.members.self.upstream;
     const bool is_present = upstream && upstream->state != msg::upstream_state::none &&
                             upstream->state != msg::upstream_state::gone;
-    if (!is_present || at - node.last_announcement <= announcement_ttl) {
+    const milliseconds ttl{node.settings.call->announcement_ttl_ms};
+    if (!is_present || at - node.upstream_run.heard_at <= ttl) {
         return;
     }
     auto expired = *upstream;
@@ -101,8 +127,9 @@
 
 } // namespace
 
-node_runtime::node_runtime(const msg::settings_msg& from)
-    : settings(from), control(control::make_state(from, std::random_device{}(), current_time())),
+node_runtime::node_runtime(const msg::settings_msg& from, const std::optional<feed::dialect>& words)
+    : settings(from),
+      control(control::make_state(from, std::random_device{}(), current_time(), words)),
       view(std::make_shared<const call::routing_view>(
           control::make_routing_view(control, current_time()))) {}
 
@@ -127,6 +154,9 @@
     }
     step(node, [&](instant at, control::actions& wanted) {
         control::record_samples(node.control, samples, at);
+        if (node.held_upstream && is_serving(node)) {
+            set_own_upstream(node, msg::upstream_record_msg(*node.held_upstream), at, wanted);
+        }
         expire_announcement(node, at, wanted);
         control::on_tick(node.control, at, wanted);
     });
@@ -164,19 +194,35 @@
 }
 
 findings announce(node_runtime& node, const admin::announcement& announced) {
-    bool is_news = false;
+    bool is_taken = false;
     step(node, [&](instant at, control::actions& wanted) {
-        node.last_announcement = at;
-        const auto& known = node.control.members.self.upstream;
-        is_news = !known || *known != announced.upstream;
-        if (is_news) {
-            control::set_upstream(node.control, announced.upstream, at, wanted);
+        is_taken = membership::take_announcement(node.upstream_run, announced.upstream, at);
+        if (is_taken) {
+            set_own_upstream(node, announced.upstream, at, wanted);
         }
     });
-    edge::set_upstream(*node.calls, announced.upstream, announced.port);
+    if (is_taken) {
+        edge::set_upstream(*node.calls, announced.upstream, announced.port, announced.ip);
+    }
     return {};
 }
 
+void announce_leave(node_runtime& node, const std::string& instance) {
+    std::optional<msg::upstream_record_msg> left;
+    step(node, [&](instant at, control::actions& wanted) {
+        const auto& known = node.control.members.self.upstream;
+        if (!membership::take_leave(node.upstream_run, instance, at) || !known) {
+            return;
+        }
+        left = *known;
+        left->state = msg::upstream_state::gone;
+        set_own_upstream(node, *left, at, wanted);
+    });
+    if (left) {
+        edge::set_upstream_state(*node.calls, *left);
+    }
+}
+
 call::routing_view_ptr current_view(const node_runtime& node) {
     const auto at = current_time();
     const std::lock_guard<std::mutex> guard(node.view_lock);
--- a/src/node/node_runtime.h
+++ b/src/node/node_runtime.h
@@ -4,6 +4,7 @@
 #include "call/routing_view.h"
 #include "control/control.h"
 #include "edge/call_path.h"
+#include "membership/upstream_run.h"
 #include "store/store_client.h"
 #include "wire/link_pool.h"
 
@@ -11,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <vector>
 
 /// One running node: the control state behind a lock, and the parts that touch the outside.
@@ -18,11 +20,20 @@
 
 using write_callback = std::function<void(store::write_reply)>;
 
+/// The key-value service as the node uses it, whichever client reaches it.
+struct store_access {
+    std::function<void(const store::kv_request&)> execute;
+    std::function<void()> stop;
+    std::function<store::store_counters()> counts;
+};
+
 /// Lock order: control_lock, then samples_lock or view_lock; none of them is held while a part of
 /// the outside (links, store, callers, operators) is called. Members without a lock are set before
 /// the threads start and do not change.
 struct node_runtime {
-    explicit node_runtime(const msg::settings_msg& from);
+    /// With a dialect the configuration is read as the operators write it in that dialect.
+    explicit node_runtime(const msg::settings_msg& from,
+                          const std::optional<feed::dialect>& words = std::nullopt);
 
     msg::settings_msg settings;
 
@@ -30,8 +41,11 @@
     control::state control;
     /// Operators that wait for a write, by operation id.
     std::multimap<operation_id, write_callback> waiting_writes;
-    /// When the upstream beside this node last announced itself.
-    instant last_announcement;
+    /// The run of the upstream beside this node that was heard last.
+    membership::upstream_run upstream_run;
+    /// The upstream as it announced itself, while this node is not yet able to serve the calls that
+    /// it makes in turn.
+    std::optional<msg::upstream_record_msg> held_upstream;
     /// What the published view was built from.
     std::uint64_t view_generation = 0;
     snapshot_ptr view_config;
@@ -47,7 +61,7 @@
     instant last_tick;
 
     std::shared_ptr<wire::link_pool> links;
-    std::shared_ptr<store::store_client> store;
+    store_access store;
     std::shared_ptr<edge::call_path> calls;
 };
 
@@ -66,9 +80,13 @@
 /// Queues a write and calls back once with its outcome. Thread safe.
 void write(node_runtime& node, store::write_request request, write_callback reply);
 
-/// Takes an announcement of the upstream beside this node. Thread safe.
+/// Takes an announcement of the upstream beside this node; one that comes late changes nothing.
+/// Thread safe.
 [[nodiscard]] findings announce(node_runtime& node, const admin::announcement& announced);
 
+/// The run of the upstream with this instance id leaves: it gets no new calls. Thread safe.
+void announce_leave(node_runtime& node, const std::string& instance);
+
 /// The present view for the call path; not ready when no tick has passed for the pause setting, as
 /// right after the process stood still. Thread safe; never null.
 [[nodiscard]] call::routing_view_ptr current_view(const node_runtime& node);
--- /dev/null
+++ b/src/node/parts.cpp
@@ -0,0 +1,56 @@
+#include "node/parts.h"
+
+#include "clock/process_clock.h"
+#include "node/log_writer.h"
+#include "node/state_document.h"
+
+namespace cyclamenhatch::node {
+
+wire::link_events make_link_events(const runtime_ptr& node) {
+    return {
+        .on_message = [node](incoming message) { dispatch(*node, std::move(message)); },
+        .on_link_lost = [node](const node_id& peer) { edge::on_link_lost(*node->calls, peer); },
+        .on_undelivered = [node](const outgoing& message) { handle_undelivered(*node, message); },
+        .on_log = [](const log_event& event) { write_log(event); }};
+}
+
+edge::surroundings make_surroundings(const runtime_ptr& node) {
+    return {.send = [node](outgoing message) { wire::send(*node->links, std::move(message)); },
+            .view = [node] { return current_view(*node); },
+            .record =
+                [node](std::vector<call::call_sample> samples) {
+                    record_samples(*node, std::move(samples));
+                },
+            .log = [](const log_event& event) { write_log(event); }};
+}
+
+admin::backend make_backend(const runtime_ptr& node) {
+    admin::backend made;
+    made.configuration = [node] { return current_view(*node)->config; };
+    made.write = [node](store::write_request request, write_callback reply) {
+        write(*node, std::move(request), std::move(reply));
+    };
+    made.progress = [node] {
+        const std::lock_guard<std::mutex> guard(node->control_lock);
+        return node->control.spread.progress;
+    };
+    made.move_statuses = [node] {
+        const std::lock_guard<std::mutex> guard(node->control_lock);
+        return moves::list_status(node->control.moves, current_time());
+    };
+    made.status = [node] { return describe_fleet(*node); };
+    made.dump = [node] { return dump_state(*node); };
+    made.usage = [node] { return edge::usage(*node->calls); };
+    made.metrics = [node] { return metrics_text(*node); };
+    made.announce = [node](const admin::announcement& announced) {
+        return announce(*node, announced);
+    };
+    made.is_ready = [node] {
+        const std::lock_guard<std::mutex> guard(node->control_lock);
+        return distribution::is_ready(node->control.spread);
+    };
+    made.now = current_time;
+    return made;
+}
+
+} // namespace cyclamenhatch::node
--- a/src/node/run_node.cpp
+++ b/src/node/run_node.cpp
@@ -4,7 +4,8 @@
 #include "clock/process_clock.h"
 #include "node/log_writer.h"
 #include "node/node_runtime.h"
-#include "node/state_document.h"
+#include "node/parts.h"
+#include "node/run_on_loop.h"
 
 #include <atomic>
 #include <csignal>
@@ -16,8 +17,6 @@
 
 constexpr milliseconds tick_interval{100};
 
-using runtime_ptr = std::shared_ptr<node_runtime>;
-
 /// SIGTERM and SIGINT are taken by wait_for_stop alone; a broken connection is no signal.
 void block_signals() {
     sigset_t stops{};
@@ -38,61 +37,19 @@
     return number;
 }
 
-wire::link_events make_link_events(const runtime_ptr& node) {
-    return {
-        .on_message = [node](incoming message) { dispatch(*node, std::move(message)); },
-        .on_link_lost = [node](const node_id& peer) { edge::on_link_lost(*node->calls, peer); },
-        .on_undelivered = [node](const outgoing& message) { handle_undelivered(*node, message); },
-        .on_log = [](const log_event& event) { write_log(event); }};
-}
-
-edge::surroundings make_surroundings(const runtime_ptr& node) {
-    return {.send = [node](outgoing message) { wire::send(*node->links, std::move(message)); },
-            .view = [node] { return current_view(*node); },
-            .record =
-                [node](std::vector<call::call_sample> samples) {
-                    record_samples(*node, std::move(samples));
-                }};
-}
-
-admin::backend make_backend(const runtime_ptr& node) {
-    admin::backend made;
-    made.configuration = [node] { return current_view(*node)->config; };
-    made.write = [node](store::write_request request, write_callback reply) {
-        write(*node, std::move(request), std::move(reply));
-    };
-    made.progress = [node] {
-        const std::lock_guard<std::mutex> guard(node->control_lock);
-        return node->control.spread.progress;
-    };
-    made.move_statuses = [node] {
-        const std::lock_guard<std::mutex> guard(node->control_lock);
-        return moves::list_status(node->control.moves, current_time());
-    };
-    made.status = [node] { return describe_fleet(*node); };
-    made.dump = [node] { return dump_state(*node); };
-    made.usage = [node] { return edge::usage(*node->calls); };
-    made.metrics = [node] { return metrics_text(*node); };
-    made.announce = [node](const admin::announcement& announced) {
-        return announce(*node, announced);
-    };
-    made.is_ready = [node] {
-        const std::lock_guard<std::mutex> guard(node->control_lock);
-        return distribution::is_ready(node->control.spread);
-    };
-    made.now = current_time;
-    return made;
-}
-
 /// Starts what touches the outside. Links are opened first, so that the others may send, and
 /// started last, since they deliver to the others.
 std::shared_ptr<admin::admin_server> start_parts(const runtime_ptr& node) {
-    node->store = store::start_store_client(
+    const auto client = store::start_store_client(
         *node->settings.store, [node](const store::kv_response& response) {
             step(*node, [&](instant at, control::actions& wanted) {
                 control::on_store_response(node->control, response, at, wanted);
             });
         });
+    node->store = {
+        .execute = [client](const store::kv_request& request) { store::execute(*client, request); },
+        .stop = [client] { store::stop(*client); },
+        .counts = [client] { return store::counters(*client); }};
     node->links = wire::open_link_pool(node->settings, make_link_events(node));
     node->calls = edge::start_call_path(node->settings, make_surroundings(node));
     wire::start(*node->links);
@@ -116,9 +73,12 @@
 
 } // namespace
 
-int run_node(const msg::settings_msg& settings) {
-    block_signals();
+int run_node(const msg::settings_msg& settings, const settings_reader& reread) {
     start_logging(settings.process->log_level);
+    if (settings.process->deployment == msg::deployment::platform) {
+        return run_on_loop(settings, reread);
+    }
+    block_signals();
     const auto node = std::make_shared<node_runtime>(settings);
     std::shared_ptr<admin::admin_server> operators;
     try {
@@ -148,7 +108,7 @@
     admin::stop(*operators);
     const auto cut_off = edge::stop(*node->calls);
     wire::stop(*node->links);
-    store::stop(*node->store);
+    node->store.stop();
     write_log({cut_off == 0 ? log_level::info : log_level::warning,
                "node_stopped",
                {{"calls_cut_off", std::to_string(cut_off)}}});
--- a/src/node/run_node.h
+++ b/src/node/run_node.h
@@ -1,11 +1,18 @@
 #pragma once
 
+#include "model/finding.h"
 #include "settings_generated.h"
 
+#include <functional>
+
 namespace cyclamenhatch::node {
 
-/// Runs one node until SIGTERM or SIGINT, then drains and leaves. Returns the exit code: 0 after an
-/// orderly shutdown, 1 when it could not start.
-[[nodiscard]] int run_node(const msg::settings_msg& settings);
+/// Reads the settings again from where they came.
+using settings_reader = std::function<result<msg::settings_msg>()>;
+
+/// Runs one node until SIGTERM or SIGINT, then drains and leaves. `reread` may be empty; a node on
+/// the deployment platform reloads its settings with it. Returns the exit code: 0 after an orderly
+/// shutdown, 1 when it could not start.
+[[nodiscard]] int run_node(const msg::settings_msg& settings, const settings_reader& reread);
 
 } // namespace cyclamenhatch::node
--- a/src/node/state_document.cpp
+++ b/src/node/state_document.cpp
@@ -146,13 +146,21 @@
     return items;
 }
 
+bool is_store_down(const control::state& from) {
+    return from.operators ? from.operators->is_store_down : from.reader.is_store_down;
+}
+
+bool is_watching_store(const control::state& from) {
+    return from.operators ? from.operators->watch.id != 0 : from.reader.is_watching;
+}
+
 document describe_store(const node_runtime& node) {
-    const auto& reader = node.control.reader;
-    const auto counts = store::counters(*node.store);
-    return document::table{{"is_down", reader.is_store_down},   {"is_watching", reader.is_watching},
-                           {"reads", number(counts.reads)},     {"writes", number(counts.writes)},
-                           {"watches", number(counts.watches)}, {"not_run", number(counts.not_run)},
-                           {"unknown", number(counts.unknown)}};
+    const auto counts = node.store.counts();
+    return document::table{
+        {"is_down", is_store_down(node.control)}, {"is_watching", is_watching_store(node.control)},
+        {"reads", number(counts.reads)},          {"writes", number(counts.writes)},
+        {"watches", number(counts.watches)},      {"not_run", number(counts.not_run)},
+        {"unknown", number(counts.unknown)}};
 }
 
 document describe_links(const node_runtime& node) {
@@ -193,7 +201,7 @@
     if (membership::has_duty(from.members, "in-force", 1, own)) {
         held.emplace_back("in-force");
     }
-    if (membership::has_duty(from.members, "contact", 3, own)) {
+    if (membership::has_duty(from.members, "contact", 2, own)) {
         held.emplace_back("contact");
     }
     return held;
@@ -249,7 +257,7 @@
         {"suspect_nodes", static_cast<std::int64_t>(suspects)},
         {"data_centres", describe_data_centres(from.spread)},
         {"moves", describe_moves(from, at)},
-        {"store_is_down", from.reader.is_store_down},
+        {"store_is_down", is_store_down(from)},
         {"progress", describe_progress(from.spread)}};
 }
 
@@ -261,7 +269,7 @@
         add_line(text, "config_version", from.spread.held ? from.spread.held->version.value : 0);
         add_line(text, "is_ready", distribution::is_ready(from.spread) ? 1 : 0);
         add_line(text, "live_nodes", membership::live_records(from.members).size());
-        add_line(text, "store_is_down", from.reader.is_store_down ? 1 : 0);
+        add_line(text, "store_is_down", is_store_down(from) ? 1 : 0);
         add_line(text, "process_pauses_total", from.members.pauses);
     }
     const auto links = wire::counters(*node.links);
@@ -272,7 +280,7 @@
     add_line(text, "links_silent_total", links.links_silent);
     add_line(text, "links_refused_total", links.links_refused);
     add_line(text, "frames_broken_total", links.frames_broken);
-    const auto kv = store::counters(*node.store);
+    const auto kv = node.store.counts();
     add_line(text, "store_reads_total", kv.reads);
     add_line(text, "store_writes_total", kv.writes);
     add_line(text, "store_not_run_total", kv.not_run);
--- a/src/store/contacts.cpp
+++ b/src/store/contacts.cpp
@@ -12,12 +12,18 @@
 
 /// A response that takes longer than this is taken as lost.
 constexpr seconds response_limit{10};
-constexpr backoff_limits own_backoff{milliseconds{500}, milliseconds{15'000}};
+constexpr milliseconds first_own_backoff{500};
+/// The longest wait before another try for the own entry, as a part of its lease: others shall find
+/// it again soon after the service has returned.
+constexpr int own_backoff_divisor = 2;
 constexpr backoff_limits read_backoff{milliseconds{500}, milliseconds{10'000}};
 /// How long to wait before looking again when contacts were read but led nowhere.
 constexpr milliseconds read_interval{2000};
-/// Largest wait before the first look, so that a returning herd does not read at one instant.
-constexpr milliseconds first_read_spread{500};
+/// The same when nobody else stood there: others may be starting at this moment.
+constexpr milliseconds empty_read_interval{400};
+constexpr milliseconds audit_interval{8000};
+/// A node that looks for others stands in the store itself when fewer others than this do.
+constexpr std::size_t least_others = 2;
 
 /// One step of the keeper with all that it needs.
 struct keeper_run {
@@ -73,7 +79,9 @@
 void retry_own(keeper_run& run) {
     auto& keeper = run.keeper;
     ++keeper.own_failures;
-    keeper.own_due = run.now + backoff_delay(own_backoff, keeper.own_failures, run.random);
+    const milliseconds longest = milliseconds{seconds{keeper.lease_s}} / own_backoff_divisor;
+    keeper.own_due = run.now + backoff_delay({std::min(first_own_backoff, longest), longest},
+                                             keeper.own_failures, run.random);
     keeper.own_request = 0;
     if (keeper.lease == 0) {
         start_over(run);
@@ -127,13 +135,15 @@
 void on_read(keeper_run& run, const kv_entries& read) {
     auto& keeper = run.keeper;
     keeper.read_failures = 0;
-    keeper.read_due = run.now + jitter(read_interval, run.random);
     for (const auto& each : read.entries) {
         peer_address address;
         if (decode_address(each.value, address) && address != keeper.own) {
             run.actions.found.push_back(std::move(address));
         }
     }
+    keeper.others = run.actions.found.size();
+    keeper.read_due =
+        run.now + jitter(keeper.others == 0U ? empty_read_interval : read_interval, run.random);
     std::shuffle(run.actions.found.begin(), run.actions.found.end(), run.random);
 }
 
@@ -192,15 +202,19 @@
 }
 
 void on_tick(contact_keeper& keeper, bool has_duty, bool needs_contacts, instant now,
-             random_source& random, contact_actions& actions) {
+             random_source& random, contact_actions& actions, bool audits) {
     keeper_run run{keeper, now, random, actions};
     give_up_lost(run);
-    attend_own_entry(run, has_duty);
-    if (!needs_contacts) {
+    const bool are_few = needs_contacts && keeper.others && *keeper.others < least_others;
+    attend_own_entry(run, has_duty || are_few);
+    if (!needs_contacts && !audits) {
         return;
     }
+    if (!needs_contacts && keeper.read_due) {
+        keeper.read_due = std::max(*keeper.read_due, keeper.read_sent + audit_interval);
+    }
     if (!keeper.read_due) {
-        std::uniform_int_distribution<std::int64_t> wait(0, first_read_spread.count());
+        std::uniform_int_distribution<std::int64_t> wait(0, keeper.first_read_spread.count());
         keeper.read_due = now + milliseconds{wait(random)};
     }
     if (keeper.read_request == 0 && now >= *keeper.read_due) {
--- a/src/store/contacts.h
+++ b/src/store/contacts.h
@@ -28,6 +28,8 @@
     peer_address own;
     std::string node;
     std::uint32_t lease_s = 30;
+    /// Largest wait before the first look, so that a returning herd does not read at one instant.
+    milliseconds first_read_spread{500};
 
     std::uint64_t next_request = contact_request_base;
     contact_step step = contact_step::absent;
@@ -43,15 +45,19 @@
     /// When contacts are next read; nothing before the first time.
     std::optional<instant> read_due;
     std::uint32_t read_failures = 0;
+    /// Entries of others that the last read showed; nothing before the first read.
+    std::optional<std::size_t> others;
 };
 
 [[nodiscard]] contact_keeper make_contact_keeper(std::string prefix, std::string node,
                                                  peer_address own, std::uint32_t lease_s,
                                                  instant now);
 
-/// `has_duty`: this node should stand in the store; `needs_contacts`: nobody has been found yet.
+/// `has_duty`: this node should stand in the store; `needs_contacts`: nobody has been found yet, so
+/// that contacts are read often, and this node stands in the store when few others do; `audits`:
+/// contacts are read now and then, to find members that lost touch.
 void on_tick(contact_keeper& keeper, bool has_duty, bool needs_contacts, instant now,
-             random_source& random, contact_actions& actions);
+             random_source& random, contact_actions& actions, bool audits = false);
 
 [[nodiscard]] bool on_response(contact_keeper& keeper, const kv_response& response, instant now,
                                random_source& random, contact_actions& actions);
--- a/src/store/kv.h
+++ b/src/store/kv.h
@@ -78,6 +78,13 @@
 constexpr std::uint64_t writer_request_base = 1ULL << 56U;
 constexpr std::uint64_t reader_request_base = 2ULL << 56U;
 constexpr std::uint64_t contact_request_base = 3ULL << 56U;
+constexpr std::uint64_t feed_request_base = 4ULL << 56U;
+constexpr std::uint64_t record_request_base = 5ULL << 56U;
+
+/// Whether a request id was counted up from this base.
+[[nodiscard]] constexpr bool is_issued_from(std::uint64_t base, std::uint64_t id) {
+    return (id & ~((1ULL << 56U) - 1)) == base;
+}
 
 struct kv_request {
     std::uint64_t id = 0;
--- a/src/wire/link.h
+++ b/src/wire/link.h
@@ -4,7 +4,6 @@
 #include "wire/frame_reader.h"
 #include "wire/link_health.h"
 
-#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <cstddef>
@@ -33,7 +32,6 @@
     bool is_writing = false;
     link_times times;
     frame_reader reader;
-    std::array<char, 65536> input{};
     std::deque<queued_frame> queue;
     /// Frames at the front of the queue that the write under way covers.
     std::size_t in_write = 0;
--- a/src/wire/link_io.cpp
+++ b/src/wire/link_io.cpp
@@ -186,24 +186,41 @@
     return !from->reader.is_broken;
 }
 
+/// Reads what has come without waiting. Returns false when the link must be closed.
+bool read_available(const pool_ptr& pool, const link_ptr& reader) {
+    while (true) {
+        error_code error;
+        const auto bytes = reader->socket.read_some(asio::buffer(pool->input), error);
+        if (error == asio::error::would_block) {
+            return true;
+        }
+        if (error) {
+            return false;
+        }
+        reader->times.last_received = current_time();
+        append(reader->reader, {pool->input.data(), bytes});
+        if (!handle_frames(pool, reader)) {
+            return false;
+        }
+        if (bytes < pool->input.size()) {
+            return true;
+        }
+    }
+}
+
 void start_read(const pool_ptr& pool, const link_ptr& reader) {
-    reader->socket.async_read_some(asio::buffer(reader->input),
-                                   [pool, reader](const error_code& error, std::size_t bytes) {
-                                       if (reader->is_closed) {
-                                           return;
-                                       }
-                                       if (error) {
-                                           close_link(*pool, reader);
-                                           return;
-                                       }
-                                       reader->times.last_received = current_time();
-                                       append(reader->reader, {reader->input.data(), bytes});
-                                       if (!handle_frames(pool, reader)) {
-                                           close_link(*pool, reader);
-                                           return;
-                                       }
-                                       start_read(pool, reader);
-                                   });
+    reader->socket.async_wait(tcp::socket::wait_read, [pool, reader](const error_code& error) {
+        if (reader->is_closed) {
+            return;
+        }
+        if (error || !read_available(pool, reader)) {
+            close_link(*pool, reader);
+            return;
+        }
+        if (!reader->is_closed) {
+            start_read(pool, reader);
+        }
+    });
 }
 
 } // namespace
@@ -286,6 +303,7 @@
 void begin_link(const pool_ptr& pool, const link_ptr& opened) {
     error_code ignored;
     opened->socket.set_option(tcp::no_delay(true), ignored);
+    opened->socket.non_blocking(true, ignored);
     pool->counts.links_opened.fetch_add(1, std::memory_order_relaxed);
     if (opened->is_dialled) {
         send_hello(pool, opened);
--- a/src/wire/link_pool.cpp
+++ b/src/wire/link_pool.cpp
@@ -151,6 +151,18 @@
             .queued_bytes = from.queued_bytes};
 }
 
+std::vector<link_status> list_on_thread(const link_pool& pool, std::size_t limit) {
+    std::vector<link_status> found;
+    const auto now = current_time();
+    for (const auto& each : pool.links) {
+        if (found.size() == limit) {
+            break;
+        }
+        found.push_back(describe(*each, now));
+    }
+    return found;
+}
+
 /// Stops the io_context once all queues are empty or the flush timeout has passed.
 void stop_when_flushed(const pool_ptr& pool, instant give_up) {
     const bool is_flushed = std::all_of(pool->links.begin(), pool->links.end(),
@@ -169,8 +181,9 @@
 
 } // namespace
 
-std::shared_ptr<link_pool> open_link_pool(const msg::settings_msg& settings, link_events events) {
-    auto pool = std::make_shared<link_pool>(settings, std::move(events));
+std::shared_ptr<link_pool> open_link_pool(const msg::settings_msg& settings, link_events events,
+                                          asio::io_context* shared) {
+    auto pool = std::make_shared<link_pool>(settings, std::move(events), shared);
     try {
         listen(*pool);
     } catch (const boost::system::system_error& failed) {
@@ -187,6 +200,9 @@
 }
 
 void start(link_pool& pool) {
+    if (!pool.own_context) {
+        return;
+    }
     pool.thread = std::thread([owner = pool.shared_from_this()] { owner->context.run(); });
 }
 
@@ -220,18 +236,13 @@
 }
 
 std::vector<link_status> list_links(link_pool& pool, std::size_t limit) {
+    if (!pool.own_context) {
+        return list_on_thread(pool, limit);
+    }
     auto listed = std::make_shared<std::promise<std::vector<link_status>>>();
     auto ready = listed->get_future();
     asio::post(pool.context, [owner = pool.shared_from_this(), listed, limit] {
-        std::vector<link_status> found;
-        const auto now = current_time();
-        for (const auto& each : owner->links) {
-            if (found.size() == limit) {
-                break;
-            }
-            found.push_back(describe(*each, now));
-        }
-        listed->set_value(std::move(found));
+        listed->set_value(list_on_thread(*owner, limit));
     });
     if (ready.wait_for(seconds{1}) != std::future_status::ready) {
         return {};
@@ -240,6 +251,17 @@
 }
 
 void stop(link_pool& pool) {
+    if (!pool.own_context) {
+        pool.is_stopping = true;
+        error_code ignored;
+        pool.acceptor.close(ignored);
+        pool.timer.cancel();
+        const auto open = pool.links; // Closing a link changes the list.
+        for (const auto& each : open) {
+            close_link(pool, each);
+        }
+        return;
+    }
     asio::post(pool.context, [owner = pool.shared_from_this()] {
         owner->is_stopping = true;
         error_code ignored;
--- a/src/wire/link_pool.h
+++ b/src/wire/link_pool.h
@@ -4,6 +4,8 @@
 #include "model/log_event.h"
 #include "settings_generated.h"
 
+#include <boost/asio/io_context.hpp>
+
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -53,14 +55,16 @@
 struct link_pool;
 
 /// Listens on listen.ip:link_port, or on a free port when that is 0. Nothing is sent or delivered
-/// before start. Throws std::runtime_error when the port cannot be had.
+/// before start. With an io_context all work is done there, and whoever owns it runs it; else on a
+/// thread of the pool's own. Throws std::runtime_error when the port cannot be had.
 [[nodiscard]] std::shared_ptr<link_pool> open_link_pool(const msg::settings_msg& settings,
-                                                        link_events events);
+                                                        link_events events,
+                                                        boost::asio::io_context* shared = nullptr);
 
 /// The port that the pool listens on. Thread safe.
 [[nodiscard]] std::uint16_t link_port(const link_pool& pool);
 
-/// Starts the pool's thread. Call once.
+/// Starts the pool's thread, when it has one. Call once.
 void start(link_pool& pool);
 
 /// Queues a message for its node, dialling if need be. Thread safe; never blocks.
@@ -69,11 +73,12 @@
 /// Thread safe.
 [[nodiscard]] link_counters counters(const link_pool& pool);
 
-/// At most `limit` links. Thread safe; waits for the pool's thread.
+/// At most `limit` links. Thread safe; waits for the pool's thread. On a shared io_context call it
+/// from there.
 [[nodiscard]] std::vector<link_status> list_links(link_pool& pool, std::size_t limit);
 
 /// Flushes what is queued for a short time, closes all links and joins the thread. Call after
-/// start.
+/// start. On a shared io_context links are closed at once; call it from there.
 void stop(link_pool& pool);
 
 } // namespace cyclamenhatch::wire
--- a/src/wire/link_pool_state.h
+++ b/src/wire/link_pool_state.h
@@ -4,6 +4,7 @@
 #include "wire/link.h"
 #include "wire/link_pool.h"
 
+#include <array>
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -32,13 +33,17 @@
 
 /// All members below `counts` are used from the pool's thread only.
 struct link_pool : std::enable_shared_from_this<link_pool> {
-    link_pool(const msg::settings_msg& from, link_events handlers)
-        : settings(from), events(std::move(handlers)), acceptor(context), timer(context),
+    link_pool(const msg::settings_msg& from, link_events handlers, boost::asio::io_context* shared)
+        : settings(from), events(std::move(handlers)),
+          own_context(shared != nullptr ? nullptr : std::make_unique<boost::asio::io_context>(1)),
+          context(shared != nullptr ? *shared : *own_context), acceptor(context), timer(context),
           random(std::random_device{}()) {}
 
     msg::settings_msg settings;
     link_events events;
-    boost::asio::io_context context{1};
+    /// Null when the io_context is shared with other parts of the node.
+    std::unique_ptr<boost::asio::io_context> own_context;
+    boost::asio::io_context& context;
     atomic_counters counts;
     boost::asio::ip::tcp::acceptor acceptor;
     boost::asio::steady_timer timer;
@@ -49,6 +54,8 @@
     std::map<peer_address, reconnect_pacing> pacing;
     bool is_stopping = false;
     std::thread thread;
+    /// Bytes come in here first: the pool's work is done by one thread.
+    std::array<char, 65536> input{};
 };
 
 using pool_ptr = std::shared_ptr<link_pool>;
--- a/tests/call/choice_test.cpp
+++ b/tests/call/choice_test.cpp
@@ -38,7 +38,7 @@
     endpoint_load& load(const std::string& node) { return loads[node_id(node)]; }
 
     std::string pick_one() {
-        const version_id version("v1");
+        const version_filter version{.only = version_id("v1"), .except = {}};
         const data_centre_id data_centre("milan");
         const auto* chosen =
             choose_endpoint({endpoints, version, data_centre, tried}, loads, now, random);
@@ -202,7 +202,7 @@
             const auto key = "caller-" + std::to_string(each);
             const auto first = choose_version(view, of_service, key, of.random);
             EXPECT_EQ(first, choose_version(view, of_service, key, of.random));
-            picked += first == version_id("v2") ? 1 : 0;
+            picked += first == version_filter{.only = version_id("v2"), .except = {}} ? 1 : 0;
         }
         return picked;
     };
@@ -214,17 +214,51 @@
 
 TEST(retry_budget, allows_a_share_of_the_calls) {
     retry_budget budget;
+    const budget_rules rules{.percent = 10, .window = seconds{10}, .slack = 20};
     std::uint64_t retries = 0;
     constexpr int calls = 10'000;
     for (int each = 0; each < calls; ++each) {
-        note_first_attempt(budget, 10);
-        retries += spend_retry(budget) ? 1 : 0;
+        note_first_attempt(budget, rules, start);
+        retries += spend_retry(budget, rules, start) ? 1 : 0;
     }
-    // The share and what a quiet time had saved up.
+    // The share and the slack.
     EXPECT_GE(retries, 1000U);
     EXPECT_LE(retries, 1020U);
     EXPECT_EQ(budget.refused_retries, calls - retries);
 }
 
+/// Whatever the times of calls and retries, no window of the stated length holds more retries than
+/// the share of its calls and the slack.
+TEST(retry_budget, holds_in_every_window) {
+    retry_budget budget;
+    const budget_rules rules{.percent = 20, .window = seconds{10}, .slack = 3};
+    random_source random{7};
+    struct event {
+        instant at;
+        bool is_retry;
+    };
+    std::vector<event> events;
+    instant now = start;
+    for (int each = 0; each < 4000; ++each) {
+        // Bursts of calls, and pauses longer than a window.
+        now += milliseconds{static_cast<std::int64_t>(each % 500 == 0 ? 12'000 : random() % 60)};
+        note_first_attempt(budget, rules, now);
+        events.push_back({now, false});
+        for (int wish = 0; wish < 3; ++wish) {
+            if (spend_retry(budget, rules, now)) {
+                events.push_back({now, true});
+            }
+        }
+    }
+    for (std::size_t end = 0; end < events.size(); ++end) {
+        double calls = 0;
+        double retries = 0;
+        for (std::size_t i = end + 1; i-- > 0 && events[i].at > events[end].at - rules.window;) {
+            ++(events[i].is_retry ? retries : calls);
+        }
+        EXPECT_LE(retries, calls * 0.2 + rules.slack);
+    }
+}
+
 } // namespace
 } // namespace cyclamenhatch::call
--- a/tests/cli/fake_environment.h
+++ b/tests/cli/fake_environment.h
@@ -58,7 +58,8 @@
             .now = [this] { return now; },
             .make_operation = [] { return operation_id{"made"}; },
             .run_node =
-                [this](const msg::settings_msg&) {
+                [this](const msg::settings_msg&,
+                       const std::function<result<msg::settings_msg>()>&) {
                     ++node_runs;
                     return 0;
                 }};
--- a/tests/document/schema_reader_test.cpp
+++ b/tests/document/schema_reader_test.cpp
@@ -148,7 +148,8 @@
     EXPECT_EQ(set.moves.at(0).on_little_traffic, little_traffic_policy::done);
     EXPECT_EQ(write_json(write_resource(set.routes.at(0))),
               R"({"name":"browse","service":"catalogue","host":"","path_prefix":"/catalogue",)"
-              R"("idempotent":false,"timeout_ms":1000,"revision":0,"operation":""})");
+              R"("idempotent":false,"timeout_ms":1000,"max_attempts":0,"latency_objective_ms":0,)"
+              R"("priority":0,"split":[],"revision":0,"operation":""})");
 }
 
 struct resource_row {
--- a/tests/edge/fake_upstream.cpp
+++ b/tests/edge/fake_upstream.cpp
@@ -38,6 +38,19 @@
     return at == std::string::npos ? 0 : std::stoul(head.substr(at + 16));
 }
 
+/// The value of the header x-id, or nothing.
+std::string id_of(const std::string& head) {
+    const auto at = head.find("x-id: ");
+    return at == std::string::npos ? "" : head.substr(at + 6, head.find("\r\n", at) - at - 6);
+}
+
+/// The answer with an id beside its first header.
+std::string with_id(std::string answer, const std::string& id) {
+    const auto end = answer.find("\r\n");
+    answer.insert(end, "\r\nx-id: " + id);
+    return answer;
+}
+
 } // namespace
 
 fake_upstream::fake_upstream()
@@ -119,7 +132,7 @@
             const std::lock_guard guard(lock_);
             last_head_ = head;
         }
-        const auto answer = answer_to(path, body);
+        const auto answer = answer_to(path, body, id_of(head));
         asio::write(socket, asio::buffer(answer), failed);
         if (failed || answer.empty() || starts_with(path, "/half")) {
             break;
@@ -130,7 +143,8 @@
     socket.close(failed);
 }
 
-std::string fake_upstream::answer_to(const std::string& path, const std::string& body) {
+std::string fake_upstream::answer_to(const std::string& path, const std::string& body,
+                                     const std::string& id) {
     std::unique_lock guard(lock_);
     ++runs_[path];
     changed_.notify_all();
@@ -139,7 +153,8 @@
     }
     guard.unlock();
     if (starts_with(path, "/status/")) {
-        return plain(std::stoi(path.substr(8)), "told");
+        auto told = plain(std::stoi(path.substr(8)), "told");
+        return id.empty() ? told : with_id(std::move(told), id);
     }
     if (starts_with(path, "/bytes/")) {
         return plain(200, std::string(std::stoul(path.substr(7)), 'b'));
@@ -154,6 +169,21 @@
         return "HTTP/1.1 200 Told\r\nContent-Length: 100000\r\n\r\n" +
                std::string(std::stoul(path.substr(6)), 'h');
     }
+    if (starts_with(path, "/stale")) {
+        return with_id(plain(200, "not yours"), "another") + with_id(plain(200, "yours"), id);
+    }
+    if (starts_with(path, "/foreign")) {
+        return with_id(plain(200, "not yours"), "another");
+    }
+    if (starts_with(path, "/unrun")) {
+        return with_id(plain(503, "full"), id + "\r\nx-unrun: 1");
+    }
+    if (starts_with(path, "/other")) {
+        return with_id(plain(421, "other"), id);
+    }
+    if (!id.empty()) {
+        return with_id(plain(200, path), id);
+    }
     if (starts_with(path, "/echo")) {
         return plain(200, body);
     }
--- a/tests/edge/fake_upstream.h
+++ b/tests/edge/fake_upstream.h
@@ -16,7 +16,9 @@
 
 /// An upstream whose behaviour each request's path names: /ok, /echo, /status/N, /bytes/N,
 /// /chunked/N, /break (closes without an answer), /half (closes within the answer), /hold (answers
-/// once released).
+/// once released), /stale (an answer to another request, then its own), /foreign (an answer to
+/// another request only), /unrun (says that it did not run it), /other (says that another instance
+/// is meant). Answers echo the header x-id.
 class fake_upstream {
 public:
     fake_upstream();
@@ -37,7 +39,7 @@
 private:
     void accept_all();
     void serve(boost::asio::ip::tcp::socket socket);
-    std::string answer_to(const std::string& path, const std::string& body);
+    std::string answer_to(const std::string& path, const std::string& body, const std::string& id);
 
     boost::asio::io_context io_;
     boost::asio::ip::tcp::acceptor acceptor_;
--- a/tests/edge/joined_paths.cpp
+++ b/tests/edge/joined_paths.cpp
@@ -78,11 +78,11 @@
 }
 
 std::shared_ptr<call_path> start(const std::string& name, std::uint16_t& port,
-                                 const surroundings& around) {
+                                 const surroundings& around, const header_names& names) {
     for (int tries = 0; tries < 20; ++tries) {
         port = find_port();
         try {
-            return start_call_path(make_settings(name, port), around);
+            return start_call_path(make_settings(name, port), around, names);
         } catch (const std::runtime_error&) {
             continue;
         }
@@ -92,9 +92,10 @@
 
 } // namespace
 
-joined_paths::joined_paths(std::uint16_t upstream_port) : view_(make_view(true)) {
-    entry_ = start("entry", entry_port_, make_surroundings("entry"));
-    gate_ = start("gate", gate_port_, make_surroundings("gate"));
+joined_paths::joined_paths(std::uint16_t upstream_port, const header_names& names)
+    : names_(names), view_(make_view(true)) {
+    entry_ = start("entry", entry_port_, make_surroundings("entry"), names_);
+    gate_ = start("gate", gate_port_, make_surroundings("gate"), names_);
     announce(msg::upstream_state::ready, upstream_port);
 }
 
@@ -127,8 +128,10 @@
     return around;
 }
 
-void joined_paths::announce(msg::upstream_state state, std::uint16_t port) {
+void joined_paths::announce(msg::upstream_state state, std::uint16_t port,
+                            const std::string& instance) {
     msg::upstream_record_msg upstream;
+    upstream.instance = instance;
     upstream.service = "ledger";
     upstream.version = "v1";
     upstream.state = state;
@@ -176,6 +179,23 @@
            (is_short ? answer.body() : std::to_string(answer.body().size()) + " bytes");
 }
 
+std::vector<std::string> joined_paths::ask_many(const std::string& requests, int answers) {
+    namespace http = boost::beast::http;
+    asio::io_context io;
+    tcp::socket socket(io);
+    socket.connect({asio::ip::make_address("127.0.0.1"), entry_port_});
+    boost::system::error_code failed;
+    asio::write(socket, asio::buffer(requests), failed);
+    boost::beast::flat_buffer buffer;
+    std::vector<std::string> told;
+    for (int each = 0; each < answers; ++each) {
+        http::response_parser<http::string_body> parser;
+        http::read(socket, buffer, parser, failed);
+        told.push_back(failed ? "closed" : parser.get().body());
+    }
+    return told;
+}
+
 std::string joined_paths::get(const std::string& path, const std::string& headers) {
     return ask("GET " + path + " HTTP/1.1\r\nHost: shop\r\n" + headers + "\r\n");
 }
--- a/tests/edge/joined_paths.h
+++ b/tests/edge/joined_paths.h
@@ -14,7 +14,7 @@
 /// directly. Calls to "/..." belong to one service with two routes: /once/... is not idempotent.
 class joined_paths {
 public:
-    explicit joined_paths(std::uint16_t upstream_port);
+    explicit joined_paths(std::uint16_t upstream_port, const header_names& names = {});
     joined_paths(const joined_paths&) = delete;
     joined_paths& operator=(const joined_paths&) = delete;
     ~joined_paths();
@@ -28,13 +28,17 @@
     /// Sends bytes to the entry and reads until the connection closes or the answer is whole.
     [[nodiscard]] std::string ask(const std::string& request, bool at_gate = false);
     [[nodiscard]] std::string get(const std::string& path, const std::string& headers = {});
+    /// Sends bytes to the entry and returns so many whole answers' bodies, in the order in which
+    /// they come, or "closed" for each that is missing.
+    [[nodiscard]] std::vector<std::string> ask_many(const std::string& requests, int answers);
     /// Takes the service's only endpoint out of the view, as when its node has died.
     void forget_endpoint();
-    void announce(msg::upstream_state state, std::uint16_t port);
+    void announce(msg::upstream_state state, std::uint16_t port, const std::string& instance = {});
 
 private:
     [[nodiscard]] surroundings make_surroundings(const std::string& self);
 
+    const header_names names_;
     std::mutex lock_;
     call::routing_view_ptr view_;
     int answers_to_lose_ = 0;
--- /dev/null
+++ b/tests/edge/upstream_words_test.cpp
@@ -0,0 +1,116 @@
+#include "joined_paths.h"
+
+#include <gtest/gtest.h>
+
+#include <future>
+
+namespace cyclamenhatch::edge::testing {
+namespace {
+
+/// A deployment whose upstreams echo the call's id and say when they did not run a call.
+header_names make_names() {
+    header_names names;
+    names.request_id = "x-id";
+    names.expected_instance = "x-instance";
+    names.caller_service = "x-caller";
+    names.not_run = "x-unrun";
+    names.has_fractional_retry_after = true;
+    return names;
+}
+
+std::string with_id(const std::string& path, const std::string& id) {
+    return "GET " + path + " HTTP/1.1\r\nHost: shop\r\nx-id: " + id + "\r\n\r\n";
+}
+
+TEST(upstream_words, an_answer_to_another_request_is_dropped) {
+    fake_upstream upstream;
+    joined_paths paths(upstream.port(), make_names());
+    EXPECT_EQ(paths.ask(with_id("/stale", "7")), "200 upstream yours");
+    // With no answer of its own the call's end is not known.
+    EXPECT_EQ(paths.ask(with_id("/ok", "8")).substr(0, 3), "200");
+}
+
+TEST(upstream_words, a_foreign_answer_alone_is_no_answer) {
+    fake_upstream upstream;
+    joined_paths paths(upstream.port(), make_names());
+    const std::string hasty = "GET /foreign HTTP/1.1\r\nHost: shop\r\nx-id: 7\r\n"
+                              "cyclamenhatch-deadline-ms: 50\r\n\r\n";
+    EXPECT_EQ(paths.ask(hasty).substr(0, 11), "504 unknown");
+}
+
+TEST(upstream_words, not_run_is_told_only_when_the_upstream_says_so) {
+    fake_upstream upstream;
+    joined_paths paths(upstream.port(), make_names());
+    EXPECT_EQ(paths.ask(with_id("/unrun", "7")).substr(0, 11), "503 not-run");
+    // Its own 503 without that word may have run, and passes as it is.
+    EXPECT_EQ(paths.ask(with_id("/status/503", "8")).substr(0, 12), "503 upstream");
+}
+
+TEST(upstream_words, another_instance_at_the_address_gets_no_further_calls) {
+    fake_upstream upstream;
+    joined_paths paths(upstream.port(), make_names());
+    paths.announce(msg::upstream_state::ready, upstream.port(), "i-1");
+    EXPECT_EQ(paths.ask(with_id("/ok", "7")).substr(0, 3), "200");
+    EXPECT_NE(upstream.last_head().find("x-instance: i-1\r\n"), std::string::npos);
+    EXPECT_EQ(paths.ask(with_id("/other", "8")).substr(0, 11), "503 not-run");
+    const int runs = upstream.runs("/ok");
+    EXPECT_EQ(paths.ask(with_id("/ok", "9")).substr(0, 11), "503 not-run");
+    EXPECT_EQ(upstream.runs("/ok"), runs);
+    paths.announce(msg::upstream_state::ready, upstream.port(), "i-2");
+    EXPECT_EQ(paths.ask(with_id("/ok", "10")).substr(0, 3), "200");
+}
+
+TEST(upstream_words, headers_that_the_node_sets_are_not_taken_from_callers) {
+    fake_upstream upstream;
+    joined_paths paths(upstream.port(), make_names());
+    EXPECT_EQ(paths.get("/ok", "x-caller: forged\r\nx-instance: forged\r\nx-note: kept\r\n"
+                               "Connection: x-hop\r\nx-hop: dropped\r\n"),
+              "200 upstream ok");
+    const auto head = upstream.last_head();
+    EXPECT_EQ(head.find("forged"), std::string::npos) << head;
+    EXPECT_EQ(head.find("x-hop"), std::string::npos) << head;
+    EXPECT_NE(head.find("x-note: kept\r\n"), std::string::npos) << head;
+}
+
+TEST(pipelining, answers_come_in_the_order_of_the_requests) {
+    fake_upstream upstream;
+    joined_paths paths(upstream.port(), make_names());
+    // The first one is held; those behind it run meanwhile and wait for their turn.
+    auto told = std::async(std::launch::async, [&] {
+        return paths.ask_many(with_id("/hold", "1") + with_id("/a", "2") + with_id("/b", "3"), 3);
+    });
+    upstream.wait_for_runs("/hold", 1);
+    upstream.wait_for_runs("/a", 1);
+    upstream.wait_for_runs("/b", 1);
+    upstream.release();
+    EXPECT_EQ(told.get(), (std::vector<std::string>{"/hold", "/a", "/b"}));
+}
+
+TEST(pipelining, a_call_that_must_not_run_twice_waits_for_those_before_it) {
+    fake_upstream upstream;
+    joined_paths paths(upstream.port(), make_names());
+    auto told = std::async(std::launch::async, [&] {
+        return paths.ask_many(with_id("/hold", "1") + with_id("/hold-once", "2"), 2);
+    });
+    upstream.wait_for_runs("/hold", 1);
+    EXPECT_EQ(upstream.runs("/hold-once"), 0);
+    upstream.release();
+    EXPECT_EQ(told.get(), (std::vector<std::string>{"/hold", "/hold-once"}));
+    EXPECT_EQ(upstream.runs("/hold-once"), 1);
+}
+
+TEST(pipelining, a_draining_node_answers_all_that_it_has_taken) {
+    fake_upstream upstream;
+    joined_paths paths(upstream.port(), make_names());
+    auto told = std::async(std::launch::async, [&] {
+        return paths.ask_many(with_id("/hold", "1") + with_id("/a", "2"), 3);
+    });
+    upstream.wait_for_runs("/hold", 1);
+    upstream.wait_for_runs("/a", 1);
+    begin_drain(paths.entry());
+    upstream.release();
+    EXPECT_EQ(told.get(), (std::vector<std::string>{"/hold", "/a", "closed"}));
+}
+
+} // namespace
+} // namespace cyclamenhatch::edge::testing
--- /dev/null
+++ b/tests/membership/upstream_run_test.cpp
@@ -0,0 +1,69 @@
+#include "membership/upstream_run.h"
+
+#include <gtest/gtest.h>
+
+namespace cyclamenhatch::membership {
+namespace {
+
+constexpr instant now{microseconds(1'000'000'000)};
+
+msg::upstream_record_msg announced(const std::string& instance, std::uint64_t started,
+                                   std::uint64_t sequence,
+                                   msg::upstream_state state = msg::upstream_state::ready) {
+    msg::upstream_record_msg record;
+    record.instance = instance;
+    record.started_ms = started;
+    record.sequence = sequence;
+    record.state = state;
+    return record;
+}
+
+TEST(upstream_run, an_announcement_that_comes_late_changes_nothing) {
+    upstream_run run;
+    EXPECT_TRUE(take_announcement(run, announced("a", 100, 5), now));
+    EXPECT_FALSE(take_announcement(run, announced("a", 100, 4), now));
+    EXPECT_FALSE(take_announcement(run, announced("a", 100, 5), now));
+    EXPECT_TRUE(take_announcement(run, announced("a", 100, 6), now));
+}
+
+TEST(upstream_run, a_dead_run_does_not_come_back) {
+    upstream_run run;
+    EXPECT_TRUE(take_announcement(run, announced("a", 100, 50), now));
+    EXPECT_TRUE(take_announcement(run, announced("b", 200, 1), now));
+    EXPECT_FALSE(take_announcement(run, announced("a", 100, 51), now));
+    EXPECT_EQ(run.instance, "b");
+}
+
+TEST(upstream_run, a_new_run_may_have_the_same_id_and_count_anew) {
+    upstream_run run;
+    EXPECT_TRUE(take_announcement(run, announced("a", 100, 50), now));
+    EXPECT_TRUE(take_leave(run, "a", now));
+    EXPECT_FALSE(take_announcement(run, announced("a", 100, 51), now));
+    EXPECT_TRUE(take_announcement(run, announced("a", 300, 1), now));
+    EXPECT_FALSE(run.has_left);
+}
+
+TEST(upstream_run, one_that_drains_does_not_return) {
+    upstream_run run;
+    EXPECT_TRUE(take_announcement(run, announced("a", 100, 1), now));
+    EXPECT_TRUE(take_announcement(run, announced("a", 100, 2, msg::upstream_state::draining), now));
+    EXPECT_FALSE(take_announcement(run, announced("a", 100, 3), now));
+    EXPECT_EQ(run.state, msg::upstream_state::draining);
+}
+
+TEST(upstream_run, only_the_run_that_is_there_leaves) {
+    upstream_run run;
+    EXPECT_TRUE(take_announcement(run, announced("b", 200, 1), now));
+    EXPECT_FALSE(take_leave(run, "a", now));
+    EXPECT_TRUE(take_leave(run, "b", now));
+    EXPECT_EQ(run.state, msg::upstream_state::gone);
+}
+
+TEST(upstream_run, without_an_instance_id_an_upstream_may_return_from_draining) {
+    upstream_run run;
+    EXPECT_TRUE(take_announcement(run, announced("", 0, 0, msg::upstream_state::draining), now));
+    EXPECT_TRUE(take_announcement(run, announced("", 0, 0), now));
+}
+
+} // namespace
+} // namespace cyclamenhatch::membership
--- /dev/null
+++ b/tests/move/brief_test.cpp
@@ -0,0 +1,187 @@
+#include "move/brief.h"
+
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <ostream>
+#include <random>
+
+namespace cyclamenhatch::moves {
+namespace {
+
+constexpr instant begun{microseconds(1'000'000'000)};
+constexpr seconds whole{16};
+
+move make_move() {
+    move made;
+    made.name = move_id("m1");
+    made.service = service_id("ledger");
+    made.to = version_id("v2");
+    made.duration = whole;
+    made.deadline = begun + whole;
+    return made;
+}
+
+/// How the new version fails: from when on, which share of its calls, by errors or by slowness.
+struct brief_fault {
+    const char* name;
+    bool is_bad = false;
+    double error_share = 0;
+    double slow_share = 0;
+    double from_s = 0;
+    /// Shows on one of the two routes only.
+    bool on_one_route = false;
+    /// Shows only from this share of the calls on.
+    std::uint32_t from_permille = 0;
+    /// Errors of both versions, from 4 s to 9 s.
+    double shared_errors = 0;
+    /// The new endpoints take twice as long for their first 3 s.
+    bool is_cold = false;
+
+    friend std::ostream& operator<<(std::ostream& out, const brief_fault& row) {
+        return out << row.name;
+    }
+};
+
+struct brief_end {
+    bool is_taken_back = false;
+    bool is_done = false;
+    double at_s = 0;
+    double calls_on_new = 0;
+    double calls = 0;
+};
+
+/// A service with two routes, of which one takes three times as long as the other.
+struct brief_world {
+    brief_world(const brief_fault& with, double rate, std::uint64_t seed)
+        : fault(with), calls_per_s(rate), random(seed) {}
+
+    brief_fault fault;
+    double calls_per_s;
+    std::mt19937_64 random;
+    move planned = make_move();
+    attempt_record known;
+    control_state controller;
+    report seen;
+    brief_end end;
+
+    double draw() { return std::uniform_real_distribution<double>(0, 1)(random); }
+
+    void call(const std::string& route, double usual_ms, double at_s) {
+        const std::uint32_t share = known.granted ? known.granted->permille : 0;
+        const bool is_new = draw() * 1000 < share;
+        const bool shows = is_new && at_s >= fault.from_s && share >= fault.from_permille &&
+                           (!fault.on_one_route || route == "second");
+        const bool is_shared = at_s >= 4 && at_s < 9 && draw() < fault.shared_errors;
+        const bool is_error = is_shared || draw() < 0.003 || (shows && draw() < fault.error_share);
+        double took = usual_ms * std::exp(0.4 * std::normal_distribution<double>()(random));
+        took *= shows && draw() < fault.slow_share ? 8 : 1;
+        took *= is_new && fault.is_cold && at_s < 3 ? 2 : 1;
+        auto& totals = seen.routes[route_id(route)];
+        ++(is_new ? totals.new_calls : totals.old_calls);
+        end.calls += 1;
+        end.calls_on_new += is_new ? 1 : 0;
+        if (is_error) {
+            ++(is_new ? totals.new_errors : totals.old_errors);
+            return;
+        }
+        const auto bucket = latency_bucket(microseconds(static_cast<std::int64_t>(took * 1000)));
+        ++(is_new ? totals.new_latency : totals.old_latency).at(bucket);
+    }
+
+    void run() {
+        seen.source = "all";
+        seen.begun = begun;
+        constexpr double step_s = 0.1;
+        double due = 0;
+        for (double at_s = 0; at_s < 16 && !end.is_done && !end.is_taken_back; at_s += step_s) {
+            for (due += calls_per_s * step_s; due >= 1; due -= 1) {
+                const bool is_first = draw() < 0.7;
+                call(is_first ? "first" : "second", is_first ? 40 : 120, at_s);
+            }
+            const auto now = begun + microseconds(static_cast<std::int64_t>(at_s * 1e6));
+            seen.sequence = static_cast<std::uint64_t>(to_unix_ms(now));
+            accept(controller.collected, seen, now);
+            const control_facts facts{.planned = planned,
+                                      .known = known,
+                                      .ready = {.on_new = 24, .on_old = 72},
+                                      .self = node_id("n1"),
+                                      .holds_alone = true};
+            const auto decided = decide_brief(controller, facts, now);
+            if (const auto* granted = std::get_if<permit>(&decided)) {
+                merge(known, *granted);
+            }
+            end.is_taken_back = std::holds_alternative<veto>(decided);
+            end.is_done = std::holds_alternative<finish>(decided);
+            end.at_s = at_s;
+        }
+    }
+};
+
+class brief_moves : public ::testing::TestWithParam<brief_fault> {};
+
+/// Good versions are done before the deadline, bad ones are taken back, and what a bad one meets
+/// stays below a tenth of the calls and fifty.
+TEST_P(brief_moves, end_as_they_should) {
+    constexpr int runs = 40;
+    for (const double rate : {130.0, 250.0, 500.0}) {
+        for (int seed = 1; seed <= runs; ++seed) {
+            brief_world world(GetParam(), rate, static_cast<std::uint64_t>(seed));
+            world.run();
+            EXPECT_EQ(world.end.is_taken_back, GetParam().is_bad) << "seed " << seed << " " << rate;
+            EXPECT_EQ(world.end.is_done, !GetParam().is_bad) << "seed " << seed << " " << rate;
+            EXPECT_LT(world.end.at_s, 15) << "seed " << seed;
+            if (GetParam().is_bad) {
+                // The traffic goes on for a moment after the verdict.
+                const double share =
+                    world.known.granted ? world.known.granted->permille / 1000.0 : 0;
+                const double met = world.end.calls_on_new + rate * share * 0.5;
+                EXPECT_LE(met, 0.1 * rate * 16 + 50) << "seed " << seed << " " << rate;
+            }
+        }
+    }
+}
+
+const brief_fault brief_rows[] = {
+    {.name = "good"},
+    {.name = "good_but_cold", .is_cold = true},
+    {.name = "good_beside_errors_of_both", .shared_errors = 0.3},
+    {.name = "errors", .is_bad = true, .error_share = 0.5},
+    {.name = "fewer_errors", .is_bad = true, .error_share = 0.25},
+    {.name = "slow", .is_bad = true, .slow_share = 0.8},
+    {.name = "half_slow", .is_bad = true, .slow_share = 0.5},
+    {.name = "one_route", .is_bad = true, .error_share = 0.5, .on_one_route = true},
+    {.name = "late", .is_bad = true, .error_share = 0.5, .from_s = 5},
+    {.name = "under_load", .is_bad = true, .error_share = 0.5, .from_permille = 250},
+};
+
+INSTANTIATE_TEST_SUITE_P(versions, brief_moves, ::testing::ValuesIn(brief_rows),
+                         [](const auto& row) { return std::string(row.param.name); });
+
+TEST(brief_moves, wait_for_endpoints_and_are_taken_back_without_any) {
+    control_state controller;
+    const auto planned = make_move();
+    const attempt_record known;
+    const auto decide_at = [&](milliseconds at, std::uint32_t slots) {
+        const control_facts facts{.planned = planned,
+                                  .known = known,
+                                  .ready = {.on_new = slots, .on_old = 10},
+                                  .self = node_id("n1")};
+        return decide_brief(controller, facts, begun + at);
+    };
+    EXPECT_TRUE(std::holds_alternative<std::monostate>(decide_at(milliseconds{500}, 0)));
+    EXPECT_TRUE(std::holds_alternative<permit>(decide_at(milliseconds{600}, 5)));
+    EXPECT_TRUE(std::holds_alternative<veto>(decide_at(milliseconds{15'500}, 0)));
+}
+
+TEST(brief_moves, are_those_with_seconds) {
+    auto planned = make_move();
+    EXPECT_TRUE(is_brief(planned));
+    planned.duration = seconds{90};
+    EXPECT_FALSE(is_brief(planned));
+    planned.duration = {};
+    EXPECT_FALSE(is_brief(planned));
+}
+
+} // namespace
+} // namespace cyclamenhatch::moves
