edge: repeat questions for calls by their timer alone; refuse by what waits in fact

A question for a call that could not be delivered counted as a lost link, which asked again for every call at that node, which could not be delivered either: the questions multiplied without end.

Change: messages that cannot be delivered are handled beside the call path; only a lost piece of a body makes it ask again at once.

--- a/src/call/gate_queue.cpp
+++ b/src/call/gate_queue.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 
 namespace cyclamenhatch::call {
 namespace {
@@ -71,8 +72,8 @@
 std::size_t count_ahead(const gate_queue& queue, instant due) {
     std::size_t ahead = 0;
     for (const auto& [owner, calls] : queue.by_owner) {
-        ahead +=
-            static_cast<std::size_t>(std::distance(calls.begin(), calls.lower_bound({due, 0})));
+        ahead += static_cast<std::size_t>(std::distance(
+            calls.begin(), calls.upper_bound({due, std::numeric_limits<std::uint64_t>::max()})));
     }
     return ahead;
 }
--- a/src/call/gate_queue.h
+++ b/src/call/gate_queue.h
@@ -54,7 +54,7 @@
 /// Wherever the call stands in the queue.
 [[nodiscard]] std::optional<queued_call> find_queued(gate_queue& queue, const call_id& call);
 
-/// Calls that are due before this time.
+/// Calls that are due by this time.
 [[nodiscard]] std::size_t count_ahead(const gate_queue& queue, instant due);
 
 /// Calls that cannot be of use after this time.
--- a/src/edge/call_path.cpp
+++ b/src/edge/call_path.cpp
@@ -138,6 +138,16 @@
     return events;
 }
 
+/// What the gate would have said, had it refused.
+peer_message make_refusal(const msg::call_open_msg& open) {
+    msg::call_refused_msg refused;
+    refused.call = std::make_unique<msg::call_key>(*open.call);
+    refused.outcome = msg::call_outcome::not_run;
+    refused.reason = msg::refusal_reason::upstream_unreachable;
+    refused.retry_helps = true;
+    return refused;
+}
+
 void schedule_silence_check(call_path& path, std::chrono::steady_clock::time_point& checked_at) {
     const auto now = std::chrono::steady_clock::now();
     if (now - checked_at > silence_check) {
@@ -245,6 +255,15 @@
     on_link_lost(path.entry, peer);
 }
 
+void on_undelivered(call_path& path, const outgoing& message) {
+    const auto* open = std::get_if<msg::call_open_msg>(&message.message);
+    if (open != nullptr && open->call && !open->reattach) {
+        on_message(path, {message.to, make_refusal(*open)});
+    } else if (std::holds_alternative<msg::call_data_msg>(message.message)) {
+        on_link_lost(path, message.to);
+    }
+}
+
 void set_upstream(call_path& path, const msg::upstream_record_msg& upstream, std::uint16_t port,
                   const std::string& ip) {
     const std::vector<std::string> here{path.ip, "127.0.0.1"};
--- a/src/edge/call_path.h
+++ b/src/edge/call_path.h
@@ -52,6 +52,12 @@
 /// with the same call id. Thread safe.
 void on_link_lost(call_path& path, const node_id& peer);
 
+/// Tells of a message of which no byte was handed to the network. A call that it would have opened
+/// was not run; one that lost a piece of its body is asked for again. A question for a call is
+/// repeated by its timer alone: repeating it at once would send it, and all others to that node,
+/// over and over. Messages of other kinds are ignored. Thread safe.
+void on_undelivered(call_path& path, const outgoing& message);
+
 /// Tells where the upstream beside this node listens, and its state. Without an address it is
 /// looked for on this host. Thread safe.
 void set_upstream(call_path& path, const msg::upstream_record_msg& upstream, std::uint16_t port,
--- a/src/edge/caller_session.cpp
+++ b/src/edge/caller_session.cpp
@@ -1,5 +1,7 @@
 #include "edge/caller_session.h"
 
+#include "edge/caller_answer.h"
+
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -80,11 +82,6 @@
 void begin_request(const caller_session_ptr& self, const caller_exchange_ptr& of);
 void write_due(const caller_session_ptr& self);
 
-/// Whether the request is being answered while it is still read, or was given up.
-bool is_read_whole(const caller_exchange& of) {
-    return of.parser && of.parser->is_done();
-}
-
 void finish_answer(const caller_session_ptr& self) {
     const auto exchange = self->open.front();
     exchange->is_over = true;
@@ -106,44 +103,6 @@
     asio::post(self->executor, [self] { write_due(self); });
 }
 
-bool has_no_body(unsigned status) {
-    return status == 204 || status == 304 || status < 200;
-}
-
-/// States the body's length: known, as the upstream stated it, or in chunks.
-void set_framing(caller_exchange& of, const answer_head& head, const body_piece& first) {
-    if (has_no_body(head.status)) {
-        return;
-    }
-    const std::string stated(find_header(head.headers, "content-length"));
-    const bool is_head_request = of.parser->get().method() == http::verb::head;
-    if (first.is_last && !(is_head_request && !stated.empty())) {
-        of.answer.content_length(first.bytes.size());
-    } else if (!stated.empty()) {
-        of.answer.set(http::field::content_length, stated);
-    } else {
-        of.answer.chunked(true);
-    }
-}
-
-/// Fills the answer's status, headers and framing from what the call path gave.
-void fill_answer(const caller_session& session, caller_exchange& of, const answer_head& head,
-                 const body_piece& first) {
-    auto& answer = of.answer;
-    answer.version(of.parser->get().version());
-    answer.result(head.status);
-    for (const auto& each : head.headers) {
-        if (!is_connection_header(each.name)) {
-            answer.insert(each.name, each.value);
-        }
-    }
-    set_framing(of, head, first);
-    // Requests behind this one that are under way still get their answers on this connection.
-    const bool is_draining = session.listener->is_draining && session.open.size() == 1;
-    answer.keep_alive(of.parser->get().keep_alive() && is_read_whole(of) && !of.is_last &&
-                      !is_draining && !session.listener->is_stopping);
-}
-
 void write_piece(const caller_session_ptr& self, const caller_exchange_ptr& of,
                  waiting_piece next) {
     if (next.head) {
--- a/src/edge/gate_side.cpp
+++ b/src/edge/gate_side.cpp
@@ -3,6 +3,7 @@
 #include "call/call_key.h"
 #include "clock/process_clock.h"
 #include "edge/call_headers.h"
+#include "edge/upstream_words.h"
 
 #include <algorithm>
 #include <utility>
@@ -17,7 +18,6 @@
 /// A body that does not move for this long is broken off.
 constexpr microseconds max_stall{30'000'000};
 constexpr unsigned overloaded_status = 503;
-constexpr unsigned misdirected_status = 421;
 /// A call that must not run twice is sent on a connection that was in use a moment ago, or on a new
 /// one: the upstream may have forgotten one that was idle for longer, and nobody could tell then
 /// whether the call ran.
@@ -124,17 +124,6 @@
     return answer;
 }
 
-/// Why an answer says that the upstream did not run the call, when it says so.
-std::optional<msg::refusal_reason> find_not_run(const header_names& names,
-                                                const answer_head& head) {
-    if (!names.expected_instance.empty() && head.status == misdirected_status) {
-        return msg::refusal_reason::wrong_instance;
-    }
-    const bool is_not_run =
-        !names.not_run.empty() && !find_header(head.headers, names.not_run).empty();
-    return is_not_run ? std::optional(msg::refusal_reason::upstream_refused) : std::nullopt;
-}
-
 void end_not_run(gate_side& side, const gate_flow_ptr& flow, msg::refusal_reason reason,
                  bool is_whole) {
     if (!is_whole) {
@@ -179,37 +168,6 @@
     read_on(side, flow);
 }
 
-void add_header(header_fields& to, const std::string& name, std::string value) {
-    if (!name.empty()) {
-        to.push_back({name, std::move(value)});
-    }
-}
-
-request_head make_head(const gate_side& side, gate_flow& flow, instant now) {
-    request_head head{.method = std::move(flow.request.method),
-                      .target = std::move(flow.request.target),
-                      .headers = from_wire(flow.request.headers)};
-    const auto left = std::max(microseconds{0}, flow.deadline - now);
-    const auto& names = side.names;
-    add_header(head.headers, names.deadline,
-               std::to_string(std::chrono::duration_cast<milliseconds>(left).count()));
-    add_header(head.headers, names.hops, std::to_string(flow.request.hops));
-    add_header(head.headers, names.attempts, std::to_string(flow.request.attempt));
-    if (!side.instance.empty()) {
-        add_header(head.headers, names.expected_instance, side.instance);
-    }
-    flow.request.headers.clear();
-    return head;
-}
-
-answer_match make_match(const header_names& names, const request_head& head) {
-    if (names.request_id.empty()) {
-        return {};
-    }
-    const std::string id(find_header(head.headers, names.request_id));
-    return id.empty() ? answer_match{} : answer_match{names.request_id, id};
-}
-
 void run(gate_side& side, const call_id& call) {
     lock_type guard(side.lock);
     const auto found = side.flows.find(call);
@@ -224,7 +182,8 @@
     flow->exchange =
         prepare_exchange(side.client, flow->request.idempotent ? any_idle : fresh_idle);
     flow->is_writing = !flow->request.last;
-    auto head = make_head(side, *flow, now);
+    const auto left = std::max(microseconds{0}, flow->deadline - now);
+    auto head = make_upstream_head(side.names, side.instance, flow->request, left);
     body_piece first{std::move(flow->request.body), flow->request.last};
     flow->upload_offset = first.bytes.size();
     const auto exchange = flow->exchange;
--- a/src/edge/upstream_client.cpp
+++ b/src/edge/upstream_client.cpp
@@ -7,7 +7,6 @@
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <limits>
 #include <optional>
 #include <utility>
@@ -75,22 +74,6 @@
     events.on_failure(is_not_run);
 }
 
-/// The time for which a Keep-Alive header says that an idle connection stays open, less a margin
-/// for what is under way when it ends.
-std::chrono::milliseconds keep_alive_of(const std::string& header) {
-    constexpr std::string_view name = "timeout=";
-    constexpr std::chrono::milliseconds margin{500};
-    const auto at = header.find(name);
-    unsigned stated = 0;
-    if (at == std::string_view::npos ||
-        std::from_chars(header.data() + at + name.size(), header.data() + header.size(), stated)
-                .ec != std::errc{}) {
-        return default_keep_alive;
-    }
-    return std::min<std::chrono::milliseconds>(std::chrono::seconds{stated} - margin,
-                                               default_keep_alive);
-}
-
 /// Gives the connection back for the next exchange when both sides are through with this one.
 void finish(const exchange_ptr& self) {
     self->is_done = true;
--- a/src/edge/upstream_connection.cpp
+++ b/src/edge/upstream_connection.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <charconv>
 #include <utility>
 
 namespace cyclamenhatch::edge {
@@ -50,6 +51,20 @@
     }
 }
 
+std::chrono::milliseconds keep_alive_of(const std::string& header) {
+    constexpr std::string_view name = "timeout=";
+    constexpr std::chrono::milliseconds margin{500};
+    const auto at = header.find(name);
+    unsigned stated = 0;
+    if (at == std::string_view::npos ||
+        std::from_chars(header.data() + at + name.size(), header.data() + header.size(), stated)
+                .ec != std::errc{}) {
+        return default_keep_alive;
+    }
+    return std::min<std::chrono::milliseconds>(std::chrono::seconds{stated} - margin,
+                                               default_keep_alive);
+}
+
 std::shared_ptr<upstream_client> make_upstream_client(asio::io_context& io) {
     return std::make_shared<upstream_client>(io);
 }
--- a/src/edge/upstream_connection.h
+++ b/src/edge/upstream_connection.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <memory>
 #include <mutex>
+#include <string>
 #include <vector>
 
 /// Connections to the upstream: the inside of upstream_client, used by its own files only.
@@ -54,4 +55,8 @@
 /// Keeps a connection for the next exchange, or closes it.
 void give_back(upstream_client& client, std::unique_ptr<upstream_connection> link);
 
+/// The time for which a Keep-Alive header says that an idle connection stays open, less a margin
+/// for what is under way when it ends.
+[[nodiscard]] std::chrono::milliseconds keep_alive_of(const std::string& header);
+
 } // namespace cyclamenhatch::edge
--- /dev/null
+++ b/src/edge/upstream_words.cpp
@@ -0,0 +1,55 @@
+#include "edge/upstream_words.h"
+
+#include "edge/call_headers.h"
+
+#include <utility>
+
+namespace cyclamenhatch::edge {
+namespace {
+
+/// Another upstream than the one that is meant has the address.
+constexpr unsigned misdirected_status = 421;
+
+void add_header(header_fields& to, const std::string& name, std::string value) {
+    if (!name.empty()) {
+        to.push_back({name, std::move(value)});
+    }
+}
+
+} // namespace
+
+std::optional<msg::refusal_reason> find_not_run(const header_names& names,
+                                                const answer_head& head) {
+    if (!names.expected_instance.empty() && head.status == misdirected_status) {
+        return msg::refusal_reason::wrong_instance;
+    }
+    const bool is_not_run =
+        !names.not_run.empty() && !find_header(head.headers, names.not_run).empty();
+    return is_not_run ? std::optional(msg::refusal_reason::upstream_refused) : std::nullopt;
+}
+
+request_head make_upstream_head(const header_names& names, const std::string& instance,
+                                msg::call_open_msg& request, microseconds left) {
+    request_head head{.method = std::move(request.method),
+                      .target = std::move(request.target),
+                      .headers = from_wire(request.headers)};
+    add_header(head.headers, names.deadline,
+               std::to_string(std::chrono::duration_cast<milliseconds>(left).count()));
+    add_header(head.headers, names.hops, std::to_string(request.hops));
+    add_header(head.headers, names.attempts, std::to_string(request.attempt));
+    if (!instance.empty()) {
+        add_header(head.headers, names.expected_instance, instance);
+    }
+    request.headers.clear();
+    return head;
+}
+
+answer_match make_match(const header_names& names, const request_head& head) {
+    if (names.request_id.empty()) {
+        return {};
+    }
+    const std::string id(find_header(head.headers, names.request_id));
+    return id.empty() ? answer_match{} : answer_match{names.request_id, id};
+}
+
+} // namespace cyclamenhatch::edge
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -115,16 +115,6 @@
     wanted.logs.push_back({log_level::warning, "upstream_expired", {{"service", expired.service}}});
 }
 
-/// What the gate would have said, had it refused.
-peer_message make_refusal(const msg::call_open_msg& open) {
-    msg::call_refused_msg refused;
-    refused.call = std::make_unique<msg::call_key>(*open.call);
-    refused.outcome = msg::call_outcome::not_run;
-    refused.reason = msg::refusal_reason::upstream_unreachable;
-    refused.retry_helps = true;
-    return refused;
-}
-
 } // namespace
 
 node_runtime::node_runtime(const msg::settings_msg& from, const std::optional<feed::dialect>& words)
@@ -174,18 +164,6 @@
     });
 }
 
-void handle_undelivered(node_runtime& node, const outgoing& message) {
-    if (!is_call_message(message.message)) {
-        return; // Control messages are repeated by those who need them.
-    }
-    const auto* open = std::get_if<msg::call_open_msg>(&message.message);
-    if (open != nullptr && open->call && !open->reattach) {
-        edge::on_message(*node.calls, {message.to, make_refusal(*open)});
-        return;
-    }
-    edge::on_link_lost(*node.calls, message.to);
-}
-
 void write(node_runtime& node, store::write_request request, write_callback reply) {
     step(node, [&](instant at, control::actions& wanted) {
         node.waiting_writes.emplace(request.operation, std::move(reply));
--- a/src/node/node_runtime.h
+++ b/src/node/node_runtime.h
@@ -74,9 +74,6 @@
 /// Gives a message from another node to the part that handles it. Thread safe.
 void dispatch(node_runtime& node, incoming message);
 
-/// Handles a message of which no byte was handed to the network. Thread safe.
-void handle_undelivered(node_runtime& node, const outgoing& message);
-
 /// Queues a write and calls back once with its outcome. Thread safe.
 void write(node_runtime& node, store::write_request request, write_callback reply);
 
--- a/src/node/parts.cpp
+++ b/src/node/parts.cpp
@@ -7,11 +7,11 @@
 namespace cyclamenhatch::node {
 
 wire::link_events make_link_events(const runtime_ptr& node) {
-    return {
-        .on_message = [node](incoming message) { dispatch(*node, std::move(message)); },
-        .on_link_lost = [node](const node_id& peer) { edge::on_link_lost(*node->calls, peer); },
-        .on_undelivered = [node](const outgoing& message) { handle_undelivered(*node, message); },
-        .on_log = [](const log_event& event) { write_log(event); }};
+    return {.on_message = [node](incoming message) { dispatch(*node, std::move(message)); },
+            .on_link_lost = [node](const node_id& peer) { edge::on_link_lost(*node->calls, peer); },
+            .on_undelivered =
+                [node](const outgoing& message) { edge::on_undelivered(*node->calls, message); },
+            .on_log = [](const log_event& event) { write_log(event); }};
 }
 
 edge::surroundings make_surroundings(const runtime_ptr& node) {
--- a/tests/edge/call_path_test.cpp
+++ b/tests/edge/call_path_test.cpp
@@ -117,6 +117,29 @@
     EXPECT_EQ(upstream.runs("/hold-once"), 1);
 }
 
+/// A node that lost its power takes no connections: each question for a call there cannot be
+/// delivered.
+TEST(call_path, questions_that_cannot_be_delivered_are_not_repeated_at_once) {
+    fake_upstream upstream;
+    joined_paths paths(upstream.port());
+    std::vector<std::future<std::string>> answers;
+    constexpr int calls = 8;
+    for (int each = 0; each < calls; ++each) {
+        answers.push_back(std::async(std::launch::async, [&] {
+            return paths.get("/hold-once", "cyclamenhatch-deadline-ms: 400\r\n");
+        }));
+    }
+    upstream.wait_for_runs("/hold-once", 4);
+    paths.cut_link();
+    on_link_lost(paths.entry(), node_id("gate"));
+    for (auto& each : answers) {
+        EXPECT_EQ(each.get().substr(0, 3), "504");
+    }
+    // Each call asks at once, after 50, 100 and 200 ms and so on, and is cancelled at its end.
+    EXPECT_LE(paths.undelivered(), calls * 8);
+    upstream.release();
+}
+
 TEST(call_path, proves_not_run_when_the_upstream_cannot_be_reached) {
     fake_upstream upstream;
     joined_paths paths(upstream.port());
--- a/tests/edge/joined_paths.cpp
+++ b/tests/edge/joined_paths.cpp
@@ -110,6 +110,16 @@
     around.send = [this, self](outgoing message) {
         const bool is_answer = std::holds_alternative<msg::call_answer_msg>(message.message) ||
                                std::holds_alternative<msg::call_refused_msg>(message.message);
+        bool is_lost = false;
+        {
+            const std::lock_guard guard(lock_);
+            is_lost = is_cut_ && message.to == node_id("gate");
+            undelivered_ += is_lost ? 1 : 0;
+        }
+        if (is_lost) {
+            on_undelivered(*entry_, message);
+            return;
+        }
         {
             const std::lock_guard guard(lock_);
             if (is_answer && answers_to_lose_ > 0) {
@@ -139,6 +149,16 @@
     set_upstream(*gate_, upstream, port);
 }
 
+void joined_paths::cut_link() {
+    const std::lock_guard guard(lock_);
+    is_cut_ = true;
+}
+
+int joined_paths::undelivered() {
+    const std::lock_guard guard(lock_);
+    return undelivered_;
+}
+
 void joined_paths::lose_answers(int count) {
     const std::lock_guard guard(lock_);
     answers_to_lose_ = count;
--- a/tests/edge/joined_paths.h
+++ b/tests/edge/joined_paths.h
@@ -23,6 +23,10 @@
     call_path& gate() { return *gate_; }
     [[nodiscard]] std::uint16_t entry_port() const { return entry_port_; }
     [[nodiscard]] std::uint16_t gate_port() const { return gate_port_; }
+    /// From now on nothing that the entry sends reaches the gate, and the entry is told so at once.
+    void cut_link();
+    /// Messages that the entry could not deliver.
+    [[nodiscard]] int undelivered();
     /// Loses the next answers and refusals that the gate sends.
     void lose_answers(int count);
     /// Sends bytes to the entry and reads until the connection closes or the answer is whole.
@@ -42,6 +46,8 @@
     std::mutex lock_;
     call::routing_view_ptr view_;
     int answers_to_lose_ = 0;
+    bool is_cut_ = false;
+    int undelivered_ = 0;
     std::shared_ptr<call_path> entry_;
     std::shared_ptr<call_path> gate_;
     std::uint16_t entry_port_ = 0;
