--- a/tests/edge/call_path_test.cpp
+++ b/tests/edge/call_path_test.cpp
@@ -124,6 +124,7 @@
     joined_paths paths(upstream.port());
     std::vector<std::future<std::string>> answers;
     constexpr int calls = 8;
+    answers.reserve(calls);
     for (int each = 0; each < calls; ++each) {
         answers.push_back(std::async(std::launch::async, [&] {
             return paths.get("/hold-once", "cyclamenhatch-deadline-ms: 400\r\n");
--- a/tests/net/net_test.cpp
+++ b/tests/net/net_test.cpp
@@ -22,7 +22,7 @@
 http_outcome ask(asio::io_context& io, http_client& client, http_request request,
                  milliseconds timeout = patience) {
     std::optional<http_outcome> told;
-    send(client, std::move(request), timeout, [&](http_outcome outcome) { told = outcome; });
+    send(client, std::move(request), timeout, [&](const http_outcome& outcome) { told = outcome; });
     EXPECT_FALSE(told);
     while (!told) {
         io.run_one();
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -139,6 +139,7 @@
     EXPECT_EQ(parts[0].service.limits->idle_timeout, milliseconds{15'000});
     EXPECT_EQ(parts[0].service.max_connections, 130U);
     std::vector<section_ptr> stored;
+    stored.reserve(parts.size());
     for (const auto& each : parts) {
         stored.push_back(make_stored_section(each));
     }
