call: let calls without an attainable objective become due after a third of their time

Ruled out: the configuration itself (the requests were routed, and waited at a gate).

Change: such a call is due after a third of the time that it can wait.

Before: lasting_burst.starves_no_call_that_was_taken fails.

--- a/src/call/admission.cpp
+++ b/src/call/admission.cpp
@@ -11,6 +11,9 @@
 
 /// Calls that have lost their objective wait only while fewer calls than this do.
 constexpr std::size_t late_queue = 2;
+/// Part of the time that it can wait after which a call without an attainable objective is due, so
+/// that calls with one, which go first, do not keep it waiting until its deadline.
+constexpr int patience_divisor = 3;
 
 /// Whether waiting that long would cost the call its objective. A call that has lost it already may
 /// wait behind few others only: those that can still meet theirs come first, and it would wait in
@@ -79,7 +82,8 @@
     if (request.objective && now + run <= *request.objective) {
         return *request.objective - run;
     }
-    return request.deadline - run;
+    const auto patience = std::max(request.deadline - run - now, microseconds{0});
+    return now + patience / patience_divisor;
 }
 
 std::optional<refusal> find_refusal(const gate_state& gate, const gate_request& request,
--- a/tests/call/admission_test.cpp
+++ b/tests/call/admission_test.cpp
@@ -87,6 +87,30 @@
     EXPECT_EQ(of.next_start(start + milliseconds{25}), in_time.call);
 }
 
+/// Calls of a route that states no objective wait beside a stream of calls that do.
+TEST(lasting_burst, starves_no_call_that_was_taken) {
+    busy_gate of;
+    auto plain = of.make_request("plain", seconds{1}, milliseconds{900});
+    plain.objective.reset();
+    ASSERT_EQ(of.open(plain), msg::refusal_reason::none);
+    instant now = start;
+    std::optional<instant> started;
+    while (!started && now < plain.deadline) {
+        now += milliseconds{25};
+        for (int each = 0; each < 2; ++each) {
+            auto next = of.make_request("browse", milliseconds{300}, seconds{3});
+            next.objective = now + milliseconds{300};
+            next.deadline = now + seconds{3};
+            (void)on_open(of.gate, next, now);
+        }
+        if (of.next_start(now) == plain.call) {
+            started = now;
+        }
+    }
+    ASSERT_TRUE(started);
+    EXPECT_LE(*started + usual_run, plain.deadline);
+}
+
 TEST(inner_calls, with_a_short_objective_start_first) {
     busy_gate of;
     ASSERT_EQ(of.open(of.make_request("hold", milliseconds{600}, seconds{4})),
