feed: let only changes that were told move a watch on

The store was losing its history: the waiting calls of all three watchers ended without events and with a later revision, and went on from there, past the change.

Change: a watch goes on from the last change that it was told; where the history has gone meanwhile the service says so, and everything is read.

Before: an_empty_answer_of_a_watch_skips_no_change fails; after: it passes.

--- a/src/feed/operator_reader.cpp
+++ b/src/feed/operator_reader.cpp
@@ -183,18 +183,21 @@
 
 void on_watched(reader_run& run, const store::kv_changes& changes) {
     auto& reader = run.reader;
+    auto seen = reader.seen_revision;
     for (const auto& each : changes.changes) {
         if (!is_watched(reader, each.entry.key) ||
             each.entry.mod_revision <= reader.seen_revision) {
             continue;
         }
+        seen = std::max(seen, each.entry.mod_revision);
         if (each.is_delete) {
             reader.items.erase(each.entry.key);
         } else {
             reader.items[each.entry.key] = each.entry;
         }
     }
-    reader.seen_revision = std::max(reader.seen_revision, changes.revision);
+    // Not the revision that the answer states: it may be past changes that were not told.
+    reader.seen_revision = seen;
     build(run);
 }
 
--- a/src/feed/operator_reader.h
+++ b/src/feed/operator_reader.h
@@ -42,7 +42,7 @@
     std::uint64_t next_request = store::feed_request_base;
     /// The items below the watched prefix, by key.
     std::map<std::string, store::kv_entry> items;
-    /// Revision up to which `items` shows every change; 0 before the first read.
+    /// Revision of the last change or read that `items` shows; 0 before the first read.
     std::int64_t seen_revision = 0;
     bool has_records = false;
     bool wants_watch = false;
--- a/tests/feed/feed_test.cpp
+++ b/tests/feed/feed_test.cpp
@@ -106,6 +106,7 @@
     snapshot_ptr held;
     findings rejected;
     std::uint64_t watch = 0;
+    std::int64_t watched_from = 0;
     bool is_store_away = false;
 
     void take(reader_actions& actions) {
@@ -118,8 +119,9 @@
         }
         std::deque<store::kv_request> requests(actions.requests.begin(), actions.requests.end());
         for (const auto& each : requests) {
-            if (std::holds_alternative<store::kv_watch>(each.operation)) {
+            if (const auto* asked = std::get_if<store::kv_watch>(&each.operation)) {
                 watch = each.id;
+                watched_from = asked->from_revision;
             } else if (!std::holds_alternative<store::kv_watch_cancel>(each.operation)) {
                 respond(is_store_away ? store::kv_response{each.id,
                                                            store::kv_failure{
@@ -211,6 +213,22 @@
     EXPECT_EQ(of.prefix(), "/second/");
 }
 
+/// While the service loses its history a watch may be told a later revision without the changes up
+/// to there; then it is cut.
+TEST(operator_reader, an_empty_answer_of_a_watch_skips_no_change) {
+    reading of;
+    of.store.put("op/document", "/first/");
+    of.begin();
+    const auto from = of.watched_from;
+    of.store.put("op/document", "/second/");
+    of.respond({of.watch, store::kv_changes{of.store.revision, {}}});
+    of.respond({of.watch, store::kv_failure{store::kv_failure_kind::watch_closed, "cut"}});
+    of.tick(seconds{2});
+    EXPECT_EQ(of.watched_from, from);
+    of.report("op/document");
+    EXPECT_EQ(of.prefix(), "/second/");
+}
+
 TEST(operator_reader, an_overtaken_read_brings_nothing_old_back) {
     reading of;
     of.store.put("op/document", "/first/");
@@ -224,7 +242,7 @@
     refresh(of.reader, of.now, actions);
     of.take(actions);
     EXPECT_EQ(of.prefix(), "/second/");
-    EXPECT_EQ(of.reader.seen_revision, newer.revision);
+    EXPECT_EQ(of.reader.seen_revision, newer.items.at("op/document").mod_revision);
 }
 
 TEST(operator_reader, is_back_within_two_seconds_of_the_services_return) {
