--- a/src/feed/operator_reader.cpp
+++ b/src/feed/operator_reader.cpp
@@ -11,8 +11,8 @@
 
 /// A response that takes longer than this is taken as lost.
 constexpr seconds response_limit{5};
-/// How often everything is read although a watch is open.
-constexpr milliseconds check_interval{10'000};
+/// How often everything is read although a watch is open, since a watch can fall silent.
+constexpr milliseconds check_interval{5000};
 constexpr store::backoff_limits failure_backoff{milliseconds{100}, milliseconds{1000}};
 
 /// One step of the reader with all that it needs.
