--- a/src/edge/call_path.cpp
+++ b/src/edge/call_path.cpp
@@ -22,7 +22,6 @@
     return {.retries = {.percent = from.retry_budget_percent,
                         .window = milliseconds(from.retry_window_ms),
                         .slack = static_cast<double>(from.retry_slack)},
-            .fleet_retry_slack = from.retry_slack,
             .max_attempts = from.max_attempts,
             .max_hops = from.max_hops,
             .ejection = milliseconds(from.ejection_ms),
--- a/src/edge/entry_side.cpp
+++ b/src/edge/entry_side.cpp
@@ -142,8 +142,7 @@
 /// This node's part of the retries that the fleet may make beyond the share.
 call::budget_rules budget_rules_of(const entry_side& side, const call::routing_view& view) {
     auto rules = side.limits.retries;
-    rules.slack = static_cast<double>(side.limits.fleet_retry_slack) /
-                  static_cast<double>(std::max<std::size_t>(1, view.live_nodes));
+    rules.slack /= static_cast<double>(std::max<std::size_t>(1, view.live_nodes));
     return rules;
 }
 
--- a/src/edge/entry_side.h
+++ b/src/edge/entry_side.h
@@ -73,9 +73,8 @@
 };
 
 struct entry_limits {
+    /// With the slack of all nodes together.
     call::budget_rules retries;
-    /// Retries beyond the share that all nodes together may make in a window.
-    std::uint32_t fleet_retry_slack = 20;
     std::uint32_t max_attempts = 3;
     std::uint32_t max_hops = 8;
     microseconds ejection{2'000'000};
--- a/src/store/config_writer.cpp
+++ b/src/store/config_writer.cpp
@@ -301,8 +301,7 @@
 
 bool on_response(config_writer& writer, const kv_response& response, instant now,
                  random_source& random, writer_actions& actions) {
-    constexpr std::uint64_t base_mask = ~((1ULL << 56U) - 1);
-    if ((response.id & base_mask) != writer_request_base) {
+    if (!is_issued_from(writer_request_base, response.id)) {
         return false;
     }
     writer_run run{writer, now, random, actions};
--- a/src/store/contacts.cpp
+++ b/src/store/contacts.cpp
@@ -227,8 +227,7 @@
 
 bool on_response(contact_keeper& keeper, const kv_response& response, instant now,
                  random_source& random, contact_actions& actions) {
-    constexpr std::uint64_t base_mask = ~((1ULL << 56U) - 1);
-    if ((response.id & base_mask) != contact_request_base) {
+    if (!is_issued_from(contact_request_base, response.id)) {
         return false;
     }
     keeper_run run{keeper, now, random, actions};
--- a/src/store/head_reader.cpp
+++ b/src/store/head_reader.cpp
@@ -309,8 +309,7 @@
 
 bool on_response(head_reader& reader, const kv_response& response, instant now,
                  random_source& random, reader_actions& actions) {
-    constexpr std::uint64_t base_mask = ~((1ULL << 56U) - 1);
-    if ((response.id & base_mask) != reader_request_base) {
+    if (!is_issued_from(reader_request_base, response.id)) {
         return false;
     }
     const bool is_expected = response.id == reader.head_read.id ||
