call: let callers that come back go behind first attempts

Cause: an objective counts from a caller's first attempt, but the entry set it anew for each call.

Ruled out: the estimate of the wait (reads that were not refused before met their objective), upstreams slower than measured.

Change: callers state the time that they have left.

--- a/src/edge/caller_session.cpp
+++ b/src/edge/caller_session.cpp
@@ -214,7 +214,9 @@
 void on_first_piece(const caller_session_ptr& self, const caller_exchange_ptr& of,
                     body_piece first) {
     of->is_handed_over = true;
-    self->listener->events.on_request(of, take_head(*of), std::move(first));
+    auto head = take_head(*of);
+    head.is_first_on_connection = !std::exchange(self->is_used, true);
+    self->listener->events.on_request(of, std::move(head), std::move(first));
 }
 
 void continue_and_read(const caller_session_ptr& self, const caller_exchange_ptr& of) {
--- a/src/edge/caller_session.h
+++ b/src/edge/caller_session.h
@@ -96,6 +96,8 @@
     std::size_t discarded = 0;
     body_bytes waste;
     bool is_closing = false;
+    /// A request of this connection was handed over.
+    bool is_used = false;
     /// Set when the head being read took too long.
     bool is_head_late = false;
     /// The caller has to send or to take something; it may not do so forever.
--- a/src/edge/entry_side.cpp
+++ b/src/edge/entry_side.cpp
@@ -217,9 +217,14 @@
     }
     const auto& match = std::get<route_match>(way);
     const std::string key(find_header(head.headers, caller_key_header));
+    const bool is_first = head.is_first_on_connection;
     const auto flow = make_flow(side, *view, match, limits, std::move(head), std::move(first));
     flow->exchange = exchange;
     lock_type guard(side.lock);
+    if (flow->objective && limits.time_left) {
+        *flow->objective -= call::estimate_spent(side.stated_times, flow->route, *limits.time_left,
+                                                 is_first, flow->received_at);
+    }
     const auto caller_key = key.empty() ? std::nullopt : std::optional<std::string_view>(key);
     choose_target(side, *view, match, caller_key, *flow);
     side.flows.emplace(exchange.get(), flow);
@@ -365,6 +370,7 @@
     if (now - side.cleaned_at > clean_interval) {
         side.cleaned_at = now;
         call::forget_idle(side.loads, idle_load_time, now);
+        call::forget_idle(side.stated_times, now);
     }
     guard.unlock();
     for (auto& [flow, done] : all) {
--- a/src/edge/entry_side.h
+++ b/src/edge/entry_side.h
@@ -2,6 +2,7 @@
 
 #include "call/choose_endpoint.h"
 #include "call/entry_call.h"
+#include "call/returning_caller.h"
 #include "edge/call_path.h"
 #include "edge/caller_listener.h"
 #include "edge/header_names.h"
@@ -101,6 +102,7 @@
     // Guarded by lock.
     random_source random;
     call::load_table loads;
+    call::stated_times_table stated_times;
     std::map<service_id, call::retry_budget> budgets;
     /// The rules for retries at the present size of the fleet.
     call::budget_rules retry_rules;
--- a/src/edge/http_message.h
+++ b/src/edge/http_message.h
@@ -36,6 +36,7 @@
     /// Path and query as the caller wrote them.
     std::string target;
     header_fields headers;
+    bool is_first_on_connection = false;
 };
 
 struct answer_head {
