edge: let no call whose caller has left reach an upstream

A node that is behind with its work reads an open and its cancel in one batch of messages, and dispatched the first before it looked at the second; and it reads a request that its caller has left behind by then, and sent it on.

Change: a dispatch is posted behind the batch of messages, and a request whose connection is closed behind it is dropped.

Tests: call_path.a_call_that_is_cancelled_in_the_same_batch_does_not_reach_ the_upstream and a_request_whose_caller_has_left_is_not_sent_on, both failing before.

--- a/src/edge/caller_session.cpp
+++ b/src/edge/caller_session.cpp
@@ -2,6 +2,8 @@
 
 #include "edge/caller_answer.h"
 
+#include <sys/socket.h>
+
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -211,8 +213,19 @@
     return head;
 }
 
+/// Whether the caller has closed its connection behind what was read of it. A node that is behind
+/// with its work reads a request long after its caller has left.
+bool has_caller_left(caller_session& of) {
+    char byte = 0;
+    return ::recv(of.socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 void on_first_piece(const caller_session_ptr& self, const caller_exchange_ptr& of,
                     body_piece first) {
+    if (has_caller_left(*self)) {
+        close_session(self);
+        return;
+    }
     of->is_handed_over = true;
     auto head = take_head(*of);
     head.is_first_on_connection = !std::exchange(self->is_used, true);
--- a/src/edge/gate_side.cpp
+++ b/src/edge/gate_side.cpp
@@ -3,8 +3,11 @@
 #include "call/call_key.h"
 #include "clock/process_clock.h"
 #include "edge/call_headers.h"
+#include "edge/upstream_connection.h"
 #include "edge/upstream_words.h"
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -223,7 +226,9 @@
 
 void perform_one(gate_side& side, call::gate_action& action) {
     if (const auto* to_run = std::get_if<call::run_action>(&action)) {
-        run(side, to_run->call);
+        // Posted: a node that is behind with its work finds the cancel of a call whose caller has
+        // left in the same batch of messages, and such a call must not reach the upstream.
+        boost::asio::post(side.client->io, [&side, call = to_run->call] { run(side, call); });
     } else if (const auto* to_abort = std::get_if<call::abort_action>(&action)) {
         release(side, to_abort->call, true);
     } else if (const auto* to_release = std::get_if<call::release_action>(&action)) {
--- a/tests/edge/call_path_test.cpp
+++ b/tests/edge/call_path_test.cpp
@@ -183,6 +183,59 @@
     EXPECT_EQ(paths.get("/ok"), "200 upstream ok");
 }
 
+/// Runs a call to its end, so that a connection to the upstream is kept: the next call is written at
+/// once.
+void run_one_call(call_path& gate, boost::asio::io_context& io, fake_upstream& upstream) {
+    on_message(gate, make_open(100, "/status/200"));
+    while (upstream.runs("/status/200") == 0 || count_in_flight(gate) > 0) {
+        io.poll();
+    }
+}
+
+/// A node that is behind with its work reads a call and its cancel together.
+TEST(call_path, a_call_that_is_cancelled_in_the_same_batch_does_not_reach_the_upstream) {
+    fake_upstream upstream;
+    boost::asio::io_context io;
+    const auto [gate, port] = start_lone_node(upstream.port(), io);
+    run_one_call(*gate, io, upstream);
+    on_message(*gate, make_open(1, "/ok"));
+    on_message(*gate, make_cancel(1));
+    on_message(*gate, make_open(2, "/status/201"));
+    while (upstream.runs("/status/201") == 0) {
+        io.poll();
+    }
+    EXPECT_EQ(upstream.runs("/ok"), 0);
+    (void)stop(*gate);
+    io.poll();
+}
+
+/// A request that is read after its caller has left.
+TEST(call_path, a_request_whose_caller_has_left_is_not_sent_on) {
+    fake_upstream upstream;
+    boost::asio::io_context io;
+    const auto node = start_lone_node(upstream.port(), io);
+    run_one_call(*node.path, io, upstream);
+    boost::asio::io_context callers;
+    const auto connect = [&] {
+        boost::asio::ip::tcp::socket socket(callers);
+        socket.connect({boost::asio::ip::make_address("127.0.0.1"), node.caller_port});
+        return socket;
+    };
+    boost::system::error_code failed;
+    {
+        auto gone = connect();
+        gone.send(boost::asio::buffer(request("GET /ok")), 0, failed);
+    }
+    auto stays = connect();
+    stays.send(boost::asio::buffer(request("GET /status/201")), 0, failed);
+    while (upstream.runs("/status/201") == 0) {
+        io.poll();
+    }
+    EXPECT_EQ(upstream.runs("/ok"), 0);
+    (void)stop(*node.path);
+    io.poll();
+}
+
 TEST(call_path, entry_and_gate_may_be_one_node) {
     fake_upstream upstream;
     joined_paths paths(upstream.port());
--- a/tests/edge/joined_paths.cpp
+++ b/tests/edge/joined_paths.cpp
@@ -1,5 +1,7 @@
 #include "joined_paths.h"
 
+#include "call/call_key.h"
+
 #include <boost/asio.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -220,4 +222,40 @@
     return ask("GET " + path + " HTTP/1.1\r\nHost: shop\r\n" + headers + "\r\n");
 }
 
+lone_node start_lone_node(std::uint16_t upstream_port, boost::asio::io_context& io) {
+    surroundings around;
+    around.send = [](const outgoing&) {};
+    around.view = [view = make_view(true)] { return view; };
+    around.record = [](const std::vector<call::call_sample>&) {};
+    const auto port = find_port();
+    auto path = start_call_path(make_settings("gate", port), around, {}, &io);
+    msg::upstream_record_msg upstream;
+    upstream.service = "ledger";
+    upstream.version = "v1";
+    upstream.state = msg::upstream_state::ready;
+    upstream.slots = 4;
+    set_upstream(*path, upstream, upstream_port);
+    return {std::move(path), port};
+}
+
+incoming make_open(std::uint64_t number, const std::string& path) {
+    msg::call_open_msg message;
+    message.call = call::make_key({1, number});
+    message.service = "ledger";
+    message.version = "v1";
+    message.route = "all";
+    message.method = "GET";
+    message.target = path;
+    message.idempotent = true;
+    message.last = true;
+    message.deadline_us = 10'000'000;
+    return {node_id("entry"), std::move(message)};
+}
+
+incoming make_cancel(std::uint64_t number) {
+    msg::call_cancel_msg message;
+    message.call = call::make_key({1, number});
+    return {node_id("entry"), std::move(message)};
+}
+
 } // namespace cyclamenhatch::edge::testing
--- a/tests/edge/joined_paths.h
+++ b/tests/edge/joined_paths.h
@@ -54,4 +54,17 @@
     std::uint16_t gate_port_ = 0;
 };
 
+struct lone_node {
+    std::shared_ptr<call_path> path;
+    std::uint16_t caller_port = 0;
+};
+
+/// A node whose upstream listens on this port, on an io_context that the test runs. What it sends
+/// to others is dropped.
+[[nodiscard]] lone_node start_lone_node(std::uint16_t upstream_port, boost::asio::io_context& io);
+
+/// A request to open or to cancel the call of this number at such a gate.
+[[nodiscard]] incoming make_open(std::uint64_t number, const std::string& path);
+[[nodiscard]] incoming make_cancel(std::uint64_t number);
+
 } // namespace cyclamenhatch::edge::testing
