control: hand duties at the store on when it cannot be reached

Cause: a watcher that is cut off from the store alone kept its duty, since the other nodes still reached it.

Change: a watcher with two failed requests in a row says so in its member record (store_away); duties at the store pass it over for five seconds, while there are others. If nobody reaches the store all are ranked as before.

Ruled out as a way: more watchers (cost), a shorter wait (cost).

Tests: duty_property at_the_store_passes_over_members_that_do_not_reach_it.

--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -14,6 +14,10 @@
 namespace {
 
 constexpr std::size_t contacts_per_data_centre = 2;
+/// Failed requests in a row after which a watcher hands its duty on; one may be a cut connection.
+constexpr std::uint32_t failures_to_hand_on = 2;
+/// How long others hold the duty before this node tries the store again.
+constexpr seconds store_away_time{5};
 constexpr seconds close_retry{2};
 constexpr seconds close_deadline{10};
 constexpr milliseconds lonely_read_delay{500};
@@ -137,6 +141,23 @@
     take_writer(self, std::move(from_writer), now, wanted);
 }
 
+/// A watcher that does not reach the store hands its duties there on for a while.
+void tell_store_reach(state& self, bool watches, instant now, actions& wanted) {
+    const auto failures = self.operators ? self.operators->failures : self.reader.failures;
+    const bool is_away = self.members.self.store_away;
+    if (watches && failures >= failures_to_hand_on) {
+        self.store_away_until = now + store_away_time;
+        membership::set_store_away(self.members, true);
+    } else if (is_away && now >= self.store_away_until) {
+        membership::set_store_away(self.members, false);
+    }
+    if (self.members.self.store_away != is_away) {
+        wanted.logs.push_back({is_away ? log_level::info : log_level::warning,
+                               is_away ? "store_duty_resumed" : "store_duty_handed_on",
+                               {{"failures", std::to_string(failures)}}});
+    }
+}
+
 void tick_store(state& self, instant now, actions& wanted) {
     const bool watches = distribution::is_store_watcher(self.spread, self.members) &&
                          self.members.has_joined && !self.is_leaving;
@@ -145,6 +166,7 @@
     } else {
         tick_head(self, watches, now, wanted);
     }
+    tell_store_reach(self, watches, now, wanted);
 
     if (self.is_leaving) {
         return;
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -39,6 +39,8 @@
     store::config_writer writer;
     store::head_reader reader;
     store::contact_keeper contacts;
+    /// Until then this node's duties at the store are left to others.
+    instant store_away_until{};
     /// Where the operators keep their configuration in a form of their own, it is read from there,
     /// and the head and its writer stay unused.
     std::optional<feed::operator_reader> operators;
--- a/src/distribution/distribution.cpp
+++ b/src/distribution/distribution.cpp
@@ -88,8 +88,9 @@
 }
 
 bool is_store_watcher(const state& self, const membership::table& members) {
-    return membership::has_duty(members, "store-watch", self.settings.watchers_per_data_centre,
-                                data_centre_id{members.self.data_centre});
+    return membership::has_store_duty(members, "store-watch",
+                                      self.settings.watchers_per_data_centre,
+                                      data_centre_id{members.self.data_centre});
 }
 
 } // namespace cyclamenhatch::distribution
--- a/src/feed/operator_reader.cpp
+++ b/src/feed/operator_reader.cpp
@@ -276,6 +276,7 @@
         close_watch(run);
         return;
     }
+    reader.failures = 0;
     reader.wants_read = true;
     reader.has_records = false;
     reader.next_check = now + check_interval;
--- a/src/membership/duty.h
+++ b/src/membership/duty.h
@@ -19,4 +19,9 @@
 [[nodiscard]] bool has_duty(const table& state, std::string_view duty, std::size_t count,
                             const data_centre_id& within = {});
 
+/// Whether this node holds a duty that needs the store. Members that do not reach it are passed
+/// over while there are others.
+[[nodiscard]] bool has_store_duty(const table& state, std::string_view duty, std::size_t count,
+                                  const data_centre_id& within);
+
 } // namespace cyclamenhatch::membership
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -114,6 +114,13 @@
     renew_self(state, 0);
 }
 
+void set_store_away(table& state, bool is_away) {
+    if (state.self.store_away != is_away) {
+        state.self.store_away = is_away;
+        renew_self(state, 0);
+    }
+}
+
 std::vector<outgoing> leave(table& state, instant /*now*/, random_source& random) {
     std::vector<outgoing> sends;
     state.self.state = msg::liveness::left;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -124,6 +124,9 @@
 /// Announces the upstream beside this node, or its change of state.
 void set_upstream(table& state, const msg::upstream_record_msg& upstream, instant now);
 
+/// Announces whether this node reaches the store; a no-op when nothing changes.
+void set_store_away(table& state, bool is_away);
+
 /// Marks this node as left and tells some members at once. Nothing is sent after that but answers.
 [[nodiscard]] std::vector<outgoing> leave(table& state, instant now, random_source& random);
 
--- a/src/store/head_reader.cpp
+++ b/src/store/head_reader.cpp
@@ -279,6 +279,7 @@
         return;
     }
     reader.watch_from = 0;
+    reader.failures = 0;
     reader.wants_read = true;
     reader.next_check = now + check_interval;
     proceed(run);
--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -302,6 +302,38 @@
     }
 }
 
+/// Of the members that reach the store, exactly so many hold a duty there; of all, while none does.
+RC_GTEST_PROP(duty_property, at_the_store_passes_over_members_that_do_not_reach_it, ()) {
+    auto state = make_joined(*rc::gen::inRange(3, 30));
+    std::size_t near = 1;
+    for (auto& [name, each] : state.members) {
+        each.record.store_away = *rc::gen::inRange(0, 3) > 0;
+        near += each.record.store_away ? 0 : 1;
+    }
+    const auto all = live_records(state).size();
+    const auto count_holders = [&] {
+        std::size_t holders = 0;
+        const std::string own = state.self.node;
+        auto members = state.members;
+        for (const auto& [name, each] : members) {
+            auto view = table();
+            view.self = each.record;
+            view.members = members;
+            view.members.erase(name);
+            view.members[node_id(own)].record = state.self;
+            holders += has_store_duty(view, "watch", 3, {}) ? 1 : 0;
+        }
+        return holders + (has_store_duty(state, "watch", 3, {}) ? 1 : 0);
+    };
+    RC_ASSERT(count_holders() == std::min<std::size_t>(3, near));
+    state.self.store_away = true;
+    RC_ASSERT(!has_store_duty(state, "watch", 3, {}) || near == 1);
+    for (auto& [name, each] : state.members) {
+        each.record.store_away = true;
+    }
+    RC_ASSERT(count_holders() == std::min<std::size_t>(3, all));
+}
+
 TEST(duty, ranks_are_the_same_in_every_build) {
     EXPECT_EQ(stable_hash("m0", stable_hash("watch")), 2466923926886050970ULL);
 }
