membership: remember an upstream that leaves before it was known

Seen in the log: node_started 43.231, leave acknowledged 43.600, upstream_announced state=ready 43.934.

Change: the leave of an instance is noted also as the first word of it. Announcements of the same id are then taken only if they state a start later than the leave.

Left open: an upstream whose draining a process has acknowledged that then ends: the next process learns of it with the next announcement, within 1.5 s, and an announcement held up from before could be taken first.

Test: upstream_run.one_that_left_before_it_was_known_does_not_come_back, failing before.

--- a/src/membership/upstream_run.cpp
+++ b/src/membership/upstream_run.cpp
@@ -1,11 +1,24 @@
 #include "membership/upstream_run.h"
 
+#include <algorithm>
+
 namespace cyclamenhatch::membership {
 namespace {
 
 bool is_same_run(const upstream_run& run, const msg::upstream_record_msg& heard) {
-    const bool knows_starts = run.started_ms > 0 && heard.started_ms > 0;
-    return run.instance == heard.instance && (!knows_starts || run.started_ms == heard.started_ms);
+    if (run.instance != heard.instance) {
+        return false;
+    }
+    if (run.started_ms > 0 && heard.started_ms > 0) {
+        return run.started_ms == heard.started_ms;
+    }
+    // Of a run that left before anything else was heard of it the start is not known: one that
+    // began later is another.
+    const bool is_later =
+        run.has_left && run.started_ms == 0 &&
+        heard.started_ms >
+            static_cast<std::uint64_t>(std::max<std::int64_t>(0, to_unix_ms(run.heard_at)));
+    return !is_later;
 }
 
 bool is_older_run(const upstream_run& run, const msg::upstream_record_msg& heard) {
@@ -41,9 +54,11 @@
 }
 
 bool take_leave(upstream_run& run, const std::string& instance, instant now) {
-    if (run.instance != instance) {
+    const bool is_first_word = run.instance.empty() && run.state == msg::upstream_state::none;
+    if (run.instance != instance && !is_first_word) {
         return false;
     }
+    run.instance = instance;
     run.state = msg::upstream_state::gone;
     run.has_left = true;
     run.heard_at = now;
--- a/src/membership/upstream_run.h
+++ b/src/membership/upstream_run.h
@@ -26,7 +26,8 @@
 [[nodiscard]] bool take_announcement(upstream_run& run, const msg::upstream_record_msg& heard,
                                      instant now);
 
-/// Notes that the run with this instance id leaves. Returns false when another run is there.
+/// Notes that the run with this instance id leaves, also as the first that is heard of it. Returns
+/// false when another run is there.
 [[nodiscard]] bool take_leave(upstream_run& run, const std::string& instance, instant now);
 
 } // namespace cyclamenhatch::membership
--- a/tests/membership/upstream_run_test.cpp
+++ b/tests/membership/upstream_run_test.cpp
@@ -43,6 +43,19 @@
     EXPECT_FALSE(run.has_left);
 }
 
+/// The node has restarted and hears of the leave first, then of an announcement made before it.
+TEST(upstream_run, one_that_left_before_it_was_known_does_not_come_back) {
+    upstream_run run;
+    EXPECT_TRUE(take_leave(run, "a", now));
+    const auto left_ms = static_cast<std::uint64_t>(to_unix_ms(now));
+    EXPECT_FALSE(take_announcement(run, announced("a", left_ms - 30'000, 7), now + seconds{1}));
+    EXPECT_FALSE(take_announcement(run, announced("a", 0, 7), now + seconds{1}));
+    // A later run may have the same id, and another instance is free to come.
+    auto other = run;
+    EXPECT_TRUE(take_announcement(other, announced("b", left_ms - 30'000, 1), now + seconds{1}));
+    EXPECT_TRUE(take_announcement(run, announced("a", left_ms + 4'000, 1), now + seconds{5}));
+}
+
 TEST(upstream_run, one_that_drains_does_not_return) {
     upstream_run run;
     EXPECT_TRUE(take_announcement(run, announced("a", 100, 1), now));
