node: let the upstream work on while its node begins to drain

Change: call.drain_gate_ms, how long a draining node still takes calls for its upstream; 1,600 ms on the platform, so that such calls end before the kill at 6 s as calls of 3 s do. The node leaves the fleet then; its duties stay with it until then. 0 elsewhere, which is what was.

Tests: call_path.drain_refuses_new_calls_and_finishes_those_under_way now also asks between the two steps. Docs: the incident, the design page, settings.

--- a/src/document/settings_check.cpp
+++ b/src/document/settings_check.cpp
@@ -229,6 +229,7 @@
         {"process.workers", read.process->workers, 0, max_workers},
         {"call.retry_window_ms", call.retry_window_ms, 100, no_limit},
         {"call.announcement_ttl_ms", call.announcement_ttl_ms, 1, no_limit},
+        {"call.drain_gate_ms", call.drain_gate_ms, 0, call.drain_linger_ms},
     };
 }
 
--- a/src/edge/call_path.cpp
+++ b/src/edge/call_path.cpp
@@ -280,6 +280,9 @@
         path.entry.is_draining = true;
     }
     begin_drain(*path.listener);
+}
+
+void close_gate(call_path& path) {
     on_drain(path.gate);
 }
 
--- a/src/edge/call_path.h
+++ b/src/edge/call_path.h
@@ -66,10 +66,13 @@
 /// Tells a change of the upstream's state; where it listens stays as it is. Thread safe.
 void set_upstream_state(call_path& path, const msg::upstream_record_msg& upstream);
 
-/// Stops new work at the gate, and at the entry unless the settings let it linger; callers are told
-/// to open other connections. Thread safe.
+/// Tells callers to open other connections, and takes no new calls from them unless the settings let
+/// the entry linger. Thread safe.
 void begin_drain(call_path& path);
 
+/// Takes no more calls for the upstream; those under way go on.
+void close_gate(call_path& path);
+
 /// Takes over the limits of changed settings: retries, attempts, ejection and the service of this
 /// host. Thread safe.
 void set_limits(call_path& path, const msg::settings_msg& settings);
--- a/src/node/run_node.cpp
+++ b/src/node/run_node.cpp
@@ -66,6 +66,7 @@
 
 void shut_down(node_runtime& node) {
     edge::begin_drain(*node.calls);
+    edge::close_gate(*node.calls);
     step(node,
          [&](instant at, control::actions& wanted) { control::leave(node.control, at, wanted); });
     wait_for_calls(node);
--- a/src/node/run_on_loop.cpp
+++ b/src/node/run_on_loop.cpp
@@ -48,6 +48,7 @@
     asio::steady_timer drain_timer;
     asio::signal_set signals;
     bool is_draining = false;
+    bool has_left = false;
     instant drain_begun;
 };
 
@@ -190,7 +191,21 @@
            (has_lingered && edge::count_in_flight(*self.node->calls) == 0);
 }
 
+/// Leaves the fleet: nobody sends calls for the upstream here any more.
+void leave_when_due(platform_node& self) {
+    const milliseconds after{self.node->settings.call->drain_gate_ms};
+    if (self.has_left || current_time() - self.drain_begun < after) {
+        return;
+    }
+    self.has_left = true;
+    edge::close_gate(*self.node->calls);
+    step(*self.node, [&](instant at, control::actions& wanted) {
+        control::leave(self.node->control, at, wanted);
+    });
+}
+
 void wait_for_drain(platform_node& self) {
+    leave_when_due(self);
     self.drain_timer.expires_after(drain_check);
     self.drain_timer.async_wait([&self](error_code cancelled) {
         if (cancelled) {
@@ -217,9 +232,6 @@
     self.drain_begun = current_time();
     write_log({log_level::info, "node_draining", {{"signal", std::to_string(signal_number)}}});
     edge::begin_drain(*self.node->calls);
-    step(*self.node, [&](instant at, control::actions& wanted) {
-        control::leave(self.node->control, at, wanted);
-    });
     wait_for_drain(self);
 }
 
--- a/tests/edge/call_path_test.cpp
+++ b/tests/edge/call_path_test.cpp
@@ -159,6 +159,8 @@
     auto answer = std::async(std::launch::async, [&] { return paths.get("/hold"); });
     upstream.wait_for_runs("/hold", 1);
     begin_drain(paths.gate());
+    EXPECT_EQ(paths.get("/ok"), "200 upstream ok") << "the upstream works on until the gate closes";
+    close_gate(paths.gate());
     EXPECT_EQ(paths.get("/ok").substr(0, 17), "503 not-run later");
     EXPECT_EQ(count_in_flight(paths.gate()), 1U);
     upstream.release();
