--- a/src/edge/call_path.h
+++ b/src/edge/call_path.h
@@ -66,8 +66,8 @@
 /// Tells a change of the upstream's state; where it listens stays as it is. Thread safe.
 void set_upstream_state(call_path& path, const msg::upstream_record_msg& upstream);
 
-/// Tells callers to open other connections, and takes no new calls from them unless the settings let
-/// the entry linger. Thread safe.
+/// Tells callers to open other connections, and takes no new calls from them unless the settings
+/// let the entry linger. Thread safe.
 void begin_drain(call_path& path);
 
 /// Takes no more calls for the upstream; those under way go on.
--- a/tests/call/choice_test.cpp
+++ b/tests/call/choice_test.cpp
@@ -99,10 +99,14 @@
      },
      0, 0},
     {"reported_busy",
-     [](scene& of) { note_report(of.load("a"), route_id("browse"), {.in_flight = 4, .queue = 9}, 1, of.now); }, 0, 0},
+     [](scene& of) {
+         note_report(of.load("a"), route_id("browse"), {.in_flight = 4, .queue = 9}, 1, of.now);
+     },
+     0, 0},
     {"old_report_does_not_count",
      [](scene& of) {
-         note_report(of.load("a"), route_id("browse"), {.in_flight = 4}, 1, of.now - 2 * report_lifetime);
+         note_report(of.load("a"), route_id("browse"), {.in_flight = 4}, 1,
+                     of.now - 2 * report_lifetime);
      },
      45, 55},
     {"report_cannot_hide_own_calls",
--- a/tests/edge/call_path_test.cpp
+++ b/tests/edge/call_path_test.cpp
@@ -185,8 +185,8 @@
     EXPECT_EQ(paths.get("/ok"), "200 upstream ok");
 }
 
-/// Runs a call to its end, so that a connection to the upstream is kept: the next call is written at
-/// once.
+/// Runs a call to its end, so that a connection to the upstream is kept: the next call is written
+/// at once.
 void run_one_call(call_path& gate, boost::asio::io_context& io, fake_upstream& upstream) {
     on_message(gate, make_open(100, "/status/200"));
     while (upstream.runs("/status/200") == 0 || count_in_flight(gate) > 0) {
