node: do not offer an upstream that left while it was held back

A node that restarts while the store is down holds its upstream back until it serves. The leave came meanwhile, was acknowledged, and returned early because nothing had been told of the upstream yet: the held record stayed, and 1.5 s later the node offered an upstream that had left. In the log: node_started 56.21, leave at 57.1, config_refreshed 58.55, upstream_announced state=ready 58.62.

Change: the end of a run takes the held record with it, and tells the gate and the others that the upstream is gone.

Test: upstream_run.one_that_leaves_while_it_is_held_back_is_gone, on the function that the node now calls; the old code had no such step.

--- a/src/membership/upstream_run.cpp
+++ b/src/membership/upstream_run.cpp
@@ -1,6 +1,7 @@
 #include "membership/upstream_run.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cyclamenhatch::membership {
 namespace {
@@ -65,4 +66,21 @@
     return true;
 }
 
+std::optional<msg::upstream_record_msg> end_run(upstream_run& run,
+                                                std::optional<msg::upstream_record_msg>& held,
+                                                const msg::upstream_record_msg* told,
+                                                const std::string& instance, instant now) {
+    if (!take_leave(run, instance, now)) {
+        return std::nullopt;
+    }
+    auto left = std::exchange(held, std::nullopt);
+    if (told != nullptr) {
+        left = *told;
+    }
+    if (left) {
+        left->state = msg::upstream_state::gone;
+    }
+    return left;
+}
+
 } // namespace cyclamenhatch::membership
--- a/src/membership/upstream_run.h
+++ b/src/membership/upstream_run.h
@@ -4,6 +4,7 @@
 #include "model/time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 /// Puts the announcements of the upstream beside a node in order: they may come late, from a run
@@ -30,4 +31,12 @@
 /// false when another run is there.
 [[nodiscard]] bool take_leave(upstream_run& run, const std::string& instance, instant now);
 
+/// Ends the run with this instance id. Returns what is to be told of it, to the gate and to others:
+/// the record that was told last, or the one that is held back until the node serves, as gone.
+/// Nothing is held back afterwards. Nothing is returned when another run is there, or when nothing
+/// but the leave was ever heard of this one.
+[[nodiscard]] std::optional<msg::upstream_record_msg>
+end_run(upstream_run& run, std::optional<msg::upstream_record_msg>& held,
+        const msg::upstream_record_msg* told, const std::string& instance, instant now);
+
 } // namespace cyclamenhatch::membership
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -188,13 +188,11 @@
 void announce_leave(node_runtime& node, const std::string& instance) {
     std::optional<msg::upstream_record_msg> left;
     step(node, [&](instant at, control::actions& wanted) {
-        const auto& known = node.control.members.self.upstream;
-        if (!membership::take_leave(node.upstream_run, instance, at) || !known) {
-            return;
+        left = membership::end_run(node.upstream_run, node.held_upstream,
+                                   node.control.members.self.upstream.get(), instance, at);
+        if (left) {
+            set_own_upstream(node, *left, at, wanted);
         }
-        left = *known;
-        left->state = msg::upstream_state::gone;
-        set_own_upstream(node, *left, at, wanted);
     });
     if (left) {
         edge::set_upstream_state(*node.calls, *left);
--- a/tests/membership/upstream_run_test.cpp
+++ b/tests/membership/upstream_run_test.cpp
@@ -56,6 +56,20 @@
     EXPECT_TRUE(take_announcement(run, announced("a", left_ms + 4'000, 1), now + seconds{5}));
 }
 
+/// The node does not serve yet, as while the store is down after its restart, and holds the
+/// upstream back: one that leaves meanwhile must not be offered afterwards.
+TEST(upstream_run, one_that_leaves_while_it_is_held_back_is_gone) {
+    upstream_run run;
+    std::optional held = announced("a", 100, 5);
+    EXPECT_TRUE(take_announcement(run, *held, now));
+    const auto left = end_run(run, held, nullptr, "a", now);
+    ASSERT_TRUE(left);
+    EXPECT_EQ(left->state, msg::upstream_state::gone);
+    EXPECT_FALSE(held);
+    EXPECT_FALSE(take_announcement(run, announced("a", 100, 6), now));
+    EXPECT_FALSE(end_run(run, held, nullptr, "b", now));
+}
+
 TEST(upstream_run, one_that_drains_does_not_return) {
     upstream_run run;
     EXPECT_TRUE(take_announcement(run, announced("a", 100, 1), now));
