--- a/tests/move/fleet_test.cpp
+++ b/tests/move/fleet_test.cpp
@@ -152,7 +152,7 @@
     small_fleet fleet(6, planned);
     fleet.other_route = "route-of-another-service";
     fleet.run(seconds(5));
-    constexpr std::uint64_t calls = 6 * 10 * 50;
+    constexpr std::uint64_t calls = std::uint64_t{6} * 10 * 50;
     std::uint64_t most = 0;
     for (const auto& node : fleet.nodes) {
         std::uint64_t known = 0;
