store: keep both readers' request state in one place

feed/operator_reader repeated head_reader's pending request, failure backoff and spread of the next check. They stand in store/request_state now and serve both. head_reader's down_since went: nothing read it.

--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -143,7 +143,8 @@
 
 /// A watcher that does not reach the store hands its duties there on for a while.
 void tell_store_reach(state& self, bool watches, instant now, actions& wanted) {
-    const auto failures = self.operators ? self.operators->failures : self.reader.failures;
+    const auto& service = self.operators ? self.operators->service : self.reader.service;
+    const auto failures = service.failures;
     const bool is_away = self.members.self.store_away;
     if (watches && failures >= failures_to_hand_on) {
         self.store_away_until = now + store_away_time;
--- a/src/feed/operator_reader.cpp
+++ b/src/feed/operator_reader.cpp
@@ -133,18 +133,6 @@
     run.actions.found = reader.built;
 }
 
-void note_success(operator_reader& reader) {
-    reader.is_store_down = false;
-    reader.failures = 0;
-}
-
-void note_failure(reader_run& run, random_source& random) {
-    auto& reader = run.reader;
-    reader.is_store_down = true;
-    ++reader.failures;
-    reader.not_before = run.now + store::backoff_delay(failure_backoff, reader.failures, random);
-}
-
 void close_watch(reader_run& run) {
     if (run.reader.watch.id != 0) {
         send_request(run, store::kv_watch_cancel{run.reader.watch.id});
@@ -217,12 +205,12 @@
     } else {
         reader.records_read = {};
     }
-    note_failure(run, random);
+    note_failure(reader.service, failure_backoff, run.now, random);
 }
 
 void give_up_lost(reader_run& run, random_source& random) {
     for (const auto& request : {run.reader.read, run.reader.records_read}) {
-        if (request.id != 0 && run.now - request.sent >= response_limit) {
+        if (is_lost(request, response_limit, run.now)) {
             on_failure(run, request.id, {kv_failure_kind::unknown, "no response"}, random);
         }
     }
@@ -231,7 +219,7 @@
 /// Sends what is wanted.
 void proceed(reader_run& run) {
     auto& reader = run.reader;
-    if (run.now < reader.not_before) {
+    if (run.now < reader.service.not_before) {
         return;
     }
     if (reader.wants_read && reader.read.id == 0) {
@@ -276,7 +264,7 @@
         close_watch(run);
         return;
     }
-    reader.failures = 0;
+    reader.service.failures = 0;
     reader.wants_read = true;
     reader.has_records = false;
     reader.next_check = now + check_interval;
@@ -294,9 +282,7 @@
     give_up_lost(run, random);
     if (reader.wants_watch && now >= reader.next_check) {
         reader.wants_read = true;
-        std::uniform_int_distribution<std::int64_t> part(check_interval.count() * 3 / 4,
-                                                         check_interval.count() * 5 / 4);
-        reader.next_check = now + milliseconds{part(random)};
+        reader.next_check = store::choose_next_check(check_interval, now, random);
     }
     proceed(run);
 }
@@ -316,10 +302,10 @@
     if (const auto* failure = std::get_if<kv_failure>(&response.outcome)) {
         on_failure(run, response.id, *failure, random);
     } else if (const auto* changes = std::get_if<store::kv_changes>(&response.outcome)) {
-        note_success(reader);
+        note_success(reader.service);
         on_watched(run, *changes);
     } else if (const auto* read = std::get_if<store::kv_entries>(&response.outcome)) {
-        note_success(reader);
+        note_success(reader.service);
         if (response.id == reader.read.id) {
             on_read(run, *read);
         } else {
--- a/src/feed/operator_reader.h
+++ b/src/feed/operator_reader.h
@@ -4,7 +4,7 @@
 #include "model/random.h"
 #include "model/snapshot.h"
 #include "store/kv.h"
-#include "store/request_budget.h"
+#include "store/request_state.h"
 
 #include <cstdint>
 #include <map>
@@ -30,12 +30,6 @@
     std::vector<move_record> records;
 };
 
-/// A request that has not been answered; an id of 0 is none.
-struct pending_request {
-    std::uint64_t id = 0;
-    instant sent;
-};
-
 /// Plain data; one per node; the caller serialises access.
 struct operator_reader {
     dialect words;
@@ -47,16 +41,14 @@
     bool has_records = false;
     bool wants_watch = false;
     bool wants_read = false;
-    pending_request read;
-    pending_request records_read;
-    pending_request watch;
+    store::pending_request read;
+    store::pending_request records_read;
+    store::pending_request watch;
     /// The last snapshot built, and the revisions of the items that it was built from.
     snapshot_ptr built;
     std::int64_t built_revision = 0;
     std::int64_t rejected_revision = 0;
-    bool is_store_down = false;
-    std::uint32_t failures = 0;
-    instant not_before;
+    store::service_state service;
     /// When everything is read again although the watch is open, since a watch can fall silent.
     instant next_check;
     /// Sections as they were last built, to keep their encoded form.
--- a/src/node/state_document.cpp
+++ b/src/node/state_document.cpp
@@ -147,7 +147,7 @@
 }
 
 bool is_store_down(const control::state& from) {
-    return from.operators ? from.operators->is_store_down : from.reader.is_store_down;
+    return from.operators ? from.operators->service.is_down : from.reader.service.is_down;
 }
 
 bool is_watching_store(const control::state& from) {
--- a/src/store/head_reader.cpp
+++ b/src/store/head_reader.cpp
@@ -30,27 +30,6 @@
     return id;
 }
 
-void note_success(head_reader& reader) {
-    reader.is_store_down = false;
-    reader.failures = 0;
-}
-
-void note_failure(reader_run& run, random_source& random) {
-    auto& reader = run.reader;
-    if (!reader.is_store_down) {
-        reader.is_store_down = true;
-        reader.down_since = run.now;
-    }
-    ++reader.failures;
-    reader.not_before = run.now + backoff_delay(failure_backoff, reader.failures, random);
-}
-
-void schedule_check(reader_run& run, random_source& random) {
-    std::uniform_int_distribution<std::int64_t> part(check_interval.count() * 3 / 4,
-                                                     check_interval.count() * 5 / 4);
-    run.reader.next_check = run.now + milliseconds{part(random)};
-}
-
 /// Reports a completely read head.
 void settle(reader_run& run) {
     auto& reader = run.reader;
@@ -219,16 +198,12 @@
     } else {
         reader.section_read = {};
     }
-    note_failure(run, random);
-}
-
-bool is_lost(const reader_request& request, instant now) {
-    return request.id != 0 && now - request.sent >= response_limit;
+    note_failure(reader.service, failure_backoff, run.now, random);
 }
 
 void give_up_lost(reader_run& run, random_source& random) {
     for (const auto& request : {run.reader.head_read, run.reader.section_read}) {
-        if (is_lost(request, run.now)) {
+        if (is_lost(request, response_limit, run.now)) {
             on_failure(run, request.id, {kv_failure_kind::unknown, "no response"}, random);
         }
     }
@@ -238,7 +213,7 @@
 void proceed(reader_run& run) {
     auto& reader = run.reader;
     const auto may_send = [&] {
-        return run.now >= reader.not_before && try_take(reader.reads, run.now);
+        return run.now >= reader.service.not_before && try_take(reader.reads, run.now);
     };
     const bool needs_sections = reader.fetch && reader.section_read.id == 0;
     if (needs_sections && may_send()) {
@@ -279,7 +254,7 @@
         return;
     }
     reader.watch_from = 0;
-    reader.failures = 0;
+    reader.service.failures = 0;
     reader.wants_read = true;
     reader.next_check = now + check_interval;
     proceed(run);
@@ -303,7 +278,7 @@
     give_up_lost(run, random);
     if (reader.wants_watch && now >= reader.next_check) {
         reader.wants_read = true;
-        schedule_check(run, random);
+        reader.next_check = choose_next_check(check_interval, now, random);
     }
     proceed(run);
 }
@@ -323,10 +298,10 @@
     if (const auto* failure = std::get_if<kv_failure>(&response.outcome)) {
         on_failure(run, response.id, *failure, random);
     } else if (const auto* changes = std::get_if<kv_changes>(&response.outcome)) {
-        note_success(reader);
+        note_success(reader.service);
         on_watched(run, *changes);
     } else if (const auto* read = std::get_if<kv_entries>(&response.outcome)) {
-        note_success(reader);
+        note_success(reader.service);
         if (response.id == reader.head_read.id) {
             on_head_read(run, *read);
         } else {
--- a/src/store/head_reader.h
+++ b/src/store/head_reader.h
@@ -5,7 +5,7 @@
 #include "model/snapshot.h"
 #include "model/time.h"
 #include "store/kv.h"
-#include "store/request_budget.h"
+#include "store/request_state.h"
 #include "store/section_fetch.h"
 
 #include <cstdint>
@@ -29,12 +29,6 @@
     findings rejected_for;
 };
 
-/// A request of the reader that has not been answered; 0 is none.
-struct reader_request {
-    std::uint64_t id = 0;
-    instant sent;
-};
-
 /// A stored head by the digest of its bytes, since revisions repeat after a restored backup.
 struct known_head {
     digest_id digest;
@@ -44,9 +38,7 @@
 /// Plain data; one per node; the caller serialises access.
 struct head_reader {
     std::string prefix;
-    /// Whether the last request to the service failed, and since when.
-    bool is_store_down = false;
-    instant down_since;
+    service_state service;
     bool is_watching = false;
 
     token_bucket reads;
@@ -55,9 +47,9 @@
     /// Whether a watch is wanted, and whether the head has to be read.
     bool wants_watch = false;
     bool wants_read = false;
-    reader_request head_read;
-    reader_request section_read;
-    reader_request watch;
+    pending_request head_read;
+    pending_request section_read;
+    pending_request watch;
     /// First revision that the next watch has to report; 0 when the head has to be read first.
     std::int64_t watch_from = 0;
     /// The head being completed with its sections.
@@ -67,9 +59,6 @@
     section_map opened;
     /// The last head that was found, rejected or held already.
     std::optional<known_head> settled;
-    std::uint32_t failures = 0;
-    /// No request is sent before.
-    instant not_before;
     /// When the head is read again although the watch is open, since a watch can go silent.
     instant next_check;
 };
--- a/tests/store/head_reader_test.cpp
+++ b/tests/store/head_reader_test.cpp
@@ -41,7 +41,7 @@
     run(world, GetParam().found_within);
     EXPECT_EQ(world.nodes[0].found.back()->version.value, 2U);
     EXPECT_TRUE(world.nodes[0].reader.is_watching);
-    EXPECT_FALSE(world.nodes[0].reader.is_store_down);
+    EXPECT_FALSE(world.nodes[0].reader.service.is_down);
     submit(world, writing_node, "again", make_version_write("layouts", "v4"));
     run(world, milliseconds{300});
     EXPECT_EQ(world.nodes[0].found.back()->version.value, 3U);
@@ -71,7 +71,7 @@
 void go_down(store_world& world) {
     fakes::set_down(world.store, true, world.now);
     run(world, milliseconds{3000});
-    EXPECT_TRUE(world.nodes[0].reader.is_store_down);
+    EXPECT_TRUE(world.nodes[0].reader.service.is_down);
     fakes::set_down(world.store, false, world.now);
 }
 
