--- a/src/call/owner_shares.cpp
+++ b/src/call/owner_shares.cpp
@@ -66,6 +66,15 @@
     return of.running / weight;
 }
 
+std::map<owner_id, std::uint32_t> collect_reservations(const snapshot& config) {
+    std::map<owner_id, std::uint32_t> reserved;
+    for (const auto& [name, part] : config.sections) {
+        auto& slots = reserved[part->content.service.owner];
+        slots = std::max(slots, part->content.service.reserved_slots);
+    }
+    return reserved;
+}
+
 void set_reservations(owner_shares& shares, const std::map<owner_id, std::uint32_t>& reserved) {
     for (auto& [name, each] : shares.owners) {
         each.reserved_slots = 0;
--- a/src/call/owner_shares.h
+++ b/src/call/owner_shares.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "model/ids.h"
+#include "model/snapshot.h"
 #include "model/time.h"
 
 #include <cstdint>
@@ -44,6 +45,9 @@
 /// How much of its reservation an owner has in use: lower goes first.
 [[nodiscard]] double used_ratio(const owner_share& of);
 
+/// The slots that each owner reserves at an upstream: the most of any of its services.
+[[nodiscard]] std::map<owner_id, std::uint32_t> collect_reservations(const snapshot& config);
+
 /// Takes over reservations; owners without one keep a weight below any reserved slot.
 void set_reservations(owner_shares& shares, const std::map<owner_id, std::uint32_t>& reserved);
 
--- a/src/edge/caller_answer.cpp
+++ b/src/edge/caller_answer.cpp
@@ -25,6 +25,19 @@
 
 } // namespace
 
+waiting_piece make_fault_answer(unsigned status, std::string_view title, bool is_not_run) {
+    answer_head head{.status = status, .headers = {}};
+    head.headers.push_back({"Content-Type", "application/problem+json"});
+    if (is_not_run) {
+        head.headers.push_back({"cyclamenhatch-outcome", "not-run"});
+    }
+    const std::string text =
+        R"({"title":")" + std::string(title) + R"(","status":)" + std::to_string(status) + "}";
+    return {.head = std::move(head),
+            .piece = {body_bytes(text.begin(), text.end()), true},
+            .done = nullptr};
+}
+
 bool is_read_whole(const caller_exchange& of) {
     return of.parser && of.parser->is_done();
 }
--- a/src/edge/caller_session.cpp
+++ b/src/edge/caller_session.cpp
@@ -1,8 +1,7 @@
 #include "edge/caller_session.h"
 
 #include "edge/caller_answer.h"
-
-#include <sys/socket.h>
+#include "edge/caller_request.h"
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
@@ -164,23 +163,13 @@
 void answer_fault(const caller_session_ptr& self, const caller_exchange_ptr& of, edge_fault fault,
                   unsigned status, std::string_view title) {
     self->listener->events.on_fault(fault);
-    answer_head head{.status = status, .headers = {}};
-    head.headers.push_back({"Content-Type", "application/problem+json"});
-    if (of->is_handed_over) {
-        if (!of->is_over) {
-            self->listener->events.on_gone(of);
-        }
-    } else {
-        head.headers.push_back({"cyclamenhatch-outcome", "not-run"});
+    if (of->is_handed_over && !of->is_over) {
+        self->listener->events.on_gone(of);
     }
     of->is_answered = true;
     of->is_last = true;
     of->on_piece = nullptr;
-    const std::string text =
-        R"({"title":")" + std::string(title) + R"(","status":)" + std::to_string(status) + "}";
-    queue_piece(of, {.head = std::move(head),
-                     .piece = {body_bytes(text.begin(), text.end()), true},
-                     .done = nullptr});
+    queue_piece(of, make_fault_answer(status, title, !of->is_handed_over));
 }
 
 void on_bad_request(const caller_session_ptr& self, const caller_exchange_ptr& of,
@@ -194,32 +183,6 @@
     }
 }
 
-/// The bytes are no request, while the connection itself is whole.
-bool is_request_fault(error_code failed) {
-    static const auto& category = error_code(http::error::bad_method).category();
-    return failed.category() == category && failed != http::error::end_of_stream &&
-           failed != http::error::partial_message;
-}
-
-request_head take_head(const caller_exchange& of) {
-    const auto& request = of.parser->get();
-    request_head head{.method = std::string(request.method_string()),
-                      .target = std::string(request.target()),
-                      .headers = {}};
-    for (const auto& each : request) {
-        head.headers.push_back({std::string(each.name_string()), std::string(each.value())});
-    }
-    drop_named_by_connection(head.headers);
-    return head;
-}
-
-/// Whether the caller has closed its connection behind what was read of it. A node that is behind
-/// with its work reads a request long after its caller has left.
-bool has_caller_left(caller_session& of) {
-    char byte = 0;
-    return ::recv(of.socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
-}
-
 void on_first_piece(const caller_session_ptr& self, const caller_exchange_ptr& of,
                     body_piece first) {
     if (has_caller_left(*self)) {
--- a/src/edge/gate_side.cpp
+++ b/src/edge/gate_side.cpp
@@ -262,15 +262,6 @@
     return overdue;
 }
 
-std::map<owner_id, std::uint32_t> collect_reservations(const snapshot& config) {
-    std::map<owner_id, std::uint32_t> reserved;
-    for (const auto& [name, part] : config.sections) {
-        auto& slots = reserved[part->content.service.owner];
-        slots = std::max(slots, part->content.service.reserved_slots);
-    }
-    return reserved;
-}
-
 } // namespace
 
 void on_open(gate_side& side, const node_id& from, msg::call_open_msg message) {
@@ -369,7 +360,7 @@
     const auto now = current_time();
     if (config && config != side.reservations_from) {
         side.reservations_from = config;
-        call::on_reservations(side.gate, collect_reservations(*config), now);
+        call::on_reservations(side.gate, call::collect_reservations(*config), now);
     }
     auto actions = call::on_gate_timer(side.gate, now);
     const auto overdue = find_overdue(side, now);
--- a/src/edge/upstream_client.cpp
+++ b/src/edge/upstream_client.cpp
@@ -1,6 +1,7 @@
 #include "edge/upstream_client.h"
 
 #include "edge/upstream_connection.h"
+#include "edge/upstream_request.h"
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -87,25 +88,6 @@
     give_back(*self->client, std::move(self->link));
 }
 
-void fill_request(upstream_exchange& of, bool is_whole) {
-    of.request.version(11);
-    of.request.method_string(of.head.method);
-    of.request.target(of.head.target);
-    const std::string stated(find_header(of.head.headers, "content-length"));
-    for (const auto& each : of.head.headers) {
-        if (!is_connection_header(each.name)) {
-            of.request.insert(each.name, each.value);
-        }
-    }
-    if (!is_whole && stated.empty()) {
-        of.request.chunked(true);
-    } else if (!is_whole) {
-        of.request.set(http::field::content_length, stated);
-    } else if (!of.outgoing.empty() || !stated.empty()) {
-        of.request.content_length(of.outgoing.size());
-    }
-}
-
 void set_body(upstream_exchange& of, bool is_last) {
     auto& body = of.request.body();
     body.data = of.outgoing.empty() ? nullptr : of.outgoing.data();
@@ -271,7 +253,7 @@
 }
 
 void write_request(const exchange_ptr& self, bool is_whole) {
-    fill_request(*self, is_whole);
+    fill_request(self->request, self->head, self->outgoing.size(), is_whole);
     set_body(*self, is_whole);
     self->serializer.emplace(self->request);
     http::async_write(self->link->socket, *self->serializer,
