edge: say why an answer that had begun was not brought to its end

Also found on the way: an answer that its gate refused after it had begun left its attempt in the table of attempts for good; it goes with the break now.

--- a/src/call/entry_call.cpp
+++ b/src/call/entry_call.cpp
@@ -30,10 +30,6 @@
 
 void fail(entry_call& state, refusal told, actions& out) {
     state.is_over = true;
-    if (state.is_answering) {
-        out.emplace_back(break_off_action{});
-        return;
-    }
     if (state.has_kept_answer) {
         out.emplace_back(pass_kept_answer_action{});
         return;
@@ -44,6 +40,12 @@
     out.emplace_back(fail_action{told});
 }
 
+/// Ends a call whose answer has begun and cannot be brought to its end.
+void break_off(entry_call& state, answer_break cause, actions& out) {
+    state.is_over = true;
+    out.emplace_back(break_off_action{cause, state.current->to.node});
+}
+
 /// The next endpoint: one that was not tried, or, when all had no free slot, one to wait at.
 std::optional<pick> choose_next(entry_call& state, const entry_context& context) {
     auto chosen = context.choose(state.tried);
@@ -172,7 +174,8 @@
         return;
     }
     if (state.is_answering) {
-        fail(state, event.told, out);
+        break_off(state, answer_break::gate_refused, out);
+        state.current.reset();
         return;
     }
     const bool is_proven = event.told.outcome == msg::call_outcome::not_run;
@@ -198,21 +201,36 @@
         return;
     }
     if (state.is_answering) {
+        break_off(state, answer_break::link_lost, out);
         give_up_attempt(state, context.now, out);
-        fail(state, lost_attempt(), out);
         return;
     }
     state.current->reattach_at = context.now + first_reattach_delay;
     out.emplace_back(reattach_action{state.current->to});
 }
 
+void on_event(entry_call& state, const piece_missing_event& event, const entry_context& context,
+              actions& out) {
+    if (!is_current(state, event.call) || !state.is_answering) {
+        out.emplace_back(drop_action{});
+        return;
+    }
+    break_off(state, answer_break::piece_missing, out);
+    give_up_attempt(state, context.now, out);
+}
+
 void on_event(entry_call& state, const endpoint_gone_event& event, const entry_context& context,
               actions& out) {
     if (state.is_over || !state.current || state.current->to.node != event.node) {
         return;
     }
+    if (state.is_answering) {
+        break_off(state, answer_break::endpoint_gone, out);
+        give_up_attempt(state, context.now, out);
+        return;
+    }
     give_up_attempt(state, context.now, out);
-    if (state.is_answering || !state.is_idempotent) {
+    if (!state.is_idempotent) {
         fail(state, lost_attempt(), out);
         return;
     }
@@ -265,6 +283,20 @@
 
 } // namespace
 
+const char* name_of(answer_break cause) {
+    switch (cause) {
+    case answer_break::link_lost:
+        return "link_lost";
+    case answer_break::piece_missing:
+        return "piece_missing";
+    case answer_break::endpoint_gone:
+        return "endpoint_gone";
+    case answer_break::gate_refused:
+        return "gate_refused";
+    }
+    return "";
+}
+
 bool has_arrived(const refusal& told) {
     return told.outcome != msg::call_outcome::not_run ||
            told.reason == msg::refusal_reason::upstream_refused ||
--- a/src/call/entry_call.h
+++ b/src/call/entry_call.h
@@ -94,6 +94,10 @@
 struct link_lost_event {
     node_id node;
 };
+/// A piece of the answer came before one that is missing.
+struct piece_missing_event {
+    call_id call;
+};
 /// The endpoint's process is gone for good: its member is dead or came back in another incarnation.
 struct endpoint_gone_event {
     node_id node;
@@ -103,7 +107,7 @@
 
 using entry_event =
     std::variant<request_event, answer_event, answer_end_event, refused_event, link_lost_event,
-                 endpoint_gone_event, timer_event, caller_gone_event>;
+                 piece_missing_event, endpoint_gone_event, timer_event, caller_gone_event>;
 
 /// Send the request to the gate under a new id.
 struct open_action {
@@ -129,8 +133,17 @@
 struct fail_action {
     refusal told;
 };
+/// Why an answer that has begun cannot be brought to its end.
+enum class answer_break { link_lost, piece_missing, endpoint_gone, gate_refused };
+
+[[nodiscard]] const char* name_of(answer_break cause);
+
 /// Break off an answer that has begun: its rest is lost.
-struct break_off_action {};
+struct break_off_action {
+    answer_break cause = answer_break::link_lost;
+    /// Where the answer came from.
+    node_id from;
+};
 /// Book the end of an attempt.
 struct ended_action {
     pick at;
--- a/src/edge/call_path.cpp
+++ b/src/edge/call_path.cpp
@@ -125,8 +125,8 @@
                                 body_piece first) {
         on_request(path.entry, exchange, std::move(head), std::move(first));
     };
-    events.on_gone = [&path](const caller_exchange_ptr& exchange) {
-        on_caller_gone(path.entry, exchange);
+    events.on_gone = [&path](const caller_exchange_ptr& exchange, caller_end cause) {
+        on_caller_gone(path.entry, exchange, cause);
     };
     events.on_fault = [&path](edge_fault fault) {
         ++path.edge_faults.at(static_cast<std::size_t>(fault));
--- a/src/edge/caller_listener.cpp
+++ b/src/edge/caller_listener.cpp
@@ -49,6 +49,22 @@
 
 } // namespace
 
+const char* name_of(caller_end cause) {
+    switch (cause) {
+    case caller_end::left:
+        return "caller_left";
+    case caller_end::stalled:
+        return "caller_stalled";
+    case caller_end::closing:
+        return "connection_closing";
+    case caller_end::bad_request:
+        return "bad_request";
+    case caller_end::node_stops:
+        return "node_stops";
+    }
+    return "";
+}
+
 std::shared_ptr<caller_listener> start_listener(asio::io_context& io, const std::string& ip,
                                                 std::uint16_t port, const listener_limits& limits,
                                                 listener_events events) {
@@ -82,7 +98,7 @@
     });
     for_each_session(listener, [](const caller_session_ptr& each) {
         if (each->open.empty()) {
-            close_session(each);
+            close_session(each, caller_end::node_stops);
         }
     });
 }
@@ -98,7 +114,9 @@
 
 void close_listener(caller_listener& listener) {
     stop_accepting(listener);
-    for_each_session(listener, close_session);
+    for_each_session(listener, [](const caller_session_ptr& each) {
+        close_session(each, caller_end::node_stops);
+    });
 }
 
 void close_silent(caller_listener& listener) {
--- a/src/edge/caller_listener.h
+++ b/src/edge/caller_listener.h
@@ -33,11 +33,16 @@
 /// Why a request was refused at the edge.
 enum class edge_fault { broken_request, header_too_large, body_too_large };
 
+/// Why a caller's connection ended before its answer was complete.
+enum class caller_end { left, stalled, closing, bad_request, node_stops };
+
+[[nodiscard]] const char* name_of(caller_end cause);
+
 struct listener_events {
     /// A request with the first piece of its body. The head's headers are those to pass on.
     std::function<void(caller_exchange_ptr, request_head, body_piece)> on_request;
-    /// The caller closed its connection before its answer was complete.
-    std::function<void(const caller_exchange_ptr&)> on_gone;
+    /// The caller's connection ended before its answer was complete.
+    std::function<void(const caller_exchange_ptr&, caller_end)> on_gone;
     /// A request was refused with an error of its own.
     std::function<void(edge_fault)> on_fault;
     /// Whether a request that a caller sent before the answer to an earlier one may be worked on at
--- a/src/edge/caller_session.cpp
+++ b/src/edge/caller_session.cpp
@@ -45,7 +45,7 @@
                                  [self](error_code failed, std::size_t bytes) {
                                      self->discarded += bytes;
                                      if (failed || self->discarded > max_discarded_bytes) {
-                                         close_session(self);
+                                         close_session(self, caller_end::left);
                                          return;
                                      }
                                      discard_rest(self);
@@ -53,12 +53,12 @@
 }
 
 /// Drops all exchanges but one that is being written to its end.
-void drop_open(const caller_session_ptr& self) {
+void drop_open(const caller_session_ptr& self, caller_end cause) {
     for (const auto& each : std::exchange(self->open, {})) {
         each->on_piece = nullptr;
         each->waiting.clear();
         if (!std::exchange(each->is_over, true) && each->is_handed_over) {
-            self->listener->events.on_gone(each);
+            self->listener->events.on_gone(each, cause);
         }
     }
 }
@@ -68,13 +68,13 @@
 void close_gently(const caller_session_ptr& self) {
     self->is_closing = true;
     touch(*self, true);
-    drop_open(self);
+    drop_open(self, caller_end::closing);
     error_code failed;
     // A read of a head or body may be under way; its result is of no use now.
     self->socket.cancel(failed);
     self->socket.shutdown(asio::ip::tcp::socket::shutdown_send, failed);
     if (failed) {
-        close_session(self);
+        close_session(self, caller_end::left);
         return;
     }
     discard_rest(self);
@@ -125,7 +125,7 @@
                               return;
                           }
                           if (failed && failed != http::error::need_buffer) {
-                              close_session(self);
+                              close_session(self, caller_end::left);
                               return;
                           }
                           touch(*self, false);
@@ -148,7 +148,7 @@
     }
     const auto of = self->open.front();
     if (of->is_broken) {
-        close_session(self);
+        close_session(self, caller_end::left);
         return;
     }
     if (of->is_writing || of->waiting.empty()) {
@@ -164,7 +164,7 @@
                   unsigned status, std::string_view title) {
     self->listener->events.on_fault(fault);
     if (of->is_handed_over && !of->is_over) {
-        self->listener->events.on_gone(of);
+        self->listener->events.on_gone(of, caller_end::bad_request);
     }
     of->is_answered = true;
     of->is_last = true;
@@ -186,7 +186,7 @@
 void on_first_piece(const caller_session_ptr& self, const caller_exchange_ptr& of,
                     body_piece first) {
     if (has_caller_left(*self)) {
-        close_session(self);
+        close_session(self, caller_end::left);
         return;
     }
     of->is_handed_over = true;
@@ -199,7 +199,7 @@
     static constexpr std::string_view text = "HTTP/1.1 100 Continue\r\n\r\n";
     asio::async_write(self->socket, asio::buffer(text), [self, of](error_code failed, std::size_t) {
         if (failed) {
-            close_session(self);
+            close_session(self, caller_end::left);
             return;
         }
         read_piece(self, of);
@@ -237,7 +237,7 @@
         return;
     }
     if (failed && !is_request_fault(failed)) {
-        close_session(self);
+        close_session(self, caller_end::left);
         return;
     }
     const bool is_first = self->open.empty();
@@ -272,7 +272,7 @@
         on_bad_request(self, of, failed);
         return;
     }
-    close_session(self);
+    close_session(self, caller_end::left);
 }
 
 void read_some(const caller_session_ptr& self, const caller_exchange_ptr& of) {
@@ -357,26 +357,26 @@
     write_due(of->owner);
 }
 
-void close_session(const caller_session_ptr& self) {
+void close_session(const caller_session_ptr& self, caller_end cause) {
     self->is_closing = true;
     error_code ignored;
     self->socket.close(ignored);
     self->next.reset();
-    drop_open(self);
+    drop_open(self, cause);
 }
 
 void check_silence(const caller_session_ptr& self, steady_instant now) {
     const auto limits = limits_of(*self);
     if (self->is_closing) {
         if (now - self->active_at > max_closing) {
-            close_session(self);
+            close_session(self, caller_end::left);
         }
         return;
     }
     if (self->next && self->open.empty()) {
         const bool has_begun = self->buffer.size() > 0 || self->next->parser->got_some();
         if (!has_begun && now - self->active_at > limits.idle_timeout + idle_margin) {
-            close_session(self);
+            close_session(self, caller_end::left);
         } else if (has_begun && !self->head_since) {
             self->head_since = now;
         } else if (has_begun && now - *self->head_since > limits.header_timeout) {
@@ -387,7 +387,7 @@
         return;
     }
     if (self->is_waiting_for_caller && now - self->active_at > max_stall) {
-        close_session(self);
+        close_session(self, caller_end::stalled);
     }
 }
 
--- a/src/edge/caller_session.h
+++ b/src/edge/caller_session.h
@@ -122,8 +122,8 @@
 /// Breaks off an answer once those before it are written.
 void break_answer(const caller_exchange_ptr& of);
 
-/// Closes the connection and tells the call path of each exchange that was under way.
-void close_session(const caller_session_ptr& self);
+/// Closes the connection and tells the call path of each exchange that was under way, and why.
+void close_session(const caller_session_ptr& self, caller_end cause);
 
 /// Ends a connection that has been silent for too long, as of now.
 void check_silence(const caller_session_ptr& self, steady_instant now);
--- a/src/edge/entry_side.cpp
+++ b/src/edge/entry_side.cpp
@@ -6,6 +6,7 @@
 #include "edge/entry_steps.h"
 
 #include <algorithm>
+#include <charconv>
 #include <optional>
 #include <utility>
 
@@ -194,6 +195,20 @@
     return found->second;
 }
 
+/// The length of the answer's body as its head states it.
+std::optional<std::uint64_t> find_stated_bytes(const wire_headers& headers) {
+    const auto found = std::find_if(headers.begin(), headers.end(), [](const auto& each) {
+        return equals_without_case(each->name, "content-length");
+    });
+    if (found == headers.end()) {
+        return std::nullopt;
+    }
+    const auto& text = (*found)->value;
+    std::uint64_t bytes = 0;
+    const auto read = std::from_chars(text.data(), text.data() + text.size(), bytes);
+    return read.ec == std::errc{} ? std::optional(bytes) : std::nullopt;
+}
+
 void record_segments(entry_side& side, const entry_flow& flow, const msg::call_answer_msg& message,
                      instant now) {
     const auto there = microseconds(message.gate_us) + microseconds(message.upstream_us);
@@ -245,7 +260,7 @@
     return way.matched != nullptr && way.matched->idempotent;
 }
 
-void on_caller_gone(entry_side& side, const caller_exchange_ptr& exchange) {
+void on_caller_gone(entry_side& side, const caller_exchange_ptr& exchange, caller_end cause) {
     lock_type guard(side.lock);
     const auto found = side.flows.find(exchange.get());
     if (found == side.flows.end()) {
@@ -254,6 +269,9 @@
     const auto flow = found->second;
     side.flows.erase(found);
     ++side.counters.callers_gone;
+    if (flow->state.is_answering) {
+        log_call(side, describe_cut(*flow, "call_cut_at_caller", name_of(cause)));
+    }
     auto done = step(side, flow, call::caller_gone_event{});
     guard.unlock();
     perform(side, flow, std::move(done), nullptr);
@@ -271,6 +289,7 @@
     call::note_report(side.loads[from], flow->route, load, message.gate_instance, now);
     record_segments(side, *flow, message, now);
     flow->download_offset = message.body.size();
+    flow->stated_bytes = find_stated_bytes(message.headers);
     flow->run_time = microseconds(message.upstream_us);
     constexpr unsigned first_server_error = 500;
     auto done = step(side, flow,
@@ -310,7 +329,7 @@
     }
     if (message.offset != flow->download_offset) {
         // A piece is missing or repeated: what is passed on must be the whole answer or end.
-        auto done = step(side, flow, call::link_lost_event{from});
+        auto done = step(side, flow, call::piece_missing_event{call});
         guard.unlock();
         perform(side, flow, std::move(done), nullptr);
         return;
@@ -390,6 +409,7 @@
     side.timers.clear();
     guard.unlock();
     for (const auto& [key, flow] : flows) {
+        log_call(side, describe_cut(*flow, "call_broken_off", "node_stops"));
         break_off(flow->exchange);
     }
     return flows.size();
--- a/src/edge/entry_side.h
+++ b/src/edge/entry_side.h
@@ -51,6 +51,10 @@
     bool is_reading = false;
     bool is_uploaded = false;
     std::uint64_t download_offset = 0;
+    /// Bytes of the answer's body that the caller's connection has taken.
+    std::uint64_t taken_bytes = 0;
+    /// The length of the answer's body, where its head states one.
+    std::optional<std::uint64_t> stated_bytes;
     std::deque<body_piece> download;
     bool is_writing = false;
     /// The call's place among the timers, when it has one.
@@ -116,7 +120,7 @@
 
 void on_request(entry_side& side, const caller_exchange_ptr& exchange, request_head head,
                 body_piece first);
-void on_caller_gone(entry_side& side, const caller_exchange_ptr& exchange);
+void on_caller_gone(entry_side& side, const caller_exchange_ptr& exchange, caller_end cause);
 
 void on_answer(entry_side& side, const node_id& from, msg::call_answer_msg message);
 void on_refused(entry_side& side, const node_id& from, const msg::call_refused_msg& message);
--- a/src/edge/entry_steps.cpp
+++ b/src/edge/entry_steps.cpp
@@ -181,6 +181,7 @@
         return;
     }
     lock_type guard(side.lock);
+    flow->taken_bytes += bytes;
     flow->is_writing = false;
     const auto current = flow->state.current;
     guard.unlock();
@@ -232,14 +233,9 @@
         pass_answer(side, flow, *flow->kept);
     } else if (const auto* failed = std::get_if<call::fail_action>(&action)) {
         fail_call(side, flow, failed->told);
-    } else if (std::holds_alternative<call::break_off_action>(action)) {
+    } else if (const auto* broken = std::get_if<call::break_off_action>(&action)) {
         ++side.counters.broken_off;
-        log_call(side, {log_level::info,
-                        "call_broken_off",
-                        {{"request", flow->request_id},
-                         {"route", flow->route.value},
-                         {"service", flow->service.value},
-                         {"age_ms", ms_text(now - flow->received_at)}}});
+        log_call(side, describe_cut(*flow, "call_broken_off", name_of(broken->cause)));
         break_off(flow->exchange);
         forget_flow(side, flow);
     } else if (std::holds_alternative<call::drop_action>(action)) {
@@ -263,6 +259,22 @@
 
 } // namespace
 
+log_event describe_cut(const entry_flow& flow, const char* event, const char* cause) {
+    const auto now = current_time();
+    return {log_level::warning,
+            event,
+            {{"request", flow.request_id},
+             {"route", flow.route.value},
+             {"service", flow.service.value},
+             {"reason", cause},
+             {"node", flow.state.tried.empty() ? "" : flow.state.tried.back().value},
+             {"bytes_due", flow.stated_bytes ? std::to_string(*flow.stated_bytes) : "unknown"},
+             {"bytes_received", std::to_string(flow.download_offset)},
+             {"bytes_taken", std::to_string(flow.taken_bytes)},
+             {"age_ms", ms_text(now - flow.received_at)},
+             {"left_ms", ms_text(flow.state.deadline - now)}}};
+}
+
 void log_call(const entry_side& side, log_event event) {
     if (side.around.log) {
         side.around.log(std::move(event));
--- a/src/edge/entry_steps.h
+++ b/src/edge/entry_steps.h
@@ -12,6 +12,10 @@
 /// Logs an event about a call, when anybody listens.
 void log_call(const entry_side& side, log_event event);
 
+/// A line that tells how far an answer that was not brought to its end had come. Precondition: the
+/// entry's lock is held, or nobody else has the call.
+[[nodiscard]] log_event describe_cut(const entry_flow& flow, const char* event, const char* cause);
+
 /// What is left to do after a step, without the lock.
 struct step_result {
     std::vector<call::entry_action> actions;
