tests: show that a body ends with the link that carries it

Entry and gate hand each other their messages directly; one message of a stated kind is lost, and the entry learns of the lost link, or only sees the gap. On this code all ten fail: the caller gets a broken connection after a lost piece, head or credit, and a 504 after 30 s when a piece of an upload is lost; the gate counts as idle while the last piece is still on its way, so a node that stops would cut it.

--- a/tests/edge/fake_upstream.cpp
+++ b/tests/edge/fake_upstream.cpp
@@ -53,6 +53,14 @@
 
 } // namespace
 
+std::string counted_bytes(std::size_t bytes) {
+    std::string out;
+    for (std::size_t number = 0; out.size() < bytes; ++number) {
+        out += std::to_string(number) + " ";
+    }
+    return out.substr(0, bytes);
+}
+
 fake_upstream::fake_upstream()
     : acceptor_(io_, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
       port_(acceptor_.local_endpoint().port()), acceptor_thread_([this] { accept_all(); }) {}
@@ -159,6 +167,9 @@
     if (starts_with(path, "/bytes/")) {
         return plain(200, std::string(std::stoul(path.substr(7)), 'b'));
     }
+    if (starts_with(path, "/counted/")) {
+        return plain(200, counted_bytes(std::stoul(path.substr(9))));
+    }
     if (starts_with(path, "/chunked/")) {
         return chunked(std::stoul(path.substr(9)));
     }
--- a/tests/edge/fake_upstream.h
+++ b/tests/edge/fake_upstream.h
@@ -14,11 +14,15 @@
 
 namespace cyclamenhatch::edge::testing {
 
+/// So many bytes of which no two pieces are alike.
+[[nodiscard]] std::string counted_bytes(std::size_t bytes);
+
 /// An upstream whose behaviour each request's path names: /ok, /echo, /status/N, /bytes/N,
-/// /chunked/N, /break (closes without an answer), /half (closes within the answer), /hold (answers
-/// once released), /stale (an answer to another request, then its own), /foreign (an answer to
-/// another request only), /unrun (says that it did not run it), /other (says that another instance
-/// is meant). Answers echo the header x-id.
+/// /chunked/N,
+/// /counted/N (N bytes of which no two pieces are alike), /break (closes without an answer), /half
+/// (closes within the answer), /hold (answers once released), /stale (an answer to another request,
+/// then its own), /foreign (an answer to another request only), /unrun (says that it did not run
+/// it), /other (says that another instance is meant). Answers echo the header x-id.
 class fake_upstream {
 public:
     fake_upstream();
--- a/tests/edge/joined_paths.cpp
+++ b/tests/edge/joined_paths.cpp
@@ -124,6 +124,10 @@
         }
         {
             const std::lock_guard guard(lock_);
+            if (is_lost_ && is_lost_(message.to, message.message)) {
+                ++lost_;
+                return;
+            }
             if (is_answer && answers_to_lose_ > 0) {
                 --answers_to_lose_;
                 return;
@@ -166,6 +170,16 @@
     answers_to_lose_ = count;
 }
 
+void joined_paths::lose(std::function<bool(const node_id& to, const peer_message&)> is_lost) {
+    const std::lock_guard guard(lock_);
+    is_lost_ = std::move(is_lost);
+}
+
+int joined_paths::lost() {
+    const std::lock_guard guard(lock_);
+    return lost_;
+}
+
 void joined_paths::forget_endpoint() {
     const std::lock_guard guard(lock_);
     view_ = make_view(false);
@@ -201,6 +215,20 @@
            (is_short ? answer.body() : std::to_string(answer.body().size()) + " bytes");
 }
 
+std::string joined_paths::fetch(const std::string& request) {
+    namespace http = boost::beast::http;
+    asio::io_context io;
+    tcp::socket socket(io);
+    socket.connect({asio::ip::make_address("127.0.0.1"), entry_port_});
+    boost::system::error_code failed;
+    asio::write(socket, asio::buffer(request), failed);
+    boost::beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    http::read(socket, buffer, parser, failed);
+    return failed ? "broken off" : parser.get().body();
+}
+
 std::vector<std::string> joined_paths::ask_many(const std::string& requests, int answers) {
     namespace http = boost::beast::http;
     asio::io_context io;
--- a/tests/edge/joined_paths.h
+++ b/tests/edge/joined_paths.h
@@ -3,6 +3,7 @@
 #include "edge/call_path.h"
 #include "fake_upstream.h"
 
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -29,8 +30,14 @@
     [[nodiscard]] int undelivered();
     /// Loses the next answers and refusals that the gate sends.
     void lose_answers(int count);
+    /// From now on what this says of a message to that node is lost.
+    void lose(std::function<bool(const node_id& to, const peer_message&)> is_lost);
+    /// Messages that were lost so.
+    [[nodiscard]] int lost();
     /// Sends bytes to the entry and reads until the connection closes or the answer is whole.
     [[nodiscard]] std::string ask(const std::string& request, bool at_gate = false);
+    /// Sends bytes to the entry and returns the answer's body, or "broken off".
+    [[nodiscard]] std::string fetch(const std::string& request);
     [[nodiscard]] std::string get(const std::string& path, const std::string& headers = {});
     /// Sends bytes to the entry and returns so many whole answers' bodies, in the order in which
     /// they come, or "closed" for each that is missing.
@@ -48,6 +55,8 @@
     int answers_to_lose_ = 0;
     bool is_cut_ = false;
     int undelivered_ = 0;
+    std::function<bool(const node_id& to, const peer_message&)> is_lost_;
+    int lost_ = 0;
     std::shared_ptr<call_path> entry_;
     std::shared_ptr<call_path> gate_;
     std::uint16_t entry_port_ = 0;
--- /dev/null
+++ b/tests/edge/lost_link_test.cpp
@@ -0,0 +1,120 @@
+#include "joined_paths.h"
+
+#include <gtest/gtest.h>
+
+#include <future>
+#include <ostream>
+
+namespace cyclamenhatch::edge::testing {
+namespace {
+
+constexpr std::size_t body_size = 900'000;
+
+enum class part { answer_head, answer_piece, request_piece, credit };
+
+struct loss_row {
+    const char* name;
+    part kind;
+    /// Which message of that kind is lost, counted from 1.
+    int number;
+    /// Whether the entry learns that its link was lost; else only a gap can tell it.
+    bool is_noticed;
+
+    friend std::ostream& operator<<(std::ostream& out, const loss_row& row) {
+        return out << row.name;
+    }
+};
+
+bool is_part(part kind, const node_id& to, const peer_message& message) {
+    const bool is_to_entry = to == node_id("entry");
+    switch (kind) {
+    case part::answer_head:
+        return is_to_entry && std::holds_alternative<msg::call_answer_msg>(message);
+    case part::answer_piece:
+        return is_to_entry && std::holds_alternative<msg::call_data_msg>(message);
+    case part::request_piece:
+        return !is_to_entry && std::holds_alternative<msg::call_data_msg>(message);
+    case part::credit:
+        return std::holds_alternative<msg::call_credit_msg>(message);
+    }
+    return false;
+}
+
+/// Loses one message of a kind.
+void lose_one(joined_paths& paths, part kind, int number) {
+    paths.lose([kind, number, seen = 0](const node_id& to, const peer_message& message) mutable {
+        return is_part(kind, to, message) && ++seen == number;
+    });
+}
+
+/// Waits for what was asked; tells the entry of the lost link once the message is lost.
+std::string wait_for(joined_paths& paths, std::future<std::string>& answer, bool is_noticed) {
+    bool is_told = !is_noticed;
+    while (answer.wait_for(std::chrono::milliseconds(1)) != std::future_status::ready) {
+        if (!is_told && paths.lost() > 0) {
+            is_told = true;
+            on_link_lost(paths.entry(), node_id("gate"));
+        }
+    }
+    return answer.get();
+}
+
+class lost_link : public ::testing::TestWithParam<loss_row> {};
+
+/// Guards against inc1: a download that its link takes down with it, within the answer.
+TEST_P(lost_link, does_not_end_a_body_that_has_begun) {
+    const auto& row = GetParam();
+    fake_upstream upstream;
+    joined_paths paths(upstream.port());
+    lose_one(paths, row.kind, row.number);
+    const auto body = counted_bytes(body_size);
+    const bool is_upload = row.kind == part::request_piece;
+    const auto path = "/counted/" + std::to_string(body_size);
+    const auto text = is_upload ? "POST /echo HTTP/1.1\r\nHost: shop\r\nContent-Length: " +
+                                      std::to_string(body_size) + "\r\n\r\n" + body
+                                : "GET " + path + " HTTP/1.1\r\nHost: shop\r\n\r\n";
+    auto answer = std::async(std::launch::async, [&] { return paths.fetch(text); });
+    const auto told = wait_for(paths, answer, row.is_noticed);
+    EXPECT_EQ(told.size(), body.size());
+    EXPECT_TRUE(told == body);
+    EXPECT_EQ(upstream.runs(is_upload ? "/echo" : path), 1);
+    EXPECT_EQ(paths.lost(), 1);
+}
+
+const loss_row loss_rows[] = {
+    {"head", part::answer_head, 1, true},
+    {"first_piece", part::answer_piece, 1, true},
+    {"piece", part::answer_piece, 5, true},
+    {"last_piece", part::answer_piece, 13, true},
+    {"first_credit", part::credit, 1, true},
+    {"credit", part::credit, 3, true},
+    {"upload", part::request_piece, 3, true},
+    {"gap_before_a_piece", part::answer_piece, 2, false},
+    {"gap_in_an_upload", part::request_piece, 2, false},
+};
+
+INSTANTIATE_TEST_SUITE_P(table, lost_link, ::testing::ValuesIn(loss_rows),
+                         [](const auto& row) { return std::string(row.param.name); });
+
+/// Guards against a node that ends while the last pieces of an answer are still on their way.
+TEST(lost_link, a_gate_is_busy_until_the_entry_has_the_whole_answer) {
+    fake_upstream upstream;
+    joined_paths paths(upstream.port());
+    lose_one(paths, part::answer_piece, 13);
+    const auto path = "/counted/" + std::to_string(body_size);
+    const auto text = "GET " + path + " HTTP/1.1\r\nHost: shop\r\n\r\n";
+    auto answer = std::async(std::launch::async, [&] { return paths.fetch(text); });
+    while (paths.lost() == 0) {
+        std::this_thread::yield();
+    }
+    // The slot is free again once the upstream is done with the call.
+    EXPECT_EQ(paths.get("/ok"), "200 upstream ok");
+    EXPECT_EQ(count_in_flight(paths.gate()), 1U);
+    EXPECT_TRUE(wait_for(paths, answer, true) == counted_bytes(body_size));
+    while (count_in_flight(paths.gate()) > 0) {
+        std::this_thread::yield();
+    }
+}
+
+} // namespace
+} // namespace cyclamenhatch::edge::testing
