call: let a body that has begun outlive its link

Cause: the state of a body stood with the link that carried it. The gate had the rest at hand, forgot it, and counted as idle. The same class, found by reading: a lost head of a long answer, a lost credit and a lost piece of an upload stalled the call to its time limit; the gate's node could end while the last piece was on its way; an answer was broken off when its node left the fleet after a lost link; a repeated head would have reset the count of bytes.

Change: call/body_stream. A sender keeps each piece until the other side has passed it on, within the window that held before; credits state totals; the entry names the bytes it has when it asks over a new link, and the gate sends the rest, from what it keeps after the upstream's slot is free if need be.

--- /dev/null
+++ b/src/call/body_stream.cpp
@@ -0,0 +1,65 @@
+#include "call/body_stream.h"
+
+#include <algorithm>
+#include <iterator>
+#include <numeric>
+
+namespace cyclamenhatch::call {
+namespace {
+
+std::uint64_t end_of(const sent_piece& piece) {
+    return piece.offset + piece.bytes.size();
+}
+
+} // namespace
+
+const sent_piece& add_piece(outgoing_body& body, std::vector<std::uint8_t> bytes, bool is_last) {
+    body.kept.push_back({body.offset, std::move(bytes), is_last});
+    body.offset = end_of(body.kept.back());
+    body.is_ended = is_last;
+    return body.kept.back();
+}
+
+void note_taken(outgoing_body& body, std::uint64_t taken, bool is_whole) {
+    body.taken = std::clamp(taken, body.taken, body.offset);
+    while (!body.kept.empty() && end_of(body.kept.front()) <= body.taken &&
+           (is_whole || !body.kept.front().is_last)) {
+        body.kept.pop_front();
+    }
+}
+
+bool has_room(const outgoing_body& body) {
+    return !body.is_ended && body.offset - body.taken < body_window_bytes;
+}
+
+bool is_taken_whole(const outgoing_body& body) {
+    return body.is_ended && body.kept.empty();
+}
+
+std::vector<sent_piece> missing_pieces(const outgoing_body& body, std::uint64_t received) {
+    std::vector<sent_piece> missing;
+    std::copy_if(
+        body.kept.begin(), body.kept.end(), std::back_inserter(missing),
+        [received](const sent_piece& each) { return each.is_last || end_of(each) > received; });
+    return missing;
+}
+
+std::uint64_t kept_bytes(const outgoing_body& body) {
+    return std::accumulate(
+        body.kept.begin(), body.kept.end(), std::uint64_t{0},
+        [](std::uint64_t sum, const sent_piece& each) { return sum + each.bytes.size(); });
+}
+
+piece_fit receive_piece(incoming_body& body, std::uint64_t offset, std::size_t size, bool is_last) {
+    if (body.is_whole || offset < body.offset) {
+        return piece_fit::repeated;
+    }
+    if (offset > body.offset) {
+        return piece_fit::gap;
+    }
+    body.offset += size;
+    body.is_whole = is_last;
+    return piece_fit::next;
+}
+
+} // namespace cyclamenhatch::call
--- a/src/call/call_key.cpp
+++ b/src/call/call_key.cpp
@@ -10,4 +10,13 @@
     return key == nullptr ? call_id{} : call_id{key->high(), key->low()};
 }
 
+msg::call_data_msg make_data(const call_id& call, const sent_piece& piece) {
+    msg::call_data_msg data;
+    data.call = make_key(call);
+    data.offset = piece.offset;
+    data.body = piece.bytes;
+    data.last = piece.is_last;
+    return data;
+}
+
 } // namespace cyclamenhatch::call
--- a/src/call/call_key.h
+++ b/src/call/call_key.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "call/body_stream.h"
 #include "messages_generated.h"
 #include "model/ids.h"
 
@@ -13,4 +14,7 @@
 /// The empty id when the message carries none; no call has that id.
 [[nodiscard]] call_id from_key(const msg::call_key* key);
 
+/// The message that carries a piece of a call's request or answer.
+[[nodiscard]] msg::call_data_msg make_data(const call_id& call, const sent_piece& piece);
+
 } // namespace cyclamenhatch::call
--- a/src/call/entry_call.cpp
+++ b/src/call/entry_call.cpp
@@ -15,6 +15,9 @@
 constexpr std::uint32_t max_refusals = 4;
 /// A call that may run twice is sent elsewhere once its gate has not answered this many questions.
 constexpr std::uint32_t max_idempotent_reattaches = 2;
+/// Questions for the rest of an answer before it is broken off. With the delays above they take 5
+/// s, longer than it takes to close a silent link, open another and have a queue of seconds drain.
+constexpr std::uint32_t max_answering_reattaches = 8;
 /// An answer that tells a server error is no reason to try elsewhere with less time left than this.
 constexpr microseconds least_retry_time{20'000};
 
@@ -195,38 +198,47 @@
     open_elsewhere(state, event.told, context, out);
 }
 
+/// Asks the gate for the call, or for the rest of its answer, and sees to it that it is asked again
+/// when nothing comes.
+void ask_again(entry_call& state, instant now, actions& out) {
+    state.current->reattach_at = now + first_reattach_delay;
+    out.emplace_back(reattach_action{state.current->to});
+}
+
 void on_event(entry_call& state, const link_lost_event& event, const entry_context& context,
               actions& out) {
     if (state.is_over || !state.current || state.current->to.node != event.node) {
         return;
     }
-    if (state.is_answering) {
-        break_off(state, answer_break::link_lost, out);
-        give_up_attempt(state, context.now, out);
+    ask_again(state, context.now, out);
+}
+
+void on_event(entry_call& state, const piece_missing_event& event, const entry_context& context,
+              actions& out) {
+    if (!is_current(state, event.call)) {
+        out.emplace_back(drop_action{});
         return;
     }
-    state.current->reattach_at = context.now + first_reattach_delay;
-    out.emplace_back(reattach_action{state.current->to});
+    // All pieces behind the missing one come as well; one question is enough.
+    if (!state.current->reattach_at) {
+        ask_again(state, context.now, out);
+    }
 }
 
-void on_event(entry_call& state, const piece_missing_event& event, const entry_context& context,
+void on_event(entry_call& state, const piece_event& event, const entry_context& /*context*/,
               actions& out) {
     if (!is_current(state, event.call) || !state.is_answering) {
         out.emplace_back(drop_action{});
         return;
     }
-    break_off(state, answer_break::piece_missing, out);
-    give_up_attempt(state, context.now, out);
+    state.current->reattach_at.reset();
+    state.current->reattaches = 0;
 }
 
 void on_event(entry_call& state, const endpoint_gone_event& event, const entry_context& context,
               actions& out) {
-    if (state.is_over || !state.current || state.current->to.node != event.node) {
-        return;
-    }
-    if (state.is_answering) {
-        break_off(state, answer_break::endpoint_gone, out);
-        give_up_attempt(state, context.now, out);
+    if (state.is_over || !state.current || state.current->to.node != event.node ||
+        state.is_answering) {
         return;
     }
     give_up_attempt(state, context.now, out);
@@ -237,13 +249,20 @@
     open_elsewhere(state, lost_attempt(), context, out);
 }
 
+/// Whether the gate was asked often enough: the call goes elsewhere, or its answer is broken off.
+bool is_given_up(const entry_call& state) {
+    const auto asked = state.current->reattaches;
+    return state.is_answering ? asked >= max_answering_reattaches
+                              : state.is_idempotent && asked >= max_idempotent_reattaches;
+}
+
 void on_event(entry_call& state, const timer_event& /*event*/, const entry_context& context,
               actions& out) {
-    // The deadline bounds the time to an answer's head; a stream that has begun is not cut.
-    if (state.is_over || !state.current || state.is_answering) {
+    if (state.is_over || !state.current) {
         return;
     }
-    if (context.now >= state.deadline) {
+    // The deadline bounds the time to an answer's head; a stream that has begun is not cut.
+    if (!state.is_answering && context.now >= state.deadline) {
         give_up_attempt(state, context.now, out);
         fail(state,
              {.outcome = msg::call_outcome::unknown, .reason = msg::refusal_reason::deadline}, out);
@@ -253,7 +272,12 @@
     if (!now_open.reattach_at || context.now < *now_open.reattach_at) {
         return;
     }
-    if (state.is_idempotent && now_open.reattaches >= max_idempotent_reattaches) {
+    if (is_given_up(state) && state.is_answering) {
+        break_off(state, answer_break::gate_unreachable, out);
+        give_up_attempt(state, context.now, out);
+        return;
+    }
+    if (is_given_up(state)) {
         give_up_attempt(state, context.now, out);
         open_elsewhere(state, lost_attempt(), context, out);
         return;
@@ -285,12 +309,8 @@
 
 const char* name_of(answer_break cause) {
     switch (cause) {
-    case answer_break::link_lost:
-        return "link_lost";
-    case answer_break::piece_missing:
-        return "piece_missing";
-    case answer_break::endpoint_gone:
-        return "endpoint_gone";
+    case answer_break::gate_unreachable:
+        return "gate_unreachable";
     case answer_break::gate_refused:
         return "gate_refused";
     }
@@ -311,13 +331,10 @@
 }
 
 instant next_timer(const entry_call& state) {
-    if (state.is_answering) {
-        return instant::max();
-    }
-    if (state.current && state.current->reattach_at) {
-        return std::min(state.deadline, *state.current->reattach_at);
-    }
-    return state.deadline;
+    const auto until = state.is_answering ? instant::max() : state.deadline;
+    return state.current && state.current->reattach_at
+               ? std::min(until, *state.current->reattach_at)
+               : until;
 }
 
 } // namespace cyclamenhatch::call
--- a/src/call/entry_call.h
+++ b/src/call/entry_call.h
@@ -39,7 +39,7 @@
 struct attempt {
     pick to;
     instant opened_at{};
-    /// Set after the link was lost: when to ask for the call again.
+    /// Set after the link or a piece was lost: when to ask for the call again.
     std::optional<instant> reattach_at;
     std::uint32_t reattaches = 0;
 };
@@ -68,7 +68,8 @@
     /// An attempt that was given up may have run.
     bool may_have_run = false;
     bool is_over = false;
-    /// The first part of an answer was passed on; nothing can be tried again.
+    /// The first part of an answer was passed on: no other endpoint can be tried, and the rest is
+    /// asked for over a new link when one is lost.
     bool is_answering = false;
 };
 
@@ -98,16 +99,21 @@
 struct piece_missing_event {
     call_id call;
 };
+/// The next piece of the answer came.
+struct piece_event {
+    call_id call;
+};
 /// The endpoint's process is gone for good: its member is dead or came back in another incarnation.
+/// Ends no answer that has begun: a node that leaves the fleet brings its answers to their end.
 struct endpoint_gone_event {
     node_id node;
 };
 struct timer_event {};
 struct caller_gone_event {};
 
-using entry_event =
-    std::variant<request_event, answer_event, answer_end_event, refused_event, link_lost_event,
-                 piece_missing_event, endpoint_gone_event, timer_event, caller_gone_event>;
+using entry_event = std::variant<request_event, answer_event, answer_end_event, refused_event,
+                                 link_lost_event, piece_missing_event, piece_event,
+                                 endpoint_gone_event, timer_event, caller_gone_event>;
 
 /// Send the request to the gate under a new id.
 struct open_action {
@@ -116,7 +122,7 @@
     /// The gate shall refuse at once when no slot is free.
     bool no_wait = false;
 };
-/// Ask the gate for the call with this id; never starts a run.
+/// Ask the gate for the call with this id, or for the rest of its answer; never starts a run.
 struct reattach_action {
     pick to;
 };
@@ -134,13 +140,13 @@
     refusal told;
 };
 /// Why an answer that has begun cannot be brought to its end.
-enum class answer_break { link_lost, piece_missing, endpoint_gone, gate_refused };
+enum class answer_break { gate_unreachable, gate_refused };
 
 [[nodiscard]] const char* name_of(answer_break cause);
 
 /// Break off an answer that has begun: its rest is lost.
 struct break_off_action {
-    answer_break cause = answer_break::link_lost;
+    answer_break cause = answer_break::gate_unreachable;
     /// Where the answer came from.
     node_id from;
 };
--- a/src/edge/entry_side.cpp
+++ b/src/edge/entry_side.cpp
@@ -123,8 +123,8 @@
     request.attempt = static_cast<std::uint8_t>(std::min(limits.attempts, 255U));
     request.headers = make_headers(side, std::move(head.headers));
     request.last = first.is_last;
-    flow->upload_offset = first.bytes.size();
-    flow->is_uploaded = first.is_last;
+    flow->upload.offset = first.bytes.size();
+    flow->upload.is_ended = first.is_last;
     request.body = std::move(first.bytes);
     return flow;
 }
@@ -153,18 +153,12 @@
 void on_upload_piece(entry_side& side, const entry_flow_ptr& flow, body_piece piece) {
     lock_type guard(side.lock);
     flow->is_reading = false;
-    flow->is_uploaded = piece.is_last;
     if (!flow->state.current) {
         return;
     }
     const auto to = flow->state.current->to;
-    msg::call_data_msg data;
-    data.call = call::make_key(to.call);
-    data.offset = flow->upload_offset;
-    data.last = piece.is_last;
-    flow->upload_offset += piece.bytes.size();
-    flow->upload_credit -= static_cast<std::int64_t>(piece.bytes.size());
-    data.body = std::move(piece.bytes);
+    auto data = call::make_data(
+        to.call, call::add_piece(flow->upload, std::move(piece.bytes), piece.is_last));
     guard.unlock();
     side.to_gate(to.node, to.address, std::move(data));
     upload_on(side, flow);
@@ -173,7 +167,8 @@
 /// Reads the next piece of the request's body while the gate is ready to take it.
 void upload_on(entry_side& side, const entry_flow_ptr& flow) {
     lock_type guard(side.lock);
-    if (flow->is_reading || flow->is_uploaded || flow->upload_credit <= 0 || flow->state.is_over) {
+    if (flow->is_reading || !flow->may_upload || !call::has_room(flow->upload) ||
+        flow->state.is_over) {
         return;
     }
     flow->is_reading = true;
@@ -284,11 +279,18 @@
     if (!flow) {
         return;
     }
+    if (flow->state.is_answering) {
+        ++side.counters.dropped_messages;
+        return;
+    }
     const auto now = current_time();
     const call::load_report load{message.in_flight, message.queue, message.slots, message.wait_us};
     call::note_report(side.loads[from], flow->route, load, message.gate_instance, now);
     record_segments(side, *flow, message, now);
-    flow->download_offset = message.body.size();
+    if (!message.last) {
+        flow->streamed_from = flow->state.current->to;
+    }
+    flow->download = {.offset = message.body.size(), .is_whole = message.last};
     flow->stated_bytes = find_stated_bytes(message.headers);
     flow->run_time = microseconds(message.upstream_us);
     constexpr unsigned first_server_error = 500;
@@ -327,19 +329,23 @@
     if (!flow) {
         return;
     }
-    if (message.offset != flow->download_offset) {
-        // A piece is missing or repeated: what is passed on must be the whole answer or end.
+    const auto fit =
+        flow->state.is_answering
+            ? call::receive_piece(flow->download, message.offset, message.body.size(), message.last)
+            : call::piece_fit::gap;
+    if (fit == call::piece_fit::repeated) {
+        ++side.counters.dropped_messages;
+        return;
+    }
+    if (fit == call::piece_fit::gap) {
         auto done = step(side, flow, call::piece_missing_event{call});
         guard.unlock();
         perform(side, flow, std::move(done), nullptr);
         return;
     }
-    flow->download_offset += message.body.size();
-    flow->download.push_back({std::move(message.body), message.last});
-    step_result done;
-    if (message.last) {
-        done = step(side, flow, call::answer_end_event{call});
-    }
+    flow->waiting.push_back({std::move(message.body), message.last});
+    auto done = message.last ? step(side, flow, call::answer_end_event{call})
+                             : step(side, flow, call::piece_event{call});
     guard.unlock();
     perform(side, flow, std::move(done), nullptr);
     download_on(side, flow);
@@ -351,8 +357,15 @@
     if (!flow) {
         return;
     }
-    flow->upload_credit += message.bytes;
+    flow->may_upload = true;
+    call::note_taken(flow->upload, message.taken, message.whole);
+    const auto missing = message.resend ? call::missing_pieces(flow->upload, message.received)
+                                        : std::vector<call::sent_piece>{};
+    const auto to = flow->state.current->to;
     guard.unlock();
+    for (const auto& each : missing) {
+        side.to_gate(to.node, to.address, call::make_data(to.call, each));
+    }
     upload_on(side, flow);
 }
 
--- a/src/edge/entry_side.h
+++ b/src/edge/entry_side.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "call/body_stream.h"
 #include "call/choose_endpoint.h"
 #include "call/entry_call.h"
 #include "call/returning_caller.h"
@@ -45,18 +46,19 @@
     std::optional<microseconds> run_time;
     /// A server error that is passed on when no better answer comes.
     std::unique_ptr<msg::call_answer_msg> kept;
-    std::uint64_t upload_offset = 0;
-    /// Bytes of the request's body that the gate is ready to take.
-    std::int64_t upload_credit = 0;
+    call::outgoing_body upload;
+    /// The gate has dispatched the call and takes the rest of the request's body.
+    bool may_upload = false;
     bool is_reading = false;
-    bool is_uploaded = false;
-    std::uint64_t download_offset = 0;
+    call::incoming_body download;
     /// Bytes of the answer's body that the caller's connection has taken.
     std::uint64_t taken_bytes = 0;
     /// The length of the answer's body, where its head states one.
     std::optional<std::uint64_t> stated_bytes;
-    std::deque<body_piece> download;
+    std::deque<body_piece> waiting;
     bool is_writing = false;
+    /// Where an answer of more than one piece comes from; set with its head.
+    std::optional<call::pick> streamed_from;
     /// The call's place among the timers, when it has one.
     std::optional<entry_timers::iterator> timer;
 };
--- a/src/edge/entry_steps.cpp
+++ b/src/edge/entry_steps.cpp
@@ -112,6 +112,8 @@
     message.version = to.version.value;
     message.gate_instance = to.gate_instance;
     message.deadline_us = time_left(flow.state.deadline, now);
+    message.has_head = flow.state.is_answering;
+    message.received = flow.download.offset;
     return message;
 }
 
@@ -174,29 +176,30 @@
                  [&side, flow] { forget_flow(side, flow); });
 }
 
-/// The caller took a piece: the gate may send as much more.
-void on_taken(entry_side& side, const entry_flow_ptr& flow, std::uint32_t bytes, bool is_last) {
-    if (is_last) {
-        forget_flow(side, flow);
-        return;
-    }
+/// The caller took a piece: the gate may send on, and need not keep what was taken.
+void on_taken(entry_side& side, const entry_flow_ptr& flow, std::size_t bytes, bool is_last) {
     lock_type guard(side.lock);
     flow->taken_bytes += bytes;
     flow->is_writing = false;
-    const auto current = flow->state.current;
+    const auto from = flow->streamed_from;
+    msg::call_credit_msg credit;
+    credit.taken = flow->taken_bytes;
+    credit.whole = is_last;
     guard.unlock();
-    if (current) {
-        msg::call_credit_msg credit;
-        credit.call = call::make_key(current->to.call);
-        credit.bytes = bytes;
-        side.to_gate(current->to.node, current->to.address, std::move(credit));
+    if (from) {
+        credit.call = call::make_key(from->call);
+        side.to_gate(from->node, from->address, std::move(credit));
+    }
+    if (is_last) {
+        forget_flow(side, flow);
+        return;
     }
     download_on(side, flow);
 }
 
 void pass_answer(entry_side& side, const entry_flow_ptr& flow, msg::call_answer_msg& answer) {
     ++side.counters.answered;
-    const auto bytes = static_cast<std::uint32_t>(answer.body.size());
+    const auto bytes = answer.body.size();
     const bool is_last = answer.last;
     start_answer(flow->exchange, {.status = answer.status, .headers = from_wire(answer.headers)},
                  {std::move(answer.body), is_last},
@@ -269,7 +272,7 @@
              {"reason", cause},
              {"node", flow.state.tried.empty() ? "" : flow.state.tried.back().value},
              {"bytes_due", flow.stated_bytes ? std::to_string(*flow.stated_bytes) : "unknown"},
-             {"bytes_received", std::to_string(flow.download_offset)},
+             {"bytes_received", std::to_string(flow.download.offset)},
              {"bytes_taken", std::to_string(flow.taken_bytes)},
              {"age_ms", ms_text(now - flow.received_at)},
              {"left_ms", ms_text(flow.state.deadline - now)}}};
@@ -321,21 +324,21 @@
 
 void download_on(entry_side& side, const entry_flow_ptr& flow) {
     lock_type guard(side.lock);
-    if (flow->is_writing || flow->download.empty()) {
+    if (flow->is_writing || flow->waiting.empty()) {
         return;
     }
     flow->is_writing = true;
-    auto piece = std::move(flow->download.front());
-    flow->download.pop_front();
+    auto piece = std::move(flow->waiting.front());
+    flow->waiting.pop_front();
     guard.unlock();
-    const auto bytes = static_cast<std::uint32_t>(piece.bytes.size());
+    const auto bytes = piece.bytes.size();
     const bool is_last = piece.is_last;
     write_body(flow->exchange, std::move(piece),
                [&side, flow, bytes, is_last] { on_taken(side, flow, bytes, is_last); });
 }
 
 call::entry_event find_timer_event(const call::routing_view& view, const entry_flow& flow) {
-    if (!flow.state.current || !flow.state.current->reattach_at) {
+    if (!flow.state.current || !flow.state.current->reattach_at || flow.state.is_answering) {
         return call::timer_event{};
     }
     const auto& node = flow.state.current->to.node;
--- a/src/edge/gate_side.cpp
+++ b/src/edge/gate_side.cpp
@@ -14,12 +14,13 @@
 namespace cyclamenhatch::edge {
 namespace {
 
-/// Bytes of one body that may be under way between two nodes.
-constexpr std::uint32_t window_bytes = 4 * piece_bytes;
 /// A call whose entry does not cancel it is broken off this long after its deadline.
 constexpr microseconds overdue_grace{250'000};
 /// A body that does not move for this long is broken off.
 constexpr microseconds max_stall{30'000'000};
+/// The end of an answer is kept for its entry for this long: twice the time for which an entry asks
+/// for it.
+constexpr microseconds delivery_timeout{10'000'000};
 constexpr unsigned overloaded_status = 503;
 /// A call that must not run twice is sent on a connection that was in use a moment ago, or on a new
 /// one: the upstream may have forgotten one that was idle for longer, and nobody could tell then
@@ -39,55 +40,84 @@
     perform(side, std::move(actions));
 }
 
-void grant_upload(gate_side& side, const call_id& call, std::uint32_t bytes) {
-    lock_type guard(side.lock);
-    const auto waiter = call::waiter_of(side.gate, call);
-    guard.unlock();
+/// Tells the entry how much of the request's body the upstream has taken. Precondition: the lock is
+/// held.
+msg::call_credit_msg make_credit(const gate_flow& flow) {
     msg::call_credit_msg credit;
-    credit.call = call::make_key(call);
-    credit.bytes = bytes;
-    side.to_entry(waiter, std::move(credit));
+    credit.call = call::make_key(flow.call);
+    credit.taken = flow.uploaded;
+    return credit;
+}
+
+/// Has the entry send again what was lost of the request's body. Precondition: as for make_credit.
+msg::call_credit_msg make_resend(const gate_flow& flow) {
+    auto credit = make_credit(flow);
+    credit.resend = true;
+    credit.received = flow.upload.offset;
+    return credit;
 }
 
 /// Writes the next waiting piece of the request's body, when there is one.
 void continue_upload(gate_side& side, const gate_flow_ptr& flow) {
     lock_type guard(side.lock);
-    flow->is_writing = !flow->upload.empty();
+    flow->is_writing = !flow->waiting.empty();
     if (!flow->is_writing) {
         return;
     }
-    auto piece = std::move(flow->upload.front());
-    flow->upload.pop_front();
+    auto piece = std::move(flow->waiting.front());
+    flow->waiting.pop_front();
     flow->progressed_at = current_time();
     const auto exchange = flow->exchange;
     guard.unlock();
-    const auto bytes = static_cast<std::uint32_t>(piece.bytes.size());
+    const auto bytes = piece.bytes.size();
     const bool is_last = piece.is_last;
     write_body(exchange, std::move(piece), [&side, flow, bytes, is_last] {
+        lock_type held(side.lock);
+        flow->uploaded += bytes;
+        auto credit = make_credit(*flow);
+        const auto entry = flow->entry;
+        held.unlock();
         if (!is_last) {
-            grant_upload(side, flow->call, bytes);
+            side.to_entry(entry, std::move(credit));
         }
         continue_upload(side, flow);
     });
 }
 
+/// The upstream has the head and the first piece: the entry may send the rest of the body.
+void begin_upload(gate_side& side, const gate_flow_ptr& flow) {
+    lock_type guard(side.lock);
+    flow->uploaded = flow->upload.offset;
+    auto credit = make_credit(*flow);
+    const auto entry = flow->entry;
+    guard.unlock();
+    side.to_entry(entry, std::move(credit));
+    continue_upload(side, flow);
+}
+
 void read_on(gate_side& side, const gate_flow_ptr& flow);
 
+/// Keeps what the entry is not known to have of an answer that ends here. Precondition: the lock is
+/// held.
+void keep_undelivered(gate_side& side, const gate_flow_ptr& flow) {
+    side.undelivered.emplace(flow->call, flow);
+    flow->exchange.reset();
+    flow->request = {};
+}
+
 /// Passes a further piece of the answer on.
 void on_piece(gate_side& side, const gate_flow_ptr& flow, body_piece piece) {
     lock_type guard(side.lock);
-    const auto waiter = call::waiter_of(side.gate, flow->call);
-    msg::call_data_msg data;
-    data.call = call::make_key(flow->call);
-    data.offset = flow->download_offset;
-    data.last = piece.is_last;
-    flow->download_offset += piece.bytes.size();
-    flow->download_credit -= static_cast<std::int64_t>(piece.bytes.size());
     flow->progressed_at = current_time();
     flow->is_reading = false;
-    data.body = std::move(piece.bytes);
+    auto data = call::make_data(
+        flow->call, call::add_piece(flow->download, std::move(piece.bytes), piece.is_last));
+    const auto entry = flow->entry;
+    if (piece.is_last) {
+        keep_undelivered(side, flow);
+    }
     guard.unlock();
-    side.to_entry(waiter, std::move(data));
+    side.to_entry(entry, std::move(data));
     if (piece.is_last) {
         end_call(side, flow->call, {.is_answered = true, .latency = flow->upstream_time});
         return;
@@ -98,7 +128,7 @@
 /// Reads the next piece of the answer while the entry is ready to take it.
 void read_on(gate_side& side, const gate_flow_ptr& flow) {
     lock_type guard(side.lock);
-    if (flow->is_reading || flow->download_credit <= 0) {
+    if (flow->is_reading || !flow->exchange || !call::has_room(flow->download)) {
         return;
     }
     flow->is_reading = true;
@@ -163,11 +193,11 @@
         return;
     }
     flow->is_answering = true;
-    flow->download_offset = answer->body.size();
-    flow->download_credit = static_cast<std::int64_t>(window_bytes - answer->body.size());
-    const auto waiter = call::waiter_of(side.gate, flow->call);
+    flow->download.offset = answer->body.size();
+    flow->head = std::make_unique<msg::call_answer_msg>(*answer);
+    const auto entry = flow->entry;
     guard.unlock();
-    side.to_entry(waiter, std::move(*answer));
+    side.to_entry(entry, std::move(*answer));
     read_on(side, flow);
 }
 
@@ -188,7 +218,7 @@
     const auto left = std::max(microseconds{0}, flow->deadline - now);
     auto head = make_upstream_head(side.names, side.instance, flow->request, left);
     body_piece first{std::move(flow->request.body), flow->request.last};
-    flow->upload_offset = first.bytes.size();
+    flow->upload = {.offset = first.bytes.size(), .is_whole = first.is_last};
     const auto exchange = flow->exchange;
     guard.unlock();
     side.histograms.record(segment::gate_queue, flow->queue_time);
@@ -199,10 +229,7 @@
     events.on_failure = [&side, flow](bool is_not_run) {
         end_call(side, flow->call, {.is_not_run = is_not_run});
     };
-    events.on_taken = [&side, flow] {
-        grant_upload(side, flow->call, window_bytes);
-        continue_upload(side, flow);
-    };
+    events.on_taken = [&side, flow] { begin_upload(side, flow); };
     auto match = make_match(side.names, head);
     send_request(exchange, std::move(head), std::move(first), std::move(match), std::move(events));
 }
@@ -246,6 +273,69 @@
     }
 }
 
+/// Forgets answers whose entry has not asked for the rest in time, and the oldest beyond the bound.
+/// Precondition: the lock is held.
+void trim_undelivered(gate_side& side, instant now) {
+    std::erase_if(side.undelivered, [now](const auto& each) {
+        return now > each.second->progressed_at + delivery_timeout;
+    });
+    std::uint64_t bytes = 0;
+    for (const auto& [call, flow] : side.undelivered) {
+        bytes += call::kept_bytes(flow->download);
+    }
+    while (bytes > side.gate.settings.memory.max_answer_bytes) {
+        const auto oldest =
+            std::min_element(side.undelivered.begin(), side.undelivered.end(),
+                             [](const auto& left, const auto& right) {
+                                 return left.second->progressed_at < right.second->progressed_at;
+                             });
+        bytes -= call::kept_bytes(oldest->second->download);
+        side.undelivered.erase(oldest);
+    }
+}
+
+/// What the entry lacks of a call whose link was lost. Precondition: the lock is held.
+std::vector<peer_message> find_lost(gate_flow& flow, const msg::call_open_msg& asked) {
+    std::vector<peer_message> lost;
+    if (flow.exchange && !flow.upload.is_whole) {
+        lost.emplace_back(make_resend(flow));
+    }
+    if (!flow.is_answering) {
+        return lost;
+    }
+    if (asked.has_head) {
+        flow.head.reset();
+    } else if (flow.head) {
+        lost.emplace_back(msg::call_answer_msg(*flow.head));
+    }
+    for (const auto& each : call::missing_pieces(flow.download, asked.received)) {
+        lost.emplace_back(call::make_data(flow.call, each));
+    }
+    return lost;
+}
+
+/// Sends again what a lost link took with it. Returns whether the call has ended here, so that
+/// there is nothing else to ask.
+bool resume(gate_side& side, const node_id& from, const msg::call_open_msg& asked) {
+    lock_type guard(side.lock);
+    const auto call = call::from_key(asked.call.get());
+    const auto running = side.flows.find(call);
+    const auto ended = side.undelivered.find(call);
+    if (running == side.flows.end() && ended == side.undelivered.end()) {
+        return false;
+    }
+    const auto flow = ended != side.undelivered.end() ? ended->second : running->second;
+    flow->entry = from;
+    flow->progressed_at = current_time();
+    auto lost = find_lost(*flow, asked);
+    const bool has_ended = ended != side.undelivered.end();
+    guard.unlock();
+    for (auto& each : lost) {
+        side.to_entry(from, std::move(each));
+    }
+    return has_ended;
+}
+
 /// Calls that nobody cancelled in time, or whose body does not move.
 std::vector<call_id> find_overdue(const gate_side& side, instant now) {
     std::vector<call_id> overdue;
@@ -265,6 +355,9 @@
 } // namespace
 
 void on_open(gate_side& side, const node_id& from, msg::call_open_msg message) {
+    if (message.reattach && resume(side, from, message)) {
+        return;
+    }
     const auto now = current_time();
     const auto call = call::from_key(message.call.get());
     const call::gate_request request{
@@ -288,6 +381,7 @@
     if (!was_under_way && call::is_under_way(side.gate, call)) {
         auto flow = std::make_shared<gate_flow>();
         flow->call = call;
+        flow->entry = from;
         flow->request = std::move(message);
         flow->received_at = now;
         flow->deadline = request.deadline;
@@ -304,11 +398,22 @@
         return false;
     }
     const auto flow = found->second;
-    if (!flow->exchange || message.offset != flow->upload_offset) {
+    if (!flow->exchange) {
         return true;
     }
-    flow->upload_offset += message.body.size();
-    flow->upload.push_back({std::move(message.body), message.last});
+    const auto fit =
+        call::receive_piece(flow->upload, message.offset, message.body.size(), message.last);
+    if (fit == call::piece_fit::gap) {
+        auto again = make_resend(*flow);
+        const auto entry = flow->entry;
+        guard.unlock();
+        side.to_entry(entry, std::move(again));
+        return true;
+    }
+    if (fit == call::piece_fit::repeated) {
+        return true;
+    }
+    flow->waiting.push_back({std::move(message.body), message.last});
     const bool must_start = !std::exchange(flow->is_writing, true);
     guard.unlock();
     if (must_start) {
@@ -319,7 +424,18 @@
 
 bool on_credit(gate_side& side, const msg::call_credit_msg& message) {
     lock_type guard(side.lock);
-    const auto found = side.flows.find(call::from_key(message.call.get()));
+    const auto call = call::from_key(message.call.get());
+    const auto ended = side.undelivered.find(call);
+    if (ended != side.undelivered.end()) {
+        auto& download = ended->second->download;
+        call::note_taken(download, message.taken, message.whole);
+        ended->second->progressed_at = current_time();
+        if (call::is_taken_whole(download)) {
+            side.undelivered.erase(ended);
+        }
+        return true;
+    }
+    const auto found = side.flows.find(call);
     if (found == side.flows.end()) {
         return false;
     }
@@ -327,7 +443,8 @@
     if (!flow->is_answering) {
         return true;
     }
-    flow->download_credit += message.bytes;
+    flow->head.reset();
+    call::note_taken(flow->download, message.taken, message.whole);
     guard.unlock();
     read_on(side, flow);
     return true;
@@ -335,6 +452,7 @@
 
 void on_cancel(gate_side& side, const call_id& call) {
     lock_type guard(side.lock);
+    side.undelivered.erase(call);
     auto actions = call::on_cancel(side.gate, call, current_time());
     guard.unlock();
     perform(side, std::move(actions));
@@ -364,6 +482,7 @@
     }
     auto actions = call::on_gate_timer(side.gate, now);
     const auto overdue = find_overdue(side, now);
+    trim_undelivered(side, now);
     guard.unlock();
     perform(side, std::move(actions));
     for (const auto& each : overdue) {
@@ -374,15 +493,18 @@
 
 std::size_t count_remote(const gate_side& side, const node_id& self) {
     const std::lock_guard guard(side.lock);
-    const auto is_remote = [&](const auto& each) {
-        return call::waiter_of(side.gate, each.first) != self;
-    };
-    return static_cast<std::size_t>(std::count_if(side.flows.begin(), side.flows.end(), is_remote));
+    const auto is_remote = [&](const auto& each) { return each.second->entry != self; };
+    // The end of an answer may be kept while its call is released.
+    const auto under_way = std::count_if(side.flows.begin(), side.flows.end(), is_remote);
+    const auto undelivered =
+        std::count_if(side.undelivered.begin(), side.undelivered.end(), is_remote);
+    return static_cast<std::size_t>(under_way + undelivered);
 }
 
 std::size_t cut_off(gate_side& side) {
     lock_type guard(side.lock);
     const auto flows = std::exchange(side.flows, {});
+    side.undelivered.clear();
     guard.unlock();
     for (const auto& [call, flow] : flows) {
         if (flow->exchange) {
--- a/src/edge/gate_side.h
+++ b/src/edge/gate_side.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "call/body_stream.h"
 #include "call/gate.h"
 #include "edge/header_names.h"
 #include "edge/latency_histogram.h"
@@ -20,6 +21,8 @@
 /// A call at the gate, from its call_open to its end. Guarded by the gate's lock.
 struct gate_flow {
     call_id call;
+    /// Who waits for the answer; the last one that asked.
+    node_id entry;
     msg::call_open_msg request;
     instant received_at{};
     instant deadline{};
@@ -27,15 +30,17 @@
     /// When a piece of a body last moved.
     instant progressed_at{};
     upstream_exchange_ptr exchange;
+    call::incoming_body upload;
     /// Pieces of the request's body that the upstream's connection has not taken.
-    std::deque<body_piece> upload;
-    std::uint64_t upload_offset = 0;
+    std::deque<body_piece> waiting;
+    /// Bytes of the request's body that it has taken.
+    std::uint64_t uploaded = 0;
     bool is_writing = false;
     bool is_answering = false;
     bool is_reading = false;
-    std::uint64_t download_offset = 0;
-    /// Bytes that the entry is ready to take.
-    std::int64_t download_credit = 0;
+    /// The head of an answer of more than one piece, until the entry is known to have it.
+    std::unique_ptr<msg::call_answer_msg> head;
+    call::outgoing_body download;
     microseconds queue_time{0};
     microseconds upstream_time{0};
 };
@@ -56,6 +61,8 @@
     /// Names the present run of the upstream; empty when it does not say.
     std::string instance;
     std::unordered_map<call_id, gate_flow_ptr> flows;
+    /// Calls that have ended here, but whose entry is not known to have all of the answer.
+    std::unordered_map<call_id, gate_flow_ptr> undelivered;
     snapshot_ptr reservations_from;
 };
 
@@ -72,7 +79,8 @@
 /// Call it every few milliseconds while calls are under way.
 void on_timer(gate_side& side, const snapshot_ptr& config);
 
-/// Calls under way whose entry is another node than this.
+/// Calls under way, or with an answer that is not known to have arrived, whose entry is another
+/// node than this.
 [[nodiscard]] std::size_t count_remote(const gate_side& side, const node_id& self);
 
 /// Breaks off all calls; returns how many that were.
