call: ask for an answer of which nothing more comes

Cause: nobody told the entry. A gate may take a link for open that the entry has given up before the hello came back, and what it sends there is gone; then neither a lost link nor a later piece shows the gap. Lost credits could stop a gate in the same way.

Change: an answer of which nothing came for 1 s is asked for, with the credit beside it; the gate answers every question, if only with an empty piece, so an upstream that is silent for long ends no answer, and only eight unanswered questions in a row do.

Tests: asks_when_nothing_follows and last_piece_unnoticed did not hold before (no timer was set), credits_are_told_again hung without the credit beside the question (stopped after 15 s). a_gate_is_busy counted a call whose answer had just been told once in a dozen runs: the gate releases it after telling; the test waits for that now and holds the same figure.

--- a/src/call/entry_call.cpp
+++ b/src/call/entry_call.cpp
@@ -15,6 +15,9 @@
 constexpr std::uint32_t max_refusals = 4;
 /// A call that may run twice is sent elsewhere once its gate has not answered this many questions.
 constexpr std::uint32_t max_idempotent_reattaches = 2;
+/// An answer that has begun and of which nothing came for this long is asked for: what its gate
+/// sent may have gone with a link that this node never held for open.
+constexpr microseconds quiet_time{1'000'000};
 /// Questions for the rest of an answer before it is broken off. With the delays above they take 5
 /// s, longer than it takes to close a silent link, open another and have a queue of seconds drain.
 constexpr std::uint32_t max_answering_reattaches = 8;
@@ -134,6 +137,13 @@
            has_retry(context.budget, context.rules, context.now);
 }
 
+/// Something of an answer came: the gate is asked only when nothing follows.
+void note_progress(attempt& from, instant now) {
+    from.reattach_at = now + quiet_time;
+    from.reattaches = 0;
+    from.is_asking = false;
+}
+
 void on_event(entry_call& state, const answer_event& event, const entry_context& context,
               actions& out) {
     if (!is_current(state, event.call) || state.is_answering) {
@@ -154,9 +164,10 @@
     out.emplace_back(pass_answer_action{});
     state.is_over = event.is_whole;
     state.is_answering = !event.is_whole;
-    state.current->reattach_at.reset();
     if (event.is_whole) {
         state.current.reset();
+    } else {
+        note_progress(*state.current, context.now);
     }
 }
 
@@ -202,6 +213,7 @@
 /// when nothing comes.
 void ask_again(entry_call& state, instant now, actions& out) {
     state.current->reattach_at = now + first_reattach_delay;
+    state.current->is_asking = true;
     out.emplace_back(reattach_action{state.current->to});
 }
 
@@ -220,19 +232,18 @@
         return;
     }
     // All pieces behind the missing one come as well; one question is enough.
-    if (!state.current->reattach_at) {
+    if (!state.current->is_asking) {
         ask_again(state, context.now, out);
     }
 }
 
-void on_event(entry_call& state, const piece_event& event, const entry_context& /*context*/,
+void on_event(entry_call& state, const piece_event& event, const entry_context& context,
               actions& out) {
     if (!is_current(state, event.call) || !state.is_answering) {
         out.emplace_back(drop_action{});
         return;
     }
-    state.current->reattach_at.reset();
-    state.current->reattaches = 0;
+    note_progress(*state.current, context.now);
 }
 
 void on_event(entry_call& state, const endpoint_gone_event& event, const entry_context& context,
@@ -282,6 +293,7 @@
         open_elsewhere(state, lost_attempt(), context, out);
         return;
     }
+    now_open.is_asking = true;
     ++now_open.reattaches;
     const auto doublings = std::min(now_open.reattaches, max_reattach_doublings);
     now_open.reattach_at = context.now + first_reattach_delay * (1U << doublings);
--- a/src/call/entry_call.h
+++ b/src/call/entry_call.h
@@ -39,9 +39,12 @@
 struct attempt {
     pick to;
     instant opened_at{};
-    /// Set after the link or a piece was lost: when to ask for the call again.
+    /// When to ask the gate for the call again: set after the link or a piece was lost, and while
+    /// an answer comes, for when nothing more does.
     std::optional<instant> reattach_at;
     std::uint32_t reattaches = 0;
+    /// The gate was asked, and has not answered yet.
+    bool is_asking = false;
 };
 
 /// The state of one call. Not thread safe; the holder guards it.
@@ -99,7 +102,7 @@
 struct piece_missing_event {
     call_id call;
 };
-/// The next piece of the answer came.
+/// The next piece of the answer came, or word from its gate that there is none yet.
 struct piece_event {
     call_id call;
 };
--- a/src/edge/entry_bodies.cpp
+++ b/src/edge/entry_bodies.cpp
@@ -67,7 +67,9 @@
         perform(side, flow, std::move(done), nullptr);
         return;
     }
-    flow->waiting.push_back({std::move(message.body), message.last});
+    if (!message.body.empty() || message.last) {
+        flow->waiting.push_back({std::move(message.body), message.last});
+    }
     // What is written at once is acknowledged when the caller has taken it.
     const bool must_wait = flow->is_writing;
     auto done = message.last ? step(side, flow, call::answer_end_event{call})
--- a/src/edge/entry_steps.cpp
+++ b/src/edge/entry_steps.cpp
@@ -208,6 +208,7 @@
     } else if (const auto* again = std::get_if<call::reattach_action>(&action)) {
         ++side.counters.reattaches;
         side.to_gate(again->to.node, again->to.address, make_reattach(*flow, again->to, now));
+        send_credit(side, flow, false);
     } else if (const auto* cancel = std::get_if<call::cancel_action>(&action)) {
         msg::call_cancel_msg message;
         message.call = call::make_key(cancel->to.call);
--- a/src/edge/gate_bodies.cpp
+++ b/src/edge/gate_bodies.cpp
@@ -121,6 +121,10 @@
     for (const auto& each : call::missing_pieces(flow.download, asked.received)) {
         lost.emplace_back(call::make_data(flow.call, each));
     }
+    if (lost.empty()) {
+        // Says that the answer is under way and that nothing of it is missing.
+        lost.emplace_back(call::make_data(flow.call, {.offset = flow.download.offset}));
+    }
     return lost;
 }
 
--- a/tests/call/body_stream_test.cpp
+++ b/tests/call/body_stream_test.cpp
@@ -179,7 +179,20 @@
     EXPECT_EQ(count_of<break_off_action>(actions), 0U);
     EXPECT_EQ(count_of<reattach_action>(call.wait()), 1U);
     (void)call.handle(piece_event{call.here.call});
-    EXPECT_EQ(next_timer(call.state), instant::max());
+    EXPECT_GT(next_timer(call.state), call.now + milliseconds{500});
+}
+
+/// Guards against answers that stop for good: what the gate sent went with a link that the entry
+/// had given up before its hello came, so that no lost link was told.
+TEST(answering_call, asks_when_nothing_follows) {
+    answering_call call;
+    for (int question = 0; question < 20; ++question) {
+        EXPECT_EQ(count_of<reattach_action>(call.wait()), 1U);
+        EXPECT_LE(call.now, instant{milliseconds{1000 + 2000 * (question + 1)}});
+        // The gate says that nothing is missing.
+        (void)call.handle(piece_event{call.here.call});
+    }
+    EXPECT_FALSE(call.state.is_over) << "an upstream may be silent for as long as it likes";
 }
 
 /// Guards against a burst of questions: each piece behind a missing one shows the same gap.
--- a/tests/edge/lost_link_test.cpp
+++ b/tests/edge/lost_link_test.cpp
@@ -21,7 +21,7 @@
     part kind;
     /// Which message of that kind is lost, counted from 1.
     int number;
-    /// Whether the entry learns that its link was lost; else only a gap can tell it.
+    /// Whether the entry learns that its link was lost; else only a gap or silence can tell it.
     bool is_noticed;
 
     friend std::ostream& operator<<(std::ostream& out, const loss_row& row) {
@@ -46,7 +46,7 @@
 
 /// Loses one message of a kind.
 void lose_one(joined_paths& paths, part kind, int number) {
-    paths.lose([kind, number, seen = 0](const node_id& to, const peer_message& message) mutable {
+    paths.lose([=, seen = 0](const node_id& to, const peer_message& message) mutable {
         return is_part(kind, to, message) && ++seen == number;
     });
 }
@@ -95,6 +95,7 @@
     {"upload", part::request_piece, 3, true},
     {"gap_before_a_piece", part::answer_piece, 2, false},
     {"gap_in_an_upload", part::request_piece, 2, false},
+    {"last_piece_unnoticed", part::answer_piece, last_piece, false},
 };
 
 INSTANTIATE_TEST_SUITE_P(table, lost_link, ::testing::ValuesIn(loss_rows),
@@ -113,6 +114,9 @@
     }
     // The slot is free again once the upstream is done with the call.
     EXPECT_EQ(paths.get("/ok"), "200 upstream ok");
+    while (count_in_flight(paths.gate()) > 1) {
+        std::this_thread::yield();
+    }
     EXPECT_EQ(count_in_flight(paths.gate()), 1U);
     EXPECT_TRUE(wait_for(paths, answer, true) == counted_bytes(body_size));
     while (count_in_flight(paths.gate()) > 0) {
@@ -120,5 +124,19 @@
     }
 }
 
+/// Guards against a gate that waits for good for credits that were lost.
+TEST(lost_link, credits_are_told_again) {
+    fake_upstream upstream;
+    joined_paths paths(upstream.port());
+    paths.lose([is_asked = false](const node_id& to, const peer_message& message) mutable {
+        const auto* open = std::get_if<msg::call_open_msg>(&message);
+        is_asked = is_asked || (open != nullptr && open->reattach);
+        return !is_asked && is_part(part::credit, to, message);
+    });
+    const auto path = "/counted/" + std::to_string(body_size);
+    EXPECT_TRUE(paths.fetch("GET " + path + " HTTP/1.1\r\nHost: shop\r\n\r\n") ==
+                counted_bytes(body_size));
+}
+
 } // namespace
 } // namespace cyclamenhatch::edge::testing
