--- a/src/edge/entry_side.cpp
+++ b/src/edge/entry_side.cpp
@@ -123,8 +123,8 @@
     request.attempt = static_cast<std::uint8_t>(std::min(limits.attempts, 255U));
     request.headers = make_headers(side, std::move(head.headers));
     request.last = first.is_last;
-    flow->upload_offset = first.bytes.size();
-    flow->is_uploaded = first.is_last;
+    flow->upload.offset = first.bytes.size();
+    flow->upload.is_ended = first.is_last;
     request.body = std::move(first.bytes);
     return flow;
 }
@@ -147,54 +147,6 @@
     return rules;
 }
 
-void upload_on(entry_side& side, const entry_flow_ptr& flow);
-
-/// Passes a further piece of the request's body on.
-void on_upload_piece(entry_side& side, const entry_flow_ptr& flow, body_piece piece) {
-    lock_type guard(side.lock);
-    flow->is_reading = false;
-    flow->is_uploaded = piece.is_last;
-    if (!flow->state.current) {
-        return;
-    }
-    const auto to = flow->state.current->to;
-    msg::call_data_msg data;
-    data.call = call::make_key(to.call);
-    data.offset = flow->upload_offset;
-    data.last = piece.is_last;
-    flow->upload_offset += piece.bytes.size();
-    flow->upload_credit -= static_cast<std::int64_t>(piece.bytes.size());
-    data.body = std::move(piece.bytes);
-    guard.unlock();
-    side.to_gate(to.node, to.address, std::move(data));
-    upload_on(side, flow);
-}
-
-/// Reads the next piece of the request's body while the gate is ready to take it.
-void upload_on(entry_side& side, const entry_flow_ptr& flow) {
-    lock_type guard(side.lock);
-    if (flow->is_reading || flow->is_uploaded || flow->upload_credit <= 0 || flow->state.is_over) {
-        return;
-    }
-    flow->is_reading = true;
-    // What is read now is not kept, so no further attempt can have the whole body.
-    flow->state.max_attempts = static_cast<std::uint32_t>(flow->state.tried.size());
-    guard.unlock();
-    read_body(flow->exchange,
-              [&side, flow](body_piece piece) { on_upload_piece(side, flow, std::move(piece)); });
-}
-
-/// The call whose present attempt is at that node with that id; null when nobody waits for it.
-entry_flow_ptr find_attempt(entry_side& side, const node_id& from, const call_id& call) {
-    const auto found = side.attempts.find(call);
-    if (found == side.attempts.end() || !found->second->state.current ||
-        found->second->state.current->to.node != from) {
-        ++side.counters.dropped_messages;
-        return nullptr;
-    }
-    return found->second;
-}
-
 /// The length of the answer's body as its head states it.
 std::optional<std::uint64_t> find_stated_bytes(const wire_headers& headers) {
     const auto found = std::find_if(headers.begin(), headers.end(), [](const auto& each) {
@@ -284,11 +236,18 @@
     if (!flow) {
         return;
     }
+    if (flow->state.is_answering) {
+        ++side.counters.dropped_messages;
+        return;
+    }
     const auto now = current_time();
     const call::load_report load{message.in_flight, message.queue, message.slots, message.wait_us};
     call::note_report(side.loads[from], flow->route, load, message.gate_instance, now);
     record_segments(side, *flow, message, now);
-    flow->download_offset = message.body.size();
+    if (!message.last) {
+        flow->streamed_from = flow->state.current->to;
+    }
+    flow->download = {.offset = message.body.size(), .is_whole = message.last};
     flow->stated_bytes = find_stated_bytes(message.headers);
     flow->run_time = microseconds(message.upstream_us);
     constexpr unsigned first_server_error = 500;
@@ -320,42 +279,6 @@
     perform(side, flow, std::move(done), nullptr);
 }
 
-void on_data(entry_side& side, const node_id& from, msg::call_data_msg message) {
-    lock_type guard(side.lock);
-    const auto call = call::from_key(message.call.get());
-    const auto flow = find_attempt(side, from, call);
-    if (!flow) {
-        return;
-    }
-    if (message.offset != flow->download_offset) {
-        // A piece is missing or repeated: what is passed on must be the whole answer or end.
-        auto done = step(side, flow, call::piece_missing_event{call});
-        guard.unlock();
-        perform(side, flow, std::move(done), nullptr);
-        return;
-    }
-    flow->download_offset += message.body.size();
-    flow->download.push_back({std::move(message.body), message.last});
-    step_result done;
-    if (message.last) {
-        done = step(side, flow, call::answer_end_event{call});
-    }
-    guard.unlock();
-    perform(side, flow, std::move(done), nullptr);
-    download_on(side, flow);
-}
-
-void on_credit(entry_side& side, const node_id& from, const msg::call_credit_msg& message) {
-    lock_type guard(side.lock);
-    const auto flow = find_attempt(side, from, call::from_key(message.call.get()));
-    if (!flow) {
-        return;
-    }
-    flow->upload_credit += message.bytes;
-    guard.unlock();
-    upload_on(side, flow);
-}
-
 void on_link_lost(entry_side& side, const node_id& peer) {
     lock_type guard(side.lock);
     std::vector<std::pair<entry_flow_ptr, step_result>> all;
--- a/src/edge/gate_side.cpp
+++ b/src/edge/gate_side.cpp
@@ -3,6 +3,7 @@
 #include "call/call_key.h"
 #include "clock/process_clock.h"
 #include "edge/call_headers.h"
+#include "edge/gate_bodies.h"
 #include "edge/upstream_connection.h"
 #include "edge/upstream_words.h"
 
@@ -14,8 +15,6 @@
 namespace cyclamenhatch::edge {
 namespace {
 
-/// Bytes of one body that may be under way between two nodes.
-constexpr std::uint32_t window_bytes = 4 * piece_bytes;
 /// A call whose entry does not cancel it is broken off this long after its deadline.
 constexpr microseconds overdue_grace{250'000};
 /// A body that does not move for this long is broken off.
@@ -31,83 +30,6 @@
 
 void perform(gate_side& side, call::gate_actions actions);
 
-/// Ends a call at the gate and does what follows from that.
-void end_call(gate_side& side, const call_id& call, const call::upstream_end& end) {
-    lock_type guard(side.lock);
-    auto actions = call::on_upstream_end(side.gate, call, end, current_time());
-    guard.unlock();
-    perform(side, std::move(actions));
-}
-
-void grant_upload(gate_side& side, const call_id& call, std::uint32_t bytes) {
-    lock_type guard(side.lock);
-    const auto waiter = call::waiter_of(side.gate, call);
-    guard.unlock();
-    msg::call_credit_msg credit;
-    credit.call = call::make_key(call);
-    credit.bytes = bytes;
-    side.to_entry(waiter, std::move(credit));
-}
-
-/// Writes the next waiting piece of the request's body, when there is one.
-void continue_upload(gate_side& side, const gate_flow_ptr& flow) {
-    lock_type guard(side.lock);
-    flow->is_writing = !flow->upload.empty();
-    if (!flow->is_writing) {
-        return;
-    }
-    auto piece = std::move(flow->upload.front());
-    flow->upload.pop_front();
-    flow->progressed_at = current_time();
-    const auto exchange = flow->exchange;
-    guard.unlock();
-    const auto bytes = static_cast<std::uint32_t>(piece.bytes.size());
-    const bool is_last = piece.is_last;
-    write_body(exchange, std::move(piece), [&side, flow, bytes, is_last] {
-        if (!is_last) {
-            grant_upload(side, flow->call, bytes);
-        }
-        continue_upload(side, flow);
-    });
-}
-
-void read_on(gate_side& side, const gate_flow_ptr& flow);
-
-/// Passes a further piece of the answer on.
-void on_piece(gate_side& side, const gate_flow_ptr& flow, body_piece piece) {
-    lock_type guard(side.lock);
-    const auto waiter = call::waiter_of(side.gate, flow->call);
-    msg::call_data_msg data;
-    data.call = call::make_key(flow->call);
-    data.offset = flow->download_offset;
-    data.last = piece.is_last;
-    flow->download_offset += piece.bytes.size();
-    flow->download_credit -= static_cast<std::int64_t>(piece.bytes.size());
-    flow->progressed_at = current_time();
-    flow->is_reading = false;
-    data.body = std::move(piece.bytes);
-    guard.unlock();
-    side.to_entry(waiter, std::move(data));
-    if (piece.is_last) {
-        end_call(side, flow->call, {.is_answered = true, .latency = flow->upstream_time});
-        return;
-    }
-    read_on(side, flow);
-}
-
-/// Reads the next piece of the answer while the entry is ready to take it.
-void read_on(gate_side& side, const gate_flow_ptr& flow) {
-    lock_type guard(side.lock);
-    if (flow->is_reading || flow->download_credit <= 0) {
-        return;
-    }
-    flow->is_reading = true;
-    const auto exchange = flow->exchange;
-    guard.unlock();
-    read_body(exchange,
-              [&side, flow](body_piece piece) { on_piece(side, flow, std::move(piece)); });
-}
-
 std::shared_ptr<msg::call_answer_msg> make_answer(const gate_side& side, const gate_flow& flow,
                                                   answer_head head, body_piece piece) {
     const auto load = call::current_load(side.gate, flow.call, current_time());
@@ -163,11 +85,11 @@
         return;
     }
     flow->is_answering = true;
-    flow->download_offset = answer->body.size();
-    flow->download_credit = static_cast<std::int64_t>(window_bytes - answer->body.size());
-    const auto waiter = call::waiter_of(side.gate, flow->call);
+    flow->download.offset = answer->body.size();
+    flow->head = std::make_unique<msg::call_answer_msg>(*answer);
+    const auto entry = flow->entry;
     guard.unlock();
-    side.to_entry(waiter, std::move(*answer));
+    side.to_entry(entry, std::move(*answer));
     read_on(side, flow);
 }
 
@@ -188,7 +110,7 @@
     const auto left = std::max(microseconds{0}, flow->deadline - now);
     auto head = make_upstream_head(side.names, side.instance, flow->request, left);
     body_piece first{std::move(flow->request.body), flow->request.last};
-    flow->upload_offset = first.bytes.size();
+    flow->upload = {.offset = first.bytes.size(), .is_whole = first.is_last};
     const auto exchange = flow->exchange;
     guard.unlock();
     side.histograms.record(segment::gate_queue, flow->queue_time);
@@ -199,10 +121,7 @@
     events.on_failure = [&side, flow](bool is_not_run) {
         end_call(side, flow->call, {.is_not_run = is_not_run});
     };
-    events.on_taken = [&side, flow] {
-        grant_upload(side, flow->call, window_bytes);
-        continue_upload(side, flow);
-    };
+    events.on_taken = [&side, flow] { begin_upload(side, flow); };
     auto match = make_match(side.names, head);
     send_request(exchange, std::move(head), std::move(first), std::move(match), std::move(events));
 }
@@ -264,7 +183,17 @@
 
 } // namespace
 
+void end_call(gate_side& side, const call_id& call, const call::upstream_end& end) {
+    lock_type guard(side.lock);
+    auto actions = call::on_upstream_end(side.gate, call, end, current_time());
+    guard.unlock();
+    perform(side, std::move(actions));
+}
+
 void on_open(gate_side& side, const node_id& from, msg::call_open_msg message) {
+    if (message.reattach && resume(side, from, message)) {
+        return;
+    }
     const auto now = current_time();
     const auto call = call::from_key(message.call.get());
     const call::gate_request request{
@@ -288,6 +217,7 @@
     if (!was_under_way && call::is_under_way(side.gate, call)) {
         auto flow = std::make_shared<gate_flow>();
         flow->call = call;
+        flow->entry = from;
         flow->request = std::move(message);
         flow->received_at = now;
         flow->deadline = request.deadline;
@@ -297,44 +227,9 @@
     perform(side, std::move(actions));
 }
 
-bool on_data(gate_side& side, msg::call_data_msg& message) {
-    lock_type guard(side.lock);
-    const auto found = side.flows.find(call::from_key(message.call.get()));
-    if (found == side.flows.end()) {
-        return false;
-    }
-    const auto flow = found->second;
-    if (!flow->exchange || message.offset != flow->upload_offset) {
-        return true;
-    }
-    flow->upload_offset += message.body.size();
-    flow->upload.push_back({std::move(message.body), message.last});
-    const bool must_start = !std::exchange(flow->is_writing, true);
-    guard.unlock();
-    if (must_start) {
-        continue_upload(side, flow);
-    }
-    return true;
-}
-
-bool on_credit(gate_side& side, const msg::call_credit_msg& message) {
-    lock_type guard(side.lock);
-    const auto found = side.flows.find(call::from_key(message.call.get()));
-    if (found == side.flows.end()) {
-        return false;
-    }
-    const auto flow = found->second;
-    if (!flow->is_answering) {
-        return true;
-    }
-    flow->download_credit += message.bytes;
-    guard.unlock();
-    read_on(side, flow);
-    return true;
-}
-
 void on_cancel(gate_side& side, const call_id& call) {
     lock_type guard(side.lock);
+    side.undelivered.erase(call);
     auto actions = call::on_cancel(side.gate, call, current_time());
     guard.unlock();
     perform(side, std::move(actions));
@@ -364,7 +259,9 @@
     }
     auto actions = call::on_gate_timer(side.gate, now);
     const auto overdue = find_overdue(side, now);
+    trim_undelivered(side, now);
     guard.unlock();
+    read_held_back(side);
     perform(side, std::move(actions));
     for (const auto& each : overdue) {
         release(side, each, true);
@@ -374,15 +271,19 @@
 
 std::size_t count_remote(const gate_side& side, const node_id& self) {
     const std::lock_guard guard(side.lock);
-    const auto is_remote = [&](const auto& each) {
-        return call::waiter_of(side.gate, each.first) != self;
-    };
-    return static_cast<std::size_t>(std::count_if(side.flows.begin(), side.flows.end(), is_remote));
+    const auto is_remote = [&](const auto& each) { return each.second->entry != self; };
+    // The end of an answer may be kept while its call is released.
+    const auto under_way = std::count_if(side.flows.begin(), side.flows.end(), is_remote);
+    const auto undelivered =
+        std::count_if(side.undelivered.begin(), side.undelivered.end(), is_remote);
+    return static_cast<std::size_t>(under_way + undelivered);
 }
 
 std::size_t cut_off(gate_side& side) {
     lock_type guard(side.lock);
     const auto flows = std::exchange(side.flows, {});
+    side.undelivered.clear();
+    side.held_back.clear();
     guard.unlock();
     for (const auto& [call, flow] : flows) {
         if (flow->exchange) {
--- a/src/edge/gate_side.h
+++ b/src/edge/gate_side.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "call/body_stream.h"
 #include "call/gate.h"
 #include "edge/header_names.h"
 #include "edge/latency_histogram.h"
@@ -20,6 +21,8 @@
 /// A call at the gate, from its call_open to its end. Guarded by the gate's lock.
 struct gate_flow {
     call_id call;
+    /// Who waits for the answer; the last one that asked.
+    node_id entry;
     msg::call_open_msg request;
     instant received_at{};
     instant deadline{};
@@ -27,15 +30,19 @@
     /// When a piece of a body last moved.
     instant progressed_at{};
     upstream_exchange_ptr exchange;
+    call::incoming_body upload;
     /// Pieces of the request's body that the upstream's connection has not taken.
-    std::deque<body_piece> upload;
-    std::uint64_t upload_offset = 0;
+    std::deque<body_piece> waiting;
+    /// Bytes of the request's body that it has taken.
+    std::uint64_t uploaded = 0;
     bool is_writing = false;
     bool is_answering = false;
     bool is_reading = false;
-    std::uint64_t download_offset = 0;
-    /// Bytes that the entry is ready to take.
-    std::int64_t download_credit = 0;
+    /// The head of an answer of more than one piece, until the entry is known to have it.
+    std::unique_ptr<msg::call_answer_msg> head;
+    call::outgoing_body download;
+    /// Waits for room on the link.
+    bool is_held_back = false;
     microseconds queue_time{0};
     microseconds upstream_time{0};
 };
@@ -45,6 +52,9 @@
 /// Thread safe by its lock, which is never held while a message is sent or a callback runs. The
 /// upstream client's lock may be taken under it, nothing else.
 struct gate_side {
+    const node_id self;
+    /// Bytes of all answers together that may be under way to other nodes.
+    const std::uint64_t link_window;
     std::shared_ptr<upstream_client> client;
     /// Sends to an entry; may be called from any thread.
     std::function<void(const node_id&, peer_message)> to_entry;
@@ -56,6 +66,10 @@
     /// Names the present run of the upstream; empty when it does not say.
     std::string instance;
     std::unordered_map<call_id, gate_flow_ptr> flows;
+    /// Calls that have ended here, but whose entry is not known to have all of the answer.
+    std::unordered_map<call_id, gate_flow_ptr> undelivered;
+    /// Calls whose next piece waits for room on the link, in the order of their turns.
+    std::deque<gate_flow_ptr> held_back;
     snapshot_ptr reservations_from;
 };
 
@@ -65,6 +79,9 @@
 bool on_data(gate_side& side, msg::call_data_msg& message);
 bool on_credit(gate_side& side, const msg::call_credit_msg& message);
 
+/// Ends a call at the gate and does what follows from that.
+void end_call(gate_side& side, const call_id& call, const call::upstream_end& end);
+
 void on_cancel(gate_side& side, const call_id& call);
 void on_upstream(gate_side& side, const msg::upstream_record_msg& upstream);
 void on_drain(gate_side& side);
@@ -72,7 +89,8 @@
 /// Call it every few milliseconds while calls are under way.
 void on_timer(gate_side& side, const snapshot_ptr& config);
 
-/// Calls under way whose entry is another node than this.
+/// Calls under way, or with an answer that is not known to have arrived, whose entry is another
+/// node than this.
 [[nodiscard]] std::size_t count_remote(const gate_side& side, const node_id& self);
 
 /// Breaks off all calls; returns how many that were.
