wire: add failing tests for links to peers that are only slow

A peer whose answers wait behind other bytes on a full link is taken for silent after link.silence_timeout_ms, its link is closed and all calls on it are torn from it.

--- a/src/wire/link_pool.cpp
+++ b/src/wire/link_pool.cpp
@@ -117,11 +117,7 @@
         if (error || pool->is_stopping) {
             return;
         }
-        const auto now = current_time();
-        const auto checked = pool->links; // Closing a link changes the list.
-        for (const auto& each : checked) {
-            check_link(pool, each, now);
-        }
+        check_links(pool, current_time());
         start_health_timer(pool);
     });
 }
@@ -181,6 +177,13 @@
 
 } // namespace
 
+void check_links(const pool_ptr& pool, instant now) {
+    const auto checked = pool->links; // Closing a link changes the list.
+    for (const auto& each : checked) {
+        check_link(pool, each, now);
+    }
+}
+
 std::shared_ptr<link_pool> open_link_pool(const msg::settings_msg& settings, link_events events,
                                           asio::io_context* shared) {
     auto pool = std::make_shared<link_pool>(settings, std::move(events), shared);
--- a/src/wire/link_pool_state.h
+++ b/src/wire/link_pool_state.h
@@ -88,6 +88,9 @@
 /// Counts the end of a link and, when it was established, logs it.
 void note_closed(link_pool& pool, const link& closed, const closing& why);
 
+/// Does what each link needs at this time: pings, closes, dials.
+void check_links(const pool_ptr& pool, instant now);
+
 /// Hands a message back to its sender.
 void return_undelivered(link_pool& pool, outgoing message);
 
--- a/tests/wire/link_health_test.cpp
+++ b/tests/wire/link_health_test.cpp
@@ -55,6 +55,20 @@
                    link_step::close_silent}),
     [](const auto& each) { return std::string(each.param.name); });
 
+TEST(link_health_of_a_slow_peer, is_not_decided_by_the_time_of_its_silence_alone) {
+    const auto now = from_unix_ms(1'000'000'000);
+    const msg::link_settings_msg settings;
+    const milliseconds waited{settings.silence_timeout_ms + 500};
+    const link_times times{.opened = now - seconds{20},
+                           .last_received = now - waited,
+                           .last_used = now - waited,
+                           .last_call = now - waited,
+                           .last_sent = now - waited,
+                           .last_ping = now - milliseconds{100},
+                           .is_established = true};
+    EXPECT_NE(next_step(times, settings, now), link_step::close_silent);
+}
+
 TEST(reconnect_pacing, doubles_with_jitter_up_to_its_limit) {
     const msg::link_settings_msg settings;
     random_source random{1};
