wire: count what a peer takes as a sign of its link

With the links replaced by evidence one case was still judged wrong: a node that sends more than its own host's link carries. Its ping waits in the socket behind what it sent, the peer has nothing to say meanwhile, and a spare, whose hello waits behind nothing, is answered first: a link that moves is torn, as of a gate that sends a download. A socket that was full and takes more shows that the peer's system acknowledged what filled it, which a silent connection never does. Such progress now counts beside received bytes, both for the time of silence and for what has happened since the spare was dialled. It is told by writes that were taken in part, not by a time. What a paused peer acknowledges is bounded by its buffers, and then the link is silent as before.

--- a/src/wire/link.h
+++ b/src/wire/link.h
@@ -44,6 +44,8 @@
     std::deque<queued_frame> queue;
     /// What the write under way covers.
     std::vector<std::string> writing;
+    /// The write under way was taken in part only: the socket was full.
+    bool is_full = false;
     /// Bytes in urgent, queue and writing.
     std::size_t queued_bytes = 0;
 };
--- a/src/wire/link_choice.cpp
+++ b/src/wire/link_choice.cpp
@@ -32,7 +32,7 @@
 /// Whether this link's peer answered it while the link that it was dialled for answered nothing.
 bool proves_silence(const link& spare, const link& doubted) {
     return !doubted.is_closed && doubted.peer == spare.peer &&
-           doubted.times.last_received < spare.times.opened;
+           is_proof_of_silence(spare.times, doubted.times);
 }
 
 } // namespace
--- a/src/wire/link_health.cpp
+++ b/src/wire/link_health.cpp
@@ -15,6 +15,14 @@
 
 } // namespace
 
+instant last_sign(const link_times& times) {
+    return std::max(times.last_received, times.last_progress);
+}
+
+bool is_proof_of_silence(const link_times& spare, const link_times& doubted) {
+    return last_sign(doubted) < spare.opened;
+}
+
 link_step next_step(const link_times& times, const msg::link_settings_msg& settings, instant now) {
     if (!times.is_established) {
         const bool is_late = now - times.opened > milliseconds{settings.connect_timeout_ms};
@@ -31,9 +39,10 @@
     const milliseconds interval{settings.ping_interval_ms};
     const auto heard = std::max(times.last_received, times.opened);
     const bool is_unanswered = times.last_ping > times.last_received;
+    const auto alive = std::max(last_sign(times), times.opened);
     // The time before the first ping was due is nobody's silence: an unused link may be quiet.
     const auto silent_for =
-        is_unanswered ? now - std::max(heard, times.unanswered_since - interval) : microseconds{0};
+        is_unanswered ? now - std::max(alive, times.unanswered_since - interval) : microseconds{0};
     if (silent_for > dead_timeout(settings)) {
         return link_step::close_silent;
     }
--- a/src/wire/link_health.h
+++ b/src/wire/link_health.h
@@ -20,6 +20,8 @@
     /// Last time that anything was sent that the peer must answer or acknowledge.
     instant last_sent;
     instant last_ping;
+    /// Last time that a full socket took more: the peer's system acknowledged what filled it.
+    instant last_progress;
     /// The first ping after last_received, while last_ping is later than that.
     instant unanswered_since;
     bool is_established = false;
@@ -27,6 +29,12 @@
 
 enum class link_step { none, ping, dial_spare, close_silent, close_idle, close_unconnected };
 
+/// Last sign that the connection works: bytes that came, or room for more of ours.
+[[nodiscard]] instant last_sign(const link_times& times);
+
+/// Whether a spare that is answered proves that the doubted link is silent: no sign since the dial.
+[[nodiscard]] bool is_proof_of_silence(const link_times& spare, const link_times& doubted);
+
 /// What a link needs now. A link that carries calls is pinged whenever the peer was silent for the
 /// ping interval, since an answer may be due at any time; any other only while something that was
 /// sent is unanswered. So idle links cost nothing.
--- a/src/wire/link_io.cpp
+++ b/src/wire/link_io.cpp
@@ -46,6 +46,19 @@
     start_write(pool, writer);
 }
 
+/// Called before and after each part of a write. Returns how many bytes to write next.
+std::size_t note_progress(link& writer, const error_code& error, std::size_t bytes,
+                          std::size_t total) {
+    if (error) {
+        return 0;
+    }
+    if (writer.is_full) {
+        writer.times.last_progress = current_time();
+    }
+    writer.is_full = bytes > 0 && bytes < total;
+    return total - bytes;
+}
+
 /// Moves the frames that are written next to `writing`.
 void take_for_writing(link& writer) {
     // Until the peer has answered our hello nothing else is written, so that all of it can go back.
@@ -219,15 +232,22 @@
     if (writer->writing.empty()) {
         return;
     }
+    std::size_t total = 0;
     std::vector<asio::const_buffer> buffers;
     buffers.reserve(writer->writing.size());
     for (const auto& frame : writer->writing) {
         buffers.emplace_back(frame.data(), frame.size());
+        total += frame.size();
     }
-    asio::async_write(writer->socket, buffers,
-                      [pool, writer](const error_code& error, std::size_t /*bytes*/) {
-                          on_written(pool, writer, error);
-                      });
+    writer->is_full = false;
+    asio::async_write(
+        writer->socket, buffers,
+        [writer, total](const error_code& error, std::size_t bytes) {
+            return note_progress(*writer, error, bytes, total);
+        },
+        [pool, writer](const error_code& error, std::size_t /*bytes*/) {
+            on_written(pool, writer, error);
+        });
 }
 
 void enqueue(const pool_ptr& pool, const link_ptr& writer, outgoing message, std::string frame) {
--- a/tests/wire/link_health_test.cpp
+++ b/tests/wire/link_health_test.cpp
@@ -101,6 +101,34 @@
     EXPECT_EQ(next_step(times, settings, now + milliseconds{1}), link_step::close_silent);
 }
 
+TEST(link_health_of_a_full_link, counts_what_the_peer_takes_as_a_sign) {
+    const auto now = from_unix_ms(1'000'000'000);
+    const msg::link_settings_msg settings;
+    link_times times{.opened = now - seconds{20},
+                     .last_received = now - seconds{10},
+                     .last_used = now - seconds{10},
+                     .last_call = now - seconds{10},
+                     .last_sent = now - seconds{9},
+                     .last_ping = now - milliseconds{100},
+                     .last_progress = now - milliseconds{200},
+                     .unanswered_since = now - seconds{9},
+                     .is_established = true};
+    EXPECT_EQ(next_step(times, settings, now), link_step::none);
+    times.last_progress = now - milliseconds{settings.silence_timeout_ms + 1};
+    EXPECT_EQ(next_step(times, settings, now), link_step::dial_spare);
+    times.last_progress = now - milliseconds{2 * settings.silence_timeout_ms + 1};
+    EXPECT_EQ(next_step(times, settings, now), link_step::close_silent);
+}
+
+TEST(proof_of_silence, takes_that_neither_bytes_came_nor_the_peer_took_any_since_the_dial) {
+    const auto dialled = from_unix_ms(1'000'000'000);
+    const link_times spare{.opened = dialled};
+    const auto before = dialled - milliseconds{1};
+    EXPECT_TRUE(is_proof_of_silence(spare, {.last_received = before, .last_progress = before}));
+    EXPECT_FALSE(is_proof_of_silence(spare, {.last_received = dialled, .last_progress = before}));
+    EXPECT_FALSE(is_proof_of_silence(spare, {.last_received = before, .last_progress = dialled}));
+}
+
 TEST(reconnect_pacing, doubles_with_jitter_up_to_its_limit) {
     const msg::link_settings_msg settings;
     random_source random{1};
--- a/tests/wire/link_replace_test.cpp
+++ b/tests/wire/link_replace_test.cpp
@@ -178,5 +178,47 @@
     run_until(loop, [&] { return caller->received.size() == pieces + 2; });
 }
 
+/// A node whose many pieces fill the link to a peer that has stopped to read.
+class full_link_to_a_peer : public testing::Test {
+protected:
+    void SetUp() override {
+        caller = peer.dial(node.address());
+        peer.say_hello(caller);
+        run_until(loop, [&] { return has<msg::hello_msg>(caller); });
+        constexpr int small_buffer = 16'384;
+        node.pool->links.at(0)->socket.set_option(tcp::socket::send_buffer_size(small_buffer));
+        caller->socket.set_option(tcp::socket::receive_buffer_size(small_buffer));
+        msg::call_data_msg piece;
+        piece.body.resize(60'000);
+        for (std::size_t i = 0; i < 120; ++i) {
+            send(*node.pool, {node_id{"b"}, peer.address(), piece});
+        }
+        run_until(loop, [&] { return has<msg::call_data_msg>(caller); });
+        caller->is_reading = false;
+        const auto now = current_time();
+        check_links(node.pool, now + ping_due);
+        check_links(node.pool, now + silence_due);
+        check_links(node.pool, now + silence_due);
+        run_until(loop,
+                  [&] { return peer.links.size() == 2 && has<msg::hello_msg>(peer.links[1]); });
+    }
+
+    asio::io_context loop;
+    loop_pool node{loop, "a"};
+    scripted_peer peer{loop, "b"};
+    scripted_link_ptr caller;
+};
+
+TEST_F(full_link_to_a_peer, stays_while_the_peer_takes_what_is_sent) {
+    const auto before = caller->received.size();
+    caller->is_reading = true;
+    read_on(caller);
+    run_until(loop, [&] { return caller->received.size() >= before + 10; });
+    peer.say_hello(peer.links[1]);
+    run_until(loop, [&] { return !node.closings("cause").empty(); });
+    EXPECT_EQ(node.closings("cause"), std::vector<std::string>{"spare"});
+    EXPECT_TRUE(node.lost.empty());
+}
+
 } // namespace
 } // namespace cyclamenhatch::wire::on_loop
--- a/tests/wire/loop_pools.h
+++ b/tests/wire/loop_pools.h
@@ -104,6 +104,7 @@
     std::array<char, 65536> input{};
     std::vector<incoming> received;
     bool is_ended = false;
+    bool is_reading = true;
 };
 using scripted_link_ptr = std::shared_ptr<scripted_link>;
 
@@ -120,7 +121,9 @@
                                          from->received.push_back(
                                              std::move(std::get<incoming>(decoded)));
                                      }
-                                     read_on(from);
+                                     if (from->is_reading) {
+                                         read_on(from);
+                                     }
                                  });
 }
 
