tests: dial a peer in use at another address

Of five faults put into the new link code on trial, one was found by no test: what waits on a dial that turns out to lead to a peer in use must move to the link in use. This test fails without that line.

--- a/tests/wire/link_replace_test.cpp
+++ b/tests/wire/link_replace_test.cpp
@@ -137,6 +137,16 @@
     EXPECT_EQ(node.lost, std::vector<node_id>{node_id{"b"}});
 }
 
+TEST_F(slow_peer, that_is_dialled_at_another_address_is_sent_to_over_the_link_in_use) {
+    scripted_peer contact(loop, "b");
+    send(*node.pool, {node_id{}, contact.address(), msg::config_notice_msg{}});
+    run_until(loop, [&] { return contact.links.size() == 1; });
+    contact.say_hello(contact.links[0]);
+    run_until(loop, [&] { return has<msg::config_notice_msg>(peer.links[0]); });
+    EXPECT_FALSE(has<msg::config_notice_msg>(contact.links[0]));
+    EXPECT_TRUE(node.closings("cause").empty());
+}
+
 TEST(two_pools, that_dial_each_other_at_once_deliver_all_in_order) {
     asio::io_context loop;
     loop_pool first(loop, "a");
