--- a/src/model/resources.cpp
+++ b/src/model/resources.cpp
@@ -10,4 +10,9 @@
     return found == part.moves.end() ? nullptr : &*found;
 }
 
+void sort_routes(section& part) {
+    std::stable_sort(part.routes.begin(), part.routes.end(),
+                     [](const route& left, const route& right) { return left.name < right.name; });
+}
+
 } // namespace cyclamenhatch
--- a/src/model/resources.h
+++ b/src/model/resources.h
@@ -151,4 +151,7 @@
 /// The move of a section that has not ended, or null. A valid section has at most one.
 [[nodiscard]] const move* find_open_move(const section& part);
 
+/// Puts the routes in order of name, so that equal sets of routes give equal sections.
+void sort_routes(section& part);
+
 } // namespace cyclamenhatch
