distribution: count what the spreading of configurations sends

All of them go through send_counted, so no new sender is left out by accident. config_held tells the payload of the message that the version came in. The figures are payload, since only the link layer knows the encoded form; the test holds them against the bodies of a delta that is sent. The state's control_bytes_sent was never written and goes.

--- a/src/distribution/adoption.cpp
+++ b/src/distribution/adoption.cpp
@@ -1,5 +1,6 @@
 #include "distribution/adoption.h"
 
+#include "distribution/counting.h"
 #include "distribution/peers.h"
 #include "distribution/transfer.h"
 #include "membership/updates.h"
@@ -35,12 +36,12 @@
     }
 }
 
-void push_delta(const state& self, const snapshot& before, const node_id& from, const step& now) {
+void push_delta(state& self, const snapshot& before, const node_id& from, const step& now) {
     const auto delta = make_delta(before, *self.held);
     for (const auto* target :
          push_targets(now.members, self.settings.push_peers, self.settings.push_peers_across)) {
         if (target->node != from.value) {
-            now.wanted.sends.push_back(send_to(*target, delta));
+            send_counted(self, send_to(*target, delta), now);
         }
     }
 }
@@ -68,7 +69,8 @@
     self.stashed.erase(next);
     const auto applied = apply_delta(*self.held, delta);
     if (const auto* found = std::get_if<snapshot_ptr>(&applied)) {
-        adopt(self, *found, from, now);
+        ++self.counts.deltas_needed;
+        adopt(self, *found, {from, payload_bytes(delta)}, now);
     }
 }
 
@@ -89,7 +91,8 @@
     return !self.held || version > self.held->version;
 }
 
-bool adopt(state& self, const snapshot_ptr& found, const node_id& from, const step& now) {
+bool adopt(state& self, const snapshot_ptr& found, const origin& source, const step& now) {
+    const auto& from = source.from;
     if (!found || !is_newer(self, found->version)) {
         return false;
     }
@@ -106,7 +109,8 @@
     }
     now.wanted.logs.push_back({.name = "config_held",
                                .fields = {{"version", std::to_string(found->version.value)},
-                                          {"from", from.empty() ? "store" : from.value}}});
+                                          {"from", from.empty() ? "store" : from.value},
+                                          {"bytes", std::to_string(source.bytes)}}});
     if (before) {
         push_delta(self, *before, from, now);
     }
--- a/src/distribution/adoption.h
+++ b/src/distribution/adoption.h
@@ -2,12 +2,22 @@
 
 #include "distribution/step.h"
 
+#include <cstddef>
+
 /// Replacing the held configuration by a newer one, and refusing those that must not be held.
 namespace cyclamenhatch::distribution {
 
-/// Holds `found` when it is newer than what is held and pushes it on; else does nothing. `from` is
-/// the member it came from, empty for the store. Returns whether it is held now.
-bool adopt(state& self, const snapshot_ptr& found, const node_id& from, const step& now);
+/// Where a configuration came from.
+struct origin {
+    /// The member that sent it; empty for the store.
+    node_id from;
+    /// Payload of the message that it came in; 0 for the store.
+    std::size_t bytes = 0;
+};
+
+/// Holds `found` when it is newer than what is held and pushes it on; else does nothing. Returns
+/// whether it is held now.
+bool adopt(state& self, const snapshot_ptr& found, const origin& source, const step& now);
 
 /// Logs and reports a version that failed its checks, once, and keeps it from being asked for.
 void refuse(state& self, config_version version, const digest_id& digest, const findings& found,
--- a/src/distribution/distribution.h
+++ b/src/distribution/distribution.h
@@ -114,6 +114,23 @@
     bool is_repeat_due = false;
 };
 
+/// What this node has handed out and taken in since its start. Bytes are those of sections,
+/// patches, names and digests, without the framing of the messages.
+struct transfer_counts {
+    std::uint64_t delta_messages = 0;
+    std::uint64_t delta_bytes = 0;
+    std::uint64_t snapshot_messages = 0;
+    std::uint64_t snapshot_bytes = 0;
+    std::uint64_t pull_messages = 0;
+    std::uint64_t pull_bytes = 0;
+    /// Deltas that arrived and led to a newer version, at once or once their base was held.
+    std::uint64_t deltas_needed = 0;
+    /// Deltas that arrived when their version, or a later one, was held already.
+    std::uint64_t deltas_not_needed = 0;
+    /// Deltas that did not lead to their digest from what was held.
+    std::uint64_t deltas_missed = 0;
+};
+
 /// State of one node. Plain data; the caller serialises access.
 struct state {
     msg::distribution_settings_msg settings;
@@ -125,7 +142,7 @@
     /// Set by make_state and after a pause; cleared once this node has compared what it holds with
     /// several members or the store. A node takes no calls while it is set.
     bool needs_refresh = true;
-    std::uint64_t control_bytes_sent = 0;
+    transfer_counts counts;
     /// The latest versions held, oldest first, to make deltas from; bounded. Sections are shared.
     std::vector<snapshot_ptr> history;
     /// Deltas that start above what is held; bounded.
@@ -133,6 +150,8 @@
     std::vector<refused_version> refused;
     newest_seen newest;
     pull_state pull;
+    /// A patch that answered a pull did not fit; whole sections are asked for until one is adopted.
+    bool needs_whole_sections = false;
     refresh_state refresh;
     instant next_exchange;
     /// Whole configurations sent since the window began.
--- a/src/distribution/exchange.cpp
+++ b/src/distribution/exchange.cpp
@@ -1,6 +1,7 @@
 #include "distribution/exchange.h"
 
 #include "distribution/adoption.h"
+#include "distribution/counting.h"
 #include "distribution/peers.h"
 #include "distribution/refresh.h"
 #include "distribution/transfer.h"
@@ -79,7 +80,7 @@
             .target = source,
             .sent = now.now,
             .not_before = now.now + refresh_interval + jitter(now.random, pull_jitter)};
-    now.wanted.sends.push_back(send_to(now.members, source, make_pull(self.held)));
+    send_counted(self, send_to(now.members, source, make_pull(self.held)), now);
 }
 
 void end_pull(state& self, const node_id& from) {
@@ -147,7 +148,7 @@
     const bool has_base = asked.version > 0;
     for (const auto& past : self.history) {
         if (has_base && past->version < self.held->version && has_sections_of(asked, *past)) {
-            now.wanted.sends.push_back(send_to(now.members, from, make_delta(*past, *self.held)));
+            send_counted(self, send_to(now.members, from, make_delta(*past, *self.held)), now);
             return;
         }
     }
@@ -158,7 +159,7 @@
         message.kept.clear();
         message.retry_after_ms = static_cast<std::uint32_t>(wait.count());
     }
-    now.wanted.sends.push_back(send_to(now.members, from, std::move(message)));
+    send_counted(self, send_to(now.members, from, std::move(message)), now);
 }
 
 /// Compares what a member says it holds, when that is not newer. Returns whether it was not.
@@ -224,7 +225,7 @@
         return;
     }
     if (const auto past = find_past(self, version, notice.digest)) {
-        now.wanted.sends.push_back(send_to(now.members, from, make_delta(*past, *self.held)));
+        send_counted(self, send_to(now.members, from, make_delta(*past, *self.held)), now);
         return;
     }
     now.wanted.sends.push_back(send_to(now.members, from, make_notice(self.held)));
@@ -237,6 +238,7 @@
     const bool is_answer = self.pull.is_in_flight && self.pull.target == from;
     end_pull(self, from);
     if (self.held && compare_held(self, from, version, delta.digest, now)) {
+        ++self.counts.deltas_not_needed;
         return;
     }
     if (!self.held || delta.base_version > self.held->version.value) {
@@ -248,9 +250,11 @@
     if (const auto* found = std::get_if<findings>(&applied)) {
         refuse_from(self, version, digest, *found, from, now);
     } else if (const auto* built = std::get_if<snapshot_ptr>(&applied)) {
-        adopt(self, *built, from, now);
+        ++self.counts.deltas_needed;
+        adopt(self, *built, {from, payload_bytes(delta)}, now);
         note_compared(self, from);
     } else {
+        ++self.counts.deltas_missed;
         // A pushed delta may start below what is held and miss a change that was taken back.
         if (is_answer && delta.base_version == self.held->version.value) {
             count_mismatch(self, version, digest, from, now);
@@ -292,7 +296,7 @@
     if (const auto* found = std::get_if<findings>(&opened)) {
         refuse_from(self, version, digest, *found, from, now);
     } else if (const auto* built = std::get_if<snapshot_ptr>(&opened)) {
-        adopt(self, *built, from, now);
+        adopt(self, *built, {from, payload_bytes(message)}, now);
         note_compared(self, from);
     } else {
         note_newest(self, from, version, digest, now);
--- a/src/node/state_document.cpp
+++ b/src/node/state_document.cpp
@@ -192,6 +192,18 @@
                            {"frames_broken", number(counts.frames_broken)}};
 }
 
+document describe_transfers(const distribution::transfer_counts& counts) {
+    return document::table{{"delta_messages", number(counts.delta_messages)},
+                           {"delta_bytes", number(counts.delta_bytes)},
+                           {"snapshot_messages", number(counts.snapshot_messages)},
+                           {"snapshot_bytes", number(counts.snapshot_bytes)},
+                           {"pull_messages", number(counts.pull_messages)},
+                           {"pull_bytes", number(counts.pull_bytes)},
+                           {"deltas_needed", number(counts.deltas_needed)},
+                           {"deltas_not_needed", number(counts.deltas_not_needed)},
+                           {"deltas_missed", number(counts.deltas_missed)}};
+}
+
 document describe_duties(const control::state& from) {
     const data_centre_id own{from.settings.identity->data_centre};
     document::array held;
@@ -211,6 +223,18 @@
     text += std::string("cyclamenhatch_") + name + " " + std::to_string(value) + "\n";
 }
 
+void add_transfers(std::string& text, const distribution::transfer_counts& counts) {
+    add_line(text, "config_delta_messages_sent_total", counts.delta_messages);
+    add_line(text, "config_delta_bytes_sent_total", counts.delta_bytes);
+    add_line(text, "config_snapshot_messages_sent_total", counts.snapshot_messages);
+    add_line(text, "config_snapshot_bytes_sent_total", counts.snapshot_bytes);
+    add_line(text, "config_pull_messages_sent_total", counts.pull_messages);
+    add_line(text, "config_pull_bytes_sent_total", counts.pull_bytes);
+    add_line(text, "config_deltas_needed_total", counts.deltas_needed);
+    add_line(text, "config_deltas_not_needed_total", counts.deltas_not_needed);
+    add_line(text, "config_deltas_missed_total", counts.deltas_missed);
+}
+
 } // namespace
 
 document dump_state(node_runtime& node) {
@@ -228,6 +252,7 @@
                  {"configuration", describe_configuration(from)},
                  {"data_centres", describe_data_centres(from.spread)},
                  {"progress", describe_progress(from.spread)},
+                 {"transfers", describe_transfers(from.spread.counts)},
                  {"moves", describe_moves(from, at)},
                  {"duties", describe_duties(from)},
                  {"store", describe_store(node)},
@@ -271,6 +296,7 @@
         add_line(text, "live_nodes", membership::live_records(from.members).size());
         add_line(text, "store_is_down", is_store_down(from) ? 1 : 0);
         add_line(text, "process_pauses_total", from.members.pauses);
+        add_transfers(text, from.spread.counts);
     }
     add_line(text, "loop_lag_ms", static_cast<std::uint64_t>(node.loop_lag_ms.load()));
     const auto links = wire::counters(*node.links);
--- a/tests/distribution/distribution_test.cpp
+++ b/tests/distribution/distribution_test.cpp
@@ -338,6 +338,31 @@
     EXPECT_EQ(all.nodes[0].progress.front().nodes, 4U);
 }
 
+TEST(distribution, counts_what_it_hands_out_and_what_arrives_in_vain) {
+    fleet all(2, 1);
+    all.offer_to(0, make_version(1));
+    all.offer_to(1, make_version(1));
+    all.waiting.clear();
+    all.offer_to(0, make_version(2));
+    const auto delta = make_delta(*make_version(1), *make_version(2));
+    std::size_t bodies = 0;
+    for (const auto& each : delta.changed) {
+        bodies += each->body.size();
+    }
+    EXPECT_EQ(all.nodes[0].counts.delta_messages, 1U);
+    EXPECT_GE(all.nodes[0].counts.delta_bytes, bodies);
+    all.settle();
+    EXPECT_EQ(all.nodes[1].counts.deltas_needed, 1U);
+    EXPECT_EQ(all.nodes[1].counts.deltas_not_needed, 0U);
+    all.deliver(1, {node_id{"n0"}, delta});
+    EXPECT_EQ(all.nodes[1].counts.deltas_not_needed, 1U);
+    all.deliver(1, {node_id{"n0"}, make_pull(make_version(1))});
+    all.deliver(1, {node_id{"n0"}, msg::config_pull_msg{}});
+    EXPECT_EQ(all.nodes[1].counts.delta_messages, 1U);
+    EXPECT_EQ(all.nodes[1].counts.snapshot_messages, 1U);
+    EXPECT_GT(all.nodes[1].counts.snapshot_bytes, bodies);
+}
+
 RC_GTEST_PROP(peers_property, each_member_is_the_target_of_another, ()) {
     fleet all(*rc::gen::inRange<std::size_t>(3, 40), 1);
     std::set<std::string> reached;
