tests: bound what a version over a large section sends

The bounds come from the links, not from the figures: a version each 0.3 s may take a tenth of 10 Mbit/s, 37,500 bytes; three pushes and two thirds kept free for repairs leave 4 KB for a delta that changes one route.

The same routes in another order make another section, which a patch cannot reproduce. The scenario language learns `write ... routes SERVICE COUNT`.

--- a/tests/scenarios/changes.cpp
+++ b/tests/scenarios/changes.cpp
@@ -26,6 +26,20 @@
     return written;
 }
 
+/// "routes SERVICE COUNT": that many routes, r1 and on, with a host each.
+store::resource_write make_routes(const words& at) {
+    store::resource_write written;
+    const auto count = std::stoul(at.at(5));
+    for (std::size_t i = 1; i <= count; ++i) {
+        const auto name = "r" + std::to_string(i);
+        written.routes.push_back({.name = route_id{name},
+                                  .service = service_id{at.at(4)},
+                                  .host = name + ".example.org",
+                                  .path_prefix = "/" + name});
+    }
+    return written;
+}
+
 /// "move SERVICE NAME FROM TO DEADLINE": a deadline that many seconds from now.
 store::resource_write make_move(const cluster& all, const words& at) {
     const service_id name{at.at(4)};
@@ -61,6 +75,9 @@
     if (kind == "route") {
         return make_route(at);
     }
+    if (kind == "routes") {
+        return make_routes(at);
+    }
     if (kind == "move") {
         return make_move(all, at);
     }
