node: answer what cannot end in time before a drained node ends

Cause: at the end of the drain every call still under way was cut off, and a node counted as idle the moment its last answer was handed to the kernel.

Change: 300 ms before the end calls without an answer get one of the node's own, 503 when proven not run, else 504; a drained node has been idle for 200 ms, so that the last answers have left the host. Answers that have begun go on to the end of the drain as before.

--- a/src/call/entry_call.cpp
+++ b/src/call/entry_call.cpp
@@ -317,6 +317,21 @@
     state.current.reset();
 }
 
+void on_event(entry_call& state, const node_stops_event& /*event*/, const entry_context& context,
+              actions& out) {
+    if (state.is_over || state.is_answering) {
+        return;
+    }
+    if (state.current) {
+        give_up_attempt(state, context.now, out);
+    }
+    fail(state,
+         {.reason = msg::refusal_reason::draining,
+          .retry_helps = true,
+          .retry_after = default_retry_after},
+         out);
+}
+
 } // namespace
 
 const char* name_of(answer_break cause) {
--- a/src/call/entry_call.h
+++ b/src/call/entry_call.h
@@ -113,10 +113,13 @@
 };
 struct timer_event {};
 struct caller_gone_event {};
+/// This node ends now.
+struct node_stops_event {};
 
-using entry_event = std::variant<request_event, answer_event, answer_end_event, refused_event,
-                                 link_lost_event, piece_missing_event, piece_event,
-                                 endpoint_gone_event, timer_event, caller_gone_event>;
+using entry_event =
+    std::variant<request_event, answer_event, answer_end_event, refused_event, link_lost_event,
+                 piece_missing_event, piece_event, endpoint_gone_event, timer_event,
+                 caller_gone_event, node_stops_event>;
 
 /// Send the request to the gate under a new id.
 struct open_action {
--- a/src/edge/call_path.cpp
+++ b/src/edge/call_path.cpp
@@ -312,6 +312,10 @@
     return count_in_flight(path.entry) + count_remote(path.gate, path.self);
 }
 
+std::size_t answer_unfinished(call_path& path) {
+    return answer_unfinished(path.entry);
+}
+
 std::size_t stop(call_path& path) {
     if (path.is_stopped.exchange(true)) {
         return 0;
--- a/src/edge/call_path.h
+++ b/src/edge/call_path.h
@@ -83,6 +83,10 @@
 /// Calls under way at this node's entry and gate. Thread safe.
 [[nodiscard]] std::size_t count_in_flight(const call_path& path);
 
+/// Ends each call that has no answer yet with one of this node's own. Call it a moment before stop,
+/// so that the answers reach their callers. Returns how many calls that were. Thread safe.
+std::size_t answer_unfinished(call_path& path);
+
 /// Closes the listener and ends what is still under way. Returns how many calls were cut off.
 std::size_t stop(call_path& path);
 
--- a/src/edge/entry_side.cpp
+++ b/src/edge/entry_side.cpp
@@ -325,6 +325,21 @@
     return side.flows.size();
 }
 
+std::size_t answer_unfinished(entry_side& side) {
+    lock_type guard(side.lock);
+    std::vector<std::pair<entry_flow_ptr, step_result>> all;
+    for (const auto& [exchange, flow] : side.flows) {
+        if (!flow->state.is_answering && !flow->state.is_over) {
+            all.emplace_back(flow, step(side, flow, call::node_stops_event{}));
+        }
+    }
+    guard.unlock();
+    for (auto& [flow, done] : all) {
+        perform(side, flow, std::move(done), nullptr);
+    }
+    return all.size();
+}
+
 std::size_t cut_off(entry_side& side) {
     lock_type guard(side.lock);
     const auto flows = std::exchange(side.flows, {});
--- a/src/edge/entry_side.h
+++ b/src/edge/entry_side.h
@@ -139,6 +139,10 @@
 
 [[nodiscard]] std::size_t count_in_flight(const entry_side& side);
 
+/// Ends each call that has no answer yet with one of this node's own, so that no caller is left
+/// with a closed connection when the node ends. Returns how many that were.
+std::size_t answer_unfinished(entry_side& side);
+
 /// Breaks off all calls; returns how many that were.
 std::size_t cut_off(entry_side& side);
 
--- a/src/node/run_on_loop.cpp
+++ b/src/node/run_on_loop.cpp
@@ -32,6 +32,10 @@
 /// How often the settings are read again, for a change that no signal told of.
 constexpr milliseconds settings_check{2000};
 constexpr milliseconds drain_check{50};
+/// A node that ends has been idle for this long: the last answers have left the host by then.
+constexpr milliseconds drain_quiet{200};
+/// Calls that have no answer by then are given one of the node's own this long before it ends.
+constexpr milliseconds last_answers{300};
 
 /// All that one node on the platform holds. Used on the loop's thread only.
 struct platform_node {
@@ -49,7 +53,10 @@
     asio::signal_set signals;
     bool is_draining = false;
     bool has_left = false;
+    bool has_told_unfinished = false;
     instant drain_begun;
+    /// Since when nothing is under way while the node drains.
+    instant idle_since;
 };
 
 findings take_heartbeat(const runtime_ptr& node, const platform::heartbeat& heard) {
@@ -183,12 +190,30 @@
 }
 
 /// Whether the callers had time to learn of the leaving and nothing is under way, or time is up.
-bool is_drained(const platform_node& self) {
+bool is_drained(platform_node& self) {
     const auto& call = *self.node->settings.call;
-    const auto passed = current_time() - self.drain_begun;
+    const auto now = current_time();
+    const auto passed = now - self.drain_begun;
+    if (edge::count_in_flight(*self.node->calls) > 0) {
+        self.idle_since = now;
+    }
     const bool has_lingered = passed >= milliseconds{call.drain_linger_ms};
     return passed >= milliseconds{call.drain_timeout_ms} ||
-           (has_lingered && edge::count_in_flight(*self.node->calls) == 0);
+           (has_lingered && now - self.idle_since >= drain_quiet);
+}
+
+/// Gives the calls that cannot end in time an answer before the node ends.
+void answer_when_due(platform_node& self) {
+    const milliseconds after{self.node->settings.call->drain_timeout_ms};
+    if (self.has_told_unfinished || current_time() - self.drain_begun < after - last_answers) {
+        return;
+    }
+    self.has_told_unfinished = true;
+    const auto unfinished = edge::answer_unfinished(*self.node->calls);
+    if (unfinished > 0) {
+        write_log(
+            {log_level::warning, "drain_unfinished", {{"calls", std::to_string(unfinished)}}});
+    }
 }
 
 /// Leaves the fleet: nobody sends calls for the upstream here any more.
@@ -216,6 +241,7 @@
             // Whoever gives this node its callers has been told by now.
             edge::stop_accepting(*self.node->calls);
         }
+        answer_when_due(self);
         if (is_drained(self)) {
             self.loop.stop();
             return;
@@ -230,6 +256,7 @@
     }
     self.is_draining = true;
     self.drain_begun = current_time();
+    self.idle_since = self.drain_begun;
     write_log({log_level::info, "node_draining", {{"signal", std::to_string(signal_number)}}});
     edge::begin_drain(*self.node->calls);
     wait_for_drain(self);
--- a/tests/edge/call_path_test.cpp
+++ b/tests/edge/call_path_test.cpp
@@ -167,6 +167,18 @@
     EXPECT_EQ(answer.get(), "200 upstream ok");
 }
 
+/// Guards against callers that are left with a closed connection when the node beside them ends.
+TEST(call_path, a_call_without_an_answer_gets_one_before_its_node_ends) {
+    fake_upstream upstream;
+    joined_paths paths(upstream.port());
+    auto answer = std::async(std::launch::async, [&] { return paths.get("/hold"); });
+    upstream.wait_for_runs("/hold", 1);
+    EXPECT_EQ(answer_unfinished(paths.entry()), 1U);
+    EXPECT_EQ(answer.get().substr(0, 11), "504 unknown");
+    EXPECT_EQ(answer_unfinished(paths.entry()), 0U);
+    upstream.release();
+}
+
 TEST(call_path, caller_that_leaves_frees_its_slot) {
     fake_upstream upstream;
     joined_paths paths(upstream.port());
