--- /dev/null
+++ b/tests/edge/upstream_bytes_test.cpp
@@ -0,0 +1,188 @@
+#include "edge/upstream_client.h"
+#include "joined_paths.h"
+#include "support/endless_server.h"
+
+#include <boost/asio/io_context.hpp>
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <ostream>
+#include <thread>
+
+/// Bytes that are no answer and come without end, from the upstream beside a node.
+namespace cyclamenhatch::edge::testing {
+namespace {
+
+using cyclamenhatch::testing::endless_server;
+using cyclamenhatch::testing::play_trouble;
+
+constexpr std::size_t slots = 4;
+constexpr milliseconds any_idle{60'000};
+const answer_match match{"x-id", "mine"};
+
+/// What an exchange came to.
+struct ending {
+    unsigned status = 0;
+    std::string body;
+    bool is_whole = false;
+    bool is_failed = false;
+    bool is_not_run = false;
+};
+
+/// One request on a client's connection, with its whole body read.
+struct asked_once {
+    asked_once(boost::asio::io_context& io, const std::shared_ptr<upstream_client>& client,
+               const std::string& path)
+        : context(io), exchange(prepare_exchange(client, any_idle)) {
+        upstream_events events;
+        events.on_answer = [this](const answer_head& head, const body_piece& piece) {
+            end.status = head.status;
+            take(piece);
+        };
+        events.on_failure = [this](bool is_not_run) {
+            end.is_failed = true;
+            end.is_not_run = is_not_run;
+        };
+        events.on_taken = [] {};
+        send_request(exchange, {.method = "GET", .target = path, .headers = {{"x-id", "mine"}}},
+                     {{}, true}, match, std::move(events));
+    }
+
+    /// Runs the loop until the exchange is at an end.
+    const ending& wait() {
+        while (!end.is_whole && !end.is_failed) {
+            // The loop may have run out of work before.
+            context.restart();
+            context.run_one();
+        }
+        return end;
+    }
+
+    void take(const body_piece& piece) {
+        end.body.append(piece.bytes.begin(), piece.bytes.end());
+        end.is_whole = piece.is_last;
+        if (!piece.is_last) {
+            read_body(exchange, [this](const body_piece& next) { take(next); });
+        }
+    }
+
+    boost::asio::io_context& context;
+    upstream_exchange_ptr exchange;
+    ending end;
+};
+
+std::shared_ptr<upstream_client> make_client(boost::asio::io_context& io, std::uint16_t port) {
+    auto client = make_upstream_client(io);
+    set_target(*client, {"127.0.0.1"}, port, slots);
+    return client;
+}
+
+struct trouble_row {
+    const char* name;
+    /// The body that comes before the trouble, when the answer's head was passed on.
+    std::string body;
+
+    friend std::ostream& operator<<(std::ostream& out, const trouble_row& row) {
+        return out << row.name;
+    }
+};
+
+std::string test_name(const ::testing::TestParamInfo<trouble_row>& row) {
+    std::string name = row.param.name;
+    std::replace(name.begin(), name.end(), '-', '_');
+    return name;
+}
+
+class bytes_for_an_answer : public ::testing::TestWithParam<trouble_row> {};
+
+/// Guards against memory and connections held for as long as an upstream goes on sending.
+TEST_P(bytes_for_an_answer, fail_the_call_at_a_bound_and_close_the_connection) {
+    endless_server upstream(play_trouble);
+    boost::asio::io_context io;
+    const auto client = make_client(io, upstream.port());
+    const auto end = asked_once(io, client, "/fast/" + std::string(GetParam().name)).wait();
+    EXPECT_TRUE(end.is_failed);
+    EXPECT_FALSE(end.is_whole);
+    EXPECT_FALSE(end.is_not_run) << "the upstream had the request";
+    EXPECT_EQ(end.body, GetParam().body);
+    upstream.wait_for_closed(1);
+    EXPECT_FALSE(upstream.is_exhausted()) << "read all that the upstream had to send";
+    EXPECT_EQ(count_kept(*client), 0U);
+}
+
+const trouble_row troubles[] = {{"no-answer", ""},
+                                {"status-line", ""},
+                                {"header-line", ""},
+                                {"headers", ""},
+                                {"stale-body", ""}};
+
+INSTANTIATE_TEST_SUITE_P(endless, bytes_for_an_answer, ::testing::ValuesIn(troubles), test_name);
+
+/// What a caller sees of an upstream in trouble, through an entry and a gate.
+class call_to_trouble : public ::testing::TestWithParam<trouble_row> {};
+
+header_names names_with_id() {
+    header_names names;
+    names.request_id = "x-id";
+    return names;
+}
+
+/// Guards against calls that outlive their deadline while bytes still come now and then.
+TEST_P(call_to_trouble, ends_at_its_deadline_when_bytes_drip) {
+    endless_server upstream(play_trouble);
+    joined_paths paths(upstream.port(), names_with_id());
+    const auto told = paths.get("/slow/" + std::string(GetParam().name),
+                                "x-id: mine\r\ncyclamenhatch-deadline-ms: 200\r\n");
+    EXPECT_EQ(told.substr(0, 11), "504 unknown");
+    upstream.wait_for_closed(1);
+    EXPECT_EQ(paths.get("/ok", "x-id: next\r\n"), "200 hello");
+}
+
+INSTANTIATE_TEST_SUITE_P(dripping, call_to_trouble, ::testing::ValuesIn(troubles), test_name);
+
+class caller_of_trouble : public ::testing::TestWithParam<trouble_row> {};
+
+/// Guards against a caller that waits for its deadline though it is clear that no answer comes.
+TEST_P(caller_of_trouble, is_told_at_once_that_the_outcome_is_unknown) {
+    endless_server upstream(play_trouble);
+    joined_paths paths(upstream.port(), names_with_id());
+    // A call that ends at its deadline is told no time to come back.
+    const auto told = paths.get("/fast/" + std::string(GetParam().name), "x-id: mine\r\n");
+    EXPECT_EQ(told.substr(0, 17), "504 unknown later");
+    EXPECT_EQ(paths.get("/ok", "x-id: next\r\n"), "200 hello");
+}
+
+INSTANTIATE_TEST_SUITE_P(endless, caller_of_trouble, ::testing::ValuesIn(troubles), test_name);
+
+class endless_body : public ::testing::TestWithParam<trouble_row> {};
+
+/// Guards against an answer that was read on for a caller who has left, and against one that is
+/// read ahead of a caller who does not take it.
+TEST_P(endless_body, is_read_as_the_caller_takes_it_and_ends_with_the_caller) {
+    endless_server upstream(play_trouble);
+    joined_paths paths(upstream.port(), names_with_id());
+    for (const auto* pace : {"/fast/", "/slow/"}) {
+        boost::asio::io_context io;
+        boost::asio::ip::tcp::socket caller(io);
+        caller.connect({boost::asio::ip::make_address("127.0.0.1"), paths.entry_port()});
+        const std::string request = "GET " + std::string(pace) + GetParam().name +
+                                    " HTTP/1.1\r\nHost: shop\r\nx-id: mine\r\n\r\n";
+        boost::asio::write(caller, boost::asio::buffer(request));
+        std::string told;
+        boost::asio::read_until(caller, boost::asio::dynamic_buffer(told), "hello");
+        EXPECT_EQ(told.substr(0, 15), "HTTP/1.1 200 OK");
+    }
+    upstream.wait_for_closed(2);
+    EXPECT_FALSE(upstream.is_exhausted());
+    while (count_in_flight(paths.gate()) > 0 || count_in_flight(paths.entry()) > 0) {
+        std::this_thread::yield();
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(endless, endless_body,
+                         ::testing::ValuesIn({trouble_row{"body-without-length", ""},
+                                              trouble_row{"chunked-body", ""}}),
+                         test_name);
+
+} // namespace
+} // namespace cyclamenhatch::edge::testing
