edge: bound what is read of a chunk's framing

What callers would see: an upstream that sends a chunk's size line, its extension or the trailers without end is read for as long as it sends, into memory, until the caller's deadline; at the speed of a host's own network that is gigabytes a second beside each call.

Cause: Beast bounds heads, not the framing of chunks, and the connection's buffer grew with it.

Change: at most 128 KB of an answer may be read and not yet parsed (a head at its bound and one read); beyond that the call ends as unknown at once and the connection closes.

--- a/src/edge/upstream_answer.cpp
+++ b/src/edge/upstream_answer.cpp
@@ -86,7 +86,12 @@
 /// Reads once and goes on with `next`.
 void receive(const exchange_ptr& self, void (*next)(const exchange_ptr&)) {
     auto& buffer = self->link->buffer;
-    const auto room = buffer.prepare(boost::beast::read_size(buffer, read_bytes));
+    const auto wanted = boost::beast::read_size(buffer, read_bytes);
+    if (wanted == 0) {
+        fail(self, false);
+        return;
+    }
+    const auto room = buffer.prepare(wanted);
     self->link->socket.async_read_some(room, [self, next](error_code failed, std::size_t bytes) {
         if (self->is_done) {
             return;
--- a/src/edge/upstream_connection.h
+++ b/src/edge/upstream_connection.h
@@ -23,11 +23,15 @@
 /// Connections idle for longer are not used again: the upstream may be closing them just then.
 inline constexpr std::chrono::milliseconds default_keep_alive{4000};
 
+/// Bytes of an answer that may be read and not yet parsed: a head at its bound of 64 KB and one
+/// read of 64 KB. Framing that is longer, as a chunk's size line or its trailers, is no answer.
+inline constexpr std::size_t max_unparsed_bytes = 131'072;
+
 struct upstream_connection {
     explicit upstream_connection(asio::io_context& io) : socket(asio::make_strand(io)) {}
 
     upstream_socket socket;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{max_unparsed_bytes};
     std::uint64_t generation = 0;
     std::chrono::steady_clock::time_point idle_since;
     /// How long the connection may be idle and still be used again.
--- a/tests/edge/upstream_bytes_test.cpp
+++ b/tests/edge/upstream_bytes_test.cpp
@@ -114,6 +114,11 @@
                                 {"status-line", ""},
                                 {"header-line", ""},
                                 {"headers", ""},
+                                {"chunk-size", ""},
+                                {"chunk-extension", ""},
+                                {"later-chunk-extension", ""},
+                                {"trailers", ""},
+                                {"trailer-line", ""},
                                 {"stale-body", ""}};
 
 INSTANTIATE_TEST_SUITE_P(endless, bytes_for_an_answer, ::testing::ValuesIn(troubles), test_name);
