edge: bound all that comes before an answer's head

What callers would see: an upstream that sends informational answers, or whole answers to another request, one after the other keeps the call until its deadline and a core of the node busy all the while.

Cause: max_stale_bytes counted the bodies of stale answers only, not their heads, and informational answers not at all.

Change: what is read before the head of the request's own answer counts, with the same bound of 1 MB in all; beyond it the call ends as unknown at once.

Tests: bytes_for_an_answer and caller_of_trouble, rows informational and stale_answers.

--- a/src/edge/upstream_answer.cpp
+++ b/src/edge/upstream_answer.cpp
@@ -17,8 +17,9 @@
 
 /// An answer's head may take this much, the callers' bound notwithstanding.
 constexpr std::uint32_t max_answer_header_bytes = 65'536;
-/// An answer to an earlier request is read and dropped up to this size.
-constexpr std::size_t max_stale_bytes = 1'048'576;
+/// Answers to earlier requests and informational ones are read and dropped up to this size in all;
+/// a late answer is one, and of ordinary size.
+constexpr std::size_t max_dropped_bytes = 1'048'576;
 /// At most this much is read at a time.
 constexpr std::size_t read_bytes = 65'536;
 
@@ -97,14 +98,13 @@
             return;
         }
         self->link->buffer.commit(bytes);
-        if (self->is_skipping) {
-            self->stale_bytes += bytes;
-        }
+        self->bytes_read += bytes;
         if (failed == asio::error::eof && self->parser->got_some()) {
             failed = {};
             self->parser->put_eof(failed);
         }
-        if (failed || self->stale_bytes > max_stale_bytes) {
+        const bool is_over = !self->has_own_answer && self->bytes_read > max_dropped_bytes;
+        if (failed || is_over) {
             fail(self, false);
             return;
         }
@@ -159,6 +159,7 @@
         }
         self->is_skipping = is_stale(*self);
         if (!self->is_skipping) {
+            self->has_own_answer = true;
             self->incoming.clear();
             read_piece(self);
             return;
--- a/src/edge/upstream_exchange.h
+++ b/src/edge/upstream_exchange.h
@@ -37,9 +37,12 @@
     bool is_sent = false;
     /// Whether the answer under way is one to an earlier request.
     bool is_skipping = false;
+    /// Whether the head of the answer to this request was read.
+    bool has_own_answer = false;
+    /// Whether it was handed over.
     bool is_head_read = false;
     bool is_done = false;
-    std::size_t stale_bytes = 0;
+    std::uint64_t bytes_read = 0;
 };
 
 void close_quietly(upstream_connection& link);
--- a/tests/edge/upstream_bytes_test.cpp
+++ b/tests/edge/upstream_bytes_test.cpp
@@ -114,11 +114,13 @@
                                 {"status-line", ""},
                                 {"header-line", ""},
                                 {"headers", ""},
+                                {"informational", ""},
                                 {"chunk-size", ""},
                                 {"chunk-extension", ""},
                                 {"later-chunk-extension", ""},
                                 {"trailers", ""},
                                 {"trailer-line", ""},
+                                {"stale-answers", ""},
                                 {"stale-body", ""}};
 
 INSTANTIATE_TEST_SUITE_P(endless, bytes_for_an_answer, ::testing::ValuesIn(troubles), test_name);
