edge: close a kept connection when bytes come on it

What an upstream would see: bytes after a whole answer stay unread on a kept connection, which stays open until a later request takes it out and finds them; the last in line may be kept so for ever. No request was sent on such a connection when the bytes were there before it.

Cause: kept connections are looked at only when one is taken.

Change: the check that already runs each half second while the call path is idle or busy (silence_check) also closes kept connections that have bytes to read or were closed by the upstream.

Tests: kept_connection.closes_by_itself_when_bytes_come_on_it waits for the close and hung (15 s, stopped by hand) without the call in call_path.cpp; takes 0.5 s now. bytes_after_an_answer: the answer is whole, nothing is kept, the next request goes on a new connection; for bytes with the answer and after it, fast and slow.

--- a/src/edge/call_path.cpp
+++ b/src/edge/call_path.cpp
@@ -152,6 +152,7 @@
     if (now - checked_at > silence_check) {
         checked_at = now;
         close_silent(*path.listener);
+        close_disturbed(*path.gate.client);
     }
 }
 
--- a/src/edge/upstream_client.h
+++ b/src/edge/upstream_client.h
@@ -46,6 +46,10 @@
 
 [[nodiscard]] std::size_t count_kept(const upstream_client& client);
 
+/// Closes kept connections that the upstream has closed, or on which it sent bytes: those belong to
+/// no request.
+void close_disturbed(upstream_client& client);
+
 /// Closes kept connections.
 void close_client(upstream_client& client);
 
--- a/src/edge/upstream_connection.cpp
+++ b/src/edge/upstream_connection.cpp
@@ -93,6 +93,11 @@
     return client.idle.size();
 }
 
+void close_disturbed(upstream_client& client) {
+    const std::lock_guard guard(client.lock);
+    std::erase_if(client.idle, [](const auto& each) { return !is_quiet(*each); });
+}
+
 void close_client(upstream_client& client) {
     const std::lock_guard guard(client.lock);
     client.max_kept = 0;
--- a/tests/edge/upstream_bytes_test.cpp
+++ b/tests/edge/upstream_bytes_test.cpp
@@ -110,21 +110,45 @@
     EXPECT_EQ(count_kept(*client), 0U);
 }
 
-const trouble_row troubles[] = {{"no-answer", ""},
-                                {"status-line", ""},
-                                {"header-line", ""},
-                                {"headers", ""},
-                                {"informational", ""},
-                                {"chunk-size", ""},
-                                {"chunk-extension", ""},
-                                {"later-chunk-extension", ""},
-                                {"trailers", ""},
-                                {"trailer-line", ""},
-                                {"stale-answers", ""},
-                                {"stale-body", ""}};
+const trouble_row troubles[] = {
+    {"no-answer", ""},       {"status-line", ""},           {"header-line", ""},
+    {"headers", ""},         {"informational", ""},         {"chunk-size", ""},
+    {"chunk-extension", ""}, {"later-chunk-extension", ""}, {"trailers", ""},
+    {"trailer-line", ""},    {"stale-answers", ""},         {"stale-body", ""}};
 
 INSTANTIATE_TEST_SUITE_P(endless, bytes_for_an_answer, ::testing::ValuesIn(troubles), test_name);
 
+class bytes_after_an_answer : public ::testing::TestWithParam<trouble_row> {};
+
+/// Guards against a next request on a connection whose bytes belong to no request.
+TEST_P(bytes_after_an_answer, leave_the_answer_whole_and_the_connection_unused) {
+    endless_server upstream(play_trouble);
+    boost::asio::io_context io;
+    const auto client = make_client(io, upstream.port());
+    int closed = 0;
+    for (const auto* pace : {"/fast/", "/slow/"}) {
+        const auto end = asked_once(io, client, pace + std::string(GetParam().name)).wait();
+        EXPECT_EQ(end.status, 200U);
+        EXPECT_TRUE(end.is_whole);
+        EXPECT_EQ(end.body, "hello");
+        // The bytes may come with the answer or after it.
+        while (count_kept(*client) > 0) {
+            close_disturbed(*client);
+        }
+        upstream.wait_for_closed(++closed);
+    }
+    const auto next = asked_once(io, client, "/ok").wait();
+    EXPECT_TRUE(next.is_whole);
+    EXPECT_EQ(next.body, "hello");
+    EXPECT_EQ(upstream.connections(), 3);
+    EXPECT_FALSE(upstream.is_exhausted());
+}
+
+INSTANTIATE_TEST_SUITE_P(endless, bytes_after_an_answer,
+                         ::testing::ValuesIn({trouble_row{"beyond-length", "hello"},
+                                              trouble_row{"beyond-chunks", "hello"}}),
+                         test_name);
+
 /// What a caller sees of an upstream in trouble, through an entry and a gate.
 class call_to_trouble : public ::testing::TestWithParam<trouble_row> {};
 
@@ -145,6 +169,16 @@
     EXPECT_EQ(paths.get("/ok", "x-id: next\r\n"), "200 hello");
 }
 
+/// Guards against a connection that is kept open for as long as nobody takes it for a request.
+TEST(kept_connection, closes_by_itself_when_bytes_come_on_it) {
+    endless_server upstream(play_trouble);
+    joined_paths paths(upstream.port(), names_with_id());
+    EXPECT_EQ(paths.get("/slow/beyond-length", "x-id: mine\r\n"), "200 hello");
+    upstream.wait_for_closed(1);
+    EXPECT_EQ(paths.get("/ok", "x-id: next\r\n"), "200 hello");
+    EXPECT_EQ(upstream.connections(), 2);
+}
+
 INSTANTIATE_TEST_SUITE_P(dripping, call_to_trouble, ::testing::ValuesIn(troubles), test_name);
 
 class caller_of_trouble : public ::testing::TestWithParam<trouble_row> {};
