edge: end a call at the first bytes that can be no answer

What callers would see: an upstream that sends a few bytes that are no answer, one by one, or that switches to another protocol, keeps the call until its deadline, and the time in which another endpoint could have served it is lost.

Cause: Beast looks at a status line once and then not before the head's end; an answer 101, or one with a status below 100, was taken for an informational one, so that what follows was read as a further answer.

Change: the first bytes must be those of an answer of HTTP/1, the status goes to the parser whole, and 101 and what is below 100 ends the call as unknown.

Tests: bytes_that_cannot_be_an_answer.

--- a/src/edge/upstream_answer.cpp
+++ b/src/edge/upstream_answer.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <string_view>
 #include <utility>
 
 namespace cyclamenhatch::edge {
@@ -20,6 +21,12 @@
 /// Answers to earlier requests and informational ones are read and dropped up to this size in all;
 /// a late answer is one, and of ordinary size.
 constexpr std::size_t max_dropped_bytes = 1'048'576;
+/// How each answer starts, and where its status ends, as in "HTTP/1.1 200 ".
+constexpr std::string_view protocol_start = "HTTP/1.";
+constexpr std::size_t status_end = 13;
+constexpr unsigned first_status = 100;
+constexpr unsigned switching_protocols = 101;
+constexpr unsigned first_final_status = 200;
 /// At most this much is read at a time.
 constexpr std::size_t read_bytes = 65'536;
 
@@ -127,6 +134,20 @@
     body.size = of.incoming.size();
 }
 
+/// Whether the first bytes of an answer can be the start of a status line.
+bool begins_as_answer(const upstream_exchange& of) {
+    const auto bytes = of.link->buffer.data();
+    const std::string_view read(static_cast<const char*>(bytes.data()), bytes.size());
+    const auto common = std::min(read.size(), protocol_start.size());
+    return read.substr(0, common) == protocol_start.substr(0, common);
+}
+
+/// Whether more of the status line has to be read before it is parsed. Beast looks at a status line
+/// once and then not before the head's end, so it gets the status with the first bytes.
+bool lacks_status(const upstream_exchange& of) {
+    return !of.parser->got_some() && of.link->buffer.size() < status_end;
+}
+
 /// Reads heads, and answers to earlier requests to their end, up to the head that counts.
 void read_heads(const exchange_ptr& self) {
     while (true) {
@@ -136,7 +157,11 @@
         if (self->is_skipping) {
             give_room(*self, piece_bytes);
         }
-        const auto result = parse(*self);
+        if (!self->parser->got_some() && !begins_as_answer(*self)) {
+            fail(self, false);
+            return;
+        }
+        const error_code result = lacks_status(*self) ? http::error::need_more : parse(*self);
         if (result == http::error::need_more) {
             receive(self, read_heads);
             return;
@@ -148,12 +173,14 @@
         if (self->is_skipping) {
             continue;
         }
-        // Informational answers precede the one that counts.
-        if (self->parser->get().result_int() < 200) {
+        const auto status = self->parser->get().result_int();
+        // Informational answers precede the one that counts; another protocol was not asked for.
+        const bool is_informational = status >= first_status && status < first_final_status;
+        if (is_informational && status != switching_protocols) {
             begin_answer(*self);
             continue;
         }
-        if (!names_request(*self)) {
+        if (status < first_final_status || !names_request(*self)) {
             fail(self, false);
             return;
         }
--- a/tests/edge/upstream_bytes_test.cpp
+++ b/tests/edge/upstream_bytes_test.cpp
@@ -195,6 +195,24 @@
 
 INSTANTIATE_TEST_SUITE_P(endless, caller_of_trouble, ::testing::ValuesIn(troubles), test_name);
 
+class bytes_that_cannot_be_an_answer : public ::testing::TestWithParam<trouble_row> {};
+
+/// Guards against a wait for the end of a head that cannot be one.
+TEST_P(bytes_that_cannot_be_an_answer, end_the_call_though_few_come) {
+    endless_server upstream(play_trouble);
+    joined_paths paths(upstream.port(), names_with_id());
+    const auto told = paths.get("/slow/" + std::string(GetParam().name), "x-id: mine\r\n");
+    EXPECT_EQ(told.substr(0, 17), "504 unknown later");
+    upstream.wait_for_closed(1);
+}
+
+INSTANTIATE_TEST_SUITE_P(dripping, bytes_that_cannot_be_an_answer,
+                         ::testing::ValuesIn({trouble_row{"no-answer-by-bytes", ""},
+                                              trouble_row{"no-status-by-bytes", ""},
+                                              trouble_row{"other-protocol", ""},
+                                              trouble_row{"status-below-100", ""}}),
+                         test_name);
+
 class endless_body : public ::testing::TestWithParam<trouble_row> {};
 
 /// Guards against an answer that was read on for a caller who has left, and against one that is
--- a/tests/support/endless_server.h
+++ b/tests/support/endless_server.h
@@ -191,6 +191,18 @@
     if (name == "no-answer") {
         return {"no answer ", "at all "};
     }
+    if (name == "no-answer-by-bytes") {
+        return {"n", "o"};
+    }
+    if (name == "no-status-by-bytes") {
+        return {"HTTP/1.1 ", "o"};
+    }
+    if (name == "other-protocol") {
+        return {"HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n", ""};
+    }
+    if (name == "status-below-100") {
+        return {"HTTP/1.1 099 Low\r\nx-id: " + id + "\r\nContent-Length: 0\r\n\r\n", ""};
+    }
     if (name == "status-line") {
         return {"HTTP/1.1 200 ", "a"};
     }
