edge: log the bytes that are no answer

What operators would see: a call that ended because its upstream sent bytes that are no answer left call_failed with upstream_error at the entry, as a refused connection or a crash does; nothing told that bytes had come, or how many.

Change: upstream_bytes_refused, one line for each answer that is given up after some of its bytes were read, for bytes behind an answer's end, and for a call that is cut (deadline, caller gone) before its upstream's head was whole, with request, service, reason and bytes read.

--- a/src/edge/call_path.cpp
+++ b/src/edge/call_path.cpp
@@ -213,6 +213,7 @@
                                      .histograms = histograms},
       gate{.client = make_upstream_client(io),
            .to_entry = {},
+           .log = around.log,
            .histograms = histograms,
            .names = names},
       timer(io) {
--- a/src/edge/gate_side.cpp
+++ b/src/edge/gate_side.cpp
@@ -3,6 +3,7 @@
 #include "call/call_key.h"
 #include "clock/process_clock.h"
 #include "edge/call_headers.h"
+#include "edge/gate_log.h"
 #include "edge/upstream_connection.h"
 #include "edge/upstream_words.h"
 
@@ -204,6 +205,7 @@
         continue_upload(side, flow);
     };
     auto match = make_match(side.names, head);
+    log_faults(side, flow, match, events);
     send_request(exchange, std::move(head), std::move(first), std::move(match), std::move(events));
 }
 
@@ -220,6 +222,7 @@
     const auto exchange = flow->exchange;
     guard.unlock();
     if (is_abort && exchange) {
+        log_cut(side, *flow);
         abort_exchange(exchange);
     }
 }
--- a/src/edge/gate_side.h
+++ b/src/edge/gate_side.h
@@ -5,12 +5,14 @@
 #include "edge/latency_histogram.h"
 #include "edge/upstream_client.h"
 #include "messages/peer_message.h"
+#include "model/log_event.h"
 #include "model/snapshot.h"
 
 #include <deque>
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <string>
 #include <unordered_map>
 
 /// The gate at run time: holds the calls that wait or run, and carries their bodies between links
@@ -21,6 +23,8 @@
 struct gate_flow {
     call_id call;
     msg::call_open_msg request;
+    /// Set before the exchange begins; empty where requests are not named.
+    std::string request_id;
     instant received_at{};
     instant deadline{};
     instant started_at{};
@@ -48,6 +52,8 @@
     std::shared_ptr<upstream_client> client;
     /// Sends to an entry; may be called from any thread.
     std::function<void(const node_id&, peer_message)> to_entry;
+    /// Takes log events from any thread; may be empty.
+    std::function<void(log_event)> log;
     latency_histograms& histograms;
     const header_names& names;
     mutable std::mutex lock;
--- a/src/edge/upstream_answer.cpp
+++ b/src/edge/upstream_answer.cpp
@@ -30,9 +30,22 @@
 /// At most this much is read at a time.
 constexpr std::size_t read_bytes = 65'536;
 
+void tell_fault(const upstream_exchange& of, std::string reason, std::uint64_t bytes) {
+    if (of.events.on_fault && bytes > 0) {
+        of.events.on_fault({std::move(reason), bytes});
+    }
+}
+
+/// Ends the exchange for what was read.
+void give_up(const exchange_ptr& self, std::string reason) {
+    tell_fault(*self, std::move(reason), self->bytes_read);
+    fail(self, false);
+}
+
 /// Gives the connection back for the next exchange when both sides are through with this one.
 void finish(const exchange_ptr& self) {
     self->is_done = true;
+    tell_fault(*self, "bytes after the answer's end", self->link->buffer.size());
     self->events = {};
     if (!self->is_sent || !self->parser->keep_alive() || self->link->buffer.size() > 0) {
         close_quietly(*self->link);
@@ -96,7 +109,7 @@
     auto& buffer = self->link->buffer;
     const auto wanted = boost::beast::read_size(buffer, read_bytes);
     if (wanted == 0) {
-        fail(self, false);
+        give_up(self, "too long between two parts of an answer");
         return;
     }
     const auto room = buffer.prepare(wanted);
@@ -112,7 +125,7 @@
         }
         const bool is_over = !self->has_own_answer && self->bytes_read > max_dropped_bytes;
         if (failed || is_over) {
-            fail(self, false);
+            give_up(self, failed ? failed.message() : "too much before the answer");
             return;
         }
         next(self);
@@ -158,7 +171,7 @@
             give_room(*self, piece_bytes);
         }
         if (!self->parser->got_some() && !begins_as_answer(*self)) {
-            fail(self, false);
+            give_up(self, "no answer in HTTP/1");
             return;
         }
         const error_code result = lacks_status(*self) ? http::error::need_more : parse(*self);
@@ -167,7 +180,7 @@
             return;
         }
         if (result && result != http::error::need_buffer) {
-            fail(self, false);
+            give_up(self, result.message());
             return;
         }
         if (self->is_skipping) {
@@ -181,7 +194,8 @@
             continue;
         }
         if (status < first_final_status || !names_request(*self)) {
-            fail(self, false);
+            give_up(self, status < first_final_status ? "status out of place"
+                                                      : "answer to an unknown request");
             return;
         }
         self->is_skipping = is_stale(*self);
@@ -200,7 +214,7 @@
 void fill_piece(const exchange_ptr& self) {
     const auto result = self->parser->is_done() ? error_code{} : parse(*self);
     if (result && result != http::error::need_more && result != http::error::need_buffer) {
-        fail(self, false);
+        give_up(self, result.message());
         return;
     }
     const auto room = self->parser->get().body().size;
--- a/src/edge/upstream_client.cpp
+++ b/src/edge/upstream_client.cpp
@@ -165,6 +165,10 @@
     });
 }
 
+std::uint64_t bytes_before_head(const upstream_exchange_ptr& exchange) {
+    return exchange->has_own_answer ? 0 : exchange->bytes_read.load();
+}
+
 void abort_exchange(const upstream_exchange_ptr& exchange) {
     asio::dispatch(exchange->executor, [exchange] {
         if (!std::exchange(exchange->is_done, true)) {
--- a/src/edge/upstream_client.h
+++ b/src/edge/upstream_client.h
@@ -28,6 +28,12 @@
     std::string value;
 };
 
+/// Bytes from the upstream that are no answer, or none that is whole.
+struct upstream_fault {
+    std::string reason;
+    std::uint64_t bytes_read = 0;
+};
+
 struct upstream_events {
     /// The answer's head with the first piece of its body.
     std::function<void(answer_head, body_piece)> on_answer;
@@ -35,6 +41,9 @@
     std::function<void(bool is_not_run)> on_failure;
     /// The connection took the first piece and more are due.
     std::function<void()> on_taken;
+    /// May be empty. Comes before on_failure when bytes of an answer were read, or before the last
+    /// piece when others follow an answer's end; the connection is closed.
+    std::function<void(const upstream_fault&)> on_fault;
 };
 
 [[nodiscard]] std::shared_ptr<upstream_client> make_upstream_client(boost::asio::io_context& io);
@@ -73,6 +82,10 @@
 /// did not, and no read is under way.
 void read_body(const upstream_exchange_ptr& exchange, std::function<void(body_piece)> done);
 
+/// Bytes that came before a whole head of the request's own answer; 0 once that was read. Thread
+/// safe.
+[[nodiscard]] std::uint64_t bytes_before_head(const upstream_exchange_ptr& exchange);
+
 /// Closes the exchange's connection; no callback comes after that, but for one that is under way.
 void abort_exchange(const upstream_exchange_ptr& exchange);
 
--- a/src/edge/upstream_exchange.h
+++ b/src/edge/upstream_exchange.h
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -38,11 +39,11 @@
     /// Whether the answer under way is one to an earlier request.
     bool is_skipping = false;
     /// Whether the head of the answer to this request was read.
-    bool has_own_answer = false;
+    std::atomic<bool> has_own_answer{false};
     /// Whether it was handed over.
     bool is_head_read = false;
     bool is_done = false;
-    std::uint64_t bytes_read = 0;
+    std::atomic<std::uint64_t> bytes_read{0};
 };
 
 void close_quietly(upstream_connection& link);
--- a/tests/edge/upstream_bytes_test.cpp
+++ b/tests/edge/upstream_bytes_test.cpp
@@ -3,6 +3,8 @@
 #include "support/endless_server.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -243,5 +245,69 @@
                                               trouble_row{"chunked-body", ""}}),
                          test_name);
 
+/// A gate beside an upstream in trouble, with what it writes into the log.
+struct logging_gate {
+    explicit logging_gate(std::uint16_t upstream_port) {
+        msg::settings_msg settings;
+        settings.identity = std::make_unique<msg::identity_settings_msg>();
+        settings.identity->node = "gate";
+        settings.listen = std::make_unique<msg::listen_settings_msg>();
+        settings.listen->ip = "127.0.0.1";
+        settings.call = std::make_unique<msg::call_settings_msg>();
+        settings.process = std::make_unique<msg::process_settings_msg>();
+        surroundings around;
+        around.send = [this](const outgoing&) { ++sent; };
+        around.view = [view = std::make_shared<const call::routing_view>()] { return view; };
+        around.record = [](const std::vector<call::call_sample>&) {};
+        around.log = [this](const log_event& event) { lines.push_back(to_line(event)); };
+        path = start_call_path(settings, around, names_with_id(), &io);
+        msg::upstream_record_msg upstream;
+        upstream.service = "ledger";
+        upstream.version = "v1";
+        upstream.state = msg::upstream_state::ready;
+        upstream.slots = slots;
+        set_upstream(*path, upstream, upstream_port);
+    }
+
+    void open(std::uint64_t number, const std::string& target) {
+        auto opened = make_open(number, target);
+        auto id = std::make_unique<msg::http_header_msg>();
+        id->name = "x-id";
+        id->value = "mine";
+        std::get<msg::call_open_msg>(opened.message).headers.push_back(std::move(id));
+        on_message(*path, std::move(opened));
+    }
+
+    boost::asio::io_context io;
+    std::vector<std::string> lines;
+    int sent = 0;
+    std::shared_ptr<call_path> path;
+};
+
+/// Guards against a connection that is closed without a word about why.
+TEST(bytes_refused, are_logged_with_request_reason_and_size) {
+    endless_server upstream(play_trouble);
+    logging_gate gate(upstream.port());
+    gate.open(1, "/fast/trailer-line");
+    while (gate.lines.empty() || gate.sent == 0) {
+        gate.io.run_one();
+    }
+    const std::string start = "event=upstream_bytes_refused request=mine service=ledger reason=";
+    EXPECT_EQ(gate.lines.front().substr(0, start.size()), start);
+    EXPECT_EQ(gate.lines.size(), 1U) << "one line an event";
+    gate.open(2, "/slow/header-line");
+    upstream.wait_for_closed(1);
+    const auto before = upstream.writes();
+    while (upstream.writes() < before + 2) {
+        gate.io.poll();
+    }
+    gate.io.poll();
+    on_message(*gate.path, make_cancel(2));
+    EXPECT_EQ(gate.lines.size(), 2U);
+    EXPECT_NE(gate.lines.back().find("cut before the answer's head was whole"), std::string::npos);
+    (void)stop(*gate.path);
+    gate.io.poll();
+}
+
 } // namespace
 } // namespace cyclamenhatch::edge::testing
--- a/tests/support/endless_server.h
+++ b/tests/support/endless_server.h
@@ -1,6 +1,9 @@
 #pragma once
 
-#include <boost/asio.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
@@ -56,14 +59,10 @@
         const std::lock_guard guard(lock_);
         return connections_;
     }
-    /// Requests so far.
-    [[nodiscard]] int requests() {
+    /// Writes that the network took so far.
+    [[nodiscard]] int writes() {
         const std::lock_guard guard(lock_);
-        return requests_;
-    }
-    void wait_for_requests(int count) {
-        std::unique_lock guard(lock_);
-        changed_.wait(guard, [&] { return requests_ >= count; });
+        return writes_;
     }
     /// Waits until the other side has closed that many connections.
     void wait_for_closed(int count) {
@@ -129,7 +128,6 @@
     void answer(const connection_ptr& on) {
         const auto& request = on->parser->get();
         const auto told = script_(std::string(request.target()), std::string(request["x-id"]));
-        note([&] { ++requests_; });
         on->is_slow = told.is_slow;
         on->block = told.again;
         // Large writes where speed matters.
@@ -145,6 +143,7 @@
         on->sent += on->outgoing.size();
         boost::asio::async_write(on->socket, boost::asio::buffer(on->outgoing),
                                  [this, on](error_code failed, std::size_t) {
+                                     note([&] { ++writes_; });
                                      if (!failed && !on->block.empty()) {
                                          send_again(on);
                                      }
@@ -177,7 +176,7 @@
     std::mutex lock_;
     std::condition_variable changed_;
     int connections_ = 0;
-    int requests_ = 0;
+    int writes_ = 0;
     int closed_ = 0;
     bool is_exhausted_ = false;
     std::thread thread_;
