net: bound what is read of a chunk's framing

What callers would see: a key-value service that sends a chunk's size line, its extension or the trailers without end is read into memory until the time limit of the request, 1 s or 2.1 s for a watch; all nodes that ask it do so at once.

Cause: Beast bounds heads and bodies, not the framing of chunks, and the connection's buffer grew with it.

Change: at most 128 KB may be read and not yet parsed; beyond that the request ends with no_answer at once and the connection closes.

Tests: server_in_trouble, with the stand-in for bytes without end. What held already: endless status line, header line, headers, a body past the bound with chunks and without length, bytes that are no answer; the time limit in all rows when bytes drip, but for informational ones; bytes after an answer.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -22,12 +22,15 @@
 
 /// A kept connection that was idle for longer is not used again: the server may be closing it.
 constexpr std::chrono::seconds max_idle{5};
+/// Bytes of an answer that may be read and not yet parsed: a head at Beast's bound of 8 KB and one
+/// read of 64 KB fit. Framing that is longer, as a chunk's size line or its trailers, is no answer.
+constexpr std::size_t max_unparsed_bytes = 131'072;
 
 struct connection {
     explicit connection(asio::io_context& io) : stream(io) {}
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_unparsed_bytes};
     std::chrono::steady_clock::time_point idle_since;
 };
 
