net: do not take an informational answer for the answer

What callers would see: a key-value service that sends an informational answer (100 to 199) first has its request end with that status, as of unknown outcome, and the connection is kept: the answer itself then goes to the next request on that connection, as if it were its own.

Cause: whatever head came first counted as the answer.

Change: informational answers are read and dropped, up to 64 KB in all; 101 and a status below 100 end the request with no_answer. Each closes the connection.

Tests: client_bytes.an_informational_answer_is_not_the_answer; before, both requests ended with status 103 and no body. Row informational of server_in_trouble; before, the request ended with status 102 and the connection stayed open (the second test waited for its close until it was stopped, 8 s).

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -22,6 +22,12 @@
 
 /// A kept connection that was idle for longer is not used again: the server may be closing it.
 constexpr std::chrono::seconds max_idle{5};
+constexpr unsigned first_status = 100;
+constexpr unsigned switching_protocols = 101;
+constexpr unsigned first_final_status = 200;
+/// Informational answers before the one that counts are read and dropped up to this size in all:
+/// room for several heads at their bound.
+constexpr std::size_t max_informational_bytes = 65'536;
 /// Bytes of an answer that may be read and not yet parsed: a head at Beast's bound of 8 KB and one
 /// read of 64 KB fit. Framing that is longer, as a chunk's size line or its trailers, is no answer.
 constexpr std::size_t max_unparsed_bytes = 131'072;
@@ -42,6 +48,7 @@
     http::request<http::string_body> request;
     std::optional<http::response_parser<http::string_body>> parser;
     std::chrono::steady_clock::time_point deadline;
+    std::size_t informational_bytes = 0;
     std::function<void(http_outcome)> done;
 };
 
@@ -90,10 +97,31 @@
     client->kept.push_back(link);
 }
 
-void on_answer(const client_ptr& client, const exchange_ptr& self, error_code failed) {
+void give_up(const client_ptr& client, const exchange_ptr& self, std::string reason) {
+    drop(self);
+    finish(client, self, no_answer{std::move(reason)});
+}
+
+void read_answer(const client_ptr& client, const exchange_ptr& self);
+
+void on_answer(const client_ptr& client, const exchange_ptr& self, error_code failed,
+               std::size_t bytes) {
     if (failed) {
-        drop(self);
-        finish(client, self, no_answer{failed.message()});
+        give_up(client, self, failed.message());
+        return;
+    }
+    const auto status = self->parser->get().result_int();
+    if (status < first_status || status == switching_protocols) {
+        give_up(client, self, "status out of place");
+        return;
+    }
+    if (status < first_final_status) {
+        self->informational_bytes += bytes;
+        if (self->informational_bytes > max_informational_bytes) {
+            give_up(client, self, "too much before the answer");
+            return;
+        }
+        read_answer(client, self);
         return;
     }
     http_response answer{.status = self->parser->get().result_int(),
@@ -106,26 +134,30 @@
     finish(client, self, std::move(answer));
 }
 
+void read_answer(const client_ptr& client, const exchange_ptr& self) {
+    self->parser.emplace();
+    self->parser->body_limit(client->settings.max_answer_bytes);
+    http::async_read(self->on->stream, self->on->buffer, *self->parser,
+                     [client, self](error_code failed, std::size_t bytes) {
+                         on_answer(client, self, failed, bytes);
+                     });
+}
+
 void write(const client_ptr& client, const exchange_ptr& self) {
     self->on->stream.expires_at(self->deadline);
-    http::async_write(
-        self->on->stream, self->request, [client, self](error_code failed, std::size_t bytes) {
-            if (failed) {
-                drop(self);
-                if (bytes == 0) {
-                    finish(client, self, not_sent{failed.message()});
-                } else {
-                    finish(client, self, no_answer{failed.message()});
-                }
-                return;
-            }
-            self->parser.emplace();
-            self->parser->body_limit(client->settings.max_answer_bytes);
-            http::async_read(self->on->stream, self->on->buffer, *self->parser,
-                             [client, self](error_code failed_read, std::size_t /*bytes*/) {
-                                 on_answer(client, self, failed_read);
-                             });
-        });
+    http::async_write(self->on->stream, self->request,
+                      [client, self](error_code failed, std::size_t bytes) {
+                          if (failed) {
+                              drop(self);
+                              if (bytes == 0) {
+                                  finish(client, self, not_sent{failed.message()});
+                              } else {
+                                  finish(client, self, no_answer{failed.message()});
+                              }
+                              return;
+                          }
+                          read_answer(client, self);
+                      });
 }
 
 void connect(const client_ptr& client, const exchange_ptr& self) {
--- a/tests/net/client_bytes_test.cpp
+++ b/tests/net/client_bytes_test.cpp
@@ -80,12 +80,31 @@
 }
 
 const trouble_row troubles[] = {
-    {"no-answer"},    {"status-line"},     {"header-line"},           {"headers"},
-    {"chunk-size"},   {"chunk-extension"}, {"later-chunk-extension"}, {"trailers"},
-    {"trailer-line"}, {"chunked-body"},    {"body-without-length"}};
+    {"no-answer"},       {"status-line"},           {"header-line"},      {"headers"},
+    {"informational"},   {"other-protocol"},        {"status-below-100"}, {"chunk-size"},
+    {"chunk-extension"}, {"later-chunk-extension"}, {"trailers"},         {"trailer-line"},
+    {"chunked-body"},    {"body-without-length"}};
 
 INSTANTIATE_TEST_SUITE_P(endless, server_in_trouble, ::testing::ValuesIn(troubles), test_name);
 
+/// Guards against an informational answer that counts as the answer, so that the answer itself goes
+/// to the next request on the connection.
+TEST(client_bytes, an_informational_answer_is_not_the_answer) {
+    endless_server server([](const std::string& path, const std::string&) {
+        return cyclamenhatch::testing::endless_answer{
+            "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: " +
+                std::to_string(path.size()) + "\r\n\r\n" + path,
+            ""};
+    });
+    client_run run(server.port());
+    for (const auto* path : {"/first", "/second"}) {
+        const auto told = run.ask(path);
+        ASSERT_TRUE(std::holds_alternative<http_response>(told));
+        EXPECT_EQ(std::get<http_response>(told).status, 200U);
+        EXPECT_EQ(std::get<http_response>(told).body, path);
+    }
+}
+
 /// Guards against a next request on a connection whose bytes belong to no request.
 TEST(client_bytes, after_an_answer_end_the_connection) {
     for (const auto* pace : {"/fast/", "/slow/"}) {
@@ -94,8 +113,9 @@
         const auto told = run.ask(pace + std::string("beyond-length"));
         ASSERT_TRUE(std::holds_alternative<http_response>(told));
         EXPECT_EQ(std::get<http_response>(told).body, "hello");
+        // The bytes come with the answer, which closes the connection, or after it.
         const auto writes = server.writes();
-        while (server.writes() < writes + 2 && server.connections() == 1) {
+        while (server.writes() < writes + 2 && server.closed() == 0) {
             run.io.restart();
             run.io.poll();
         }
--- a/tests/support/endless_server.h
+++ b/tests/support/endless_server.h
@@ -64,6 +64,11 @@
         const std::lock_guard guard(lock_);
         return writes_;
     }
+    /// Connections that the other side has closed so far.
+    [[nodiscard]] int closed() {
+        const std::lock_guard guard(lock_);
+        return closed_;
+    }
     /// Waits until the other side has closed that many connections.
     void wait_for_closed(int count) {
         std::unique_lock guard(lock_);
