edge: bound what is read of a chunk's framing in a request

What a node would see: a caller whose chunk has a size line, an extension or trailers without end is read into memory for as long as it sends, whatever call.max_body_bytes says.

Cause: the same class as towards upstreams; Beast bounds heads and bodies, not the framing of chunks.

Change: what is read of a request and not yet parsed is bounded by the limit of its head and one read of 64 KB; beyond that it is a broken request.

--- a/src/edge/caller_session.cpp
+++ b/src/edge/caller_session.cpp
@@ -321,6 +321,9 @@
     auto& parser = next->parser.emplace();
     parser.header_limit(limits.max_header_bytes);
     parser.body_limit(limits.max_body_bytes);
+    // A head at its bound and one read; a chunk's framing that is longer is refused.
+    self->buffer.max_size(std::max<std::size_t>(limits.max_header_bytes, self->buffer.size()) +
+                          piece_bytes);
     // The handler keeps the parser alive when the session drops it on closing.
     http::async_read_header(
         self->socket, self->buffer, parser,
--- a/tests/edge/upstream_bytes_test.cpp
+++ b/tests/edge/upstream_bytes_test.cpp
@@ -245,6 +245,29 @@
                                               trouble_row{"chunked-body", ""}}),
                          test_name);
 
+/// Guards against memory held for a caller whose chunk has a size line without end.
+TEST(caller_bytes, framing_without_end_is_refused_at_a_bound) {
+    endless_server upstream(play_trouble);
+    joined_paths paths(upstream.port());
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::socket caller(io);
+    caller.connect({boost::asio::ip::make_address("127.0.0.1"), paths.entry_port()});
+    boost::system::error_code failed;
+    const std::string head =
+        "POST /ok HTTP/1.1\r\nHost: shop\r\nTransfer-Encoding: chunked\r\n\r\n5";
+    boost::asio::write(caller, boost::asio::buffer(head), failed);
+    std::string block;
+    while (block.size() < piece_bytes) {
+        block += ";a";
+    }
+    std::uint64_t sent = 0;
+    while (!failed && sent < endless_server::most_bytes) {
+        sent += boost::asio::write(caller, boost::asio::buffer(block), failed);
+    }
+    EXPECT_TRUE(failed) << "took all that the caller had to send";
+    EXPECT_EQ(paths.get("/ok"), "200 hello");
+}
+
 /// A gate beside an upstream in trouble, with what it writes into the log.
 struct logging_gate {
     explicit logging_gate(std::uint16_t upstream_port) {
