net: bound what a service reads of a chunk's framing

What a node would see: a client of the node's own services (announcements, readiness, metrics) whose chunk has a size line without end is read into memory for as long as it sends, up to 60 s.

Change: at most 128 KB may be read and not yet parsed; beyond that the session ends.

Test: http.a_chunk_whose_size_line_does_not_end_is_refused_at_a_bound; before, the service took all of 64 MB.

--- a/src/net/http_service.cpp
+++ b/src/net/http_service.cpp
@@ -20,6 +20,9 @@
 namespace {
 
 constexpr std::uint64_t max_request_bytes = 65'536;
+/// Bytes of a request that may be read and not yet parsed: a head at Beast's bound of 8 KB and one
+/// read of 64 KB fit. A chunk's framing that is longer ends the session.
+constexpr std::size_t max_unparsed_bytes = 131'072;
 /// A client that sends nothing for this long is disconnected.
 constexpr std::chrono::seconds max_silence{60};
 
@@ -46,7 +49,7 @@
     explicit session(tcp::socket socket) : stream(std::move(socket)) {}
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_unparsed_bytes};
     std::optional<http::request_parser<http::string_body>> parser;
     http::response<http::string_body> answer;
 };
--- a/tests/net/net_test.cpp
+++ b/tests/net/net_test.cpp
@@ -2,9 +2,12 @@
 #include "net/http_service.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
 #include <optional>
+#include <thread>
 
 namespace cyclamenhatch::net {
 namespace {
@@ -64,6 +67,29 @@
     stop(*service);
 }
 
+/// Guards against memory held for a client whose chunk has a size line without end.
+TEST(http, a_chunk_whose_size_line_does_not_end_is_refused_at_a_bound) {
+    asio::io_context io;
+    const auto service = start_http_service(
+        io, "127.0.0.1", 0, [](const service_request&) { return service_answer{}; });
+    std::thread serving([&] { io.run(); });
+    asio::io_context clients;
+    tcp::socket client(clients);
+    client.connect({asio::ip::make_address("127.0.0.1"), service_port(*service)});
+    boost::system::error_code failed;
+    const std::string head = "PUT / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5;";
+    asio::write(client, asio::buffer(head), failed);
+    constexpr std::uint64_t most_bytes = 64ULL << 20U;
+    const std::string block(65'536, 'a');
+    std::uint64_t sent = 0;
+    while (!failed && sent < most_bytes) {
+        sent += asio::write(client, asio::buffer(block), failed);
+    }
+    EXPECT_TRUE(failed) << "took all that the client had to send";
+    asio::post(io, [&] { stop(*service); });
+    serving.join();
+}
+
 TEST(http, where_nobody_listens_nothing_was_sent) {
     asio::io_context io;
     // Port 1 takes no connections.
