net: log the bytes that are no answer of a server

What operators would see: a key-value service that sends bytes that are no answer looked like one that is silent; the reason stayed in the request's outcome.

Change: server_bytes_refused, one line for each answer that is given up after some of its bytes were read, the time limit included, and for bytes with an answer's end, with server, request (its path: these requests have no ids), reason and bytes. Set for the platform's store client.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -97,7 +97,25 @@
     client->kept.push_back(link);
 }
 
-void give_up(const client_ptr& client, const exchange_ptr& self, std::string reason) {
+/// Requests to these servers have no ids; the path without its query names them.
+void log_fault(const http_client& client, const exchange& of, std::string reason,
+               std::size_t bytes) {
+    if (!client.settings.log || bytes == 0) {
+        return;
+    }
+    const std::string target(of.request.target());
+    client.settings.log(
+        {log_level::warning,
+         "server_bytes_refused",
+         {{"server", client.settings.ip + ":" + std::to_string(client.settings.port)},
+          {"request", target.substr(0, target.find('?'))},
+          {"reason", std::move(reason)},
+          {"bytes", std::to_string(bytes)}}});
+}
+
+void give_up(const client_ptr& client, const exchange_ptr& self, std::string reason,
+             std::size_t bytes) {
+    log_fault(*client, *self, reason, bytes + self->on->buffer.size());
     drop(self);
     finish(client, self, no_answer{std::move(reason)});
 }
@@ -107,18 +125,18 @@
 void on_answer(const client_ptr& client, const exchange_ptr& self, error_code failed,
                std::size_t bytes) {
     if (failed) {
-        give_up(client, self, failed.message());
+        give_up(client, self, failed.message(), bytes);
         return;
     }
     const auto status = self->parser->get().result_int();
     if (status < first_status || status == switching_protocols) {
-        give_up(client, self, "status out of place");
+        give_up(client, self, "status out of place", bytes);
         return;
     }
     if (status < first_final_status) {
         self->informational_bytes += bytes;
         if (self->informational_bytes > max_informational_bytes) {
-            give_up(client, self, "too much before the answer");
+            give_up(client, self, "too much before the answer", self->informational_bytes);
             return;
         }
         read_answer(client, self);
@@ -129,6 +147,7 @@
     if (self->parser->keep_alive() && self->on->buffer.size() == 0) {
         keep(client, self->on);
     } else {
+        log_fault(*client, *self, "bytes after the answer's end", self->on->buffer.size());
         drop(self);
     }
     finish(client, self, std::move(answer));
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "model/log_event.h"
 #include "model/time.h"
 
 #include <boost/asio/io_context.hpp>
@@ -46,6 +47,8 @@
     /// Kept connections beyond this many are closed.
     std::size_t max_kept = 2;
     std::uint64_t max_answer_bytes = 16'777'216;
+    /// Takes a log event when bytes came that are no answer or no whole one; may be empty.
+    std::function<void(log_event)> log;
 };
 
 /// Opaque; made by make_http_client.
--- a/src/node/run_on_loop.cpp
+++ b/src/node/run_on_loop.cpp
@@ -112,11 +112,13 @@
 void start_parts(platform_node& self) {
     const auto& node = self.node;
     const auto client = platform::start_store_client(
-        self.loop, *node->settings.store, [node](const store::kv_response& response) {
+        self.loop, *node->settings.store,
+        [node](const store::kv_response& response) {
             step(*node, [&](instant at, control::actions& wanted) {
                 control::on_store_response(node->control, response, at, wanted);
             });
-        });
+        },
+        write_log);
     node->store = {
         .execute =
             [client](const store::kv_request& request) { platform::execute(*client, request); },
--- a/tests/net/client_bytes_test.cpp
+++ b/tests/net/client_bytes_test.cpp
@@ -21,7 +21,10 @@
 struct client_run {
     explicit client_run(std::uint16_t port)
         : client(make_http_client(
-              io, {.ip = "127.0.0.1", .port = port, .max_answer_bytes = max_answer_bytes})) {}
+              io, {.ip = "127.0.0.1",
+                   .port = port,
+                   .max_answer_bytes = max_answer_bytes,
+                   .log = [this](const log_event& event) { lines.push_back(to_line(event)); }})) {}
     client_run(const client_run&) = delete;
     client_run& operator=(const client_run&) = delete;
     ~client_run() { close(*client); }
@@ -38,6 +41,7 @@
     }
 
     boost::asio::io_context io;
+    std::vector<std::string> lines;
     std::shared_ptr<http_client> client;
 };
 
@@ -64,6 +68,9 @@
     const auto told = run.ask("/fast/" + std::string(GetParam().name));
     EXPECT_TRUE(std::holds_alternative<no_answer>(told));
     server.wait_for_closed(1);
+    ASSERT_EQ(run.lines.size(), 1U);
+    EXPECT_EQ(run.lines.front().rfind("event=server_bytes_refused server=127.0.0.1:", 0), 0U);
+    EXPECT_NE(run.lines.front().find(" request=/fast/"), std::string::npos);
     EXPECT_FALSE(server.is_exhausted()) << "read all that the server had to send";
 }
 
