--- a/src/edge/call_path.cpp
+++ b/src/edge/call_path.cpp
@@ -162,6 +162,7 @@
     if (now - checked_at > silence_check) {
         checked_at = now;
         close_silent(*path.listener);
+        close_disturbed(*path.gate.client);
     }
 }
 
@@ -224,6 +225,7 @@
            .link_window = link_window_from(*from.listen),
            .client = make_upstream_client(io),
            .to_entry = {},
+           .log = around.log,
            .histograms = histograms,
            .names = names},
       timer(io) {
