--- a/src/call/entry_call.cpp
+++ b/src/call/entry_call.cpp
@@ -222,7 +222,11 @@
     if (state.is_over || !state.current || state.current->to.node != event.node) {
         return;
     }
-    ask_again(state, context.now, out);
+    // Each message that a lost link took with it tells of the loss; one question is enough.
+    const bool is_asked = state.current->is_asking && state.current->reattach_at > context.now;
+    if (!is_asked) {
+        ask_again(state, context.now, out);
+    }
 }
 
 void on_event(entry_call& state, const piece_missing_event& event, const entry_context& context,
@@ -246,6 +250,15 @@
     note_progress(*state.current, context.now);
 }
 
+void on_event(entry_call& state, const under_way_event& event, const entry_context& context,
+              actions& out) {
+    if (!is_current(state, event.call)) {
+        out.emplace_back(drop_action{});
+        return;
+    }
+    note_progress(*state.current, context.now);
+}
+
 void on_event(entry_call& state, const endpoint_gone_event& event, const entry_context& context,
               actions& out) {
     if (state.is_over || !state.current || state.current->to.node != event.node ||
--- a/src/call/entry_call.h
+++ b/src/call/entry_call.h
@@ -106,6 +106,10 @@
 struct piece_event {
     call_id call;
 };
+/// The gate says that the call that was asked for waits or runs there.
+struct under_way_event {
+    call_id call;
+};
 /// The endpoint's process is gone for good: its member is dead or came back in another incarnation.
 /// Ends no answer that has begun: a node that leaves the fleet brings its answers to their end.
 struct endpoint_gone_event {
@@ -118,8 +122,8 @@
 
 using entry_event =
     std::variant<request_event, answer_event, answer_end_event, refused_event, link_lost_event,
-                 piece_missing_event, piece_event, endpoint_gone_event, timer_event,
-                 caller_gone_event, node_stops_event>;
+                 piece_missing_event, piece_event, under_way_event, endpoint_gone_event,
+                 timer_event, caller_gone_event, node_stops_event>;
 
 /// Send the request to the gate under a new id.
 struct open_action {
--- a/src/edge/entry_bodies.cpp
+++ b/src/edge/entry_bodies.cpp
@@ -38,7 +38,7 @@
     }
     flow->is_reading = true;
     // What is read now is not kept, so no further attempt can have the whole body.
-    flow->state.max_attempts = static_cast<std::uint32_t>(flow->state.tried.size());
+    flow->state.max_attempts = flow->state.arrivals + 1;
     guard.unlock();
     read_body(flow->exchange,
               [&side, flow](body_piece piece) { on_upload_piece(side, flow, std::move(piece)); });
@@ -67,16 +67,15 @@
         perform(side, flow, std::move(done), nullptr);
         return;
     }
-    if (!message.body.empty() || message.last) {
-        flow->waiting.push_back({std::move(message.body), message.last});
-    }
-    // What is written at once is acknowledged when the caller has taken it.
-    const bool must_wait = flow->is_writing;
+    flow->waiting.push_back({std::move(message.body), message.last});
+    // What is written at once is acknowledged when the caller has taken it; the gate keeps nothing
+    // of a body that has arrived whole.
+    const bool must_wait = flow->is_writing || message.last;
     auto done = message.last ? step(side, flow, call::answer_end_event{call})
                              : step(side, flow, call::piece_event{call});
     guard.unlock();
     if (must_wait) {
-        send_credit(side, flow, false);
+        send_credit(side, flow);
     }
     perform(side, flow, std::move(done), nullptr);
     download_on(side, flow);
@@ -88,6 +87,12 @@
     if (!flow) {
         return;
     }
+    if (message.under_way) {
+        auto done = step(side, flow, call::under_way_event{call::from_key(message.call.get())});
+        guard.unlock();
+        perform(side, flow, std::move(done), nullptr);
+        return;
+    }
     flow->may_upload = true;
     call::note_taken(flow->upload, message.taken, message.whole);
     const auto missing = message.resend ? call::missing_pieces(flow->upload, message.received)
--- a/src/edge/entry_steps.cpp
+++ b/src/edge/entry_steps.cpp
@@ -182,11 +182,11 @@
     flow->taken_bytes += bytes;
     flow->is_writing = false;
     guard.unlock();
-    send_credit(side, flow, is_last);
     if (is_last) {
         forget_flow(side, flow);
         return;
     }
+    send_credit(side, flow);
     download_on(side, flow);
 }
 
@@ -208,7 +208,7 @@
     } else if (const auto* again = std::get_if<call::reattach_action>(&action)) {
         ++side.counters.reattaches;
         side.to_gate(again->to.node, again->to.address, make_reattach(*flow, again->to, now));
-        send_credit(side, flow, false);
+        send_credit(side, flow);
     } else if (const auto* cancel = std::get_if<call::cancel_action>(&action)) {
         msg::call_cancel_msg message;
         message.call = call::make_key(cancel->to.call);
@@ -326,13 +326,13 @@
     return found->second;
 }
 
-void send_credit(entry_side& side, const entry_flow_ptr& flow, bool is_whole) {
+void send_credit(entry_side& side, const entry_flow_ptr& flow) {
     lock_type guard(side.lock);
     const auto from = flow->streamed_from;
     msg::call_credit_msg credit;
-    credit.taken = flow->taken_bytes;
     credit.received = flow->download.offset;
-    credit.whole = is_whole;
+    credit.whole = flow->download.is_whole;
+    credit.taken = credit.whole ? credit.received : flow->taken_bytes;
     guard.unlock();
     if (from) {
         credit.call = call::make_key(from->call);
--- a/src/edge/entry_steps.h
+++ b/src/edge/entry_steps.h
@@ -38,7 +38,7 @@
 
 /// Tells the gate how much of an answer of more than one piece has arrived and was taken.
 /// Precondition: as for perform.
-void send_credit(entry_side& side, const entry_flow_ptr& flow, bool is_whole);
+void send_credit(entry_side& side, const entry_flow_ptr& flow);
 
 /// Writes the next waiting piece of the answer to the caller. Precondition: as for perform.
 void download_on(entry_side& side, const entry_flow_ptr& flow);
--- a/src/edge/gate_bodies.cpp
+++ b/src/edge/gate_bodies.cpp
@@ -121,13 +121,17 @@
     for (const auto& each : call::missing_pieces(flow.download, asked.received)) {
         lost.emplace_back(call::make_data(flow.call, each));
     }
-    if (lost.empty()) {
-        // Says that the answer is under way and that nothing of it is missing.
-        lost.emplace_back(call::make_data(flow.call, {.offset = flow.download.offset}));
-    }
     return lost;
 }
 
+/// Tells an entry that asks for a call that it waits or runs here.
+msg::call_credit_msg make_under_way(const call_id& call) {
+    msg::call_credit_msg word;
+    word.call = call::make_key(call);
+    word.under_way = true;
+    return word;
+}
+
 } // namespace
 
 void begin_upload(gate_side& side, const gate_flow_ptr& flow) {
@@ -180,9 +184,12 @@
     }
     const auto flow = ended != side.undelivered.end() ? ended->second : running->second;
     flow->entry = from;
-    flow->progressed_at = current_time();
     auto lost = find_lost(*flow, asked);
     const bool has_ended = ended != side.undelivered.end();
+    if (has_ended) {
+        flow->progressed_at = current_time();
+    }
+    lost.emplace_back(make_under_way(call));
     guard.unlock();
     for (auto& each : lost) {
         side.to_entry(from, std::move(each));
@@ -221,16 +228,21 @@
     }
     const auto fit =
         call::receive_piece(flow->upload, message.offset, message.body.size(), message.last);
+    if (fit == call::piece_fit::repeated) {
+        return true;
+    }
     if (fit == call::piece_fit::gap) {
+        // All pieces behind the missing one show the same gap; one question is enough.
+        if (std::exchange(flow->is_resend_asked, true)) {
+            return true;
+        }
         auto again = make_resend(*flow);
         const auto entry = flow->entry;
         guard.unlock();
         side.to_entry(entry, std::move(again));
         return true;
     }
-    if (fit == call::piece_fit::repeated) {
-        return true;
-    }
+    flow->is_resend_asked = false;
     flow->waiting.push_back({std::move(message.body), message.last});
     const bool must_start = !std::exchange(flow->is_writing, true);
     guard.unlock();
--- a/src/edge/gate_side.h
+++ b/src/edge/gate_side.h
@@ -39,6 +39,8 @@
     std::deque<body_piece> waiting;
     /// Bytes of the request's body that it has taken.
     std::uint64_t uploaded = 0;
+    /// The entry was asked to send again what is missing before a gap.
+    bool is_resend_asked = false;
     bool is_writing = false;
     bool is_answering = false;
     bool is_reading = false;
--- a/src/node/run_on_loop.cpp
+++ b/src/node/run_on_loop.cpp
@@ -16,8 +16,10 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <exception>
+#include <limits>
 #include <stdexcept>
 
 namespace cyclamenhatch::node {
@@ -191,12 +193,19 @@
     });
 }
 
+/// Whether anything waits to be written to another node.
+bool has_unsent(const platform_node& self) {
+    const auto links = wire::list_links(*self.node->links, std::numeric_limits<std::size_t>::max());
+    return std::any_of(links.begin(), links.end(),
+                       [](const wire::link_status& each) { return each.queued_bytes > 0; });
+}
+
 /// Whether the callers had time to learn of the leaving and nothing is under way, or time is up.
 bool is_drained(platform_node& self) {
     const auto& call = *self.node->settings.call;
     const auto now = current_time();
     const auto passed = now - self.drain_begun;
-    if (edge::count_in_flight(*self.node->calls) > 0) {
+    if (edge::count_in_flight(*self.node->calls) > 0 || has_unsent(self)) {
         self.idle_since = now;
     }
     const bool has_lingered = passed >= milliseconds{call.drain_linger_ms};
--- a/src/wire/link_choice.cpp
+++ b/src/wire/link_choice.cpp
@@ -2,6 +2,7 @@
 
 #include "clock/process_clock.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cyclamenhatch::wire {
@@ -16,6 +17,10 @@
         taker.queue.push_back(std::move(frame));
     }
     giver.queue.clear();
+    // What the moved messages ask of the giver's health is asked of the taker's.
+    taker.times.last_call = std::max(taker.times.last_call, giver.times.last_call);
+    taker.times.last_sent = std::max(taker.times.last_sent, giver.times.last_sent);
+    taker.times.last_used = std::max(taker.times.last_used, giver.times.last_used);
 }
 
 /// Sends what this node has for the peer over this link from now on.
--- a/tests/call/body_stream_test.cpp
+++ b/tests/call/body_stream_test.cpp
@@ -136,12 +136,12 @@
     EXPECT_TRUE(has_room(body));
 }
 
-/// An answer of which the head was passed on, at an entry whose only endpoint is its gate.
-struct answering_call {
-    answering_call() {
-        state.deadline = now + milliseconds{1000};
+/// An idempotent call that waits for its answer, at an entry whose only endpoint is its gate.
+struct waiting_call {
+    waiting_call() {
+        state.deadline = now + seconds{30};
+        state.is_idempotent = true;
         handle(request_event{});
-        handle(answer_event{.call = here.call, .is_whole = false});
     }
 
     std::vector<entry_action> handle(const entry_event& event) {
@@ -164,6 +164,11 @@
     instant now{microseconds(1'000'000)};
 };
 
+/// The same once its answer's head was passed on.
+struct answering_call : waiting_call {
+    answering_call() { handle(answer_event{.call = here.call, .is_whole = false}); }
+};
+
 template <class Action> std::size_t count_of(const std::vector<entry_action>& actions) {
     return static_cast<std::size_t>(
         std::count_if(actions.begin(), actions.end(), [](const entry_action& each) {
@@ -195,6 +200,25 @@
     EXPECT_FALSE(call.state.is_over) << "an upstream may be silent for as long as it likes";
 }
 
+/// Guards against calls that are cancelled and run twice, though the gate that was asked runs them.
+TEST(asked_call, stays_at_a_gate_that_has_it) {
+    waiting_call call;
+    (void)call.handle(link_lost_event{call.here.node});
+    for (int question = 0; question < 10; ++question) {
+        (void)call.handle(under_way_event{call.here.call});
+        EXPECT_EQ(count_of<reattach_action>(call.wait()), 1U);
+    }
+    EXPECT_FALSE(call.state.is_over);
+    EXPECT_EQ(call.state.arrivals, 0U);
+}
+
+/// Guards against a question for each of many messages that went with one link.
+TEST(asked_call, is_asked_for_once_a_link) {
+    waiting_call call;
+    EXPECT_EQ(count_of<reattach_action>(call.handle(link_lost_event{call.here.node})), 1U);
+    EXPECT_EQ(count_of<reattach_action>(call.handle(link_lost_event{call.here.node})), 0U);
+}
+
 /// Guards against a burst of questions: each piece behind a missing one shows the same gap.
 TEST(answering_call, asks_once_for_a_gap) {
     answering_call call;
--- a/tests/edge/link_room_test.cpp
+++ b/tests/edge/link_room_test.cpp
@@ -30,6 +30,9 @@
         for (std::uint64_t number = 1; number <= calls; ++number) {
             on_message(*node.path, make_open(number, "/bytes/900000"));
         }
+        while (sent.size() < calls) {
+            io.poll();
+        }
     }
 
     ~busy_gate() {
