--- a/src/wire/link_io.cpp
+++ b/src/wire/link_io.cpp
@@ -16,8 +16,8 @@
 
 constexpr std::size_t max_queued_bytes = 8ULL * 1024 * 1024;
 constexpr std::size_t max_frames_per_write = 64;
-/// A write takes no further frame beyond this: pings wait for the write under way. One piece of a
-/// body (64 KB), which takes 52 ms at 10 Mbit a second.
+/// A write takes no further frame beyond this: pings wait for the write under way. It takes
+/// 52 ms at 10 Mbit a second.
 constexpr std::size_t enough_bytes_per_write = 64ULL * 1024;
 constexpr std::uint32_t protocol_version = 1;
 
