--- a/src/call/entry_call.h
+++ b/src/call/entry_call.h
@@ -39,9 +39,12 @@
 struct attempt {
     pick to;
     instant opened_at{};
-    /// Set after the link or a piece was lost: when to ask for the call again.
+    /// When to ask the gate for the call again: set after the link or a piece was lost, and while
+    /// an answer comes, for when nothing more does.
     std::optional<instant> reattach_at;
     std::uint32_t reattaches = 0;
+    /// The gate was asked, and has not answered yet.
+    bool is_asking = false;
 };
 
 /// The state of one call. Not thread safe; the holder guards it.
@@ -99,7 +102,7 @@
 struct piece_missing_event {
     call_id call;
 };
-/// The next piece of the answer came.
+/// The next piece of the answer came, or word from its gate that there is none yet.
 struct piece_event {
     call_id call;
 };
@@ -110,10 +113,13 @@
 };
 struct timer_event {};
 struct caller_gone_event {};
+/// This node ends now.
+struct node_stops_event {};
 
-using entry_event = std::variant<request_event, answer_event, answer_end_event, refused_event,
-                                 link_lost_event, piece_missing_event, piece_event,
-                                 endpoint_gone_event, timer_event, caller_gone_event>;
+using entry_event =
+    std::variant<request_event, answer_event, answer_end_event, refused_event, link_lost_event,
+                 piece_missing_event, piece_event, endpoint_gone_event, timer_event,
+                 caller_gone_event, node_stops_event>;
 
 /// Send the request to the gate under a new id.
 struct open_action {
--- a/src/distribution/exchange.cpp
+++ b/src/distribution/exchange.cpp
@@ -1,6 +1,7 @@
 #include "distribution/exchange.h"
 
 #include "distribution/adoption.h"
+#include "distribution/counting.h"
 #include "distribution/peers.h"
 #include "distribution/refresh.h"
 #include "distribution/transfer.h"
@@ -79,7 +80,8 @@
             .target = source,
             .sent = now.now,
             .not_before = now.now + refresh_interval + jitter(now.random, pull_jitter)};
-    now.wanted.sends.push_back(send_to(now.members, source, make_pull(self.held)));
+    const auto form = self.needs_whole_sections ? section_form::whole : section_form::patched;
+    send_counted(self, send_to(now.members, source, make_pull(self.held, form)), now);
 }
 
 void end_pull(state& self, const node_id& from) {
@@ -118,6 +120,18 @@
                 from, now);
 }
 
+/// A delta that starts at exactly what is held did not lead to its digest. Patches that don't fit
+/// prove nothing against the version, since another build may encode sections differently: whole
+/// sections are asked for next, and only those, in the answer to a pull, count against it.
+void note_misfit(state& self, const msg::config_delta_msg& delta, bool is_answer,
+                 const node_id& from, const step& now) {
+    if (!delta.patched.empty()) {
+        self.needs_whole_sections = true;
+    } else if (is_answer) {
+        count_mismatch(self, config_version{delta.version}, digest_id{delta.digest}, from, now);
+    }
+}
+
 /// Counts a whole configuration that is about to be sent; false when there are too many.
 bool take_snapshot_turn(state& self, instant now) {
     if (now - self.snapshot_window >= snapshot_window) {
@@ -145,9 +159,11 @@
                   const step& now) {
     // An asker that holds nothing looks like one with version 0 and has no base for a delta.
     const bool has_base = asked.version > 0;
+    const auto form = asked.accepts_patches ? section_form::patched : section_form::whole;
     for (const auto& past : self.history) {
         if (has_base && past->version < self.held->version && has_sections_of(asked, *past)) {
-            now.wanted.sends.push_back(send_to(now.members, from, make_delta(*past, *self.held)));
+            send_counted(self, send_to(now.members, from, make_delta(*past, *self.held, form)),
+                         now);
             return;
         }
     }
@@ -158,7 +174,7 @@
         message.kept.clear();
         message.retry_after_ms = static_cast<std::uint32_t>(wait.count());
     }
-    now.wanted.sends.push_back(send_to(now.members, from, std::move(message)));
+    send_counted(self, send_to(now.members, from, std::move(message)), now);
 }
 
 /// Compares what a member says it holds, when that is not newer. Returns whether it was not.
@@ -224,7 +240,7 @@
         return;
     }
     if (const auto past = find_past(self, version, notice.digest)) {
-        now.wanted.sends.push_back(send_to(now.members, from, make_delta(*past, *self.held)));
+        send_counted(self, send_to(now.members, from, make_delta(*past, *self.held)), now);
         return;
     }
     now.wanted.sends.push_back(send_to(now.members, from, make_notice(self.held)));
@@ -237,6 +253,7 @@
     const bool is_answer = self.pull.is_in_flight && self.pull.target == from;
     end_pull(self, from);
     if (self.held && compare_held(self, from, version, delta.digest, now)) {
+        ++self.counts.deltas_not_needed;
         return;
     }
     if (!self.held || delta.base_version > self.held->version.value) {
@@ -248,12 +265,14 @@
     if (const auto* found = std::get_if<findings>(&applied)) {
         refuse_from(self, version, digest, *found, from, now);
     } else if (const auto* built = std::get_if<snapshot_ptr>(&applied)) {
-        adopt(self, *built, from, now);
+        ++self.counts.deltas_needed;
+        adopt(self, *built, {from, payload_bytes(delta), &delta}, now);
         note_compared(self, from);
     } else {
+        ++self.counts.deltas_missed;
         // A pushed delta may start below what is held and miss a change that was taken back.
-        if (is_answer && delta.base_version == self.held->version.value) {
-            count_mismatch(self, version, digest, from, now);
+        if (delta.base_version == self.held->version.value) {
+            note_misfit(self, delta, is_answer, from, now);
         }
         note_newest(self, from, version, digest, now);
     }
@@ -292,7 +311,7 @@
     if (const auto* found = std::get_if<findings>(&opened)) {
         refuse_from(self, version, digest, *found, from, now);
     } else if (const auto* built = std::get_if<snapshot_ptr>(&opened)) {
-        adopt(self, *built, from, now);
+        adopt(self, *built, {from, payload_bytes(message)}, now);
         note_compared(self, from);
     } else {
         note_newest(self, from, version, digest, now);
--- a/src/document/settings_check.cpp
+++ b/src/document/settings_check.cpp
@@ -1,5 +1,7 @@
 #include "document/settings_check.h"
 
+#include "model/byte_rate.h"
+
 #include <arpa/inet.h>
 #include <array>
 #include <charconv>
@@ -104,6 +106,10 @@
 }
 
 void check_listen(settings_report& report, const msg::listen_settings_msg& listen) {
+    if (!listen.link_rate.empty() && !parse_byte_rate(listen.link_rate)) {
+        report.add("listen.link_rate", "\"" + listen.link_rate + "\" is not a rate",
+                   "write it as \"10 Mbit/s\", or leave it empty");
+    }
     check_required(report, "listen.ip", listen.ip, "set this host's IP address");
     if (!listen.ip.empty() && !is_ip(listen.ip)) {
         report.add("listen.ip", "\"" + listen.ip + "\" is not an IP address",
@@ -243,6 +249,11 @@
         report.add("link.silence_timeout_ms", "is not above ping_interval_ms",
                    "let at least one ping pass before a link counts as silent");
     }
+    const auto dead_timeout = read.link->dead_timeout_ms;
+    if (dead_timeout != 0 && dead_timeout <= read.link->silence_timeout_ms) {
+        report.add("link.dead_timeout_ms", "is not above silence_timeout_ms",
+                   "leave time for a second link to be answered, or set 0");
+    }
 }
 
 } // namespace
--- a/src/wire/link_io.cpp
+++ b/src/wire/link_io.cpp
@@ -1,9 +1,11 @@
 #include "clock/process_clock.h"
 #include "messages/envelope.h"
+#include "wire/link_choice.h"
 #include "wire/link_pool_state.h"
 
 #include <algorithm>
 #include <boost/asio.hpp>
+#include <optional>
 
 namespace cyclamenhatch::wire {
 namespace {
@@ -14,15 +16,11 @@
 
 constexpr std::size_t max_queued_bytes = 8ULL * 1024 * 1024;
 constexpr std::size_t max_frames_per_write = 64;
+/// A write takes no further frame beyond this: pings wait for the write under way. One piece of a
+/// body (64 KB), which takes 52 ms at 10 Mbit a second.
+constexpr std::size_t enough_bytes_per_write = 64ULL * 1024;
 constexpr std::uint32_t protocol_version = 1;
 
-/// Whether the peer's silence after this message would mean something.
-bool is_link_message(const peer_message& message) {
-    return std::holds_alternative<msg::hello_msg>(message) ||
-           std::holds_alternative<msg::ping_msg>(message) ||
-           std::holds_alternative<msg::pong_msg>(message);
-}
-
 /// Compares in a time that does not depend on where the texts differ.
 bool is_equal_secret(const std::string& left, const std::string& right) {
     std::size_t difference = left.size() ^ right.size();
@@ -33,67 +31,60 @@
     return difference == 0;
 }
 
-void forget_link(link_pool& pool, const link_ptr& closed) {
-    pool.links.erase(std::remove(pool.links.begin(), pool.links.end(), closed), pool.links.end());
-    const auto named = pool.by_node.find(closed->peer);
-    if (named != pool.by_node.end() && named->second == closed) {
-        pool.by_node.erase(named);
-    }
-    const auto addressed = pool.by_address.find(closed->address);
-    if (addressed != pool.by_address.end() && addressed->second == closed) {
-        pool.by_address.erase(addressed);
-    }
-}
-
-void start_write(const pool_ptr& pool, const link_ptr& writer);
-
 void on_written(const pool_ptr& pool, const link_ptr& writer, const error_code& error) {
     if (writer->is_closed) {
         return;
     }
-    writer->is_writing = false;
     if (error) {
-        close_link(*pool, writer);
+        close_link(*pool, writer, {close_cause::write_failed, error.message()});
         return;
     }
-    for (std::size_t i = 0; i < writer->in_write; ++i) {
-        writer->queued_bytes -= writer->queue.front().bytes.size();
-        writer->queue.pop_front();
+    for (const auto& frame : writer->writing) {
+        writer->queued_bytes -= frame.size();
     }
-    writer->in_write = 0;
+    writer->writing.clear();
     start_write(pool, writer);
 }
 
-void start_write(const pool_ptr& pool, const link_ptr& writer) {
-    if (writer->is_writing || writer->is_closed || writer->queue.empty() ||
-        !writer->socket.is_open()) {
-        return;
+/// Called before and after each part of a write. Returns how many bytes to write next.
+std::size_t note_progress(link& writer, const error_code& error, std::size_t bytes,
+                          std::size_t total) {
+    if (error) {
+        return 0;
     }
-    // Until the peer has answered our hello nothing else is written, so that all of it can go back.
-    const bool only_hello = !writer->times.is_established;
-    if (only_hello && !writer->queue.front().is_link_message) {
-        return;
+    if (writer.is_full) {
+        writer.times.last_progress = current_time();
     }
-    std::vector<asio::const_buffer> buffers;
-    const std::size_t most = only_hello ? 1 : max_frames_per_write;
-    for (const auto& frame : writer->queue) {
-        if (buffers.size() == most) {
-            break;
+    writer.is_full = bytes > 0 && bytes < total;
+    return total - bytes;
+}
+
+/// Moves the frames that are written next to `writing`.
+void take_for_writing(link& writer) {
+    // Until the peer has answered our hello nothing else is written, so that all of it can go back.
+    const bool only_hello = !writer.times.is_established;
+    while (!writer.urgent.empty()) {
+        writer.writing.push_back(std::move(writer.urgent.front()));
+        writer.urgent.pop_front();
+        if (only_hello) {
+            return;
         }
-        buffers.emplace_back(frame.bytes.data(), frame.bytes.size());
     }
-    writer->in_write = buffers.size();
-    writer->is_writing = true;
-    asio::async_write(writer->socket, buffers,
-                      [pool, writer](const error_code& error, std::size_t /*bytes*/) {
-                          on_written(pool, writer, error);
-                      });
+    std::size_t bytes = 0;
+    while (!only_hello && !writer.queue.empty() && bytes < enough_bytes_per_write &&
+           writer.writing.size() < max_frames_per_write) {
+        bytes += writer.queue.front().bytes.size();
+        writer.writing.push_back(std::move(writer.queue.front().bytes));
+        writer.queue.pop_front();
+    }
 }
 
 void count_sent(link_pool& pool, const peer_message& message, std::size_t bytes) {
     auto& counter =
         is_call_message(message) ? pool.counts.call_bytes_sent : pool.counts.control_bytes_sent;
     counter.fetch_add(bytes, std::memory_order_relaxed);
+    const auto kind = static_cast<std::size_t>(kind_of(message));
+    pool.counts.bytes_sent.at(kind).fetch_add(bytes, std::memory_order_relaxed);
     pool.counts.messages_sent.fetch_add(1, std::memory_order_relaxed);
 }
 
@@ -122,10 +113,14 @@
         send_hello(pool, from);
     }
     from->times.is_established = true;
-    pool->by_node[from->peer] = from;
     if (from->is_dialled) {
         on_dial_succeeded(pool->pacing[from->address]);
     }
+    if (!from->queue.empty()) {
+        // What waited for the hello goes out only now, so its answer comes after the hello.
+        from->times.last_sent = current_time();
+    }
+    choose_link(pool, from);
     start_write(pool, from);
     return true;
 }
@@ -155,20 +150,21 @@
     if (is_call_message(message.message)) {
         from->times.last_call = from->times.last_used;
     }
+    follow_peer(*pool, from);
     // The sender is who the link was opened with, whatever the envelope says.
     message.from = from->peer;
     pool->events.on_message(std::move(message));
     return true;
 }
 
-/// Handles all whole frames that have arrived. Returns false when the link must be closed.
-bool handle_frames(const pool_ptr& pool, const link_ptr& from) {
+/// Handles all whole frames that have arrived. Returns why the link must be closed, if it must.
+std::optional<closing> handle_frames(const pool_ptr& pool, const link_ptr& from) {
     while (const auto frame = next_frame(from->reader)) {
         auto decoded = decode_envelope(*frame);
         if (const auto* found = std::get_if<findings>(&decoded)) {
             pool->counts.frames_broken.fetch_add(1, std::memory_order_relaxed);
             log_link(*pool, log_level::warning, "frame_refused", *from, found->front().problem);
-            return false;
+            return closing{close_cause::broken_frame, found->front().problem};
         }
         auto& message = std::get<incoming>(decoded);
         auto& counter = is_call_message(message.message) ? pool->counts.call_bytes_received
@@ -176,34 +172,35 @@
         counter.fetch_add(frame->size() + frame_header_bytes, std::memory_order_relaxed);
         pool->counts.messages_received.fetch_add(1, std::memory_order_relaxed);
         if (!handle_message(pool, from, std::move(message))) {
-            return false;
+            return closing{close_cause::refused, ""};
         }
     }
-    if (from->reader.is_broken) {
-        pool->counts.frames_broken.fetch_add(1, std::memory_order_relaxed);
-        log_link(*pool, log_level::warning, "frame_refused", *from, "length out of range");
+    if (!from->reader.is_broken) {
+        return std::nullopt;
     }
-    return !from->reader.is_broken;
+    pool->counts.frames_broken.fetch_add(1, std::memory_order_relaxed);
+    log_link(*pool, log_level::warning, "frame_refused", *from, "length out of range");
+    return closing{close_cause::broken_frame, "length out of range"};
 }
 
-/// Reads what has come without waiting. Returns false when the link must be closed.
-bool read_available(const pool_ptr& pool, const link_ptr& reader) {
+/// Reads what has come without waiting. Returns why the link must be closed, if it must.
+std::optional<closing> read_available(const pool_ptr& pool, const link_ptr& reader) {
     while (true) {
         error_code error;
         const auto bytes = reader->socket.read_some(asio::buffer(pool->input), error);
         if (error == asio::error::would_block) {
-            return true;
+            return std::nullopt;
         }
         if (error) {
-            return false;
+            return closing{close_cause::peer_closed, error.message()};
         }
         reader->times.last_received = current_time();
         append(reader->reader, {pool->input.data(), bytes});
-        if (!handle_frames(pool, reader)) {
-            return false;
+        if (auto why = handle_frames(pool, reader)) {
+            return why;
         }
         if (bytes < pool->input.size()) {
-            return true;
+            return std::nullopt;
         }
     }
 }
@@ -213,8 +210,10 @@
         if (reader->is_closed) {
             return;
         }
-        if (error || !read_available(pool, reader)) {
-            close_link(*pool, reader);
+        const auto why = error ? closing{close_cause::peer_closed, error.message()}
+                               : read_available(pool, reader);
+        if (why) {
+            close_link(*pool, reader, *why);
             return;
         }
         if (!reader->is_closed) {
@@ -225,38 +224,30 @@
 
 } // namespace
 
-void log_link(link_pool& pool, log_level level, const char* name, const link& about,
-              const std::string& detail) {
-    pool.events.on_log({level,
-                        name,
-                        {{"peer", about.peer.value},
-                         {"address", about.address.ip + ":" + std::to_string(about.address.port)},
-                         {"detail", detail}}});
-}
-
-void return_undelivered(link_pool& pool, outgoing message) {
-    pool.counts.messages_undelivered.fetch_add(1, std::memory_order_relaxed);
-    pool.events.on_undelivered(std::move(message));
-}
-
-void close_link(link_pool& pool, const link_ptr& closing) {
-    if (closing->is_closed) {
+void start_write(const pool_ptr& pool, const link_ptr& writer) {
+    if (!writer->writing.empty() || writer->is_closed || !writer->socket.is_open()) {
         return;
     }
-    closing->is_closed = true;
-    error_code ignored;
-    closing->socket.close(ignored);
-    forget_link(pool, closing);
-    auto unsent = std::move(closing->queue);
-    closing->queue.clear();
-    for (std::size_t i = closing->in_write; i < unsent.size(); ++i) {
-        if (!unsent[i].is_link_message) {
-            return_undelivered(pool, std::move(unsent[i].message));
-        }
+    take_for_writing(*writer);
+    if (writer->writing.empty()) {
+        return;
     }
-    if (closing->times.is_established) {
-        pool.events.on_link_lost(closing->peer);
+    std::size_t total = 0;
+    std::vector<asio::const_buffer> buffers;
+    buffers.reserve(writer->writing.size());
+    for (const auto& frame : writer->writing) {
+        buffers.emplace_back(frame.data(), frame.size());
+        total += frame.size();
     }
+    writer->is_full = false;
+    asio::async_write(
+        writer->socket, buffers,
+        [writer, total](const error_code& error, std::size_t bytes) {
+            return note_progress(*writer, error, bytes, total);
+        },
+        [pool, writer](const error_code& error, std::size_t /*bytes*/) {
+            on_written(pool, writer, error);
+        });
 }
 
 void enqueue(const pool_ptr& pool, const link_ptr& writer, outgoing message, std::string frame) {
@@ -265,7 +256,7 @@
         return;
     }
     const auto now = current_time();
-    const bool is_own = is_link_message(message.message);
+    const bool is_own = kind_of(message.message) == traffic_kind::link;
     writer->times.last_sent = now;
     if (!is_own) {
         writer->times.last_used = now;
@@ -275,12 +266,10 @@
     }
     count_sent(*pool, message.message, frame.size());
     writer->queued_bytes += frame.size();
-    queued_frame queued{std::move(frame), std::move(message), is_own};
-    const bool is_first_word = is_own && !writer->times.is_established;
-    if (is_first_word) {
-        writer->queue.push_front(std::move(queued));
+    if (is_own) {
+        writer->urgent.push_back(std::move(frame));
     } else {
-        writer->queue.push_back(std::move(queued));
+        writer->queue.push_back({std::move(frame), std::move(message)});
     }
     start_write(pool, writer);
 }
--- a/src/wire/link_pool.cpp
+++ b/src/wire/link_pool.cpp
@@ -37,7 +37,8 @@
     });
 }
 
-/// A link that is being dialled, or null when the address may not be dialled now.
+/// A link that is being dialled, or null when the address may not be dialled now. Messages are put
+/// on it only when its address is entered in by_address.
 link_ptr dial(const pool_ptr& pool, const peer_address& address) {
     error_code error;
     const auto ip = asio::ip::make_address(address.ip, error);
@@ -50,32 +51,56 @@
     auto dialled = add_link(*pool);
     dialled->is_dialled = true;
     dialled->address = address;
-    pool->by_address[address] = dialled;
     // Counted as failed until the peer's hello says otherwise.
     on_dial_failed(pool->pacing[address], *pool->settings.link, current_time(), pool->random);
-    dialled->socket.async_connect(tcp::endpoint(ip, address.port),
-                                  [pool, dialled](const error_code& failed) {
-                                      if (dialled->is_closed) {
-                                          return;
-                                      }
-                                      if (failed) {
-                                          close_link(*pool, dialled);
-                                          return;
-                                      }
-                                      begin_link(pool, dialled);
-                                  });
+    dialled->socket.async_connect(
+        tcp::endpoint(ip, address.port), [pool, dialled](const error_code& failed) {
+            if (dialled->is_closed) {
+                return;
+            }
+            if (failed) {
+                close_link(*pool, dialled, {close_cause::dial_failed, failed.message()});
+                return;
+            }
+            begin_link(pool, dialled);
+        });
     return dialled;
 }
 
+/// Finds out by a second link whether the doubted one is silent or its peer is. One at a time.
+void dial_spare(const pool_ptr& pool, const link_ptr& doubted) {
+    const auto former = doubted->spare.lock();
+    if (former && !former->is_closed) {
+        return;
+    }
+    const auto spare = dial(pool, doubted->address);
+    if (spare) {
+        spare->is_spare = true;
+        spare->doubted = doubted;
+        doubted->spare = spare;
+    }
+}
+
+/// The link that this node sends to a peer over, or null.
+link_ptr find_used(const link_pool& pool, const node_id& peer) {
+    const auto named = pool.by_node.find(peer);
+    return named != pool.by_node.end() ? named->second : nullptr;
+}
+
 link_ptr find_link(const pool_ptr& pool, const outgoing& message) {
-    if (!message.to.empty()) {
-        const auto named = pool->by_node.find(message.to);
-        if (named != pool->by_node.end()) {
-            return named->second;
-        }
+    if (auto used = find_used(*pool, message.to)) {
+        return used;
     }
     const auto addressed = pool->by_address.find(message.address);
-    return addressed != pool->by_address.end() ? addressed->second : dial(pool, message.address);
+    if (addressed != pool->by_address.end()) {
+        auto used = find_used(*pool, addressed->second->peer);
+        return used ? used : addressed->second;
+    }
+    auto dialled = dial(pool, message.address);
+    if (dialled) {
+        pool->by_address[message.address] = dialled;
+    }
+    return dialled;
 }
 
 void send_on_thread(const pool_ptr& pool, outgoing message, std::string frame) {
@@ -96,17 +121,23 @@
     case link_step::none:
         return;
     case link_step::ping:
+        if (checked->times.last_ping <= checked->times.last_received) {
+            checked->times.unanswered_since = now;
+        }
         checked->times.last_ping = now;
         send_link_message(pool, checked, msg::ping_msg{});
         return;
+    case link_step::dial_spare:
+        dial_spare(pool, checked);
+        return;
     case link_step::close_silent:
-        pool->counts.links_silent.fetch_add(1, std::memory_order_relaxed);
-        log_link(*pool, log_level::warning, "link_silent", *checked, "no answer to ping");
-        close_link(*pool, checked);
+        close_link(*pool, checked, {close_cause::silent, ""});
         return;
     case link_step::close_idle:
+        close_link(*pool, checked, {close_cause::idle, ""});
+        return;
     case link_step::close_unconnected:
-        close_link(*pool, checked);
+        close_link(*pool, checked, {close_cause::unconnected, ""});
         return;
     }
 }
@@ -117,11 +148,7 @@
         if (error || pool->is_stopping) {
             return;
         }
-        const auto now = current_time();
-        const auto checked = pool->links; // Closing a link changes the list.
-        for (const auto& each : checked) {
-            check_link(pool, each, now);
-        }
+        check_links(pool, current_time());
         start_health_timer(pool);
     });
 }
@@ -165,8 +192,9 @@
 
 /// Stops the io_context once all queues are empty or the flush timeout has passed.
 void stop_when_flushed(const pool_ptr& pool, instant give_up) {
-    const bool is_flushed = std::all_of(pool->links.begin(), pool->links.end(),
-                                        [](const link_ptr& each) { return each->queue.empty(); });
+    const bool is_flushed =
+        std::all_of(pool->links.begin(), pool->links.end(),
+                    [](const link_ptr& each) { return each->queued_bytes == 0; });
     if (is_flushed || current_time() >= give_up) {
         pool->context.stop();
         return;
@@ -181,6 +209,13 @@
 
 } // namespace
 
+void check_links(const pool_ptr& pool, instant now) {
+    const auto checked = pool->links; // Closing a link changes the list.
+    for (const auto& each : checked) {
+        check_link(pool, each, now);
+    }
+}
+
 std::shared_ptr<link_pool> open_link_pool(const msg::settings_msg& settings, link_events events,
                                           asio::io_context* shared) {
     auto pool = std::make_shared<link_pool>(settings, std::move(events), shared);
@@ -222,17 +257,20 @@
 
 link_counters counters(const link_pool& pool) {
     const auto& from = pool.counts;
-    return {.control_bytes_sent = from.control_bytes_sent,
-            .control_bytes_received = from.control_bytes_received,
-            .call_bytes_sent = from.call_bytes_sent,
-            .call_bytes_received = from.call_bytes_received,
-            .messages_sent = from.messages_sent,
-            .messages_received = from.messages_received,
-            .messages_undelivered = from.messages_undelivered,
-            .links_opened = from.links_opened,
-            .links_silent = from.links_silent,
-            .links_refused = from.links_refused,
-            .frames_broken = from.frames_broken};
+    link_counters read{.control_bytes_sent = from.control_bytes_sent,
+                       .control_bytes_received = from.control_bytes_received,
+                       .call_bytes_sent = from.call_bytes_sent,
+                       .call_bytes_received = from.call_bytes_received,
+                       .messages_sent = from.messages_sent,
+                       .messages_received = from.messages_received,
+                       .messages_undelivered = from.messages_undelivered,
+                       .links_opened = from.links_opened,
+                       .links_refused = from.links_refused,
+                       .frames_broken = from.frames_broken};
+    std::copy(from.bytes_sent.begin(), from.bytes_sent.end(), read.bytes_sent.begin());
+    std::copy(from.links_closed.begin(), from.links_closed.end(), read.links_closed.begin());
+    read.links_silent = read.links_closed.at(static_cast<std::size_t>(close_cause::silent));
+    return read;
 }
 
 std::vector<link_status> list_links(link_pool& pool, std::size_t limit) {
@@ -258,7 +296,7 @@
         pool.timer.cancel();
         const auto open = pool.links; // Closing a link changes the list.
         for (const auto& each : open) {
-            close_link(pool, each);
+            close_link(pool, each, {close_cause::stopping, ""});
         }
         return;
     }
@@ -272,6 +310,7 @@
         pool.thread.join();
     }
     for (const auto& each : pool.links) {
+        note_closed(pool, *each, {close_cause::stopping, ""});
         error_code ignored;
         each->socket.close(ignored);
     }
