--- a/src/call/entry_call.h
+++ b/src/call/entry_call.h
@@ -102,7 +102,7 @@
 struct piece_missing_event {
     call_id call;
 };
-/// The next piece of the answer came, or word from its gate that there is none yet.
+/// The next piece of the answer came.
 struct piece_event {
     call_id call;
 };
