tests: wait for the gate to hand on an answer in the test of its drain

Cause: the test. The gate counts a call until it has handed on the answer and has then released the call; a caller can have the answer of /ok before the thread that sent it is scheduled again to release it. That order is what a drain needs: with the release first, the count would be zero while the answer is still to be sent, and a node that stops would cut it off. Change: the test waits, for at most 10 s, until the count has fallen to one, and to zero after the last answer, so that a call that is never released still fails. A second test states the order: at the moment at which an answer is handed on its call is counted.

--- a/tests/edge/call_path_test.cpp
+++ b/tests/edge/call_path_test.cpp
@@ -2,8 +2,11 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
+#include <chrono>
 #include <future>
 #include <ostream>
+#include <thread>
 
 namespace cyclamenhatch::edge::testing {
 namespace {
@@ -153,6 +156,19 @@
     EXPECT_EQ(paths.get("/hold-once").substr(0, 17), "503 not-run later");
 }
 
+/// Waits until the gate counts at most `limit` calls in flight, and returns the count. The gate
+/// counts a call until it has handed on the answer, so a caller may have its answer before that.
+std::size_t wait_for_in_flight(joined_paths& paths, std::size_t limit) {
+    constexpr std::chrono::seconds longest_wait{10};
+    const auto end = std::chrono::steady_clock::now() + longest_wait;
+    auto count = count_in_flight(paths.gate());
+    while (count > limit && std::chrono::steady_clock::now() < end) {
+        std::this_thread::yield();
+        count = count_in_flight(paths.gate());
+    }
+    return count;
+}
+
 TEST(call_path, drain_refuses_new_calls_and_finishes_those_under_way) {
     fake_upstream upstream;
     joined_paths paths(upstream.port());
@@ -162,9 +178,28 @@
     EXPECT_EQ(paths.get("/ok"), "200 upstream ok") << "the upstream works on until the gate closes";
     close_gate(paths.gate());
     EXPECT_EQ(paths.get("/ok").substr(0, 17), "503 not-run later");
-    EXPECT_EQ(count_in_flight(paths.gate()), 1U);
+    EXPECT_EQ(wait_for_in_flight(paths, 1), 1U);
     upstream.release();
     EXPECT_EQ(answer.get(), "200 upstream ok");
+    EXPECT_EQ(wait_for_in_flight(paths, 0), 0U);
+}
+
+/// Guards against a node that counts itself idle, and stops, before it has handed on an answer.
+TEST(call_path, the_gate_counts_a_call_until_its_answer_is_handed_on) {
+    fake_upstream upstream;
+    joined_paths paths(upstream.port());
+    std::atomic<std::size_t> least_count{1000};
+    paths.lose([&](const node_id&, const peer_message& message) {
+        if (std::holds_alternative<msg::call_answer_msg>(message)) {
+            least_count = std::min<std::size_t>(least_count, count_in_flight(paths.gate()));
+        }
+        return false;
+    });
+    for (int call = 0; call < 20; ++call) {
+        EXPECT_EQ(paths.get("/ok"), "200 upstream ok");
+    }
+    EXPECT_EQ(least_count, 1U);
+    EXPECT_EQ(wait_for_in_flight(paths, 0), 0U);
 }
 
 /// Guards against callers that are left with a closed connection when their node stops.
