move: end the exchange of move state between nodes that differ

Cause: a move_state message was answered with what its sender lacked, also when it was an answer itself. That ends only if both sides store what they are told. They do not where a veto's raiser is no member in the receiver's table, or where more than eight nodes raised one, as in a rolling restart after a move was taken back. The pair then answered each other at the speed of the link. Change: an answer is marked in the message and is not answered. Nothing is lost: the message that was answered already held all that its sender knew.

--- a/src/move/on_message.cpp
+++ b/src/move/on_message.cpp
@@ -55,6 +55,22 @@
     raise_veto(self, key, raised, out);
 }
 
+/// Sends what this node knows beyond a message. Two nodes may differ for long, since a veto of an
+/// unknown member or beyond max_raisers is not stored, so answers themselves are not answered.
+void answer_state(const state& self, const membership::table& members, const node_id& sender_id,
+                  const msg::move_state_msg& message, actions& out) {
+    const auto missing = find_missing(self.records, message);
+    const auto* sender = membership::find_record(members, sender_id);
+    if (missing.empty() || sender == nullptr) {
+        return;
+    }
+    auto answer = make_state_message(missing);
+    answer.answer = true;
+    out.sends.push_back({.to = sender_id,
+                         .address = membership::link_address(*sender),
+                         .message = std::move(answer)});
+}
+
 void on_state(state& self, const membership::table& members, const node_id& sender_id,
               const msg::move_state_msg& message, instant now, actions& out) {
     for (const auto& permit_message : message.permits) {
@@ -70,12 +86,8 @@
     for (auto& [key, open] : self.open) {
         refresh_share(self, key, open, now);
     }
-    const auto answer = find_missing(self.records, message);
-    const auto* sender = membership::find_record(members, sender_id);
-    if (!answer.empty() && sender != nullptr) {
-        out.sends.push_back({.to = sender_id,
-                             .address = membership::link_address(*sender),
-                             .message = make_state_message(answer)});
+    if (!message.answer) {
+        answer_state(self, members, sender_id, message, out);
     }
 }
 
