--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -117,6 +117,17 @@
         {log_level::warning, "upstream_expired", {{"service", expired.service}}});
 }
 
+void log_high_traffic(node_runtime& node, instant now) {
+    const auto sent = wire::counters(*node.links).bytes_sent;
+    for (const auto& high : wire::find_high_traffic(node.traffic, sent, now)) {
+        write_log({log_level::warning,
+                   "traffic_high",
+                   {{"kind", std::string(wire::traffic_name(static_cast<std::size_t>(high.kind)))},
+                    {"bytes_per_s", std::to_string(high.bytes_per_s)},
+                    {"limit", std::to_string(wire::control_bytes_per_s)}}});
+    }
+}
+
 } // namespace
 
 node_runtime::node_runtime(const msg::settings_msg& initial_settings,
@@ -154,6 +165,7 @@
         expire_announcement(node, now, actions);
         control::on_tick(node.control, now, actions);
     });
+    log_high_traffic(node, current_time());
     const std::lock_guard<std::mutex> guard(node.view_lock);
     node.last_tick = current_time();
 }
--- a/src/node/node_runtime.h
+++ b/src/node/node_runtime.h
@@ -7,6 +7,7 @@
 #include "membership/upstream_run.h"
 #include "store/store_client.h"
 #include "wire/link_pool.h"
+#include "wire/traffic_rate.h"
 
 #include <atomic>
 #include <functional>
@@ -63,6 +64,9 @@
     /// Delay of the last tick, in milliseconds; measured only by a node that runs on one loop.
     std::atomic<std::int64_t> loop_lag_ms{0};
 
+    /// Used by the tick only.
+    wire::traffic_watch traffic;
+
     std::shared_ptr<wire::link_pool> links;
     store_access store;
     std::shared_ptr<edge::call_path> calls;
