move: keep deadlines and endings over restarts

Cause: a node opened each move of its first configuration as if it had been ordered then. Change: messages carry the move's age; a node that starts during a move takes the greatest age that it hears or the begin in the record, and its own start after 2 s. It logs `move_resumed`. Once the ending is recorded, nodes report no evidence and controllers decide nothing. Tests: a restarted node keeps the deadline; nodes that all start agree on one; an ended move is not opened again; no reports on an ended move.

--- a/src/move/move_table.cpp
+++ b/src/move/move_table.cpp
@@ -138,9 +138,9 @@
             record.times_sent = 0;
         }
     }
-    auto& planned = open->second.planned;
-    if (planned.duration.count() > 0 && recorded.begun) {
-        planned.deadline = std::min(planned.deadline, *recorded.begun + planned.duration);
+    if (recorded.begun) {
+        // Written by another host, whose clock may be ahead.
+        set_begin(self, key, std::min(*recorded.begun, now));
     }
     refresh_share(self, key, open->second, now);
 }
--- a/src/move/move_table.h
+++ b/src/move/move_table.h
@@ -52,6 +52,9 @@
     closing_state closing;
     /// Used while this node combines reports of its data centre, by group.
     std::map<std::string, combined_group> groups;
+    /// Whether this process started after the order, so that the move may have begun or ended
+    /// before.
+    bool is_resumed = false;
     /// Whether this node has sent the exchange that asks others for the permits of a new move.
     bool has_asked = false;
 };
@@ -69,9 +72,6 @@
     std::optional<instant> begun;
 };
 
-/// The stage of the permit made from a record of success; above any stage of a controller.
-inline constexpr std::uint32_t recorded_stage = 1'000'000;
-
 /// State of one node. Plain data; the caller serialises access.
 struct state {
     msg::move_settings_msg settings;
--- a/src/move/node_share.cpp
+++ b/src/move/node_share.cpp
@@ -41,6 +41,22 @@
     return it == self.records.end() ? empty : it->second;
 }
 
+void set_begin(state& self, const attempt_key& key, instant begun) {
+    const auto open = self.open.find(key);
+    if (open == self.open.end()) {
+        return;
+    }
+    const auto known = find_record(self, key).begun;
+    if (known && (!open->second.is_resumed || *known <= begun)) {
+        return;
+    }
+    self.records[key].begun = begun;
+    auto& planned = open->second.planned;
+    if (planned.duration.count() > 0) {
+        planned.deadline = begun + planned.duration;
+    }
+}
+
 void raise_veto(state& self, const attempt_key& key, const veto& raised, actions& out) {
     attempt_record& record = self.records[key];
     const bool was_taken_back = find_veto(record) != nullptr;
--- a/src/move/node_share.h
+++ b/src/move/node_share.h
@@ -13,6 +13,10 @@
 /// The record of an attempt; an empty one when nothing is known.
 [[nodiscard]] const attempt_record& find_record(const state& self, const attempt_key& key);
 
+/// Sets when a move began and the deadline that follows from it. A begin that is known is kept; on
+/// a resumed move it is replaced by an earlier one.
+void set_begin(state& self, const attempt_key& key, instant begun);
+
 /// Merges a veto and logs it when it now takes the move back.
 void raise_veto(state& self, const attempt_key& key, const veto& raised, actions& out);
 
--- a/src/move/on_config.cpp
+++ b/src/move/on_config.cpp
@@ -22,8 +22,10 @@
             .is_confirmed = true};
 }
 
-void open_new_move(state& self, const membership::table& members, const move& planned, instant now,
-                   actions& out) {
+/// `is_resumed`: the move was in the first configuration of this process, so it may have begun, or
+/// even ended, before the process started.
+void open_new_move(state& self, const membership::table& members, const move& planned,
+                   bool is_resumed, instant now, actions& out) {
     const attempt_key key = key_of(planned);
     open_move& open = self.open[key];
     open.planned = planned;
@@ -35,9 +37,13 @@
     open.control.last_step = now;
     open.current_topology = make_topology(members, key, planned);
     self.records[key].one_raiser_suffices = is_brief(planned);
+    open.is_resumed = is_resumed;
+    if (!is_resumed) {
+        set_begin(self, key, now);
+    }
     refresh_share(self, key, open, now);
     out.logs.push_back(
-        make_log(key, log_level::info, "move_opened",
+        make_log(key, log_level::info, is_resumed ? "move_resumed" : "move_opened",
                  {{"from", planned.old_version.value},
                   {"to", planned.new_version.value},
                   {"deadline", format_rfc3339(open.planned.deadline)},
@@ -106,6 +112,7 @@
     if (!config || config == self.config) {
         return;
     }
+    const bool is_first_config = !self.config;
     self.config = config;
     const auto open_now = list_open(self, *config);
     drop_closed(self, open_now, out);
@@ -113,7 +120,7 @@
     for (const auto& [key, planned] : open_now) {
         const auto it = self.open.find(key);
         if (it == self.open.end()) {
-            open_new_move(self, members, *planned, now, out);
+            open_new_move(self, members, *planned, is_first_config, now, out);
         } else {
             const instant deadline = it->second.planned.deadline;
             it->second.planned = *planned;
--- a/src/move/on_message.cpp
+++ b/src/move/on_message.cpp
@@ -11,6 +11,8 @@
 
 /// Largest number of records before attempts without a configuration are ignored.
 constexpr std::size_t max_records = 256;
+/// Ages above this are not credible: a year.
+constexpr std::uint64_t max_age_ms = 365ULL * 24 * 3600 * 1000;
 
 template <class Message> attempt_key key_of(const Message& message) {
     return {.service = service_id(message.service),
@@ -32,8 +34,11 @@
     return self.records.size() < max_records && !is_ended(self, key);
 }
 
-void merge_permit(state& self, const msg::move_permit_msg& message) {
+void merge_permit(state& self, const msg::move_permit_msg& message, instant now) {
     const attempt_key key = key_of(message);
+    if (message.age_ms > 0 && message.age_ms <= max_age_ms) {
+        set_begin(self, key, now - milliseconds(message.age_ms));
+    }
     if (message.stage == 0 || message.share_permille > full_share_permille ||
         !accepts_records_of(self, key)) {
         return;
@@ -58,13 +63,13 @@
 /// Sends what this node knows beyond a message. Two nodes may differ for long, since a veto of an
 /// unknown member or beyond max_raisers is not stored, so answers themselves are not answered.
 void answer_state(const state& self, const membership::table& members, const node_id& sender_id,
-                  const msg::move_state_msg& message, actions& out) {
+                  const msg::move_state_msg& message, instant now, actions& out) {
     const auto missing = find_missing(self.records, message);
     const auto* sender = membership::find_record(members, sender_id);
     if (missing.empty() || sender == nullptr) {
         return;
     }
-    auto answer = make_state_message(missing);
+    auto answer = make_state_message(missing, now);
     answer.answer = true;
     out.sends.push_back({.to = sender_id,
                          .address = membership::link_address(*sender),
@@ -75,7 +80,7 @@
               const msg::move_state_msg& message, instant now, actions& out) {
     for (const auto& permit_message : message.permits) {
         if (permit_message) {
-            merge_permit(self, *permit_message);
+            merge_permit(self, *permit_message, now);
         }
     }
     for (const auto& veto_message : message.vetoes) {
@@ -87,7 +92,7 @@
         refresh_share(self, key, open, now);
     }
     if (!message.answer) {
-        answer_state(self, members, sender_id, message, out);
+        answer_state(self, members, sender_id, message, now, out);
     }
 }
 
@@ -138,7 +143,7 @@
     if (const auto* state_message = std::get_if<msg::move_state_msg>(&received.message)) {
         on_state(self, members, received.from, *state_message, now, out);
         if (has_unsent_veto(self)) {
-            send_news(self.records, members, random, out.sends);
+            send_news(self.records, members, now, random, out.sends);
         }
     } else if (const auto* evidence = std::get_if<msg::move_evidence_msg>(&received.message)) {
         on_evidence(self, members, received.from, *evidence, now);
--- a/src/move/on_tick.cpp
+++ b/src/move/on_tick.cpp
@@ -22,6 +22,9 @@
 constexpr seconds max_dispute_time{5};
 constexpr milliseconds exchange_interval{2000};
 constexpr std::size_t new_move_exchanges = 3;
+/// Time for others and the store to tell when a resumed move began; after it, the move counts as
+/// begun when this node opened it.
+constexpr seconds learning_time{2};
 
 veto make_own_veto(const state& self, const local_finding& finding, instant now) {
     const bool is_errors = finding.kind == measure::errors;
@@ -193,7 +196,7 @@
 
 void spread_records(state& self, const membership::table& members, instant now,
                     random_source& random, actions& out) {
-    send_news(self.records, members, random, out.sends);
+    send_news(self.records, members, now, random, out.sends);
     bool has_new_move = false;
     for (auto& [key, open] : self.open) {
         has_new_move = has_new_move || !open.has_asked;
@@ -203,7 +206,8 @@
         return;
     }
     self.next_exchange = now + exchange_interval;
-    send_exchange(self.records, members, has_new_move ? new_move_exchanges : 1, random, out.sends);
+    send_exchange(self.records, members, has_new_move ? new_move_exchanges : 1, now, random,
+                  out.sends);
 }
 
 } // namespace
@@ -215,10 +219,15 @@
         if (open.current_topology.generation != members.generation) {
             open.current_topology = make_topology(members, key, open.planned);
         }
-        judge_locally(self, key, open, now, out);
-        report_own(self, members, key, open, now, out);
-        report_groups(self, members, key, open, now, out);
-        control_move(self, key, open, now, out);
+        if (now >= open.evidence.begun + learning_time) {
+            set_begin(self, key, open.evidence.begun);
+        }
+        if (!has_recorded_ending(find_record(self, key))) {
+            judge_locally(self, key, open, now, out);
+            report_own(self, members, key, open, now, out);
+            report_groups(self, members, key, open, now, out);
+            control_move(self, key, open, now, out);
+        }
         refresh_share(self, key, open, now);
     }
     spread_records(self, members, now, random, out);
--- a/src/move/permits.cpp
+++ b/src/move/permits.cpp
@@ -1,5 +1,6 @@
 #include "move/permits.h"
 
+#include <algorithm>
 #include <tuple>
 
 namespace cyclamenhatch::moves {
@@ -71,6 +72,13 @@
     return self.vetoes.size() >= needed_raisers ? earliest : nullptr;
 }
 
+bool has_recorded_ending(const attempt_record& self) {
+    return (self.granted && self.granted->stage >= recorded_stage) ||
+           std::any_of(self.vetoes.begin(), self.vetoes.end(), [](const auto& entry) {
+               return entry.second.reason == msg::veto_reason::recorded;
+           });
+}
+
 msg::move_permit_msg to_message(const attempt_key& key, const permit& granted) {
     msg::move_permit_msg message;
     message.service = key.service.value;
--- a/src/move/permits.h
+++ b/src/move/permits.h
@@ -48,6 +48,9 @@
     std::optional<permit> granted;
     /// By the node that raised it.
     std::map<node_id, veto> vetoes;
+    /// When the move began. A node that started during the move learns it from others or from the
+    /// move's record.
+    std::optional<instant> begun;
     /// One node's veto is enough: there is no time to wait for a second opinion.
     bool one_raiser_suffices = false;
     /// Number of rounds in which the latest change was sent.
@@ -66,6 +69,12 @@
 /// enough nodes have raised one. It overrides every permit.
 [[nodiscard]] const veto* find_veto(const attempt_record& self);
 
+/// Whether the ending is known to be recorded, so that nothing about the move can change any more.
+[[nodiscard]] bool has_recorded_ending(const attempt_record& self);
+
+/// The stage of the permit made from a record of success; above any stage of a controller.
+inline constexpr std::uint32_t recorded_stage = 1'000'000;
+
 [[nodiscard]] msg::move_permit_msg to_message(const attempt_key& key, const permit& granted);
 [[nodiscard]] msg::move_veto_msg to_message(const attempt_key& key, const veto& raised);
 [[nodiscard]] permit from_message(const msg::move_permit_msg& message);
--- a/src/move/spreading.cpp
+++ b/src/move/spreading.cpp
@@ -21,6 +21,15 @@
     }
 }
 
+/// Time since the move began; 0 if unknown.
+std::uint64_t age_ms(const attempt_record& record, instant now) {
+    if (!record.begun) {
+        return 0;
+    }
+    const auto age = std::chrono::duration_cast<milliseconds>(now - *record.begun).count();
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(age, 1));
+}
+
 } // namespace
 
 std::vector<const msg::member_record_msg*> pick_members(const membership::table& members,
@@ -40,14 +49,17 @@
     return static_cast<std::uint32_t>(std::bit_width(members)) + spare_rounds;
 }
 
-msg::move_state_msg make_state_message(const std::map<attempt_key, attempt_record>& records) {
+msg::move_state_msg make_state_message(const std::map<attempt_key, attempt_record>& records,
+                                       instant now) {
     msg::move_state_msg message;
     for (const auto& [key, record] : records) {
         if (message.permits.size() >= max_attempts_per_message) {
             break;
         }
-        message.permits.push_back(std::make_unique<msg::move_permit_msg>(
-            to_message(key, record.granted.value_or(permit{.at = from_unix_ms(0)}))));
+        auto permit_message = std::make_unique<msg::move_permit_msg>(
+            to_message(key, record.granted.value_or(permit{.at = from_unix_ms(0)})));
+        permit_message->age_ms = age_ms(record, now);
+        message.permits.push_back(std::move(permit_message));
         for (const auto& [raiser, raised] : record.vetoes) {
             message.vetoes.push_back(std::make_unique<msg::move_veto_msg>(to_message(key, raised)));
         }
@@ -56,7 +68,7 @@
 }
 
 void send_news(std::map<attempt_key, attempt_record>& records, const membership::table& members,
-               random_source& random, std::vector<outgoing>& sends) {
+               instant now, random_source& random, std::vector<outgoing>& sends) {
     const std::uint32_t rounds = news_rounds(members.members.size() + 1);
     std::map<attempt_key, attempt_record> news;
     for (auto& [key, record] : records) {
@@ -67,15 +79,15 @@
         }
     }
     if (!news.empty()) {
-        send_to(pick_members(members, news_fan_out, random), make_state_message(news), sends);
+        send_to(pick_members(members, news_fan_out, random), make_state_message(news, now), sends);
     }
 }
 
 void send_exchange(const std::map<attempt_key, attempt_record>& records,
-                   const membership::table& members, std::size_t count, random_source& random,
-                   std::vector<outgoing>& sends) {
+                   const membership::table& members, std::size_t count, instant now,
+                   random_source& random, std::vector<outgoing>& sends) {
     if (!records.empty()) {
-        send_to(pick_members(members, count, random), make_state_message(records), sends);
+        send_to(pick_members(members, count, random), make_state_message(records, now), sends);
     }
 }
 
@@ -106,7 +118,8 @@
             std::any_of(record.vetoes.begin(), record.vetoes.end(), [&](const auto& veto) {
                 return !heard_vetoes.contains({it->first, veto.first});
             });
-        if (has_later || has_veto) {
+        const bool has_begin = record.begun && message->age_ms == 0;
+        if (has_later || has_veto || has_begin) {
             missing.emplace(it->first, record);
         }
     }
--- a/src/move/spreading.h
+++ b/src/move/spreading.h
@@ -26,16 +26,16 @@
 /// The records of the attempts as one message. Attempts without a permit are included with stage
 /// zero, so that the receiver can tell what the sender lacks.
 [[nodiscard]] msg::move_state_msg
-make_state_message(const std::map<attempt_key, attempt_record>& records);
+make_state_message(const std::map<attempt_key, attempt_record>& records, instant now);
 
 /// Sends the records whose latest change has been sent in fewer than `news_rounds` rounds.
 void send_news(std::map<attempt_key, attempt_record>& records, const membership::table& members,
-               random_source& random, std::vector<outgoing>& sends);
+               instant now, random_source& random, std::vector<outgoing>& sends);
 
 /// Sends all records to `count` random members, which answer with what this node lacks.
 void send_exchange(const std::map<attempt_key, attempt_record>& records,
-                   const membership::table& members, std::size_t count, random_source& random,
-                   std::vector<outgoing>& sends);
+                   const membership::table& members, std::size_t count, instant now,
+                   random_source& random, std::vector<outgoing>& sends);
 
 /// Of the attempts named in `received`, those of which this node knows more than the sender.
 [[nodiscard]] std::map<attempt_key, attempt_record>
--- a/tests/move/fleet_test.cpp
+++ b/tests/move/fleet_test.cpp
@@ -1,6 +1,7 @@
 #include "move/fixture.h"
 #include "move/plan.h"
 
+
 #include <gtest/gtest.h>
 
 namespace cyclamenhatch::moves {
@@ -178,6 +179,101 @@
     EXPECT_EQ(fleet.share(5), fleet.share(0));
 }
 
+move make_timed_move() {
+    auto planned = make_move();
+    planned.duration = seconds(16);
+    return planned;
+}
+
+/// Replaces a node by a new process that holds the current configuration. Returns its log events.
+std::vector<log_event> restart(small_fleet& fleet, std::size_t node) {
+    const auto config = fleet.nodes[node].config;
+    fleet.nodes[node] = make_state({}, fleet.now);
+    actions out;
+    on_config(fleet.nodes[node], fleet.tables[node], config, fleet.now, out);
+    return out.logs;
+}
+
+bool has_event(const std::vector<log_event>& events, std::string_view name) {
+    return std::any_of(events.begin(), events.end(),
+                       [&](const log_event& event) { return event.name == name; });
+}
+
+instant deadline_at(const small_fleet& fleet, std::size_t node) {
+    return fleet.nodes[node].open.at(make_key()).planned.deadline;
+}
+
+/// Guards against a deadline that is counted anew from each start of a node: the move then ended at
+/// another time on each node, or never while restarts went on.
+TEST(fleet, a_restarted_node_keeps_the_deadline_of_a_move) {
+    small_fleet fleet(6, make_timed_move());
+    // A configuration that has the move when a process starts is not the one that ordered it.
+    for (std::size_t node = 0; node < fleet.nodes.size(); ++node) {
+        fleet.nodes[node] = make_state({}, fleet.now);
+    }
+    fleet.set_config(make_move());
+    auto later = make_timed_move();
+    later.name = move_id("m2");
+    fleet.set_config(later);
+    const attempt_key key{.service = later.service, .name = later.name, .attempt = 1};
+    const auto ordered = fleet.now;
+    fleet.run(seconds(5));
+    restart(fleet, 5);
+    fleet.run(seconds(1));
+    EXPECT_EQ(fleet.nodes[5].open.at(key).planned.deadline, ordered + later.duration);
+    EXPECT_EQ(fleet.nodes[0].open.at(key).planned.deadline, ordered + later.duration);
+}
+
+TEST(fleet, nodes_that_all_start_during_a_move_agree_on_its_deadline) {
+    auto planned = make_timed_move();
+    planned.duration = seconds(60);
+    small_fleet fleet(6, planned);
+    for (std::size_t node = 1; node < fleet.nodes.size(); ++node) {
+        fleet.run(seconds(1));
+        restart(fleet, node);
+    }
+    fleet.run(seconds(20));
+    for (std::size_t node = 1; node < fleet.nodes.size(); ++node) {
+        EXPECT_EQ(deadline_at(fleet, node), deadline_at(fleet, 0));
+    }
+}
+
+/// Guards against a move that has ended and opens anew on each node that starts: it logged an
+/// opening and reported evidence until the end of the process.
+TEST(fleet, an_ended_move_is_not_opened_again_by_a_restart) {
+    small_fleet fleet(6, make_timed_move());
+    fleet.run(seconds(2));
+    actions ignored;
+    adopt_record(fleet.nodes[0], make_key(), {.outcome = move_outcome::taken_back}, fleet.now,
+                 ignored);
+    fleet.run(seconds(2));
+    EXPECT_FALSE(has_event(restart(fleet, 5), "move_opened"));
+    fleet.run(seconds(1));
+    EXPECT_TRUE(has_recorded_ending(fleet.nodes[5].records.at(make_key())));
+    EXPECT_EQ(fleet.share(5), 0U);
+}
+
+TEST(fleet, nodes_report_no_evidence_on_an_ended_move) {
+    small_fleet fleet(6, make_timed_move());
+    fleet.run(seconds(2));
+    actions ignored;
+    adopt_record(fleet.nodes[0], make_key(), {.outcome = move_outcome::done}, fleet.now, ignored);
+    fleet.run(seconds(2));
+    EXPECT_EQ(fleet.share(5), full_share_permille);
+    const auto count_reports = [&] {
+        std::uint64_t newest = 0;
+        for (const auto& node : fleet.nodes) {
+            for (const auto& [name, source] : node.open.at(make_key()).control.collected.sources) {
+                newest = std::max(newest, source.latest.sequence);
+            }
+        }
+        return newest;
+    };
+    const auto before = count_reports();
+    fleet.run(seconds(5));
+    EXPECT_EQ(count_reports(), before);
+}
+
 } // namespace
 
 } // namespace cyclamenhatch::moves
