control: take calls only once another member is known

Cause: readiness asked only whether the configuration was compared. Besides, a node that found contacts in the store waited for the next retry, 500 to 800 ms, and had then joined alone. Change: a node is ready when it also knows another member, or has found that nobody answers. New contacts are asked at the next tick, and the wait for them counts from there. Tests: a new test program for control, with nodes that read the operators' documents from the store in virtual time.

--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -83,7 +83,7 @@
     if (produced.contacts.empty()) {
         return;
     }
-    membership::add_contacts(self.members, produced.contacts);
+    membership::add_contacts(self.members, produced.contacts, now);
     if (membership::live_records(self.members).size() <= 1) {
         membership::accelerate_rejoins(self.members, now);
     }
@@ -339,10 +339,16 @@
     apply_contact_actions(self, std::move(contact_output), now, out);
 }
 
+bool is_ready(const state& self) {
+    const bool knows_members =
+        self.members.has_joined || membership::live_records(self.members).size() > 1;
+    return knows_members && distribution::is_ready(self.distribution);
+}
+
 call::routing_view make_routing_view(const state& self, instant now) {
     call::routing_view view;
     view.config = self.distribution.config ? self.distribution.config : empty_configuration();
-    view.is_ready = distribution::is_ready(self.distribution);
+    view.is_ready = is_ready(self);
     view.is_draining = self.is_leaving;
     const auto live = membership::live_records(self.members);
     view.live_nodes = live.size();
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -76,6 +76,10 @@
 /// Begins an orderly shutdown and announces to other members that this node leaves.
 void leave(state& self, instant now, actions& out);
 
+/// Whether this node can take calls: it has compared its configuration with others, and it knows
+/// another member or has found that nobody answers.
+[[nodiscard]] bool is_ready(const state& self);
+
 /// Builds the view that the call path routes by.
 [[nodiscard]] call::routing_view make_routing_view(const state& self, instant now);
 
--- a/src/membership/joiner.cpp
+++ b/src/membership/joiner.cpp
@@ -14,6 +14,8 @@
 
 constexpr std::size_t page_records = 64;
 constexpr milliseconds page_timeout{500};
+/// The same while no member is known: a contact may not have joined yet when it is first asked.
+constexpr milliseconds first_page_timeout{250};
 constexpr std::uint64_t page_jitter_ms = 300;
 /// Divides the patience of a node that others ask for its table. When all nodes start at once,
 /// these join first without a table, so that the others find one instead of joining alone.
@@ -120,7 +122,8 @@
     if (now < sync.retry_at) {
         return;
     }
-    sync.retry_at = now + page_timeout + jitter(page_jitter_ms, random);
+    sync.retry_at = now + (state.members.empty() ? first_page_timeout : page_timeout) +
+                    jitter(page_jitter_ms, random);
     const bool has_choice = state.contacts.size() > 1 || !state.members.empty();
     const bool asks_contact = is_first_page(state) && !state.has_joined;
     const int requests = is_first_page(state) && has_choice ? initial_requests : 1;
@@ -267,6 +270,13 @@
     }
 }
 
+void note_new_contacts(table& state, instant now) {
+    if (state.sync.is_active && state.members.empty()) {
+        state.sync.retry_at = now;
+        state.sync.progress = now;
+    }
+}
+
 void answer_sync(table& state, const node_id& sender, const msg::member_sync_msg& request,
                  instant now, std::vector<outgoing>& sends) {
     state.sync.is_asked |= !state.has_joined;
--- a/src/membership/joiner.h
+++ b/src/membership/joiner.h
@@ -15,6 +15,10 @@
 /// Requests pages, gives up when nobody answers, and retries departed members and contacts.
 void tick_joins(table& state, instant now, random_source& random, std::vector<outgoing>& sends);
 
+/// Call when contacts were added. Without a member, the current round asks them at the next tick
+/// and waits for them as long as a round that begins now.
+void note_new_contacts(table& state, instant now);
+
 /// Answers with one page. Does not answer before this node has joined, or when it has served too
 /// many pages in the current second: the requester then asks another member.
 void answer_sync(table& state, const node_id& sender, const msg::member_sync_msg& request,
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -76,7 +76,7 @@
     state.next_rejoin = now;
     state.next_audit = now + seconds{10};
     state.push_refilled = now;
-    add_contacts(state, contacts);
+    add_contacts(state, contacts, now);
     queue_update(state, node_id{state.self.node});
     start_sync(state, now);
     return state;
@@ -134,8 +134,9 @@
     return sends;
 }
 
-void add_contacts(table& state, const std::vector<peer_address>& contacts) {
+void add_contacts(table& state, const std::vector<peer_address>& contacts, instant now) {
     const auto own = link_address(state.self);
+    const auto known_count = state.contacts.size();
     for (const auto& contact : contacts) {
         const bool is_known = std::find(state.contacts.begin(), state.contacts.end(), contact) !=
                               state.contacts.end();
@@ -143,6 +144,9 @@
             state.contacts.push_back(contact);
         }
     }
+    if (state.contacts.size() > known_count) {
+        note_new_contacts(state, now);
+    }
 }
 
 const msg::member_record_msg* find_record(const table& state, const node_id& node) {
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -134,8 +134,9 @@
 /// sent.
 [[nodiscard]] std::vector<outgoing> leave(table& state, instant now, random_source& random);
 
-/// Adds contacts, such as those found in the store. Skips duplicates and this node's own address.
-void add_contacts(table& state, const std::vector<peer_address>& contacts);
+/// Adds contacts, such as those found in the store. Skips duplicates and this node's own address. A
+/// node that is still looking for a first member asks them at its next tick.
+void add_contacts(table& state, const std::vector<peer_address>& contacts, instant now);
 
 /// The record of a member, this node included; null when unknown.
 [[nodiscard]] const msg::member_record_msg* find_record(const table& state, const node_id& node);
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -35,7 +35,7 @@
 
 /// Publishes a new view and its stale copy when anything that they are built from has changed.
 void refresh_view(node_runtime& node, instant now) {
-    const bool is_ready = distribution::is_ready(node.control.distribution);
+    const bool is_ready = control::is_ready(node.control);
     const bool has_moves = !moves::version_shares(node.control.moves, now).empty();
     const bool is_same = node.view_generation == node.control.members.generation &&
                          node.view_config == node.control.distribution.config &&
--- a/src/node/parts.cpp
+++ b/src/node/parts.cpp
@@ -47,7 +47,7 @@
     };
     backend.is_ready = [node] {
         const std::lock_guard<std::mutex> guard(node->control_lock);
-        return distribution::is_ready(node->control.distribution);
+        return control::is_ready(node->control);
     };
     backend.now = current_time;
     return backend;
--- a/src/node/state_document.cpp
+++ b/src/node/state_document.cpp
@@ -310,7 +310,7 @@
         {"time", format_rfc3339(now)},
         {"version",
          number(state.distribution.config ? state.distribution.config->version.value : 0)},
-        {"is_ready", distribution::is_ready(state.distribution)},
+        {"is_ready", control::is_ready(state)},
         {"live_nodes", number(live.size())},
         {"suspect_nodes", static_cast<std::int64_t>(suspects)},
         {"data_centres", describe_data_centres(state.distribution)},
@@ -326,7 +326,7 @@
         const auto& state = node.control;
         add_line(text, "config_version",
                  state.distribution.config ? state.distribution.config->version.value : 0);
-        add_line(text, "is_ready", distribution::is_ready(state.distribution) ? 1 : 0);
+        add_line(text, "is_ready", control::is_ready(state) ? 1 : 0);
         add_line(text, "live_nodes", membership::live_records(state.members).size());
         add_line(text, "store_is_down", is_store_down(state) ? 1 : 0);
         add_line(text, "process_pauses_total", state.members.pauses);
--- /dev/null
+++ b/tests/control/feed_node.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "control/control.h"
+#include "support/fake_store.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cyclamenhatch::control::testing {
+
+inline constexpr instant start_time{seconds{1'800'000'000}};
+inline constexpr std::string_view document_key = "op/document";
+inline constexpr std::string_view order_key = "op/orders/ledger";
+inline constexpr std::string_view record_key = "records/ledger";
+
+/// Test format: the document is the path prefix of the single service's route; an order is its
+/// target version; a record is "STATE MOVE STAGE".
+[[nodiscard]] feed::config_format make_format();
+
+/// Nodes with an operators' configuration, in virtual time: one data centre, a shared store, and
+/// messages that arrive within the step in which they are sent.
+struct feed_fleet {
+    explicit feed_fleet(std::size_t count);
+
+    /// Starts a node, or replaces it by a new process.
+    void start(std::size_t node);
+    void run(milliseconds duration);
+    /// Writes a key as the operators do.
+    void write(std::string_view key, const std::string& value);
+    [[nodiscard]] std::size_t count_ready() const;
+    [[nodiscard]] std::string stored(std::string_view key) const;
+    /// The path prefix that a node routes by; "none" without a configuration.
+    [[nodiscard]] std::string prefix_at(std::size_t node) const;
+    /// Requests to the store so far: reads, watches, transactions and leases.
+    [[nodiscard]] std::uint64_t store_requests() const;
+
+    msg::settings_msg settings;
+    instant now = start_time;
+    random_source random{7};
+    fakes::fake_store store;
+    std::vector<std::unique_ptr<state>> nodes;
+    /// All messages from and to this node are lost.
+    std::size_t isolated = SIZE_MAX;
+
+private:
+    void carry_out(std::size_t node, actions&& out);
+    void deliver_responses();
+};
+
+} // namespace cyclamenhatch::control::testing
--- a/tests/move/fleet_test.cpp
+++ b/tests/move/fleet_test.cpp
@@ -1,7 +1,6 @@
 #include "move/fixture.h"
 #include "move/plan.h"
 
-
 #include <gtest/gtest.h>
 
 namespace cyclamenhatch::moves {
--- a/tests/move/spreading_test.cpp
+++ b/tests/move/spreading_test.cpp
@@ -55,7 +55,8 @@
         peer_message message;
     };
     std::deque<delivery> in_transit;
-    in_transit.push_back({&sender, &receiver, make_state_message(sender.moves.records, start_time)});
+    in_transit.push_back(
+        {&sender, &receiver, make_state_message(sender.moves.records, start_time)});
     std::size_t messages = 0;
     while (!in_transit.empty() && messages < limit) {
         const auto next = std::move(in_transit.front());
--- a/tests/scenarios/checks.cpp
+++ b/tests/scenarios/checks.cpp
@@ -141,11 +141,11 @@
          }},
         {"ready",
          [](const cluster&, const host& node, const words&) -> std::string {
-             return distribution::is_ready(node.process->distribution) ? "" : "is not";
+             return control::is_ready(*node.process) ? "" : "is not";
          }},
         {"unready",
          [](const cluster&, const host& node, const words&) -> std::string {
-             return distribution::is_ready(node.process->distribution) ? "is ready" : "";
+             return control::is_ready(*node.process) ? "is ready" : "";
          }},
         {"in_force",
          [](const cluster&, const host& node, const words& args) -> std::string {
--- a/tests/scenarios/cluster.cpp
+++ b/tests/scenarios/cluster.cpp
@@ -165,7 +165,7 @@
         return;
     }
     step_node(sim, index, [&](control::state& self, control::actions& actions) {
-        if (distribution::is_ready(self.distribution)) {
+        if (control::is_ready(self)) {
             make_calls(sim, self);
         }
         control::on_tick(self, sim.now, actions);
