store: send two requests a node when a fleet starts

All nodes joined alone after 0.4 to 0.7 s and took the duties of watcher and contact; all found no contact and published their own; each read the documents again every second until there were some; and all read the records of moves. Change: delays before the read of contacts are distributed exponentially towards the longest, so few nodes publish and the others find them; an entry is published at once after the read. In the first 10 s a duty counts once it was shown for 1 s. A node that has seen an empty store and knows members leaves the next read to the watchers, for 10 s. Records are read only for a move that was open at the start. A later start costs two reads; a change beside the restart of the watcher is in force in 2 s.

--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -14,6 +14,11 @@
 namespace {
 
 constexpr std::size_t contacts_per_data_centre = 2;
+/// Time after the start of the process in which its member table may lack many members, so that it
+/// shows duties that belong to others.
+constexpr seconds settling_time{10};
+/// A duty counts during `settling_time` once the table has shown it for this long.
+constexpr seconds settled_duty_time{1};
 /// Consecutive failed requests after which a watcher hands its duty to another node. A single
 /// failure may be just a closed connection.
 constexpr std::uint32_t handover_failures = 2;
@@ -111,6 +116,7 @@
     }
     self.handled_pauses = self.members.pauses;
     distribution::on_pause(self.distribution, now);
+    self.last_fallback_read.reset();
     self.next_fallback_read =
         self.operator_reader ? now + random_start_delay(self) : now + fallback_read_interval;
     out.logs.push_back(
@@ -166,9 +172,21 @@
     }
 }
 
+/// Whether a duty that the member table shows is taken on. Without this, all nodes of a fleet that
+/// starts at once would watch the store and publish contacts before they know each other.
+bool is_duty_settled(const state& self, bool is_shown, std::optional<instant>& since, instant now) {
+    if (!is_shown || !self.members.has_joined || self.is_leaving) {
+        since.reset();
+        return false;
+    }
+    since = since.value_or(now);
+    return now - self.started >= settling_time || now - *since >= settled_duty_time;
+}
+
 void tick_store(state& self, instant now, actions& out) {
-    const bool is_watcher = distribution::is_store_watcher(self.distribution, self.members) &&
-                            self.members.has_joined && !self.is_leaving;
+    const bool is_watcher =
+        is_duty_settled(self, distribution::is_store_watcher(self.distribution, self.members),
+                        self.watcher_since, now);
     if (self.operator_reader) {
         tick_feed(self, is_watcher, now, out);
     } else {
@@ -180,15 +198,13 @@
         return;
     }
     store::contact_actions contact_output;
-    // A node that has not joined knows no other member and would take every duty.
-    const bool is_contact =
-        self.members.has_joined &&
-        membership::has_duty(self.members, "contact", contacts_per_data_centre,
-                             data_centre_id{self.settings.identity->data_centre});
+    const data_centre_id data_centre{self.settings.identity->data_centre};
+    const bool is_contact = is_duty_settled(
+        self, membership::has_duty(self.members, "contact", contacts_per_data_centre, data_centre),
+        self.contact_since, now);
     const bool is_first_contact =
-        self.members.has_joined &&
-        membership::has_duty(self.members, "contact", 1,
-                             data_centre_id{self.settings.identity->data_centre});
+        is_duty_settled(self, membership::has_duty(self.members, "contact", 1, data_centre),
+                        self.first_contact_since, now);
     const bool is_alone = membership::live_records(self.members).size() <= 1;
     store::on_tick(self.contacts, is_contact, !self.members.has_joined || is_alone, now,
                    self.random, contact_output, is_first_contact);
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -41,6 +41,11 @@
     store::contact_keeper contacts;
     /// Until this time other nodes hold this node's store duties.
     instant store_handover_until{};
+    /// Since when the member table gives this node the duty of watching the store, and those of the
+    /// contacts; unset while it does not.
+    std::optional<instant> watcher_since;
+    std::optional<instant> contact_since;
+    std::optional<instant> first_contact_since;
     /// Set when operators keep the configuration in their own format. It is then read from there,
     /// and the head reader and the writer are unused.
     std::optional<feed::operator_reader> operator_reader;
@@ -53,6 +58,8 @@
     std::uint64_t handled_pauses = 0;
     /// Next read of the store while this node is not ready.
     instant next_fallback_read;
+    /// The last such read since the start or the last pause.
+    std::optional<instant> last_fallback_read;
     /// The configuration last passed to the other libraries.
     snapshot_ptr applied_config;
     /// When a move's ending was last proposed, so that it is not proposed on every tick.
--- a/src/control/feed_steps.cpp
+++ b/src/control/feed_steps.cpp
@@ -9,6 +9,9 @@
 
 /// Time between reads while this node is not ready.
 constexpr milliseconds reread_interval{1000};
+/// The same once a read has shown that there is no configuration yet and other members are known:
+/// those that watch the store push the first one to all.
+constexpr milliseconds watched_reread_interval{10'000};
 
 moves::attempt_key key_of(const feed::move_record& record) {
     return {.service = record.service, .name = record.move, .attempt = 1};
@@ -40,6 +43,9 @@
                             actions& out) {
     append(out.requests, std::move(produced.requests));
     adopt_records(self, produced.records, now, out);
+    if (produced.has_read_records) {
+        moves::note_records_read(self.moves);
+    }
     if (!produced.rejection_reasons.empty()) {
         reject_config(self, produced.rejected_version, produced.rejection_reasons, now, out);
     }
@@ -80,6 +86,17 @@
     }
 }
 
+/// Whether this node, which is not ready, reads the operators' documents itself.
+bool is_fallback_read_due(const state& self, instant now) {
+    if (distribution::is_ready(self.distribution) || now < self.next_fallback_read) {
+        return false;
+    }
+    const bool is_watched_by_others = self.operator_reader->seen_revision > 0 &&
+                                      membership::live_records(self.members).size() > 1;
+    return !is_watched_by_others || !self.last_fallback_read ||
+           now >= *self.last_fallback_read + watched_reread_interval;
+}
+
 } // namespace
 
 milliseconds random_start_delay(state& self) {
@@ -91,10 +108,14 @@
 void tick_feed(state& self, bool is_watcher, instant now, actions& out) {
     feed::reader_actions reader_output;
     feed::set_watching(*self.operator_reader, is_watcher, now, reader_output);
-    if (!distribution::is_ready(self.distribution) && now >= self.next_fallback_read) {
+    if (is_fallback_read_due(self, now)) {
         self.next_fallback_read = now + reread_interval + random_start_delay(self);
+        self.last_fallback_read = now;
         feed::refresh(*self.operator_reader, now, reader_output);
     }
+    if (moves::awaits_records(self.moves)) {
+        feed::request_records(*self.operator_reader);
+    }
     feed::on_tick(*self.operator_reader, now, self.random, reader_output);
     apply_operator_actions(self, std::move(reader_output), now, out);
 
--- a/src/feed/operator_reader.cpp
+++ b/src/feed/operator_reader.cpp
@@ -163,7 +163,8 @@
 void on_records(reader_run& run, const store::kv_entries& read) {
     auto& reader = run.reader;
     reader.records_read = {};
-    reader.has_records = true;
+    reader.wants_records = false;
+    run.actions.has_read_records = true;
     for (const auto& entry : read.entries) {
         auto record = reader.format.read_record(entry.value);
         if (auto* valid_record = std::get_if<move_record>(&record)) {
@@ -231,8 +232,7 @@
         reader.read = {send_request(run, store::kv_range{reader.format.watched_prefix, true}),
                        run.now};
     }
-    const bool is_started = reader.wants_watch || reader.seen_revision > 0;
-    if (is_started && !reader.has_records && reader.records_read.id == 0) {
+    if (reader.wants_records && reader.records_read.id == 0) {
         reader.records_read = {
             send_request(run, store::kv_range{reader.format.records_prefix, true}), run.now};
     }
@@ -270,7 +270,6 @@
     }
     reader.service.failures = 0;
     reader.wants_read = true;
-    reader.has_records = false;
     reader.next_check = now + check_interval;
     send_due_requests(run);
 }
@@ -281,6 +280,10 @@
     send_due_requests(run);
 }
 
+void request_records(operator_reader& reader) {
+    reader.wants_records = true;
+}
+
 void on_tick(operator_reader& reader, instant now, random_source& random, reader_actions& actions) {
     reader_run run{reader, now, actions};
     fail_lost_requests(run, random);
--- a/src/feed/operator_reader.h
+++ b/src/feed/operator_reader.h
@@ -26,7 +26,8 @@
     /// Version of a configuration that was read and rejected; set together with its findings.
     config_version rejected_version;
     findings rejection_reasons;
-    /// Records of moves that were read.
+    /// Set when the records of moves were read; they are in `records`.
+    bool has_read_records = false;
     std::vector<move_record> records;
 };
 
@@ -38,7 +39,8 @@
     std::map<std::string, store::kv_entry> items;
     /// Revision of the last change or read included in `items`; 0 before the first read.
     std::int64_t seen_revision = 0;
-    bool has_records = false;
+    /// Whether the records of moves are to be read.
+    bool wants_records = false;
     bool wants_watch = false;
     bool wants_read = false;
     store::pending_request read;
@@ -64,6 +66,9 @@
 /// Reads all items once, as at start or after a pause of the process.
 void refresh(operator_reader& reader, instant now, reader_actions& actions);
 
+/// Reads the records of all moves once.
+void request_records(operator_reader& reader);
+
 /// Call about every 100 ms.
 void on_tick(operator_reader& reader, instant now, random_source& random, reader_actions& actions);
 
--- a/src/move/move_table.cpp
+++ b/src/move/move_table.cpp
@@ -110,6 +110,18 @@
     return all;
 }
 
+bool awaits_records(const state& self) {
+    return std::any_of(self.open.begin(), self.open.end(), [](const auto& entry) {
+        return entry.second.is_resumed && !entry.second.has_read_record;
+    });
+}
+
+void note_records_read(state& self) {
+    for (auto& [key, open] : self.open) {
+        open.has_read_record = true;
+    }
+}
+
 void adopt_record(state& self, const attempt_key& key, const recorded_move& record, instant now,
                   actions& out) {
     self.recorded[key] = record;
--- a/src/move/move_table.h
+++ b/src/move/move_table.h
@@ -55,6 +55,8 @@
     /// Whether this process started after the order, so that the move may have begun or ended
     /// before.
     bool is_resumed = false;
+    /// Whether the records kept apart from the configuration were read since this move was opened.
+    bool has_read_record = false;
     /// Whether this node has sent the exchange that asks others for the permits of a new move.
     bool has_asked = false;
 };
@@ -107,6 +109,12 @@
 void on_message(state& self, const membership::table& members, const incoming& received,
                 instant now, random_source& random, actions& out);
 
+/// Whether a resumed move is open whose record has not been read.
+[[nodiscard]] bool awaits_records(const state& self);
+
+/// Notes that all records that exist were read and passed to adopt_record.
+void note_records_read(state& self);
+
 /// Stores the record of a move and applies it.
 void adopt_record(state& self, const attempt_key& key, const recorded_move& record, instant now,
                   actions& out);
--- a/src/store/contacts.cpp
+++ b/src/store/contacts.cpp
@@ -22,6 +22,8 @@
 /// Delay when the last read showed no other node, since others may just be starting.
 constexpr milliseconds empty_read_interval{400};
 constexpr milliseconds audit_interval{8000};
+/// The mean time by which first reads precede the longest delay is that delay divided by this.
+constexpr double first_delay_divisor = 6;
 /// A node that needs contacts publishes its own entry when there are fewer other entries than this.
 constexpr std::size_t min_other_entries = 2;
 
@@ -54,6 +56,15 @@
     return milliseconds{distribution(random)};
 }
 
+/// Exponentially distributed, counted backwards from the longest delay: the number of nodes that
+/// have read grows by the same factor in equal times, however many nodes start.
+milliseconds draw_first_delay(milliseconds longest, random_source& random) {
+    const double scale = static_cast<double>(longest.count()) / first_delay_divisor;
+    std::exponential_distribution<double> before_longest(1.0);
+    const auto delay = static_cast<double>(longest.count()) - scale * before_longest(random);
+    return milliseconds{static_cast<std::int64_t>(std::max(delay, 0.0))};
+}
+
 void send_own(keeper_context& context, contact_step step, kv_operation operation) {
     auto& keeper = context.keeper;
     keeper.step = step;
@@ -162,6 +173,12 @@
         context.now + backoff_delay(read_backoff, keeper.read_failures, context.random);
 }
 
+/// Whether this node finds so few other entries that it publishes its own.
+bool lacks_others(const contact_keeper& keeper) {
+    return keeper.needs_contacts && keeper.other_entries &&
+           *keeper.other_entries < min_other_entries;
+}
+
 void update_own_entry(keeper_context& context, bool has_duty) {
     auto& keeper = context.keeper;
     if (keeper.own_request != 0 || context.now < keeper.own_due) {
@@ -209,9 +226,8 @@
              random_source& random, contact_actions& actions, bool audits) {
     keeper_context context{keeper, now, random, actions};
     expire_lost_requests(context);
-    const bool has_few_others =
-        needs_contacts && keeper.other_entries && *keeper.other_entries < min_other_entries;
-    update_own_entry(context, has_duty || has_few_others);
+    keeper.needs_contacts = needs_contacts;
+    update_own_entry(context, has_duty || lacks_others(keeper));
     if (!needs_contacts && !audits) {
         return;
     }
@@ -219,8 +235,7 @@
         keeper.read_due = std::max(*keeper.read_due, keeper.read_sent + audit_interval);
     }
     if (!keeper.read_due) {
-        std::uniform_int_distribution<std::int64_t> delay(0, keeper.first_read_spread.count());
-        keeper.read_due = now + milliseconds{delay(random)};
+        keeper.read_due = now + draw_first_delay(keeper.first_read_spread, random);
     }
     if (keeper.read_request == 0 && now >= *keeper.read_due) {
         keeper.read_request = keeper.next_request++;
@@ -240,6 +255,10 @@
         on_own_response(context, response);
     } else if (response.id == keeper.read_request) {
         on_read_response(context, response);
+        if (lacks_others(keeper)) {
+            // At once, so that the nodes that read next find this entry.
+            update_own_entry(context, true);
+        }
     }
     return true;
 }
--- a/src/store/contacts.h
+++ b/src/store/contacts.h
@@ -28,8 +28,9 @@
     peer_address own_address;
     std::string node;
     std::uint32_t lease_s = 30;
-    /// Longest random delay before the first read, so that nodes that restart together do not all
-    /// read at once.
+    /// Longest delay before the first read. Delays are distributed such that of any number of nodes
+    /// that start together, a few read early; the others then find the entries of these and publish
+    /// none.
     milliseconds first_read_spread{500};
 
     std::uint64_t next_request = contact_request_base;
@@ -46,6 +47,8 @@
     /// When contacts are next read; unset before the first tick that reads them.
     std::optional<instant> read_due;
     std::uint32_t read_failures = 0;
+    /// Whether the last tick asked for contacts.
+    bool needs_contacts = false;
     /// Number of other entries that the last read showed; unset before the first read.
     std::optional<std::size_t> other_entries;
 };
--- a/tests/control/control_test.cpp
+++ b/tests/control/control_test.cpp
@@ -43,5 +43,56 @@
     EXPECT_EQ(fleet.count_ready(), 1U);
 }
 
+/// Guards against a rush on the store when a fleet starts at once: each node took the duties of
+/// watcher and contact before it knew the others, and read again until the configuration came.
+TEST(store_requests, a_fleet_that_starts_at_once_sends_few_for_each_node) {
+    constexpr std::size_t count = 80;
+    feed_fleet fleet(count);
+    for (std::size_t node = 0; node < count; ++node) {
+        fleet.start(node);
+        if (node % 4 == 0) {
+            fleet.run(milliseconds{15});
+        }
+    }
+    fleet.run(seconds{4});
+    fleet.write(document_key, "/first/");
+    fleet.run(seconds{6});
+    EXPECT_EQ(fleet.count_ready(), count);
+    EXPECT_EQ(fleet.prefix_at(count - 1), "/first/");
+    // Two reads of each node, and half as much for what few nodes do for the others.
+    EXPECT_LE(fleet.store_cost(), 2.5 * count);
+}
+
+TEST(store_requests, a_node_that_starts_later_costs_two_reads) {
+    auto fleet = start_fleet(20);
+    fleet.run(seconds{10});
+    const auto before = fleet.store_cost();
+    fleet.run(seconds{10});
+    const auto idle = fleet.store_cost() - before;
+    fleet.start(7);
+    fleet.run(seconds{10});
+    EXPECT_EQ(fleet.count_ready(), 20U);
+    EXPECT_LE(fleet.store_cost() - before - idle, idle + 4);
+}
+
+/// A change reaches all nodes while the watcher of the store is replaced by a new process.
+TEST(store_requests, a_change_beside_the_restart_of_the_watcher_is_in_force_in_time) {
+    auto fleet = start_fleet(12);
+    fleet.run(seconds{10});
+    for (std::size_t node = 0; node < fleet.nodes.size(); ++node) {
+        if (distribution::is_store_watcher(fleet.nodes[node]->distribution,
+                                           fleet.nodes[node]->members)) {
+            fleet.start(node);
+            break;
+        }
+    }
+    fleet.run(milliseconds{300});
+    fleet.write(document_key, "/second/");
+    fleet.run(seconds{2});
+    for (std::size_t node = 0; node < fleet.nodes.size(); ++node) {
+        EXPECT_EQ(fleet.prefix_at(node), "/second/") << node;
+    }
+}
+
 } // namespace
 } // namespace cyclamenhatch::control
--- a/tests/control/feed_node.cpp
+++ b/tests/control/feed_node.cpp
@@ -7,6 +7,7 @@
 
 constexpr milliseconds time_step{5};
 constexpr milliseconds tick_interval{100};
+constexpr double renewal_cost = 0.1;
 constexpr std::uint16_t link_port = 7400;
 
 std::string name_of(std::size_t node) {
@@ -95,6 +96,9 @@
 
 void feed_fleet::carry_out(std::size_t node, actions&& out) {
     for (const auto& request : out.requests) {
+        const bool is_renewal =
+            std::holds_alternative<store::kv_lease_keepalive>(request.operation);
+        store_cost_ += is_renewal ? renewal_cost : 1;
         fakes::send(store, name_of(node), request, now);
     }
     for (auto& send : out.sends) {
@@ -163,8 +167,4 @@
                : "none";
 }
 
-std::uint64_t feed_fleet::store_requests() const {
-    return store.reads + store.writes;
-}
-
 } // namespace cyclamenhatch::control::testing
--- a/tests/control/feed_node.h
+++ b/tests/control/feed_node.h
@@ -33,8 +33,8 @@
     [[nodiscard]] std::string stored(std::string_view key) const;
     /// The path prefix that a node routes by; "none" without a configuration.
     [[nodiscard]] std::string prefix_at(std::size_t node) const;
-    /// Requests to the store so far: reads, watches, transactions and leases.
-    [[nodiscard]] std::uint64_t store_requests() const;
+    /// Requests to the store so far; the renewal of a lease costs a tenth of another one.
+    [[nodiscard]] double store_cost() const { return store_cost_; }
 
     msg::settings_msg settings;
     instant now = start_time;
@@ -47,6 +47,8 @@
 private:
     void carry_out(std::size_t node, actions&& out);
     void deliver_responses();
+
+    double store_cost_ = 0;
 };
 
 } // namespace cyclamenhatch::control::testing
