feed: follow the store into a new era

After a drill the store comes back from a copy some seconds old and gives revisions out again. Nodes ignored reads and versions below what they had seen, so changes were lost until the revisions had caught up; an order written again became a new move; leases might be renewed that were another node's. Change: responses carry the era that the platform's client reads from `Store-Era`. A configuration's version holds the operators' own version of the document first, then era and revision: an older document is no newer version, whoever reads it. On a rise, known from a response or from a configuration, a node forgets what it read, publishes its contact anew and checks its records again; late responses of an earlier era count as unknown. An order that is written again within 10 s keeps its move.

--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -306,7 +306,15 @@
     apply_move_actions(self, std::move(move_actions), now, out);
 }
 
-void on_store_response(state& self, const store::kv_response& response, instant now, actions& out) {
+void on_store_response(state& self, const store::kv_response& received, instant now, actions& out) {
+    note_store_era(self, received.era, now, out);
+    // A late response of an earlier era tells nothing about what is stored now.
+    const bool is_outdated = received.era < self.store_era &&
+                             !std::holds_alternative<store::kv_failure>(received.outcome);
+    const store::kv_response dropped{
+        .id = received.id,
+        .outcome = store::kv_failure{store::kv_failure_kind::unknown, "earlier era"}};
+    const auto& response = is_outdated ? dropped : received;
     if (self.operator_reader && on_feed_response(self, response, now, out)) {
         return;
     }
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -39,6 +39,8 @@
     store::config_writer writer;
     store::head_reader reader;
     store::contact_keeper contacts;
+    /// Era of the store, by the highest that any response has stated.
+    std::uint64_t store_era = 0;
     /// Until this time other nodes hold this node's store duties.
     instant store_handover_until{};
     /// Since when the member table gives this node the duty of watching the store, and those of the
--- a/src/control/steps.h
+++ b/src/control/steps.h
@@ -26,6 +26,10 @@
 void reject_config(state& self, config_version version, const findings& problems, instant now,
                    actions& out);
 
+/// Notes the era of the store. In an era higher than any before, what this node has written is
+/// written again.
+void note_store_era(state& self, std::uint64_t era, instant now, actions& out);
+
 /// Proposes the ending of a move.
 void submit_close(state& self, const store::move_close& close, instant now, actions& out);
 
--- a/src/feed/config_format.h
+++ b/src/feed/config_format.h
@@ -39,6 +39,14 @@
     friend bool operator==(const move_record&, const move_record&) = default;
 };
 
+/// The document with the whole configuration.
+struct operators_document {
+    /// Raised by the operators with each document; 0 if they state none.
+    std::uint64_t version = 0;
+    /// The services with their routes, without moves.
+    std::vector<section> sections;
+};
+
 /// Keys and codecs of the operators' configuration. The functions read no clock and may be called
 /// from any thread.
 struct config_format {
@@ -51,8 +59,7 @@
     /// The key of a record is this prefix followed by the service's name.
     std::string records_prefix;
 
-    /// Returns the services with their routes, without moves.
-    std::function<result<std::vector<section>>(std::string_view)> read_document;
+    std::function<result<operators_document>(std::string_view)> read_document;
     std::function<result<move_order>(std::string_view)> read_order;
     std::function<result<move_record>(std::string_view)> read_record;
     std::function<std::string(const move_record&)> write_record;
--- a/src/feed/operator_reader.cpp
+++ b/src/feed/operator_reader.cpp
@@ -15,6 +15,13 @@
 /// an error.
 constexpr milliseconds check_interval{5000};
 constexpr store::backoff_limits failure_backoff{milliseconds{100}, milliseconds{1000}};
+/// Time in which the operators have written again what the service has lost.
+constexpr seconds rewrite_time{10};
+/// Parts of a configuration's version.
+constexpr unsigned era_bits = 8;
+constexpr unsigned revision_bits = 30;
+constexpr std::uint64_t max_era = (1ULL << era_bits) - 1;
+constexpr std::uint64_t max_revision = (1ULL << revision_bits) - 1;
 
 /// Context of one call into the reader.
 struct reader_run {
@@ -34,7 +41,7 @@
 }
 
 /// Adds the move requested by an order to the section of its service.
-void add_move(std::vector<section>& sections, const move_order& order, std::int64_t revision,
+void add_move(std::vector<section>& sections, const move_order& order, const move_id& name,
               findings& problems) {
     const auto it = std::find_if(sections.begin(), sections.end(), [&](const section& candidate) {
         return candidate.service.name == order.service;
@@ -48,7 +55,7 @@
     it->versions.push_back(
         {.name = order.target_version, .service = order.service, .last_write = {}});
     move new_move;
-    new_move.name = name_move(revision);
+    new_move.name = name;
     new_move.service = order.service;
     new_move.new_version = order.target_version;
     new_move.duration = order.duration;
@@ -70,7 +77,7 @@
         return;
     }
     run.reader.rejected_revision = revision;
-    run.actions.rejected_version = config_version{static_cast<std::uint64_t>(revision)};
+    run.actions.rejected_version = make_version(0, {run.reader.era, revision});
     run.actions.rejection_reasons = std::move(problems);
 }
 
@@ -82,6 +89,22 @@
     return newest;
 }
 
+/// The name of an order's move. The operators write their orders again after the service has come
+/// back from an older copy; such an order keeps the move that it had.
+move_id choose_name(const reader_run& run, const move_order& order, std::int64_t revision) {
+    const auto& reader = run.reader;
+    const auto earlier = reader.earlier_moves.find(order.service);
+    const bool is_repeated = reader.era_began && run.now < *reader.era_began + rewrite_time &&
+                             earlier != reader.earlier_moves.end() &&
+                             earlier->second.new_version == order.target_version &&
+                             earlier->second.duration == order.duration;
+    if (is_repeated) {
+        run.reader.kept_names[{order.service, revision}] = earlier->second.name;
+    }
+    const auto kept = reader.kept_names.find({order.service, revision});
+    return kept != reader.kept_names.end() ? kept->second : name_move({reader.era, revision});
+}
+
 /// Adds the moves of all orders. A malformed order is skipped; the others still take effect.
 void add_orders(reader_run& run, std::vector<section>& sections, findings& problems) {
     const auto& format = run.reader.format;
@@ -94,7 +117,9 @@
             problems.insert(problems.end(), order_problems->begin(), order_problems->end());
             continue;
         }
-        add_move(sections, std::get<move_order>(order), entry.mod_revision, problems);
+        const auto& valid_order = std::get<move_order>(order);
+        add_move(sections, valid_order, choose_name(run, valid_order, entry.mod_revision),
+                 problems);
     }
 }
 
@@ -114,7 +139,8 @@
         reject(run, revision, std::move(*problems));
         return;
     }
-    auto& parsed_sections = std::get<std::vector<section>>(read);
+    auto& parsed = std::get<operators_document>(read);
+    auto& parsed_sections = parsed.sections;
     findings order_findings;
     add_orders(run, parsed_sections, order_findings);
     std::vector<section_ptr> stored_sections;
@@ -122,7 +148,7 @@
     for (auto& content : parsed_sections) {
         stored_sections.push_back(store_section(reader, std::move(content)));
     }
-    auto built = build_snapshot(config_version{static_cast<std::uint64_t>(revision)},
+    auto built = build_snapshot(make_version(parsed.version, {reader.era, revision}),
                                 std::move(stored_sections), {});
     if (auto* problems = std::get_if<findings>(&built)) {
         reject(run, revision, std::move(*problems));
@@ -247,8 +273,50 @@
 
 } // namespace
 
-move_id name_move(std::int64_t order_revision) {
-    return move_id{"order-" + std::to_string(order_revision)};
+move_id name_move(const store::store_position& order) {
+    const auto era = order.era == 0 ? std::string() : std::to_string(order.era) + "-";
+    return move_id{"order-" + era + std::to_string(order.revision)};
+}
+
+config_version make_version(std::uint64_t document_version, const store::store_position& latest) {
+    const auto position = ((latest.era & max_era) << revision_bits) +
+                          (static_cast<std::uint64_t>(latest.revision) & max_revision);
+    return config_version{(document_version << (era_bits + revision_bits)) + position};
+}
+
+std::uint64_t raise_era(std::uint64_t known, config_version version) {
+    const auto stated = (version.value >> revision_bits) & max_era;
+    const auto rise = (stated - known) & max_era;
+    // More than half of the range ahead is an earlier era.
+    return rise <= max_era / 2 ? known + rise : known;
+}
+
+void on_new_era(operator_reader& reader, std::uint64_t era, const snapshot_ptr& held, instant now,
+                reader_actions& actions) {
+    reader_run run{reader, now, actions};
+    const bool is_first = reader.era == 0 && reader.seen_revision == 0;
+    reader.era = era;
+    if (is_first) {
+        return;
+    }
+    close_watch(run);
+    reader.read = {};
+    reader.items.clear();
+    reader.seen_revision = 0;
+    reader.built_revision = 0;
+    reader.rejected_revision = 0;
+    reader.kept_names.clear();
+    reader.era_began = now;
+    reader.earlier_moves.clear();
+    if (held) {
+        for (const auto& [service, stored] : held->sections) {
+            for (const auto& ordered : stored->content.moves) {
+                reader.earlier_moves.emplace(service, ordered);
+            }
+        }
+    }
+    reader.wants_read = reader.wants_watch;
+    send_due_requests(run);
 }
 
 operator_reader make_operator_reader(config_format format, instant now) {
--- a/src/feed/operator_reader.h
+++ b/src/feed/operator_reader.h
@@ -10,11 +10,13 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 /// Reads and watches the operators' configuration and orders, and builds snapshots from them. A
-/// snapshot's version is the key-value service's revision of the latest change in it, so nodes that
-/// have seen the same changes build the same snapshot with the same version.
+/// snapshot's version follows from the document's version and the key-value service's position of
+/// the latest change in it, so nodes that have seen the same changes build the same snapshot with
+/// the same version.
 namespace cyclamenhatch::feed {
 
 struct reader_actions {
@@ -50,6 +52,13 @@
     snapshot_ptr built_snapshot;
     std::int64_t built_revision = 0;
     std::int64_t rejected_revision = 0;
+    /// Era of the service that all revisions here belong to.
+    std::uint64_t era = 0;
+    /// When the service last came back from an older copy, and the moves that were ordered before.
+    std::optional<instant> era_began;
+    std::map<service_id, move> earlier_moves;
+    /// Names of the moves whose orders were written again, by service and revision.
+    std::map<std::pair<service_id, std::int64_t>, move_id> kept_names;
     store::service_state service;
     /// When all items are read again despite an open watch, since a watch can stop reporting
     /// changes without an error.
@@ -76,7 +85,24 @@
 [[nodiscard]] bool on_response(operator_reader& reader, const store::kv_response& response,
                                instant now, random_source& random, reader_actions& actions);
 
-/// Name of the move for the order written at this revision of the key-value service.
-[[nodiscard]] move_id name_move(std::int64_t order_revision);
+/// Call when a higher era of the key-value service than before is known. Everything read is
+/// forgotten, unless it is the first era known; a node that watches reads again at once. An order
+/// that the operators write again keeps the name of its move in `held`, the configuration in force
+/// here, which may be null.
+void on_new_era(operator_reader& reader, std::uint64_t era, const snapshot_ptr& held, instant now,
+                reader_actions& actions);
+
+/// Name of the move for the order written at this position of the key-value service.
+[[nodiscard]] move_id name_move(const store::store_position& order);
+
+/// Version of the configuration made from the operators' document of this version, whose latest
+/// change has this position. The document's version orders first: while the service lacks the
+/// newest document, what it holds is no newer version. Holds 26 bits of the document's version, 8
+/// of the era and 30 of the revision.
+[[nodiscard]] config_version make_version(std::uint64_t document_version,
+                                          const store::store_position& latest);
+
+/// The lowest era from `known` on that a version made by make_version may belong to.
+[[nodiscard]] std::uint64_t raise_era(std::uint64_t known, config_version version);
 
 } // namespace cyclamenhatch::feed
--- a/src/feed/record_keeper.cpp
+++ b/src/feed/record_keeper.cpp
@@ -11,6 +11,8 @@
 constexpr seconds response_limit{3};
 constexpr store::backoff_limits failure_backoff{milliseconds{100}, milliseconds{1000}};
 constexpr std::int64_t unknown_revision = -1;
+/// Longest delay before a record is written again.
+constexpr milliseconds rewrite_spread{1000};
 
 bool is_ending(const move_record& record) {
     return record.state != record_state::running;
@@ -106,6 +108,17 @@
     progress.next_attempt = now;
 }
 
+void on_new_era(record_keeper& keeper, instant now, random_source& random) {
+    std::uniform_int_distribution<milliseconds::rep> delay_ms(0, rewrite_spread.count());
+    for (auto& [service, progress] : keeper.records) {
+        // A request in flight may have taken effect before or after the service came back.
+        progress.request = 0;
+        progress.revision = unknown_revision;
+        progress.is_settled = false;
+        progress.next_attempt = now + milliseconds{delay_ms(random)};
+    }
+}
+
 void on_tick(record_keeper& keeper, instant now, random_source& random, keeper_actions& actions) {
     for (auto& [service, progress] : keeper.records) {
         if (progress.request != 0 && now - progress.sent_at >= response_limit) {
--- a/src/feed/record_keeper.h
+++ b/src/feed/record_keeper.h
@@ -50,6 +50,10 @@
 /// replaced by it; a record of another move replaces both.
 void request_record(record_keeper& keeper, const move_record& desired, instant now);
 
+/// Call when the key-value service has come back from an older copy of itself: all records are
+/// written again, at random times within a second, unless they are still stored.
+void on_new_era(record_keeper& keeper, instant now, random_source& random);
+
 /// Call about every 100 ms.
 void on_tick(record_keeper& keeper, instant now, random_source& random, keeper_actions& actions);
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -145,7 +145,11 @@
         return;
     }
     http_response answer{.status = self->parser->get().result_int(),
-                         .body = std::move(self->parser->get().body())};
+                         .body = std::move(self->parser->get().body()),
+                         .kept_header = {}};
+    if (!client->settings.kept_header.empty()) {
+        answer.kept_header = std::string(self->parser->get()[client->settings.kept_header]);
+    }
     if (self->parser->keep_alive() && self->conn->buffer.size() == 0) {
         keep(client, self->conn);
     } else {
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -26,6 +26,8 @@
 struct http_response {
     unsigned status = 0;
     std::string body;
+    /// Value of the header that http_client_settings::kept_header names; empty without it.
+    std::string kept_header;
 };
 
 /// No byte of the request was sent, so the server cannot have processed it.
@@ -47,6 +49,8 @@
     /// Maximum number of idle connections kept open.
     std::size_t max_idle_connections = 2;
     std::uint64_t max_answer_bytes = 16'777'216;
+    /// Name of the header of answers that is passed on; empty for none.
+    std::string kept_header;
     /// Receives a log event when the server sent bytes that are not a complete, valid answer; may
     /// be empty.
     std::function<void(log_event)> log;
--- a/src/store/contacts.cpp
+++ b/src/store/contacts.cpp
@@ -22,6 +22,8 @@
 /// Delay when the last read showed no other node, since others may just be starting.
 constexpr milliseconds empty_read_interval{400};
 constexpr milliseconds audit_interval{8000};
+/// Longest delay before an entry that the service has lost is published again.
+constexpr milliseconds republish_spread{500};
 /// The mean time by which first reads precede the longest delay is that delay divided by this.
 constexpr double first_delay_divisor = 6;
 /// A node that needs contacts publishes its own entry when there are fewer other entries than this.
@@ -263,6 +265,15 @@
     return true;
 }
 
+void on_new_era(contact_keeper& keeper, instant now, random_source& random) {
+    contact_actions ignored;
+    keeper_context context{keeper, now, random, ignored};
+    reset_own_entry(context);
+    std::uniform_int_distribution<std::int64_t> delay(0, republish_spread.count());
+    keeper.own_due = now + milliseconds{delay(random)};
+    keeper.other_entries.reset();
+}
+
 void leave(contact_keeper& keeper, contact_actions& actions) {
     if (keeper.lease == 0) {
         return;
--- a/src/store/contacts.h
+++ b/src/store/contacts.h
@@ -66,6 +66,10 @@
 [[nodiscard]] bool on_response(contact_keeper& keeper, const kv_response& response, instant now,
                                random_source& random, contact_actions& actions);
 
+/// Call when the service has come back from an older copy of itself: the lease is gone, and its
+/// number may have been given to another node.
+void on_new_era(contact_keeper& keeper, instant now, random_source& random);
+
 /// Removes the entry on an orderly shutdown.
 void leave(contact_keeper& keeper, contact_actions& actions);
 
--- a/src/store/kv.h
+++ b/src/store/kv.h
@@ -137,6 +137,17 @@
 struct kv_response {
     std::uint64_t id = 0;
     std::variant<kv_entries, kv_transaction_done, kv_lease, kv_changes, kv_failure> outcome;
+    /// Rises each time the service comes back from an older copy of itself: it has then lost its
+    /// latest writes, and gives out their revisions again. 0 when the service does not state it.
+    std::uint64_t era = 0;
+};
+
+/// A point in the history of the service; eras order first, since revisions are repeated.
+struct store_position {
+    std::uint64_t era = 0;
+    std::int64_t revision = 0;
+
+    friend auto operator<=>(const store_position&, const store_position&) = default;
 };
 
 } // namespace cyclamenhatch::store
--- a/tests/control/feed_node.h
+++ b/tests/control/feed_node.h
@@ -15,8 +15,8 @@
 inline constexpr std::string_view order_key = "op/orders/ledger";
 inline constexpr std::string_view record_key = "records/ledger";
 
-/// Test format: the document is the path prefix of the single service's route; an order is its
-/// target version; a record is "STATE MOVE STAGE".
+/// Test format: the document is its version and the path prefix of the single service's route; an
+/// order is its target version; a record is "STATE MOVE STARTED_MS".
 [[nodiscard]] feed::config_format make_format();
 
 /// Nodes with an operators' configuration, in virtual time: one data centre, a shared store, and
