feed: keep moves while the store lacks their orders

Found when the change was read again: after the store has come back from an older copy, a configuration of the new era was built from what the copy holds. Until the operators had written their orders again, a move that the copy lacks was dropped, so a version that had been taken back could get calls again; and an order in the copy that a later one had replaced opened a move anew. Change: feed/order_history holds what is known of orders across eras. A move of the configuration in force stays for 10 s after the rise while its order is missing, and an order that was in the copy already and differs from the move in force is skipped. Tests: a move stays while the store lacks its order, failed before (no share of the move left on all nodes); a replaced order opens no move, written with the change and not run before it.

--- a/src/control/control.h
+++ b/src/control/control.h
@@ -39,7 +39,7 @@
     store::config_writer writer;
     store::head_reader reader;
     store::contact_keeper contacts;
-    /// Era of the store, by the highest that any response has stated.
+    /// Highest era of the store that a response or a held configuration has stated.
     std::uint64_t store_era = 0;
     /// Until this time other nodes hold this node's store duties.
     instant store_handover_until{};
--- a/src/feed/operator_reader.cpp
+++ b/src/feed/operator_reader.cpp
@@ -1,6 +1,7 @@
 #include "feed/operator_reader.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace cyclamenhatch::feed {
@@ -15,8 +16,6 @@
 /// an error.
 constexpr milliseconds check_interval{5000};
 constexpr store::backoff_limits failure_backoff{milliseconds{100}, milliseconds{1000}};
-/// Time in which the operators have written again what the service has lost.
-constexpr seconds rewrite_time{10};
 /// Parts of a configuration's version.
 constexpr unsigned era_bits = 8;
 constexpr unsigned revision_bits = 30;
@@ -77,7 +76,7 @@
         return;
     }
     run.reader.rejected_revision = revision;
-    run.actions.rejected_version = make_version(0, {run.reader.era, revision});
+    run.actions.rejected_version = make_version(0, {run.reader.orders.era, revision});
     run.actions.rejection_reasons = std::move(problems);
 }
 
@@ -89,25 +88,10 @@
     return newest;
 }
 
-/// The name of an order's move. The operators write their orders again after the service has come
-/// back from an older copy; such an order keeps the move that it had.
-move_id choose_name(const reader_run& run, const move_order& order, std::int64_t revision) {
-    const auto& reader = run.reader;
-    const auto earlier = reader.earlier_moves.find(order.service);
-    const bool is_repeated = reader.era_began && run.now < *reader.era_began + rewrite_time &&
-                             earlier != reader.earlier_moves.end() &&
-                             earlier->second.new_version == order.target_version &&
-                             earlier->second.duration == order.duration;
-    if (is_repeated) {
-        run.reader.kept_names[{order.service, revision}] = earlier->second.name;
-    }
-    const auto kept = reader.kept_names.find({order.service, revision});
-    return kept != reader.kept_names.end() ? kept->second : name_move({reader.era, revision});
-}
-
 /// Adds the moves of all orders. A malformed order is skipped; the others still take effect.
 void add_orders(reader_run& run, std::vector<section>& sections, findings& problems) {
     const auto& format = run.reader.format;
+    std::set<service_id> ordered;
     for (const auto& [key, entry] : run.reader.items) {
         if (!key.starts_with(format.orders_prefix)) {
             continue;
@@ -118,7 +102,16 @@
             continue;
         }
         const auto& valid_order = std::get<move_order>(order);
-        add_move(sections, valid_order, choose_name(run, valid_order, entry.mod_revision),
+        if (is_replaced(run.reader.orders, valid_order, entry.mod_revision)) {
+            continue;
+        }
+        ordered.insert(valid_order.service);
+        add_move(sections, valid_order,
+                 resolve_name(run.reader.orders, valid_order, entry.mod_revision, run.now),
+                 problems);
+    }
+    for (const auto& earlier : list_unwritten_moves(run.reader.orders, ordered, run.now)) {
+        add_move(sections, {earlier.service, earlier.new_version, earlier.duration}, earlier.name,
                  problems);
     }
 }
@@ -148,7 +141,7 @@
     for (auto& content : parsed_sections) {
         stored_sections.push_back(store_section(reader, std::move(content)));
     }
-    auto built = build_snapshot(make_version(parsed.version, {reader.era, revision}),
+    auto built = build_snapshot(make_version(parsed.version, {reader.orders.era, revision}),
                                 std::move(stored_sections), {});
     if (auto* problems = std::get_if<findings>(&built)) {
         reject(run, revision, std::move(*problems));
@@ -182,6 +175,7 @@
         reader.items[entry.key] = entry;
     }
     reader.seen_revision = read.revision;
+    note_read(reader.orders, read.revision);
     build(run);
     run.actions.is_current = !run.actions.snapshot && reader.built_snapshot != nullptr;
 }
@@ -273,11 +267,6 @@
 
 } // namespace
 
-move_id name_move(const store::store_position& order) {
-    const auto era = order.era == 0 ? std::string() : std::to_string(order.era) + "-";
-    return move_id{"order-" + era + std::to_string(order.revision)};
-}
-
 config_version make_version(std::uint64_t document_version, const store::store_position& latest) {
     const auto position = ((latest.era & max_era) << revision_bits) +
                           (static_cast<std::uint64_t>(latest.revision) & max_revision);
@@ -294,27 +283,17 @@
 void on_new_era(operator_reader& reader, std::uint64_t era, const snapshot_ptr& held, instant now,
                 reader_actions& actions) {
     reader_run run{reader, now, actions};
-    const bool is_first = reader.era == 0 && reader.seen_revision == 0;
-    reader.era = era;
-    if (is_first) {
+    if (reader.orders.era == 0 && reader.seen_revision == 0) {
+        reader.orders.era = era;
         return;
     }
+    begin_era(reader.orders, era, held, now);
     close_watch(run);
     reader.read = {};
     reader.items.clear();
     reader.seen_revision = 0;
     reader.built_revision = 0;
     reader.rejected_revision = 0;
-    reader.kept_names.clear();
-    reader.era_began = now;
-    reader.earlier_moves.clear();
-    if (held) {
-        for (const auto& [service, stored] : held->sections) {
-            for (const auto& ordered : stored->content.moves) {
-                reader.earlier_moves.emplace(service, ordered);
-            }
-        }
-    }
     reader.wants_read = reader.wants_watch;
     send_due_requests(run);
 }
--- a/src/feed/operator_reader.h
+++ b/src/feed/operator_reader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "feed/config_format.h"
+#include "feed/order_history.h"
 #include "model/random.h"
 #include "model/snapshot.h"
 #include "store/kv.h"
@@ -10,7 +11,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <utility>
 #include <vector>
 
 /// Reads and watches the operators' configuration and orders, and builds snapshots from them. A
@@ -52,13 +52,7 @@
     snapshot_ptr built_snapshot;
     std::int64_t built_revision = 0;
     std::int64_t rejected_revision = 0;
-    /// Era of the service that all revisions here belong to.
-    std::uint64_t era = 0;
-    /// When the service last came back from an older copy, and the moves that were ordered before.
-    std::optional<instant> era_began;
-    std::map<service_id, move> earlier_moves;
-    /// Names of the moves whose orders were written again, by service and revision.
-    std::map<std::pair<service_id, std::int64_t>, move_id> kept_names;
+    order_history orders;
     store::service_state service;
     /// When all items are read again despite an open watch, since a watch can stop reporting
     /// changes without an error.
@@ -92,9 +86,6 @@
 void on_new_era(operator_reader& reader, std::uint64_t era, const snapshot_ptr& held, instant now,
                 reader_actions& actions);
 
-/// Name of the move for the order written at this position of the key-value service.
-[[nodiscard]] move_id name_move(const store::store_position& order);
-
 /// Version of the configuration made from the operators' document of this version, whose latest
 /// change has this position. The document's version orders first: while the service lacks the
 /// newest document, what it holds is no newer version. Holds 26 bits of the document's version, 8
--- /dev/null
+++ b/src/feed/order_history.cpp
@@ -0,0 +1,78 @@
+#include "feed/order_history.h"
+
+namespace cyclamenhatch::feed {
+namespace {
+
+/// Time in which the operators have written again what the service has lost.
+constexpr seconds rewrite_time{10};
+
+bool awaits_rewrites(const order_history& history, instant now) {
+    return history.era_began && now < *history.era_began + rewrite_time;
+}
+
+/// Null when the service had no move.
+const move* find_earlier_move(const order_history& history, const service_id& service) {
+    const auto it = history.earlier_moves.find(service);
+    return it == history.earlier_moves.end() ? nullptr : &it->second;
+}
+
+bool is_order_of(const move& ordered, const move_order& order) {
+    return ordered.new_version == order.target_version && ordered.duration == order.duration;
+}
+
+} // namespace
+
+void begin_era(order_history& history, std::uint64_t era, const snapshot_ptr& held, instant now) {
+    history = {.era = era, .era_began = now};
+    if (!held) {
+        return;
+    }
+    for (const auto& [service, stored] : held->sections) {
+        for (const auto& ordered : stored->content.moves) {
+            history.earlier_moves.emplace(service, ordered);
+        }
+    }
+}
+
+void note_read(order_history& history, std::int64_t revision) {
+    if (history.era_began && history.era_revision == 0) {
+        history.era_revision = revision;
+    }
+}
+
+move_id resolve_name(order_history& history, const move_order& order, std::int64_t revision,
+                     instant now) {
+    const auto* earlier = find_earlier_move(history, order.service);
+    const bool may_repeat = awaits_rewrites(history, now) || revision <= history.era_revision;
+    if (may_repeat && earlier != nullptr && is_order_of(*earlier, order)) {
+        history.kept_names[{order.service, revision}] = earlier->name;
+    }
+    const auto kept = history.kept_names.find({order.service, revision});
+    return kept != history.kept_names.end() ? kept->second : name_move({history.era, revision});
+}
+
+bool is_replaced(const order_history& history, const move_order& order, std::int64_t revision) {
+    const auto* earlier = find_earlier_move(history, order.service);
+    return revision <= history.era_revision && earlier != nullptr && !is_order_of(*earlier, order);
+}
+
+std::vector<move> list_unwritten_moves(const order_history& history,
+                                       const std::set<service_id>& ordered, instant now) {
+    std::vector<move> unwritten;
+    if (!awaits_rewrites(history, now)) {
+        return unwritten;
+    }
+    for (const auto& [service, earlier] : history.earlier_moves) {
+        if (!ordered.contains(service)) {
+            unwritten.push_back(earlier);
+        }
+    }
+    return unwritten;
+}
+
+move_id name_move(const store::store_position& order) {
+    const auto era = order.era == 0 ? std::string() : std::to_string(order.era) + "-";
+    return move_id{"order-" + era + std::to_string(order.revision)};
+}
+
+} // namespace cyclamenhatch::feed
--- a/tests/control/control_test.cpp
+++ b/tests/control/control_test.cpp
@@ -192,6 +192,51 @@
     }
 }
 
+/// Guards against a version that was taken back and gets calls again while the store lacks the
+/// order of its move.
+TEST(store_era, a_move_stays_while_the_store_lacks_its_order) {
+    auto fleet = start_fleet_in_era(6);
+    const auto copy = fakes::save(fleet.store);
+    fleet.write(order_key, "v2");
+    fleet.run(seconds{20});
+    ASSERT_EQ(state_of(fleet.stored(record_key)), "back");
+    fakes::restore_in_new_era(fleet.store, copy, fleet.now);
+    for (int step = 0; step < 20; ++step) {
+        fleet.run(milliseconds{100});
+        for (const auto& node : fleet.nodes) {
+            const auto shares = moves::version_shares(node->moves, fleet.now);
+            ASSERT_EQ(shares.size(), 1U) << step;
+            EXPECT_EQ(shares.begin()->second.permille, 0U);
+        }
+    }
+}
+
+/// Guards against an order that had been replaced and is carried out anew, since the older copy
+/// holds it and lacks the one that followed.
+TEST(store_era, a_replaced_order_in_the_older_copy_opens_no_move) {
+    auto fleet = start_fleet_in_era(6);
+    fleet.write(order_key, "v2");
+    fleet.run(seconds{20});
+    const auto copy = fakes::save(fleet.store);
+    fleet.write(order_key, "v3");
+    fleet.run(seconds{2});
+    fakes::restore_in_new_era(fleet.store, copy, fleet.now);
+    const auto expect_v3 = [&](seconds duration) {
+        for (const auto end = fleet.now + duration; fleet.now < end;) {
+            fleet.run(milliseconds{100});
+            for (const auto& node : fleet.nodes) {
+                ASSERT_EQ(node->moves.open.size(), 1U);
+                EXPECT_EQ(node->moves.open.begin()->second.planned.new_version, version_id("v3"));
+            }
+        }
+    };
+    expect_v3(seconds{2});
+    const auto name = fleet.nodes[0]->moves.open.begin()->first.name;
+    fleet.write(order_key, "v3");
+    expect_v3(seconds{3});
+    EXPECT_EQ(fleet.nodes[0]->moves.open.begin()->first.name, name);
+}
+
 /// Guards against a renewal of a lease whose number the store has given to another node.
 TEST(store_era, contacts_are_published_again_after_a_restored_copy) {
     auto fleet = start_fleet_in_era(6);
