feed: reject documents under a version above the one in force

Found when the change was read again: since a version begins with that of the operators' document, a rejection made with document version 0 counted as older than the configuration in force. Its report was dropped with the next configuration that was adopted, and operators saw a version that no document has. Change: a rejection has the version of the document, or that of the last one built when the document cannot be read. Test: the rejected version is above the one in force; with the old expression 0 stood in place of 7.

--- a/src/feed/operator_reader.cpp
+++ b/src/feed/operator_reader.cpp
@@ -71,12 +71,15 @@
     return stored;
 }
 
-void reject(reader_run& run, std::int64_t revision, findings problems) {
+/// A document that cannot be read states no version; it counts as one of the last that could.
+void reject(reader_run& run, std::uint64_t document_version, std::int64_t revision,
+            findings problems) {
     if (run.reader.rejected_revision == revision) {
         return;
     }
     run.reader.rejected_revision = revision;
-    run.actions.rejected_version = make_version(0, {run.reader.orders.era, revision});
+    run.actions.rejected_version =
+        make_version(document_version, {run.reader.orders.era, revision});
     run.actions.rejection_reasons = std::move(problems);
 }
 
@@ -129,7 +132,7 @@
     }
     auto read = reader.format.read_document(document->second.value);
     if (auto* problems = std::get_if<findings>(&read)) {
-        reject(run, revision, std::move(*problems));
+        reject(run, reader.document_version, revision, std::move(*problems));
         return;
     }
     auto& parsed = std::get<operators_document>(read);
@@ -144,14 +147,15 @@
     auto built = build_snapshot(make_version(parsed.version, {reader.orders.era, revision}),
                                 std::move(stored_sections), {});
     if (auto* problems = std::get_if<findings>(&built)) {
-        reject(run, revision, std::move(*problems));
+        reject(run, parsed.version, revision, std::move(*problems));
         return;
     }
     if (!order_findings.empty()) {
-        reject(run, revision, std::move(order_findings));
+        reject(run, parsed.version, revision, std::move(order_findings));
     }
     reader.built_snapshot = std::get<snapshot_ptr>(std::move(built));
     reader.built_revision = revision;
+    reader.document_version = parsed.version;
     run.actions.snapshot = reader.built_snapshot;
 }
 
--- a/src/feed/operator_reader.h
+++ b/src/feed/operator_reader.h
@@ -52,6 +52,8 @@
     snapshot_ptr built_snapshot;
     std::int64_t built_revision = 0;
     std::int64_t rejected_revision = 0;
+    /// Version of the operators' document last built.
+    std::uint64_t document_version = 0;
     order_history orders;
     store::service_state service;
     /// When all items are read again despite an open watch, since a watch can stop reporting
--- a/tests/feed/feed_test.cpp
+++ b/tests/feed/feed_test.cpp
@@ -106,6 +106,7 @@
     instant now = start;
     snapshot_ptr snapshot;
     findings rejection_reasons;
+    config_version rejected_version;
     std::uint64_t watch = 0;
     std::int64_t watch_revision = 0;
     bool is_store_unavailable = false;
@@ -117,6 +118,7 @@
         }
         if (!actions.rejection_reasons.empty()) {
             rejection_reasons = actions.rejection_reasons;
+            rejected_version = actions.rejected_version;
         }
         std::deque<store::kv_request> requests(actions.requests.begin(), actions.requests.end());
         for (const auto& request : requests) {
@@ -224,6 +226,24 @@
     EXPECT_EQ(fixture.prefix(), "/third/");
 }
 
+/// Guards against a rejection that counts as older than the configuration in force, and so is
+/// dropped with the next change.
+TEST(operator_reader, a_rejected_document_has_a_higher_version_than_the_one_in_force) {
+    reader_fixture fixture;
+    fixture.reader.format.read_document = [](std::string_view text) -> result<operators_document> {
+        if (text == "bad") {
+            return findings{{.path = "document", .problem = "cannot be read", .remedy = "mend it"}};
+        }
+        return operators_document{.version = 7,
+                                  .sections = {make_section("ledger", std::string(text))}};
+    };
+    fixture.store.put("op/document", "/first/");
+    fixture.start_watching();
+    fixture.store.put("op/document", "bad");
+    fixture.deliver_change("op/document");
+    EXPECT_GT(fixture.rejected_version, fixture.snapshot->version);
+}
+
 TEST(operator_reader, reads_again_when_the_history_is_compacted) {
     reader_fixture fixture;
     fixture.store.put("op/document", "/first/");
