edge: log answers that a gate drops and calls that a closing entry cuts

Change: answer_dropped and answer_lost at the gate; call_cut_at_caller also for calls that an upstream had when this node closed the connection, and with the cause connection_closing when an answer before it was broken off. No decision changes.

Result: the logs name the side and the cause of each such end; the edge tests pass (call_path, lost_link, link_room).

--- a/src/edge/caller_session.cpp
+++ b/src/edge/caller_session.cpp
@@ -149,7 +149,7 @@
     }
     const auto exchange = self->open.front();
     if (exchange->is_broken) {
-        close_session(self, disconnect_cause::caller_left);
+        close_session(self, disconnect_cause::connection_closing);
         return;
     }
     if (exchange->is_writing || exchange->waiting_pieces.empty()) {
--- a/src/edge/entry_side.cpp
+++ b/src/edge/entry_side.cpp
@@ -226,7 +226,9 @@
     const auto flow = it->second;
     side.flows.erase(it);
     ++side.counters.callers_gone;
-    if (flow->state.is_answering) {
+    const bool was_passed_on = flow->state.current || flow->state.arrivals > 0;
+    const bool is_closed_here = cause != disconnect_cause::caller_left;
+    if (flow->state.is_answering || (is_closed_here && was_passed_on)) {
         log_call(side, describe_cut(*flow, "call_cut_at_caller", name_of(cause)));
     }
     auto result = step(side, flow, call::caller_gone_event{});
--- a/src/edge/gate_bodies.cpp
+++ b/src/edge/gate_bodies.cpp
@@ -198,9 +198,14 @@
     return has_ended;
 }
 
-void trim_undelivered(gate_side& side, instant now) {
-    std::erase_if(side.undelivered, [now](const auto& item) {
-        return now > item.second->progressed_at + delivery_timeout;
+std::vector<dropped_answer> trim_undelivered(gate_side& side, instant now) {
+    std::vector<dropped_answer> dropped;
+    std::erase_if(side.undelivered, [&](const auto& item) {
+        const bool is_late = now > item.second->progressed_at + delivery_timeout;
+        if (is_late) {
+            dropped.push_back({item.second, "timeout"});
+        }
+        return is_late;
     });
     std::uint64_t bytes = 0;
     for (const auto& [call, flow] : side.undelivered) {
@@ -213,8 +218,10 @@
                                  return left.second->progressed_at < right.second->progressed_at;
                              });
         bytes -= call::kept_bytes(oldest->second->download);
+        dropped.push_back({oldest->second, "memory"});
         side.undelivered.erase(oldest);
     }
+    return dropped;
 }
 
 bool on_data(gate_side& side, msg::call_data_msg& message) {
--- a/src/edge/gate_bodies.h
+++ b/src/edge/gate_bodies.h
@@ -2,6 +2,8 @@
 
 #include "edge/gate_side.h"
 
+#include <vector>
+
 /// Forwards the bodies of calls between entries and the upstream. Precondition of all functions
 /// except trim_undelivered: the lock is not held.
 namespace cyclamenhatch::edge {
@@ -19,8 +21,15 @@
 /// that the reattach is fully handled.
 bool resend_lost(gate_side& side, const node_id& sender, const msg::call_open_msg& request);
 
+/// An undelivered answer that is no longer kept.
+struct dropped_answer {
+    gate_flow_ptr flow;
+    /// "timeout" or "memory".
+    const char* cause = "";
+};
+
 /// Drops undelivered answers whose entry has not asked for the rest in time, and the oldest beyond
-/// the size limit. Precondition: the lock is held.
-void trim_undelivered(gate_side& side, instant now);
+/// the size limit; returns them. Precondition: the lock is held.
+[[nodiscard]] std::vector<dropped_answer> trim_undelivered(gate_side& side, instant now);
 
 } // namespace cyclamenhatch::edge
--- a/src/edge/gate_log.cpp
+++ b/src/edge/gate_log.cpp
@@ -26,6 +26,30 @@
     };
 }
 
+void log_dropped(const gate_side& side, const dropped_answer& answer) {
+    if (side.log) {
+        const auto& body = answer.flow->download;
+        side.log({log_level::warning,
+                  "answer_dropped",
+                  {{"request", answer.flow->request_id},
+                   {"entry", answer.flow->entry.value},
+                   {"cause", answer.cause},
+                   {"bytes_sent", std::to_string(body.offset)},
+                   {"bytes_arrived", std::to_string(body.arrived)},
+                   {"bytes_taken", std::to_string(body.taken)}}});
+    }
+}
+
+void log_lost(const gate_side& side, const node_id& entry, std::uint64_t received) {
+    if (side.log) {
+        side.log({log_level::warning,
+                  "answer_lost",
+                  {{"entry", entry.value},
+                   {"service", side.gate.service.value},
+                   {"bytes_received", std::to_string(received)}}});
+    }
+}
+
 void log_cut(const gate_side& side, const gate_flow& flow) {
     const auto bytes = bytes_before_head(flow.exchange);
     if (bytes > 0) {
--- a/src/edge/gate_log.h
+++ b/src/edge/gate_log.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "edge/gate_bodies.h"
 #include "edge/gate_side.h"
 
+#include <cstdint>
+
 /// Logs bytes from the upstream that are not a valid answer.
 namespace cyclamenhatch::edge {
 
@@ -10,6 +13,12 @@
 void log_faults(const gate_side& side, const gate_flow_ptr& flow, const answer_match& match,
                 upstream_events& events);
 
+/// Logs an answer of which an entry may still lack a part.
+void log_dropped(const gate_side& side, const dropped_answer& answer);
+
+/// Logs that an entry asks for the rest of an answer that this gate does not keep.
+void log_lost(const gate_side& side, const node_id& entry, std::uint64_t received);
+
 /// Logs a call that is aborted after its upstream has sent some bytes but not a whole head.
 void log_cut(const gate_side& side, const gate_flow& flow);
 
--- a/src/edge/gate_side.cpp
+++ b/src/edge/gate_side.cpp
@@ -215,6 +215,8 @@
         .route = route_id(message.route)};
     lock_type guard(side.lock);
     const bool was_under_way = call::is_under_way(side.gate, call);
+    const bool is_lost = message.reattach && message.has_head && !was_under_way;
+    const auto received = message.received;
     auto actions = call::on_open(side.gate, request, now);
     if (!was_under_way && call::is_under_way(side.gate, call)) {
         auto flow = std::make_shared<gate_flow>();
@@ -226,6 +228,9 @@
         side.flows.emplace(call, std::move(flow));
     }
     guard.unlock();
+    if (is_lost) {
+        log_lost(side, sender, received);
+    }
     perform(side, std::move(actions));
 }
 
@@ -261,8 +266,11 @@
     }
     auto actions = call::on_gate_timer(side.gate, now);
     const auto overdue = find_overdue(side, now);
-    trim_undelivered(side, now);
+    const auto dropped = trim_undelivered(side, now);
     guard.unlock();
+    for (const auto& answer : dropped) {
+        log_dropped(side, answer);
+    }
     read_held_back(side);
     perform(side, std::move(actions));
     for (const auto& call : overdue) {
