edge: pass nothing on behind the last answer of a connection

Callers that pipeline got no answer to a request that an upstream had run: in a drain the answer before it said Connection: close, the node read and passed on what came behind that, and dropped it with the connection (LOST).

Cause: whether an answer closes its connection is decided when its head is written, but the reading of further requests went on until its last byte was. Once the node took no more callers, the answer being written closed the connection whatever was already passed on behind it.

The three new tests of call_path fail on the code before: the request behind runs and is dropped.

Change: a head that is read behind an answer which closes the connection, or once the node takes no more callers, is dropped unread; the answer to the last request that was passed on closes the connection.

--- a/src/edge/caller_answer.cpp
+++ b/src/edge/caller_answer.cpp
@@ -54,9 +54,9 @@
     }
     set_framing(exchange, head, first);
     // Pipelined requests behind this one still get their answers on this connection.
-    const bool is_draining = session.listener->is_draining && session.open.size() == 1;
+    const bool must_close = session.listener->is_draining || session.listener->is_stopping;
     answer.keep_alive(exchange.parser->get().keep_alive() && is_read_whole(exchange) &&
-                      !exchange.is_last && !is_draining && !session.listener->is_stopping);
+                      !exchange.is_last && !(must_close && session.open.size() == 1));
 }
 
 } // namespace cyclamenhatch::edge
--- a/src/edge/caller_session.cpp
+++ b/src/edge/caller_session.cpp
@@ -88,12 +88,12 @@
     const auto exchange = self->open.front();
     exchange->is_over = true;
     touch(*self, true);
-    if (!is_read_whole(*exchange) || !exchange->answer.keep_alive()) {
-        self->open.pop_front();
+    const bool is_last = !is_read_whole(*exchange) || !exchange->answer.keep_alive();
+    self->open.pop_front();
+    if (is_last || (self->open.empty() && self->listener->is_stopping)) {
         begin_lingering_close(self);
         return;
     }
-    self->open.pop_front();
     if (!self->open.empty() && !self->open.front()->is_handed_over &&
         !self->open.front()->is_answered) {
         begin_request(self, self->open.front());
@@ -109,6 +109,7 @@
                  waiting_piece next) {
     if (next.head) {
         fill_answer(*self, *exchange, *next.head, next.piece);
+        self->is_last_answer = !exchange->answer.keep_alive();
         exchange->serializer.emplace(exchange->answer);
     }
     exchange->outgoing = std::move(next.piece.bytes);
@@ -233,7 +234,8 @@
 void on_head(const caller_session_ptr& self, error_code error) {
     const auto exchange = std::exchange(self->next, nullptr);
     self->head_started_at.reset();
-    if (!exchange || self->is_closing) {
+    if (!exchange || self->is_closing || self->is_last_answer ||
+        (self->listener->is_stopping && !self->open.empty())) {
         return;
     }
     if (self->is_head_late) {
@@ -318,8 +320,8 @@
 }
 
 void read_head(const caller_session_ptr& self) {
-    if (!self->socket.is_open() || self->is_closing || self->next ||
-        self->open.size() >= max_pipelined) {
+    if (!self->socket.is_open() || self->is_closing || self->is_last_answer ||
+        self->listener->is_stopping || self->next || self->open.size() >= max_pipelined) {
         return;
     }
     const auto limits = limits_of(*self);
--- a/src/edge/caller_session.h
+++ b/src/edge/caller_session.h
@@ -96,6 +96,9 @@
     std::size_t discarded_bytes = 0;
     body_bytes discard_buffer;
     bool is_closing = false;
+    /// The answer being written tells the caller that the connection closes after it: requests
+    /// behind it count as not read.
+    bool is_last_answer = false;
     /// A request of this connection was passed to the call path.
     bool is_used = false;
     /// Set when the head being read took too long.
--- a/tests/edge/call_path_test.cpp
+++ b/tests/edge/call_path_test.cpp
@@ -1,5 +1,6 @@
 #include "joined_paths.h"
 
+#include <boost/asio.hpp>
 #include <gtest/gtest.h>
 
 #include <atomic>
@@ -214,6 +215,101 @@
     upstream.release();
 }
 
+/// A caller's connection, read and written by blocking calls.
+class caller_connection {
+public:
+    explicit caller_connection(std::uint16_t port) : socket_(io_) {
+        socket_.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+    }
+
+    void send(const std::string& text) {
+        boost::system::error_code error;
+        boost::asio::write(socket_, boost::asio::buffer(text), error);
+    }
+
+    /// The head of the next answer.
+    std::string read_head() {
+        boost::system::error_code error;
+        const auto size = boost::asio::read_until(socket_, boost::asio::dynamic_buffer(received_),
+                                                  "\r\n\r\n", error);
+        auto head = received_.substr(0, size);
+        received_.erase(0, size);
+        return head;
+    }
+
+    /// All that follows until the connection ends.
+    std::string read_to_end() {
+        boost::system::error_code error;
+        boost::asio::read(socket_, boost::asio::dynamic_buffer(received_), error);
+        return std::move(received_);
+    }
+
+private:
+    boost::asio::io_context io_;
+    boost::asio::ip::tcp::socket socket_;
+    std::string received_;
+};
+
+/// Whether the upstream runs the path within 300 ms.
+bool runs_soon(fake_upstream& upstream, const std::string& path) {
+    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(300);
+    while (upstream.runs(path) == 0 && std::chrono::steady_clock::now() < end) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    return upstream.runs(path) > 0;
+}
+
+/// Guards against a request that is passed on behind an answer which closes its connection: it is
+/// run, and its caller gets no answer (LOST).
+TEST(call_path, nothing_is_passed_on_behind_an_answer_that_closes_the_connection) {
+    fake_upstream upstream;
+    joined_paths paths(upstream.port());
+    caller_connection caller(paths.entry_port());
+    // More than the connection takes before its caller reads.
+    constexpr std::size_t size = 30'000'000;
+    const auto path = "/hold-bytes/" + std::to_string(size);
+    caller.send(request("GET " + path));
+    upstream.wait_for_runs(path, 1);
+    begin_drain(paths.entry());
+    upstream.release();
+    const auto head = caller.read_head();
+    EXPECT_NE(head.find("Connection: close"), std::string::npos) << head;
+    caller.send(request("GET /ok"));
+    EXPECT_FALSE(runs_soon(upstream, "/ok"));
+    EXPECT_EQ(caller.read_to_end().size(), size);
+}
+
+/// Guards against a request that is passed on behind the last answer of a node that takes no more
+/// callers: it is run, and its caller gets no answer (LOST).
+TEST(call_path, nothing_is_passed_on_once_the_node_takes_no_more_callers) {
+    fake_upstream upstream;
+    joined_paths paths(upstream.port());
+    caller_connection caller(paths.entry_port());
+    caller.send(request("GET /hold"));
+    upstream.wait_for_runs("/hold", 1);
+    stop_accepting(paths.entry());
+    caller.send(request("GET /ok"));
+    EXPECT_FALSE(runs_soon(upstream, "/ok"));
+    upstream.release();
+    EXPECT_NE(caller.read_head().find("Connection: close"), std::string::npos);
+    EXPECT_EQ(caller.read_to_end(), "ok");
+}
+
+/// Guards against pipelined requests that were passed on before the node took no more callers and
+/// get no answer (LOST).
+TEST(call_path, what_was_passed_on_is_answered_when_the_node_takes_no_more_callers) {
+    fake_upstream upstream;
+    joined_paths paths(upstream.port());
+    caller_connection caller(paths.entry_port());
+    caller.send(request("GET /hold") + request("GET /status/201"));
+    upstream.wait_for_runs("/hold", 1);
+    upstream.wait_for_runs("/status/201", 1);
+    stop_accepting(paths.entry());
+    upstream.release();
+    EXPECT_EQ(caller.read_head().find("Connection: close"), std::string::npos);
+    EXPECT_NE(caller.read_to_end().find("HTTP/1.1 201"), std::string::npos);
+}
+
 TEST(call_path, caller_that_leaves_frees_its_slot) {
     fake_upstream upstream;
     joined_paths paths(upstream.port());
--- a/tests/edge/fake_upstream.cpp
+++ b/tests/edge/fake_upstream.cpp
@@ -166,6 +166,9 @@
         auto answer = plain(std::stoi(path.substr(8)), "told");
         return id.empty() ? answer : with_id(std::move(answer), id);
     }
+    if (starts_with(path, "/hold-bytes/")) {
+        return plain(200, std::string(std::stoul(path.substr(12)), 'b'));
+    }
     if (starts_with(path, "/bytes/")) {
         return plain(200, std::string(std::stoul(path.substr(7)), 'b'));
     }
--- a/tests/edge/fake_upstream.h
+++ b/tests/edge/fake_upstream.h
@@ -19,10 +19,10 @@
 
 /// An upstream whose behaviour the path of each request selects: /ok, /echo, /status/N, /bytes/N,
 /// /chunked/N, /counted/N (N bytes, no two pieces equal), /break (closes without an answer), /half
-/// (closes in the middle of the answer), /hold (answers once released), /stale (an answer to
-/// another request, then its own), /foreign (an answer to another request only), /unrun (reports
-/// that it did not run the call), /other (reports that it is not the expected instance). Answers
-/// echo the header x-id.
+/// (closes in the middle of the answer), /hold (answers once released), /hold-bytes/N (the same,
+/// with N bytes), /stale (an answer to another request, then its own), /foreign (an answer to
+/// another request only), /unrun (reports that it did not run the call), /other (reports that it is
+/// not the expected instance). Answers echo the header x-id.
 class fake_upstream {
 public:
     fake_upstream();
--- a/tests/edge/joined_paths.cpp
+++ b/tests/edge/joined_paths.cpp
@@ -33,6 +33,7 @@
     settings.call = std::make_unique<msg::call_settings_msg>();
     settings.call->max_header_bytes = 4096;
     settings.call->max_body_bytes = 1'000'000;
+    settings.call->drain_linger_ms = 1000;
     settings.process = std::make_unique<msg::process_settings_msg>();
     settings.process->workers = 2;
     return settings;
