call: keep to the rate that an upstream states

An upstream in need names in its answers the calls a second that it takes from all machines together. Nothing in the fleet read it: the upstream got what it got before (LIMIT).

Cause: the gate starts a call whenever a slot is free, and knows no other measure of what its upstream takes.

Change: the gate, through which all calls to its upstream pass, reads the rate from each answer and starts calls by a token bucket of a quarter second, in the order that the slots have. A call that would start too late is refused at once as rate_limited, with the time of the next start. Entries learn the rate with each answer and refusal, send such an upstream what its rate fills, and repeat the rate to the gate, so that one that restarts keeps to it. An answer without a rate lifts it, unless its call started before the rate was stated.

Evidence: limited_upstream.gets_no_more_calls_than_it_states fails on the code before (7 runs where 2 are allowed).

--- a/src/call/admission.cpp
+++ b/src/call/admission.cpp
@@ -27,6 +27,11 @@
 /// Share of the slots that more urgent calls are assumed to leave to the others.
 constexpr double min_slot_share = 0.125;
 
+/// Whether a call that arrives now finds a slot and a start by the stated rate.
+bool is_free(const gate_state& gate, instant now) {
+    return gate.running.size() < current_limit(gate.limit) && may_start(gate.rate, now);
+}
+
 /// Whether the call would miss its objective after this wait. A call that misses it even without a
 /// wait is accepted only behind few others: calls that can still meet theirs start first, and it
 /// would wait in vain.
@@ -61,6 +66,16 @@
                                     : std::numeric_limits<std::uint32_t>::max();
 }
 
+bool may_start_one(const gate_state& gate, instant now) {
+    return gate.running.size() < effective_limit(gate) &&
+           (!gate.settings.has_limits || may_start(gate.rate, now));
+}
+
+bool is_rate_bound(const gate_state& gate, instant now) {
+    return gate.rate.calls_per_s && gate.running.size() < effective_limit(gate) &&
+           (gate.queue.size > 0 || !may_start_one(gate, now));
+}
+
 int rank_of(std::uint32_t priority, microseconds run_time, bool is_late) {
     const double octaves = std::log2(std::max(1.0, static_cast<double>(run_time.count())));
     return static_cast<int>(std::lround(octaves * ranks_per_octave)) +
@@ -76,15 +91,21 @@
 }
 
 microseconds expected_wait(const gate_state& gate, const queue_position& position, instant now) {
+    const auto ahead = sum_work_ahead(gate.queue, position);
+    const auto rate_wait = wait_for_start(gate.rate, ahead.calls, now);
+    if (gate.rate.calls_per_s && gate.running.size() < effective_limit(gate)) {
+        return rate_wait;
+    }
     const double limit = std::max(1U, current_limit(gate.limit));
     const double left = limit - slots_before(gate.routes, position.rank, now);
-    const auto work = sum_work_ahead(gate.queue, position).run_time + typical_latency(gate);
-    return microseconds(static_cast<std::int64_t>(static_cast<double>(work.count()) /
-                                                  std::max(left, limit * min_slot_share)));
+    const auto work = ahead.run_time + typical_latency(gate);
+    const auto slot_wait = microseconds(static_cast<std::int64_t>(
+        static_cast<double>(work.count()) / std::max(left, limit * min_slot_share)));
+    return std::max(slot_wait, rate_wait);
 }
 
 microseconds expected_route_wait(const gate_state& gate, const route_id& route, instant now) {
-    if (gate.queue.size == 0 && gate.running.size() < current_limit(gate.limit)) {
+    if (gate.queue.size == 0 && is_free(gate, now)) {
         return microseconds{0};
     }
     const auto use = gate.routes.find(route);
@@ -94,8 +115,7 @@
 }
 
 microseconds longest_wait(const gate_state& gate, instant now) {
-    const bool is_free = gate.queue.size == 0 && gate.running.size() < current_limit(gate.limit);
-    return is_free
+    return gate.queue.size == 0 && is_free(gate, now)
                ? microseconds{0}
                : expected_wait(gate, {.rank = std::numeric_limits<int>::max(), .due = now}, now);
 }
@@ -139,25 +159,30 @@
     if (request.deadline <= now) {
         return refusal{.reason = refusal_reason::deadline};
     }
+    const bool is_bound_by_rate = is_rate_bound(gate, now);
     // An idle gate always tries: its measured latency may be out of date.
-    if (gate.running.empty() || !gate.settings.has_limits) {
+    const bool is_idle = gate.running.empty() && !is_bound_by_rate;
+    if (is_idle || !gate.settings.has_limits) {
         return std::nullopt;
     }
-    const bool must_wait = gate.running.size() >= effective_limit(gate) || gate.queue.size > 0;
+    const bool must_wait = !may_start_one(gate, now) || gate.queue.size > 0;
     if (must_wait && request.no_wait) {
-        return refusal{.reason = refusal_reason::busy,
+        return refusal{.reason =
+                           is_bound_by_rate ? refusal_reason::rate_limited : refusal_reason::busy,
                        .retry_helps = true,
                        .retry_after = retry_delay(gate, request.route, now)};
     }
     const auto wait =
         must_wait ? expected_wait(gate, position_of(gate, request, now), now) : microseconds{0};
     if (now + wait + expected_run_time(gate, request.route) > request.deadline) {
-        return refusal{.reason = refusal_reason::deadline,
+        return refusal{.reason = is_bound_by_rate ? refusal_reason::rate_limited
+                                                  : refusal_reason::deadline,
                        .retry_helps = must_wait,
                        .retry_after = retry_delay(gate, request.route, now)};
     }
     if (must_wait && would_miss_objective(gate, request, wait, now)) {
-        return refusal{.reason = refusal_reason::queue_full,
+        return refusal{.reason = is_bound_by_rate ? refusal_reason::rate_limited
+                                                  : refusal_reason::queue_full,
                        .retry_helps = true,
                        .retry_after = retry_delay(gate, request.route, now)};
     }
--- a/src/call/admission.h
+++ b/src/call/admission.h
@@ -16,6 +16,9 @@
 ///   call starts first.
 /// - Calls made on behalf of running calls are short, so they start before longer ones of the same
 ///   priority and free the slots that wait for them.
+/// - An upstream that states a rate: calls start at that rate, in the same order as for slots, and
+///   those that it lets start too late are refused at once. Short overloads of some upstreams move
+///   to others; a lasting overload of all is refused with the time of the next start.
 /// - Lasting overload: a share of the starts goes to the calls that have waited longest, so that no
 ///   route starves.
 namespace cyclamenhatch::call {
@@ -32,6 +35,12 @@
 /// Number of calls that may run at once.
 [[nodiscard]] std::uint32_t effective_limit(const gate_state& gate);
 
+/// Whether a slot is free and the stated rate allows a start.
+[[nodiscard]] bool may_start_one(const gate_state& gate, instant now);
+
+/// Whether calls must wait for the stated rate although a slot is free.
+[[nodiscard]] bool is_rate_bound(const gate_state& gate, instant now);
+
 /// Rank of a call in the queue; the lowest starts first.
 [[nodiscard]] int rank_of(std::uint32_t priority, microseconds run_time, bool is_late);
 
--- a/src/call/choose_endpoint.cpp
+++ b/src/call/choose_endpoint.cpp
@@ -54,7 +54,7 @@
 double score(const candidate& option, instant now) {
     const auto& load = *option.load;
     const auto latency = std::max(min_latency_us, static_cast<double>(load.latency.count()));
-    const auto slots = std::max(1.0, static_cast<double>(option.target->slots));
+    const auto slots = usable_slots(*option.target, load, now);
     const auto busy = (estimate_in_flight(load, now) + 1) / (slots * ramp_share(load, now));
     return busy * (latency + failure_cost_us * load.failure_share);
 }
@@ -62,7 +62,13 @@
 /// Whether the endpoint is busy enough for calls to go to other data centres as well.
 bool is_nearly_full(const candidate& option, instant now) {
     return estimate_in_flight(*option.load, now) >=
-           spillover_share * std::max(1U, option.target->slots);
+           spillover_share * usable_slots(*option.target, *option.load, now);
+}
+
+/// Whether the endpoint states a rate that allows no start now, by its gate's last report.
+bool must_wait_for_rate(const candidate& option, const route_id& route, instant now) {
+    return option.load->notice.calls_per_s > 0 &&
+           estimate_wait(*option.load, route, now).count() > 0;
 }
 
 const endpoint* better_of_two(const std::vector<candidate>& candidates, instant now,
@@ -102,6 +108,9 @@
         }
         const bool is_near = target.data_centre == input.data_centre && !target.is_suspect;
         (is_near ? lists.near : lists.far).push_back(next);
+        if (must_wait_for_rate(next, input.route, now)) {
+            continue;
+        }
         if (is_near && !is_nearly_full(next, now)) {
             lists.near_with_room.push_back(next);
         }
@@ -127,7 +136,7 @@
 } // namespace
 
 bool has_room(const endpoint& candidate, const endpoint_load& load, instant now) {
-    return estimate_in_flight(load, now) < std::max<std::uint32_t>(1, candidate.slots);
+    return estimate_in_flight(load, now) < std::max(1.0, usable_slots(candidate, load, now));
 }
 
 std::optional<microseconds> least_wait(const choice_input& input, const load_table& loads,
--- a/src/call/entry_call.cpp
+++ b/src/call/entry_call.cpp
@@ -182,6 +182,14 @@
     state.current.reset();
 }
 
+/// Whether the gate refused because it has no start now and was asked not to wait, so that it may
+/// still queue the call.
+bool is_without_wait(msg::refusal_reason reason, const entry_call& state) {
+    const bool was_no_wait = state.current->target.has_room && !state.may_wait;
+    return reason == msg::refusal_reason::busy ||
+           (reason == msg::refusal_reason::rate_limited && was_no_wait);
+}
+
 void on_event(entry_call& state, const refused_event& event, const entry_context& context,
               actions& out) {
     if (!is_current(state, event.call)) {
@@ -197,7 +205,7 @@
     // A run with an unknown outcome is not a refusal: the upstream broke off.
     const auto end = is_proven ? attempt_end::refused : attempt_end::failed;
     out.emplace_back(ended_action{state.current->target, end, age(*state.current, context.now)});
-    if (event.details.reason == msg::refusal_reason::busy) {
+    if (is_without_wait(event.details.reason, state)) {
         state.busy.push_back(state.current->target.node);
     }
     state.current.reset();
--- a/src/call/entry_call.h
+++ b/src/call/entry_call.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <optional>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -25,6 +26,11 @@
     bool has_room = false;
     /// Last reported run of the gate's process; 0 when unknown.
     std::uint64_t gate_instance = 0;
+    /// The run of the upstream that the attempt is meant for.
+    std::string instance;
+    std::uint64_t started_ms = 0;
+    /// Calls a second that the upstream takes, as last reported; 0 if unknown or not limited.
+    double calls_per_s = 0;
 };
 
 /// Refusal of a call by a gate or by this entry.
--- a/src/call/gate.cpp
+++ b/src/call/gate.cpp
@@ -32,6 +32,7 @@
     refused.slots = load.slots;
     refused.wait_us = load.wait_us;
     refused.gate_instance = gate.instance;
+    refused.calls_per_s = gate.rate.calls_per_s.value_or(0);
     return refused;
 }
 
@@ -51,6 +52,7 @@
     note_start(gate.routes, entry.route, now);
     entry.state = memory_state::running;
     gate.running.emplace(call, running_call{owner, entry.route, now, deadline});
+    note_start(gate.rate, now);
     ++gate.shares.owners[owner].running;
     ++gate.counters.dispatched;
     out.emplace_back(run_action{call});
@@ -75,7 +77,7 @@
 }
 
 void fill_slots(gate_state& gate, instant now, gate_actions& out) {
-    while (gate.queue.size > 0 && gate.running.size() < effective_limit(gate)) {
+    while (gate.queue.size > 0 && may_start_one(gate, now)) {
         const auto next = choose_next(gate, now);
         const auto deadline = next.place->second.deadline;
         if (deadline <= now) {
@@ -89,7 +91,8 @@
 }
 
 refusal make_queue_full_refusal(const gate_state& gate, const route_id& route, instant now) {
-    return {.reason = refusal_reason::queue_full,
+    return {.reason = is_rate_bound(gate, now) ? refusal_reason::rate_limited
+                                               : refusal_reason::queue_full,
             .retry_helps = true,
             .retry_after = retry_delay(gate, route, now)};
 }
@@ -160,6 +163,28 @@
     }
 }
 
+/// Refuses the queued calls that the stated rate lets start only after their deadline.
+void refuse_hopeless(gate_state& gate, instant now, gate_actions& out) {
+    if (!gate.rate.calls_per_s) {
+        return;
+    }
+    std::size_t calls_ahead = 0;
+    for (const auto& waiting : list_in_order(gate.queue)) {
+        const auto& call = waiting.place->second;
+        const auto start_at = now + wait_for_start(gate.rate, calls_ahead, now);
+        if (start_at + call.run_time <= call.deadline) {
+            ++calls_ahead;
+            continue;
+        }
+        const auto route = gate.memory.calls[call.call].route;
+        refuse_queued(gate, waiting,
+                      {.reason = refusal_reason::rate_limited,
+                       .retry_helps = true,
+                       .retry_after = retry_delay(gate, route, now)},
+                      now, out);
+    }
+}
+
 void stop_running(gate_state& gate, const call_id& call, instant now) {
     const auto it = gate.running.find(call);
     note_stop(gate.routes, it->second.route, now);
@@ -212,12 +237,16 @@
     entry.route = request.route;
     note_rank(gate.routes, request.route,
               rank_of(request.priority, expected_run_time(gate, request.route), false));
+    if (request.known_calls_per_s && !gate.rate.is_confirmed && !gate.rate.calls_per_s) {
+        // The gate has restarted: the upstream's limit holds on.
+        set_rate(gate.rate, request.known_calls_per_s, now);
+    }
     if (const auto refused = find_refusal(gate, request, now)) {
         refuse(gate, request.call, *refused, now, out);
         return out;
     }
     count_usage(gate.shares, gate.limit.slots, now);
-    if (gate.queue.size == 0 && gate.running.size() < effective_limit(gate)) {
+    if (gate.queue.size == 0 && may_start_one(gate, now)) {
         start(gate, request.call, request.owner, request.deadline, now, out);
         return out;
     }
@@ -300,6 +329,8 @@
     for (const auto& expired : find_expired(gate.queue, now + least)) {
         refuse_queued(gate, expired, {.reason = refusal_reason::deadline}, now, out);
     }
+    refuse_hopeless(gate, now, out);
+    fill_slots(gate, now, out);
     trim(gate.memory, gate.settings.memory, now);
     forget_idle(gate.routes, now);
     return out;
@@ -326,6 +357,30 @@
     return out;
 }
 
+gate_actions on_stated_rate(gate_state& gate, const call_id& call,
+                            std::optional<double> calls_per_s, instant now) {
+    gate_actions out;
+    const auto it = gate.running.find(call);
+    if (it == gate.running.end()) {
+        return out;
+    }
+    // An answer that was under way when the limit was stated says nothing newer.
+    if (!calls_per_s && gate.rate.calls_per_s && it->second.started_at <= gate.rate.stated_at) {
+        return out;
+    }
+    gate.rate.is_confirmed = true;
+    if (calls_per_s) {
+        gate.rate.stated_at = now;
+    }
+    set_rate(gate.rate, calls_per_s, now);
+    fill_slots(gate, now, out);
+    return out;
+}
+
+void begin_upstream_run(gate_state& gate) {
+    gate.rate = {};
+}
+
 gate_actions on_drain(gate_state& gate, instant now) {
     gate_actions out;
     gate.is_draining = true;
@@ -339,26 +394,4 @@
     set_reservations(gate.shares, reserved);
 }
 
-bool is_under_way(const gate_state& gate, const call_id& call) {
-    const auto it = gate.memory.calls.find(call);
-    return it != gate.memory.calls.end() &&
-           (it->second.state == memory_state::queued || it->second.state == memory_state::running);
-}
-
-node_id waiter_of(const gate_state& gate, const call_id& call) {
-    const auto it = gate.memory.calls.find(call);
-    return it == gate.memory.calls.end() ? node_id{} : it->second.waiter;
-}
-
-load_report current_load(const gate_state& gate, const call_id& call, instant now) {
-    const auto it = gate.memory.calls.find(call);
-    const auto wait = it == gate.memory.calls.end()
-                          ? longest_wait(gate, now)
-                          : expected_route_wait(gate, it->second.route, now);
-    return {.in_flight = static_cast<std::uint32_t>(gate.running.size()),
-            .queue = static_cast<std::uint32_t>(gate.queue.size),
-            .slots = current_limit(gate.limit),
-            .wait_us = static_cast<std::uint32_t>(wait.count())};
-}
-
 } // namespace cyclamenhatch::call
--- a/src/call/gate.h
+++ b/src/call/gate.h
@@ -6,6 +6,7 @@
 #include "call/load_table.h"
 #include "call/outcome_memory.h"
 #include "call/owner_shares.h"
+#include "call/rate_limit.h"
 #include "call/route_use.h"
 
 #include <array>
@@ -52,6 +53,9 @@
     bool no_wait = false;
     /// Run times are measured per route.
     route_id route;
+    /// Rate that the upstream stated as known to the entry, in calls a second; nothing for unknown
+    /// or none.
+    std::optional<double> known_calls_per_s;
 };
 
 struct running_call {
@@ -86,6 +90,7 @@
     /// Starts since the last turn of an overdue call.
     std::uint32_t starts_in_order = 0;
     concurrency_limit limit;
+    rate_limit rate;
     owner_shares shares;
     gate_queue queue;
     std::unordered_map<call_id, running_call> running;
@@ -155,6 +160,15 @@
 [[nodiscard]] gate_actions
 on_upstream_change(gate_state& gate, const msg::upstream_record_msg& upstream, instant now);
 
+/// Applies what an answer to a running call says about the rate that the upstream takes: its limit
+/// in calls a second, or nothing for none. An answer without a limit is ignored when its call
+/// started before the limit was stated.
+[[nodiscard]] gate_actions on_stated_rate(gate_state& gate, const call_id& call,
+                                          std::optional<double> calls_per_s, instant now);
+
+/// Forgets what the upstream has said about itself in its answers: another run of it has begun.
+void begin_upstream_run(gate_state& gate);
+
 /// Stops taking new calls and refuses queued ones; running calls continue.
 [[nodiscard]] gate_actions on_drain(gate_state& gate, instant now);
 
--- a/src/call/gate_queue.cpp
+++ b/src/call/gate_queue.cpp
@@ -87,6 +87,20 @@
     return std::nullopt;
 }
 
+std::vector<queued_call> list_in_order(gate_queue& queue) {
+    std::vector<queued_call> all;
+    all.reserve(queue.size);
+    for (auto& [owner, calls] : queue.by_owner) {
+        for (auto it = calls.begin(); it != calls.end(); ++it) {
+            all.push_back({owner, it});
+        }
+    }
+    std::sort(all.begin(), all.end(), [](const queued_call& left, const queued_call& right) {
+        return left.place->first < right.place->first;
+    });
+    return all;
+}
+
 work_ahead sum_work_ahead(const gate_queue& queue, const queue_position& position) {
     work_ahead sum;
     for (const auto& [owner, calls] : queue.by_owner) {
--- a/src/call/gate_queue.h
+++ b/src/call/gate_queue.h
@@ -73,6 +73,9 @@
 /// The call's place in the queue; nothing when it is not queued.
 [[nodiscard]] std::optional<queued_call> find_queued(gate_queue& queue, const call_id& call);
 
+/// All waiting calls in order of their positions, over all owners.
+[[nodiscard]] std::vector<queued_call> list_in_order(gate_queue& queue);
+
 /// Number of the calls ahead of a position and the sum of their run times.
 struct work_ahead {
     std::size_t calls = 0;
--- a/src/call/load_table.cpp
+++ b/src/call/load_table.cpp
@@ -1,12 +1,16 @@
 #include "call/load_table.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cyclamenhatch::call {
 namespace {
 
 constexpr double smoothing = 0.2;
 constexpr std::uint32_t max_backoff_doublings = 5;
+constexpr double us_per_s = 1e6;
+/// Lower bound for an upstream that states a rate, so that its cost stays finite.
+constexpr double min_usable_slots = 0.05;
 
 bool should_eject(const endpoint_load& load) {
     return load.failures_in_row >= failures_to_eject ||
@@ -30,6 +34,15 @@
     load.latency += microseconds(static_cast<std::int64_t>(change));
 }
 
+/// Forgets what another run of the upstream said about itself.
+void follow_run(endpoint_load& load, const endpoint& target) {
+    if (load.instance != target.instance || load.started_ms != target.started_ms) {
+        load.notice = {};
+        load.instance = target.instance;
+        load.started_ms = target.started_ms;
+    }
+}
+
 } // namespace
 
 endpoint_load& get_or_create_load(load_table& table, const endpoint& target, instant now) {
@@ -37,14 +50,23 @@
     auto& load = it->second;
     if (is_new || load.incarnation != target.incarnation) {
         const auto in_flight = load.in_flight;
-        const auto instance = load.gate_instance;
+        const auto gate_instance = load.gate_instance;
+        auto instance = std::move(load.instance);
+        const auto started_ms = load.started_ms;
+        const auto notice = load.notice;
+        const auto noted_at = load.noted_at;
         load = {};
         load.in_flight = in_flight;
-        load.gate_instance = instance;
+        load.gate_instance = gate_instance;
+        load.instance = std::move(instance);
+        load.started_ms = started_ms;
+        load.notice = notice;
+        load.noted_at = noted_at;
         load.incarnation = target.incarnation;
         load.ready_since = now;
         load.used_at = now;
     }
+    follow_run(load, target);
     return load;
 }
 
@@ -71,6 +93,25 @@
     load.gate_instance = gate_instance;
 }
 
+void note_upstream(endpoint_load& load, const std::string& instance, std::uint64_t started_ms,
+                   const upstream_notice& notice, instant now) {
+    if (load.instance != instance || load.started_ms != started_ms) {
+        return;
+    }
+    load.notice = notice;
+    load.noted_at = now;
+}
+
+double usable_slots(const endpoint& target, const endpoint_load& load, instant now) {
+    const auto slots = std::max(1.0, static_cast<double>(target.slots));
+    const bool is_limited = load.notice.calls_per_s > 0 && now - load.noted_at <= rate_lifetime;
+    if (!is_limited || load.latency.count() == 0) {
+        return slots;
+    }
+    const auto latency_s = static_cast<double>(load.latency.count()) / us_per_s;
+    return std::clamp(load.notice.calls_per_s * latency_s, min_usable_slots, slots);
+}
+
 void note_refusal(endpoint_load& load, msg::refusal_reason reason, instant now) {
     using msg::refusal_reason;
     const bool is_closed =
--- a/src/call/load_table.h
+++ b/src/call/load_table.h
@@ -16,6 +16,10 @@
 /// Time for which a gate's reported wait is used. It is short, since queues change with each
 /// answer; using the report prevents a series of calls that would all be refused.
 inline constexpr microseconds wait_lifetime{60'000};
+/// Time for which a stated rate counts in the choice of an endpoint. After it the endpoint gets
+/// calls as if it had none, so that the entry learns whether it still states one; the gate keeps to
+/// it.
+inline constexpr microseconds rate_lifetime{5'000'000};
 /// Time over which a newly ready endpoint's weight grows to its full size.
 inline constexpr microseconds ramp_time{5'000'000};
 /// Time for which an endpoint whose gate refused all calls is skipped. The gate's refusal overrides
@@ -35,6 +39,12 @@
     std::uint32_t wait_us = 0;
 };
 
+/// What an upstream says about itself in its answers.
+struct upstream_notice {
+    /// Calls a second that it takes from all nodes together; 0 for no limit.
+    double calls_per_s = 0;
+};
+
 /// How one attempt ended, as the entry saw it.
 enum class attempt_end {
     ok,
@@ -66,6 +76,11 @@
     /// Instance id of the gate's process, from its last report; 0 before the first one.
     std::uint64_t gate_instance = 0;
     std::uint64_t incarnation = 0;
+    /// The run of the upstream that the notice is about.
+    std::string instance;
+    std::uint64_t started_ms = 0;
+    upstream_notice notice;
+    instant noted_at{};
     instant ready_since{};
     instant used_at{};
     /// End of the ejection. After it, one call at a time is sent as a probe, and the field is reset
@@ -81,7 +96,8 @@
 using load_table = std::unordered_map<node_id, endpoint_load>;
 
 /// Returns the load of an endpoint. It is created, or reset when the endpoint's incarnation has
-/// changed; a reset keeps the number of attempts in flight.
+/// changed; a reset keeps the number of attempts in flight, and what the upstream said about itself
+/// while its run is the same.
 endpoint_load& get_or_create_load(load_table& table, const endpoint& target, instant now);
 
 void note_opened(endpoint_load& load, instant now);
@@ -89,6 +105,14 @@
 void note_report(endpoint_load& load, const route_id& route, const load_report& report,
                  std::uint64_t gate_instance, instant now);
 
+/// Records what the upstream said about itself, as reported with the end of a call to this run of
+/// it. Reports about another run are ignored.
+void note_upstream(endpoint_load& load, const std::string& instance, std::uint64_t started_ms,
+                   const upstream_notice& notice, instant now);
+
+/// Calls that the endpoint can run at once: its slots, or fewer while it states a rate.
+[[nodiscard]] double usable_slots(const endpoint& target, const endpoint_load& load, instant now);
+
 /// Records a refusal. One that holds for all calls closes the endpoint for `closed_time`: a gate
 /// that refuses at once would otherwise look idle and attract all calls.
 void note_refusal(endpoint_load& load, msg::refusal_reason reason, instant now);
--- a/src/call/routing_view.h
+++ b/src/call/routing_view.h
@@ -26,6 +26,8 @@
     std::uint64_t incarnation = 0;
     /// Identifies the run of the upstream; empty when it states none.
     std::string instance;
+    /// When that run started, milliseconds since the Unix epoch by its own clock; 0 if unknown.
+    std::uint64_t started_ms = 0;
     bool is_suspect = false;
 };
 
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -229,6 +229,7 @@
             .warm_up_time = milliseconds{record.upstream->cold_ms},
             .incarnation = record.incarnation,
             .instance = record.upstream->instance,
+            .started_ms = record.upstream->started_ms,
             .is_suspect = record.state == msg::liveness::suspect};
 }
 
--- a/src/edge/call_report.cpp
+++ b/src/edge/call_report.cpp
@@ -29,6 +29,7 @@
                            {"is_ejected", call::is_ejected(load, now)},
                            {"ejections", std::int64_t{load.ejections}},
                            {"reported_in_flight", std::int64_t{load.reported.in_flight}},
+                           {"calls_per_s", load.notice.calls_per_s},
                            {"reported_queue", std::int64_t{load.reported.queue}},
                            {"reported_slots", std::int64_t{load.reported.slots}}};
 }
@@ -105,6 +106,7 @@
                            {"version", gate.version.value},
                            {"upstream", msg::EnumNameupstream_state(gate.upstream)},
                            {"is_draining", gate.is_draining},
+                           {"calls_per_s", gate.rate.calls_per_s.value_or(0)},
                            {"slots", std::int64_t{gate.limit.slots}},
                            {"limit", std::int64_t{call::current_limit(gate.limit)}},
                            {"running", to_number(gate.running.size())},
@@ -193,6 +195,8 @@
     add_gauge(out, "gate_slots", gate.limit.slots);
     add_gauge(out, "gate_limit", call::current_limit(gate.limit));
     add_gauge(out, "gate_running", gate.running.size());
+    out += "# TYPE cyclamenhatch_gate_rate_limit gauge\n";
+    add_line(out, "gate_rate_limit", {}, std::to_string(gate.rate.calls_per_s.value_or(0)));
     add_gauge(out, "gate_queued", gate.queue.size);
     add_gauge(out, "gate_remembered_bytes", gate.memory.answer_bytes);
     add_counter(out, "gate_dispatched_total", gate.counters.dispatched);
--- a/src/edge/entry_side.cpp
+++ b/src/edge/entry_side.cpp
@@ -165,6 +165,14 @@
     return parsed.ec == std::errc{} ? std::optional(bytes) : std::nullopt;
 }
 
+/// Records what the upstream of the current attempt says about itself. Precondition: the lock is
+/// held and there is an attempt.
+void note_upstream(entry_side& side, const entry_flow& flow, const call::upstream_notice& notice,
+                   instant now) {
+    const auto& target = flow.state.current->target;
+    call::note_upstream(side.loads[target.node], target.instance, target.started_ms, notice, now);
+}
+
 void record_segments(entry_side& side, const entry_flow& flow, const msg::call_answer_msg& message,
                      instant now) {
     const auto time_at_gate = microseconds(message.gate_us) + microseconds(message.upstream_us);
@@ -250,6 +258,7 @@
     const auto now = current_time();
     const call::load_report load{message.in_flight, message.queue, message.slots, message.wait_us};
     call::note_report(side.loads[sender], flow->route, load, message.gate_instance, now);
+    note_upstream(side, *flow, {message.calls_per_s}, now);
     record_segments(side, *flow, message, now);
     if (!message.last) {
         flow->streaming_target = flow->state.current->target;
@@ -276,6 +285,7 @@
     const call::load_report load{message.in_flight, message.queue, message.slots, message.wait_us};
     const auto now = current_time();
     call::note_report(side.loads[sender], flow->route, load, message.gate_instance, now);
+    note_upstream(side, *flow, {message.calls_per_s}, now);
     call::note_refusal(side.loads[sender], message.reason, now);
     const call::refusal refusal{.outcome = message.outcome,
                                 .reason = message.reason,
--- a/src/edge/entry_steps.cpp
+++ b/src/edge/entry_steps.cpp
@@ -68,7 +68,10 @@
                                 .data_centre = chosen->data_centre,
                                 .version = chosen->version,
                                 .has_room = has_room,
-                                .gate_instance = load.gate_instance};
+                                .gate_instance = load.gate_instance,
+                                .instance = load.instance,
+                                .started_ms = load.started_ms,
+                                .calls_per_s = load.notice.calls_per_s};
 }
 
 call::sample_kind kind_of(call::attempt_end end) {
@@ -130,6 +133,7 @@
     }
     message.call = call::make_key(action.target.call);
     message.gate_instance = action.target.gate_instance;
+    message.known_calls_per_s = action.target.calls_per_s;
     message.attempt =
         static_cast<std::uint8_t>(std::min(flow.request.attempt + action.attempt_number - 1, 255U));
     message.deadline_us = time_left(flow.state.deadline, now);
--- a/src/edge/gate_log.cpp
+++ b/src/edge/gate_log.cpp
@@ -16,8 +16,30 @@
     }
 }
 
+std::string rate_text(std::optional<double> calls_per_s) {
+    return calls_per_s ? std::to_string(*calls_per_s) : "none";
+}
+
 } // namespace
 
+void log_rate(const gate_side& side, const std::string& instance, std::optional<double> before,
+              std::optional<double> after, const std::string& source) {
+    if (side.log) {
+        side.log({log_level::info,
+                  "upstream_rate_changed",
+                  {{"instance", instance},
+                   {"calls_per_s", rate_text(after)},
+                   {"previous", rate_text(before)},
+                   {"source", source}}});
+    }
+}
+
+void log_invalid_rate(const gate_side& side, const gate_flow& flow) {
+    if (side.log) {
+        side.log({log_level::warning, "upstream_rate_invalid", {{"request", flow.request_id}}});
+    }
+}
+
 void log_faults(const gate_side& side, const gate_flow_ptr& flow, const answer_match& match,
                 upstream_events& events) {
     flow->request_id = match.value;
--- a/src/edge/gate_log.h
+++ b/src/edge/gate_log.h
@@ -4,6 +4,8 @@
 #include "edge/gate_side.h"
 
 #include <cstdint>
+#include <optional>
+#include <string>
 
 /// Logs bytes from the upstream that are not a valid answer.
 namespace cyclamenhatch::edge {
@@ -19,6 +21,14 @@
 /// Logs that an entry asks for the rest of an answer that this gate does not keep.
 void log_lost(const gate_side& side, const node_id& entry, std::uint64_t received);
 
+/// Logs that the rate limit of the upstream's run is known, changed or lifted. `source` is the
+/// request whose answer stated it, or the node that knew it.
+void log_rate(const gate_side& side, const std::string& instance, std::optional<double> before,
+              std::optional<double> after, const std::string& source);
+
+/// Logs a stated rate limit that is not a number of zero or more; the last valid one holds on.
+void log_invalid_rate(const gate_side& side, const gate_flow& flow);
+
 /// Logs a call that is aborted after its upstream has sent some bytes but not a whole head.
 void log_cut(const gate_side& side, const gate_flow& flow);
 
--- a/src/edge/gate_side.cpp
+++ b/src/edge/gate_side.cpp
@@ -46,6 +46,7 @@
     answer->gate_us = static_cast<std::uint32_t>(flow.queue_time.count());
     answer->upstream_us = static_cast<std::uint32_t>(flow.upstream_time.count());
     answer->gate_instance = side.gate.instance;
+    answer->calls_per_s = side.gate.rate.calls_per_s.value_or(0);
     return answer;
 }
 
@@ -62,7 +63,33 @@
     end_call(side, flow->call, {.is_not_run = true, .not_run_reason = reason});
 }
 
+/// Applies what an answer says about the upstream itself.
+void apply_statement(gate_side& side, const gate_flow& flow, const answer_head& head) {
+    const auto statement = read_statement(side.names, head);
+    if (statement.is_limit_invalid) {
+        log_invalid_rate(side, flow);
+    }
+    lock_type guard(side.lock);
+    if (flow.upstream_run != side.upstream_run) {
+        return;
+    }
+    const auto now = current_time();
+    const auto rate_before = side.gate.rate.calls_per_s;
+    call::gate_actions actions;
+    if (!statement.is_limit_invalid) {
+        actions = call::on_stated_rate(side.gate, flow.call, statement.calls_per_s, now);
+    }
+    const auto rate = side.gate.rate.calls_per_s;
+    const auto instance = side.instance;
+    guard.unlock();
+    if (rate != rate_before) {
+        log_rate(side, instance, rate_before, rate, flow.request_id);
+    }
+    perform(side, std::move(actions));
+}
+
 void on_answer(gate_side& side, const gate_flow_ptr& flow, answer_head head, body_piece piece) {
+    apply_statement(side, *flow, head);
     if (const auto reason = find_not_run_reason(side.names, head)) {
         end_not_run(side, flow, *reason, piece.is_last);
         return;
@@ -103,6 +130,7 @@
     const auto now = current_time();
     flow->started_at = now;
     flow->progressed_at = now;
+    flow->upstream_run = side.upstream_run;
     flow->queue_time = now - flow->received_at;
     flow->exchange =
         prepare_exchange(side.client, flow->request.idempotent ? any_idle : fresh_idle);
@@ -167,6 +195,19 @@
     }
 }
 
+/// Forgets what an earlier run of the upstream has said about itself. Precondition: the lock is
+/// held.
+void follow_run(gate_side& side, const msg::upstream_record_msg& upstream) {
+    const bool is_restarted =
+        side.started_ms > 0 && upstream.started_ms > 0 && side.started_ms != upstream.started_ms;
+    if (side.instance != upstream.instance || is_restarted) {
+        ++side.upstream_run;
+        call::begin_upstream_run(side.gate);
+    }
+    side.instance = upstream.instance;
+    side.started_ms = upstream.started_ms;
+}
+
 /// Calls that were not cancelled in time, or whose body makes no progress.
 std::vector<call_id> find_overdue(const gate_side& side, instant now) {
     std::vector<call_id> overdue;
@@ -212,8 +253,12 @@
                          : std::optional(now + microseconds(message.objective_us)),
         .priority = message.priority,
         .no_wait = message.no_wait,
-        .route = route_id(message.route)};
+        .route = route_id(message.route),
+        .known_calls_per_s = message.known_calls_per_s > 0
+                                 ? std::optional(message.known_calls_per_s)
+                                 : std::nullopt};
     lock_type guard(side.lock);
+    const auto rate_before = side.gate.rate.calls_per_s;
     const bool was_under_way = call::is_under_way(side.gate, call);
     const bool is_lost = message.reattach && message.has_head && !was_under_way;
     const auto received = message.received;
@@ -227,10 +272,15 @@
         flow->deadline = request.deadline;
         side.flows.emplace(call, std::move(flow));
     }
+    const auto rate = side.gate.rate.calls_per_s;
+    const auto instance = side.instance;
     guard.unlock();
     if (is_lost) {
         log_lost(side, sender, received);
     }
+    if (rate != rate_before) {
+        log_rate(side, instance, rate_before, rate, sender.value);
+    }
     perform(side, std::move(actions));
 }
 
@@ -244,7 +294,7 @@
 
 void on_upstream(gate_side& side, const msg::upstream_record_msg& upstream) {
     lock_type guard(side.lock);
-    side.instance = upstream.instance;
+    follow_run(side, upstream);
     auto actions = call::on_upstream_change(side.gate, upstream, current_time());
     guard.unlock();
     perform(side, std::move(actions));
--- a/src/edge/gate_side.h
+++ b/src/edge/gate_side.h
@@ -34,6 +34,8 @@
     /// When a piece of a body was last read or written.
     instant progressed_at{};
     upstream_exchange_ptr exchange;
+    /// Number of the upstream's run that the call was dispatched to.
+    std::uint64_t upstream_run = 0;
     call::incoming_body upload;
     /// Pieces of the request's body that the upstream's connection has not taken.
     std::deque<body_piece> waiting_pieces;
@@ -73,6 +75,10 @@
     call::gate_state gate;
     /// Instance id of the current run of the upstream; empty when it states none.
     std::string instance;
+    /// When that run started, as it announced; 0 if unknown.
+    std::uint64_t started_ms = 0;
+    /// Counts the runs of the upstream.
+    std::uint64_t upstream_run = 0;
     std::unordered_map<call_id, gate_flow_ptr> flows;
     /// Calls that have ended here, but whose entry has not confirmed the whole answer.
     std::unordered_map<call_id, gate_flow_ptr> undelivered;
--- a/src/edge/header_names.h
+++ b/src/edge/header_names.h
@@ -24,6 +24,9 @@
     std::string caller_service;
     /// Its presence in an answer says that the upstream did not run the call.
     std::string not_run;
+    /// Calls a second, as a decimal number, that the upstream takes from all nodes together. Holds
+    /// until an answer comes without it.
+    std::string rate_limit = "cyclamenhatch-upstream-limit";
     /// Whether Retry-After may hold fractions of a second.
     bool has_fractional_retry_after = false;
 };
--- a/src/edge/upstream_headers.cpp
+++ b/src/edge/upstream_headers.cpp
@@ -2,6 +2,9 @@
 
 #include "edge/call_headers.h"
 
+#include <charconv>
+#include <cmath>
+#include <string_view>
 #include <utility>
 
 namespace cyclamenhatch::edge {
@@ -28,6 +31,25 @@
     return is_not_run ? std::optional(msg::refusal_reason::upstream_refused) : std::nullopt;
 }
 
+upstream_statement read_statement(const header_names& names, const answer_head& head) {
+    upstream_statement statement;
+    const auto text =
+        names.rate_limit.empty() ? std::string_view{} : find_header(head.headers, names.rate_limit);
+    if (text.empty()) {
+        return statement;
+    }
+    double calls_per_s = 0;
+    const auto* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, calls_per_s, std::chars_format::fixed);
+    const bool is_number = parsed.ec == std::errc{} && parsed.ptr == end;
+    if (is_number && std::isfinite(calls_per_s) && calls_per_s >= 0) {
+        statement.calls_per_s = calls_per_s;
+    } else {
+        statement.is_limit_invalid = true;
+    }
+    return statement;
+}
+
 request_head make_upstream_head(const header_names& names, const std::string& instance,
                                 msg::call_open_msg& request, microseconds time_left) {
     request_head head{.method = std::move(request.method),
--- a/src/edge/upstream_headers.h
+++ b/src/edge/upstream_headers.h
@@ -17,6 +17,16 @@
 [[nodiscard]] std::optional<msg::refusal_reason> find_not_run_reason(const header_names& names,
                                                                      const answer_head& head);
 
+/// What the head of an answer says about the upstream itself.
+struct upstream_statement {
+    /// Calls a second; nothing when there is no such header or it cannot be read.
+    std::optional<double> calls_per_s;
+    /// There is a limit in the head, but it is not a number of zero or more.
+    bool is_limit_invalid = false;
+};
+
+[[nodiscard]] upstream_statement read_statement(const header_names& names, const answer_head& head);
+
 /// The head of a call as sent to the upstream, with the time left and the expected instance. Moves
 /// from the request.
 [[nodiscard]] request_head make_upstream_head(const header_names& names,
--- a/tests/call/choice_test.cpp
+++ b/tests/call/choice_test.cpp
@@ -22,7 +22,9 @@
             .version = version_id("v1"),
             .state = msg::upstream_state::ready,
             .slots = 4,
-            .incarnation = 1};
+            .incarnation = 1,
+            .instance = "run-" + node,
+            .started_ms = 7};
 }
 
 /// Three endpoints past their ramp, "c" in another data centre.
@@ -163,6 +165,36 @@
          note_refusal(fixture.load("a"), msg::refusal_reason::queue_full, fixture.now);
      },
      45, 55},
+    {"states_a_rate",
+     [](choice_fixture& fixture) {
+         note_upstream(fixture.load("a"), "run-a", 7, {.calls_per_s = 20}, fixture.now);
+     },
+     0, 0},
+    {"stated_a_rate_a_while_ago",
+     [](choice_fixture& fixture) {
+         note_upstream(fixture.load("a"), "run-a", 7, {.calls_per_s = 20},
+                       fixture.now - rate_lifetime - microseconds(1));
+     },
+     45, 55},
+    {"stated_rate_allows_no_start",
+     [](choice_fixture& fixture) {
+         note_upstream(fixture.load("a"), "run-a", 7, {.calls_per_s = 200}, fixture.now);
+         fixture.load("b").in_flight = 3;
+         note_report(fixture.load("a"), route_id("browse"), {.wait_us = 50'000}, 1, fixture.now);
+     },
+     0, 0},
+    {"stated_rate_is_used_when_others_are_full",
+     [](choice_fixture& fixture) {
+         note_upstream(fixture.load("a"), "run-a", 7, {.calls_per_s = 20}, fixture.now);
+         fixture.load("b").in_flight = 4;
+         fixture.load("c").in_flight = 4;
+     },
+     100, 100},
+    {"a_report_of_another_run_does_not_count",
+     [](choice_fixture& fixture) {
+         note_upstream(fixture.load("a"), "run-0", 7, {.calls_per_s = 1}, fixture.now);
+     },
+     45, 55},
     {"suspect", [](choice_fixture& fixture) { fixture.endpoints[0].is_suspect = true; }, 0, 0},
     {"ejected_is_better_than_none",
      [](choice_fixture& fixture) {
--- a/tests/edge/fake_upstream.cpp
+++ b/tests/edge/fake_upstream.cpp
@@ -46,13 +46,16 @@
                : head.substr(position + 6, head.find("\r\n", position) - position - 6);
 }
 
-/// The answer with an id beside its first header.
-std::string with_id(std::string answer, const std::string& id) {
-    const auto end = answer.find("\r\n");
-    answer.insert(end, "\r\nx-id: " + id);
+/// The answer with another header, before its first one.
+std::string with_header(std::string answer, const std::string& header) {
+    answer.insert(answer.find("\r\n"), "\r\n" + header);
     return answer;
 }
 
+std::string with_id(std::string answer, const std::string& id) {
+    return with_header(std::move(answer), "x-id: " + id);
+}
+
 } // namespace
 
 std::string counted_bytes(std::size_t bytes) {
@@ -194,6 +197,9 @@
     if (starts_with(path, "/unrun")) {
         return with_id(plain(503, "full"), id + "\r\nx-unrun: 1");
     }
+    if (starts_with(path, "/limit/")) {
+        return with_header(plain(200, "ok"), "cyclamenhatch-upstream-limit: " + path.substr(7));
+    }
     if (starts_with(path, "/other")) {
         return with_id(plain(421, "other"), id);
     }
--- /dev/null
+++ b/tests/edge/upstream_statement_test.cpp
@@ -0,0 +1,66 @@
+#include "edge/upstream_headers.h"
+#include "joined_paths.h"
+
+#include <gtest/gtest.h>
+
+#include <ostream>
+
+namespace cyclamenhatch::edge::testing {
+namespace {
+
+struct limit_row {
+    const char* name;
+    const char* text;
+    std::optional<double> calls_per_s;
+    bool is_invalid;
+
+    friend std::ostream& operator<<(std::ostream& out, const limit_row& row) {
+        return out << row.name;
+    }
+};
+
+class stated_limit : public ::testing::TestWithParam<limit_row> {};
+
+/// Guards against a limit that is misread, and against one taken from a broken header.
+TEST_P(stated_limit, is_read_as_a_decimal_number) {
+    const auto& row = GetParam();
+    const header_names names;
+    const auto statement = read_statement(names, {200, {{names.rate_limit, row.text}}});
+    EXPECT_EQ(statement.calls_per_s, row.calls_per_s);
+    EXPECT_EQ(statement.is_limit_invalid, row.is_invalid);
+}
+
+const limit_row limit_rows[] = {
+    {"whole", "12", 12.0, false},
+    {"decimal", "4.5", 4.5, false},
+    {"zero", "0", 0.0, false},
+    {"huge", "1000000000000", 1e12, false},
+    {"negative", "-1", std::nullopt, true},
+    {"words", "some", std::nullopt, true},
+    {"unit", "12/s", std::nullopt, true},
+    {"infinite", "inf", std::nullopt, true},
+    {"not_a_number", "nan", std::nullopt, true},
+    {"empty", "", std::nullopt, false},
+};
+
+INSTANTIATE_TEST_SUITE_P(rows, stated_limit, ::testing::ValuesIn(limit_rows),
+                         [](const auto& row) { return std::string(row.param.name); });
+
+/// Guards against an upstream that gets more calls than the rate that it states (LIMIT).
+TEST(limited_upstream, gets_no_more_calls_than_it_states) {
+    fake_upstream upstream;
+    joined_paths paths(upstream.port());
+    const std::string path = "/limit/0.25";
+    EXPECT_EQ(paths.get(path), "200 upstream ok");
+    int refused = 0;
+    for (int call = 0; call < 6; ++call) {
+        const auto answer = paths.get(path, "cyclamenhatch-deadline-ms: 200\r\n");
+        refused += answer.substr(0, 17) == "503 not-run later" ? 1 : 0;
+    }
+    // One call may start at once, the next one four seconds later.
+    EXPECT_EQ(upstream.runs(path), 2);
+    EXPECT_EQ(refused, 5);
+}
+
+} // namespace
+} // namespace cyclamenhatch::edge::testing
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -1,6 +1,7 @@
 #include "document/document.h"
 #include "model/snapshot.h"
 #include "platform/announcements.h"
+#include "platform/header_names.h"
 #include "platform/kv_codec.h"
 #include "platform/operator_config.h"
 
@@ -285,6 +286,13 @@
 }
 
 /// Guards against using the platform's wire names outside its folder.
+/// Guards against a statement of the upstream that is not read since its header has another name
+/// (LIMIT).
+TEST(header_names, cover_what_upstreams_say_of_themselves) {
+    const auto headers = make_header_names();
+    EXPECT_EQ(headers.rate_limit, "Server-Limit");
+}
+
 TEST(wire_names, occur_in_the_platform_folder_only) {
     const std::vector<std::string> names{"X-Server-Stamp",   "X-Expect-Instance", "X-Not-Executed",
                                          "X-Caller-Service", "X-Server-Load",     "kv-txn",
@@ -292,7 +300,8 @@
                                          "op/config",        "op/rollout",        "status/rollout",
                                          "heartbeatAddr",    "weightedServices",  "coldLeft",
                                          "X-Request-Id",     "X-Deadline-Ms",     "targetVersion",
-                                         "rolled_back",      "v1/instances",      "v1/readiness"};
+                                         "rolled_back",      "v1/instances",      "v1/readiness",
+                                         "Server-Limit"};
     const std::filesystem::path root(SOURCE_ROOT);
     for (const auto* folder : {"src", "bench", "schema"}) {
         for (const auto& entry : std::filesystem::recursive_directory_iterator(root / folder)) {
