call: send nothing more to an upstream that says in an answer that it leaves

An upstream that leaves says so in all its answers. Only announcements were read: an upstream that still announced itself as ready went on getting calls (DRAIN).

Cause: the state of an upstream came from its announcements alone, and what a gate knows ends with its process.

Change: an answer that says so closes the gate for this run of the upstream and makes its record draining, whatever it announces; answers and refusals tell the entries, which skip that run also after the node beside it has restarted. Another run, by instance id or start, begins anew.

--- a/src/call/admission.cpp
+++ b/src/call/admission.cpp
@@ -126,7 +126,8 @@
 }
 
 std::optional<refusal> find_closed_reason(const gate_state& gate) {
-    if (gate.is_draining || gate.upstream == msg::upstream_state::draining ||
+    if (gate.is_draining || gate.is_upstream_leaving ||
+        gate.upstream == msg::upstream_state::draining ||
         gate.upstream == msg::upstream_state::gone) {
         return refusal{.reason = refusal_reason::draining,
                        .retry_helps = true,
--- a/src/call/choose_endpoint.cpp
+++ b/src/call/choose_endpoint.cpp
@@ -102,6 +102,9 @@
             continue;
         }
         const candidate next{&target, &get_or_create_load(loads, target, now)};
+        if (next.load->notice.is_leaving) {
+            continue;
+        }
         if (is_ejected(*next.load, now) || now < next.load->closed_until) {
             lists.ejected.push_back(next);
             continue;
@@ -147,6 +150,11 @@
             continue;
         }
         const auto load = loads.find(target.node);
+        if (load != loads.end() && load->second.notice.is_leaving &&
+            load->second.instance == target.instance &&
+            load->second.started_ms == target.started_ms) {
+            continue;
+        }
         const auto wait =
             load == loads.end() ? microseconds{0} : estimate_wait(load->second, input.route, now);
         least = least ? std::min(*least, wait) : wait;
--- a/src/call/gate.cpp
+++ b/src/call/gate.cpp
@@ -33,6 +33,7 @@
     refused.wait_us = load.wait_us;
     refused.gate_instance = gate.instance;
     refused.calls_per_s = gate.rate.calls_per_s.value_or(0);
+    refused.upstream_leaves = gate.is_upstream_leaving;
     return refused;
 }
 
@@ -379,6 +380,14 @@
 
 void begin_upstream_run(gate_state& gate) {
     gate.rate = {};
+    gate.is_upstream_leaving = false;
+}
+
+gate_actions on_upstream_leaving(gate_state& gate, instant now) {
+    gate_actions out;
+    gate.is_upstream_leaving = true;
+    refuse_queued_when_closed(gate, now, out);
+    return out;
 }
 
 gate_actions on_drain(gate_state& gate, instant now) {
--- a/src/call/gate.h
+++ b/src/call/gate.h
@@ -86,6 +86,8 @@
     version_id version;
     msg::upstream_state upstream = msg::upstream_state::none;
     bool is_draining = false;
+    /// This run of the upstream has said in an answer that it leaves; final.
+    bool is_upstream_leaving = false;
     route_uses routes;
     /// Starts since the last turn of an overdue call.
     std::uint32_t starts_in_order = 0;
@@ -169,6 +171,9 @@
 /// Forgets what the upstream has said about itself in its answers: another run of it has begun.
 void begin_upstream_run(gate_state& gate);
 
+/// Stops taking new calls for an upstream that leaves, and refuses queued ones.
+[[nodiscard]] gate_actions on_upstream_leaving(gate_state& gate, instant now);
+
 /// Stops taking new calls and refuses queued ones; running calls continue.
 [[nodiscard]] gate_actions on_drain(gate_state& gate, instant now);
 
--- a/src/call/load_table.cpp
+++ b/src/call/load_table.cpp
@@ -98,7 +98,10 @@
     if (load.instance != instance || load.started_ms != started_ms) {
         return;
     }
-    load.notice = notice;
+    // Without an instance id a new run could not be told from the one that left; then the gate
+    // alone refuses.
+    const bool is_leaving = load.notice.is_leaving || (notice.is_leaving && !instance.empty());
+    load.notice = {.calls_per_s = notice.calls_per_s, .is_leaving = is_leaving};
     load.noted_at = now;
 }
 
--- a/src/call/load_table.h
+++ b/src/call/load_table.h
@@ -43,6 +43,7 @@
 struct upstream_notice {
     /// Calls a second that it takes from all nodes together; 0 for no limit.
     double calls_per_s = 0;
+    bool is_leaving = false;
 };
 
 /// How one attempt ended, as the entry saw it.
@@ -106,7 +107,7 @@
                  std::uint64_t gate_instance, instant now);
 
 /// Records what the upstream said about itself, as reported with the end of a call to this run of
-/// it. Reports about another run are ignored.
+/// it. That a run leaves is final. Reports about another run are ignored.
 void note_upstream(endpoint_load& load, const std::string& instance, std::uint64_t started_ms,
                    const upstream_notice& notice, instant now);
 
--- a/src/edge/call_path.cpp
+++ b/src/edge/call_path.cpp
@@ -229,6 +229,7 @@
            .client = make_upstream_client(io),
            .send_to_entry = {},
            .log = callbacks.log,
+           .on_upstream_leaving = callbacks.on_upstream_leaving,
            .histograms = histograms,
            .names = names},
       timer(io) {
--- a/src/edge/call_path.h
+++ b/src/edge/call_path.h
@@ -31,6 +31,9 @@
     std::function<void(std::vector<call::call_sample>)> record_samples;
     /// Receives log events; may be empty.
     std::function<void(log_event)> log;
+    /// Receives the instance id of this node's upstream when it says in an answer that it leaves;
+    /// may be empty.
+    std::function<void(const std::string&)> on_upstream_leaving;
 };
 
 /// Opaque; made by start_call_path.
--- a/src/edge/call_report.cpp
+++ b/src/edge/call_report.cpp
@@ -30,6 +30,7 @@
                            {"ejections", std::int64_t{load.ejections}},
                            {"reported_in_flight", std::int64_t{load.reported.in_flight}},
                            {"calls_per_s", load.notice.calls_per_s},
+                           {"is_leaving", load.notice.is_leaving},
                            {"reported_queue", std::int64_t{load.reported.queue}},
                            {"reported_slots", std::int64_t{load.reported.slots}}};
 }
@@ -106,6 +107,7 @@
                            {"version", gate.version.value},
                            {"upstream", msg::EnumNameupstream_state(gate.upstream)},
                            {"is_draining", gate.is_draining},
+                           {"is_upstream_leaving", gate.is_upstream_leaving},
                            {"calls_per_s", gate.rate.calls_per_s.value_or(0)},
                            {"slots", std::int64_t{gate.limit.slots}},
                            {"limit", std::int64_t{call::current_limit(gate.limit)}},
--- a/src/edge/entry_side.cpp
+++ b/src/edge/entry_side.cpp
@@ -258,7 +258,7 @@
     const auto now = current_time();
     const call::load_report load{message.in_flight, message.queue, message.slots, message.wait_us};
     call::note_report(side.loads[sender], flow->route, load, message.gate_instance, now);
-    note_upstream(side, *flow, {message.calls_per_s}, now);
+    note_upstream(side, *flow, {message.calls_per_s, message.upstream_leaves}, now);
     record_segments(side, *flow, message, now);
     if (!message.last) {
         flow->streaming_target = flow->state.current->target;
@@ -285,7 +285,7 @@
     const call::load_report load{message.in_flight, message.queue, message.slots, message.wait_us};
     const auto now = current_time();
     call::note_report(side.loads[sender], flow->route, load, message.gate_instance, now);
-    note_upstream(side, *flow, {message.calls_per_s}, now);
+    note_upstream(side, *flow, {message.calls_per_s, message.upstream_leaves}, now);
     call::note_refusal(side.loads[sender], message.reason, now);
     const call::refusal refusal{.outcome = message.outcome,
                                 .reason = message.reason,
--- a/src/edge/gate_log.cpp
+++ b/src/edge/gate_log.cpp
@@ -40,6 +40,13 @@
     }
 }
 
+void log_leaving(const gate_side& side, const std::string& instance, const std::string& request) {
+    if (side.log) {
+        side.log(
+            {log_level::info, "upstream_leaving", {{"instance", instance}, {"request", request}}});
+    }
+}
+
 void log_faults(const gate_side& side, const gate_flow_ptr& flow, const answer_match& match,
                 upstream_events& events) {
     flow->request_id = match.value;
--- a/src/edge/gate_log.h
+++ b/src/edge/gate_log.h
@@ -29,6 +29,9 @@
 /// Logs a stated rate limit that is not a number of zero or more; the last valid one holds on.
 void log_invalid_rate(const gate_side& side, const gate_flow& flow);
 
+/// Logs that the upstream's run has said in the answer to a request that it leaves.
+void log_leaving(const gate_side& side, const std::string& instance, const std::string& request);
+
 /// Logs a call that is aborted after its upstream has sent some bytes but not a whole head.
 void log_cut(const gate_side& side, const gate_flow& flow);
 
--- a/src/edge/gate_side.cpp
+++ b/src/edge/gate_side.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace cyclamenhatch::edge {
@@ -47,6 +48,7 @@
     answer->upstream_us = static_cast<std::uint32_t>(flow.upstream_time.count());
     answer->gate_instance = side.gate.instance;
     answer->calls_per_s = side.gate.rate.calls_per_s.value_or(0);
+    answer->upstream_leaves = side.gate.is_upstream_leaving;
     return answer;
 }
 
@@ -80,11 +82,22 @@
         actions = call::on_stated_rate(side.gate, flow.call, statement.calls_per_s, now);
     }
     const auto rate = side.gate.rate.calls_per_s;
+    const bool begins_to_leave = statement.is_leaving && !side.gate.is_upstream_leaving;
+    if (begins_to_leave) {
+        auto refusals = call::on_upstream_leaving(side.gate, now);
+        std::move(refusals.begin(), refusals.end(), std::back_inserter(actions));
+    }
     const auto instance = side.instance;
     guard.unlock();
     if (rate != rate_before) {
         log_rate(side, instance, rate_before, rate, flow.request_id);
     }
+    if (begins_to_leave) {
+        log_leaving(side, instance, flow.request_id);
+        if (side.on_upstream_leaving) {
+            side.on_upstream_leaving(instance);
+        }
+    }
     perform(side, std::move(actions));
 }
 
@@ -203,6 +216,9 @@
     if (side.instance != upstream.instance || is_restarted) {
         ++side.upstream_run;
         call::begin_upstream_run(side.gate);
+    } else if (upstream.instance.empty() && upstream.state == msg::upstream_state::ready) {
+        // Without an instance id only the announcement shows that another run has begun.
+        side.gate.is_upstream_leaving = false;
     }
     side.instance = upstream.instance;
     side.started_ms = upstream.started_ms;
--- a/src/edge/gate_side.h
+++ b/src/edge/gate_side.h
@@ -68,6 +68,9 @@
     std::function<void(const node_id&, peer_message)> send_to_entry;
     /// Receives log events from any thread; may be empty.
     std::function<void(log_event)> log;
+    /// Called from any thread with the instance id of an upstream that says in an answer that it
+    /// leaves; may be empty.
+    std::function<void(const std::string&)> on_upstream_leaving;
     latency_histograms& histograms;
     const header_names& names;
     mutable std::mutex lock;
--- a/src/edge/header_names.h
+++ b/src/edge/header_names.h
@@ -27,6 +27,8 @@
     /// Calls a second, as a decimal number, that the upstream takes from all nodes together. Holds
     /// until an answer comes without it.
     std::string rate_limit = "cyclamenhatch-upstream-limit";
+    /// "1" in the answers of an upstream that leaves.
+    std::string leaving = "cyclamenhatch-upstream-leaves";
     /// Whether Retry-After may hold fractions of a second.
     bool has_fractional_retry_after = false;
 };
--- a/src/edge/upstream_headers.cpp
+++ b/src/edge/upstream_headers.cpp
@@ -33,6 +33,9 @@
 
 upstream_statement read_statement(const header_names& names, const answer_head& head) {
     upstream_statement statement;
+    if (!names.leaving.empty()) {
+        statement.is_leaving = find_header(head.headers, names.leaving) == "1";
+    }
     const auto text =
         names.rate_limit.empty() ? std::string_view{} : find_header(head.headers, names.rate_limit);
     if (text.empty()) {
--- a/src/edge/upstream_headers.h
+++ b/src/edge/upstream_headers.h
@@ -23,6 +23,7 @@
     std::optional<double> calls_per_s;
     /// There is a limit in the head, but it is not a number of zero or more.
     bool is_limit_invalid = false;
+    bool is_leaving = false;
 };
 
 [[nodiscard]] upstream_statement read_statement(const header_names& names, const answer_head& head);
--- a/src/membership/upstream_run.cpp
+++ b/src/membership/upstream_run.cpp
@@ -31,6 +31,20 @@
     return state == msg::upstream_state::draining || state == msg::upstream_state::gone;
 }
 
+/// The last known record of the run with its final state; nothing when the run was never announced.
+std::optional<msg::upstream_record_msg>
+make_final_record(std::optional<msg::upstream_record_msg>& pending,
+                  const msg::upstream_record_msg* last_sent, msg::upstream_state state) {
+    auto record = std::exchange(pending, std::nullopt);
+    if (last_sent != nullptr) {
+        record = *last_sent;
+    }
+    if (record) {
+        record->state = state;
+    }
+    return record;
+}
+
 } // namespace
 
 bool apply_announcement(upstream_run& run, const msg::upstream_record_msg& announcement,
@@ -69,6 +83,18 @@
     return true;
 }
 
+std::optional<msg::upstream_record_msg> drain_run(upstream_run& run,
+                                                  std::optional<msg::upstream_record_msg>& pending,
+                                                  const msg::upstream_record_msg* last_sent,
+                                                  const std::string& instance, instant now) {
+    if (run.instance != instance || run.has_left || is_leaving(run.state)) {
+        return std::nullopt;
+    }
+    run.state = msg::upstream_state::draining;
+    run.updated_at = now;
+    return make_final_record(pending, last_sent, msg::upstream_state::draining);
+}
+
 std::optional<msg::upstream_record_msg> end_run(upstream_run& run,
                                                 std::optional<msg::upstream_record_msg>& pending,
                                                 const msg::upstream_record_msg* last_sent,
@@ -76,14 +102,7 @@
     if (!record_leave(run, instance, now)) {
         return std::nullopt;
     }
-    auto final_record = std::exchange(pending, std::nullopt);
-    if (last_sent != nullptr) {
-        final_record = *last_sent;
-    }
-    if (final_record) {
-        final_record->state = msg::upstream_state::gone;
-    }
-    return final_record;
+    return make_final_record(pending, last_sent, msg::upstream_state::gone);
 }
 
 } // namespace cyclamenhatch::membership
--- a/src/membership/upstream_run.h
+++ b/src/membership/upstream_run.h
@@ -31,6 +31,13 @@
 /// false when another run is present.
 [[nodiscard]] bool record_leave(upstream_run& run, const std::string& instance, instant now);
 
+/// Records that the run with this instance id drains, although it may still announce that it is
+/// ready. Returns the record to send to others, as end_run does, with state draining. Returns
+/// nothing for another run and for one that drains or has left already.
+[[nodiscard]] std::optional<msg::upstream_record_msg>
+drain_run(upstream_run& run, std::optional<msg::upstream_record_msg>& pending,
+          const msg::upstream_record_msg* last_sent, const std::string& instance, instant now);
+
 /// Ends the run with this instance id and clears `pending`. Returns the record to send to the gate
 /// and to others, with state gone: a copy of `last_sent`, or, if that is null, of `pending`, the
 /// record held back until the node serves. Returns nothing when another run is present (`pending`
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -201,6 +201,17 @@
     return {};
 }
 
+void announce_draining(node_runtime& node, const std::string& instance) {
+    step(node, [&](instant now, control::actions& actions) {
+        const auto record =
+            membership::drain_run(node.upstream_run, node.pending_upstream,
+                                  node.control.members.self.upstream.get(), instance, now);
+        if (record) {
+            set_own_upstream(node, *record, now, actions);
+        }
+    });
+}
+
 void announce_leave(node_runtime& node, const std::string& instance) {
     std::optional<msg::upstream_record_msg> record;
     step(node, [&](instant now, control::actions& actions) {
--- a/src/node/node_runtime.h
+++ b/src/node/node_runtime.h
@@ -88,6 +88,10 @@
 /// Thread safe.
 [[nodiscard]] findings announce(node_runtime& node, const admin::announcement& announcement);
 
+/// Handles an upstream run with this instance id that says in an answer that it leaves: it gets no
+/// new calls, even if it still announces that it is ready. Thread safe.
+void announce_draining(node_runtime& node, const std::string& instance);
+
 /// Handles the leaving of the upstream run with this instance id: it gets no new calls. Thread
 /// safe.
 void announce_leave(node_runtime& node, const std::string& instance);
--- a/src/node/parts.cpp
+++ b/src/node/parts.cpp
@@ -21,7 +21,9 @@
                 [node](std::vector<call::call_sample> samples) {
                     record_samples(*node, std::move(samples));
                 },
-            .log = [](const log_event& event) { write_log(event); }};
+            .log = [](const log_event& event) { write_log(event); },
+            .on_upstream_leaving =
+                [node](const std::string& instance) { announce_draining(*node, instance); }};
 }
 
 admin::backend make_backend(const runtime_ptr& node) {
--- a/tests/call/choice_test.cpp
+++ b/tests/call/choice_test.cpp
@@ -190,9 +190,16 @@
          fixture.load("c").in_flight = 4;
      },
      100, 100},
+    {"says_that_it_leaves",
+     [](choice_fixture& fixture) {
+         note_upstream(fixture.load("a"), "run-a", 7, {.is_leaving = true}, fixture.now);
+         fixture.endpoints.resize(2);
+         fixture.load("b").in_flight = 9;
+     },
+     0, 0},
     {"a_report_of_another_run_does_not_count",
      [](choice_fixture& fixture) {
-         note_upstream(fixture.load("a"), "run-0", 7, {.calls_per_s = 1}, fixture.now);
+         note_upstream(fixture.load("a"), "run-0", 7, {.is_leaving = true}, fixture.now);
      },
      45, 55},
     {"suspect", [](choice_fixture& fixture) { fixture.endpoints[0].is_suspect = true; }, 0, 0},
@@ -207,6 +214,24 @@
 INSTANTIATE_TEST_SUITE_P(rows, choice, ::testing::ValuesIn(choice_rows),
                          [](const auto& row) { return std::string(row.param.name); });
 
+/// Guards against calls to an upstream that has said that it leaves, after the node beside it has
+/// restarted and announces it as ready (DRAIN).
+TEST(leaving_endpoint, is_remembered_for_its_run_only) {
+    choice_fixture fixture;
+    fixture.endpoints.resize(1);
+    note_upstream(fixture.load("a"), "run-a", 7, {.calls_per_s = 3, .is_leaving = true},
+                  fixture.now);
+    fixture.endpoints[0].incarnation = 2;
+    EXPECT_EQ(fixture.pick_one(), "none");
+    EXPECT_EQ(fixture.load("a").notice.calls_per_s, 3);
+    // An answer that was under way does not take it back.
+    note_upstream(fixture.load("a"), "run-a", 7, {}, fixture.now);
+    EXPECT_EQ(fixture.pick_one(), "none");
+    fixture.endpoints[0].started_ms = 8;
+    EXPECT_EQ(fixture.pick_one(), "a");
+    EXPECT_EQ(fixture.load("a").notice.calls_per_s, 0);
+}
+
 TEST(ejection, ends_by_one_probe_at_a_time) {
     choice_fixture fixture;
     for (std::uint32_t i = 0; i < failures_to_eject; ++i) {
--- a/tests/call/rate_limit_test.cpp
+++ b/tests/call/rate_limit_test.cpp
@@ -274,12 +274,34 @@
     EXPECT_FALSE(fixture.gate.rate.calls_per_s);
 }
 
-/// Guards against a rate that is carried over to another run of the upstream.
+/// Guards against a rate, or a leave, that is carried over to another run of the upstream.
 TEST(another_run, states_its_own_rate) {
     limited_gate fixture(2.0);
     fixture.run_for(seconds{1}, 60);
+    (void)on_upstream_leaving(fixture.gate, fixture.now);
     begin_upstream_run(fixture.gate);
     EXPECT_FALSE(fixture.gate.rate.calls_per_s);
+    EXPECT_FALSE(find_closed_reason(fixture.gate));
+}
+
+/// Guards against calls to an upstream that has said in an answer that it leaves (DRAIN).
+TEST(leaving_upstream, gets_no_more_calls) {
+    limited_gate fixture(std::nullopt);
+    fixture.open(fixture.make_request(seconds{1}, seconds{3}));
+    (void)on_upstream_leaving(fixture.gate, start);
+    fixture.open(fixture.make_request(seconds{1}, seconds{3}));
+    EXPECT_EQ(fixture.starts.size(), 1U);
+    ASSERT_EQ(fixture.refused.size(), 1U);
+    EXPECT_EQ(fixture.refused[0].reason, msg::refusal_reason::draining);
+    // A record that still says ready changes nothing.
+    msg::upstream_record_msg upstream;
+    upstream.service = "ledger";
+    upstream.version = "v1";
+    upstream.state = msg::upstream_state::ready;
+    upstream.slots = slots;
+    (void)on_upstream_change(fixture.gate, upstream, start);
+    fixture.open(fixture.make_request(seconds{1}, seconds{3}));
+    EXPECT_EQ(fixture.starts.size(), 1U);
 }
 
 /// Guards against urgent calls that wait behind others for the starts that a rate allows.
--- a/tests/edge/upstream_statement_test.cpp
+++ b/tests/edge/upstream_statement_test.cpp
@@ -28,6 +28,7 @@
     const auto statement = read_statement(names, {200, {{names.rate_limit, row.text}}});
     EXPECT_EQ(statement.calls_per_s, row.calls_per_s);
     EXPECT_EQ(statement.is_limit_invalid, row.is_invalid);
+    EXPECT_FALSE(statement.is_leaving);
 }
 
 const limit_row limit_rows[] = {
@@ -46,6 +47,13 @@
 INSTANTIATE_TEST_SUITE_P(rows, stated_limit, ::testing::ValuesIn(limit_rows),
                          [](const auto& row) { return std::string(row.param.name); });
 
+TEST(leaving, is_read_from_its_header) {
+    const header_names names;
+    EXPECT_TRUE(read_statement(names, {200, {{names.leaving, "1"}}}).is_leaving);
+    EXPECT_FALSE(read_statement(names, {200, {{names.leaving, "0"}}}).is_leaving);
+    EXPECT_FALSE(read_statement(names, {200, {}}).is_leaving);
+}
+
 /// Guards against an upstream that gets more calls than the rate that it states (LIMIT).
 TEST(limited_upstream, gets_no_more_calls_than_it_states) {
     fake_upstream upstream;
@@ -62,5 +70,21 @@
     EXPECT_EQ(refused, 5);
 }
 
+/// Guards against calls to an upstream that has said that it leaves, although its announcement
+/// still says that it is ready (DRAIN).
+TEST(leaving_upstream, gets_no_more_calls) {
+    fake_upstream upstream;
+    joined_paths paths(upstream.port());
+    paths.announce(msg::upstream_state::ready, upstream.port(), "i-1");
+    EXPECT_EQ(paths.get("/leave"), "200 upstream ok");
+    EXPECT_EQ(paths.get("/ok").substr(0, 17), "503 not-run later");
+    paths.announce(msg::upstream_state::ready, upstream.port(), "i-1");
+    EXPECT_EQ(paths.get("/ok").substr(0, 17), "503 not-run later");
+    EXPECT_EQ(upstream.runs("/ok"), 0);
+    paths.announce(msg::upstream_state::ready, upstream.port(), "i-2");
+    // The entry skips a gate that refused all calls for a second, unless there is no other.
+    EXPECT_EQ(paths.get("/ok"), "200 upstream ok");
+}
+
 } // namespace
 } // namespace cyclamenhatch::edge::testing
--- a/tests/membership/upstream_run_test.cpp
+++ b/tests/membership/upstream_run_test.cpp
@@ -82,6 +82,22 @@
     EXPECT_EQ(run.state, msg::upstream_state::draining);
 }
 
+/// Guards against an upstream that says in its answers that it leaves, and is announced as ready
+/// all the same (DRAIN).
+TEST(upstream_run, one_that_drains_by_its_answers_does_not_return) {
+    upstream_run run;
+    const auto sent = make_announcement("a", 100, 1);
+    std::optional<msg::upstream_record_msg> pending;
+    EXPECT_TRUE(apply_announcement(run, sent, now));
+    EXPECT_FALSE(drain_run(run, pending, &sent, "b", now));
+    const auto record = drain_run(run, pending, &sent, "a", now);
+    ASSERT_TRUE(record);
+    EXPECT_EQ(record->state, msg::upstream_state::draining);
+    EXPECT_FALSE(drain_run(run, pending, &sent, "a", now)) << "it is known already";
+    EXPECT_FALSE(apply_announcement(run, make_announcement("a", 100, 2), now));
+    EXPECT_TRUE(apply_announcement(run, make_announcement("a", 300, 1), now));
+}
+
 TEST(upstream_run, only_the_present_run_leaves) {
     upstream_run run;
     EXPECT_TRUE(apply_announcement(run, make_announcement("b", 200, 1), now));
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -287,10 +287,11 @@
 
 /// Guards against using the platform's wire names outside its folder.
 /// Guards against a statement of the upstream that is not read since its header has another name
-/// (LIMIT).
+/// (LIMIT, DRAIN).
 TEST(header_names, cover_what_upstreams_say_of_themselves) {
     const auto headers = make_header_names();
     EXPECT_EQ(headers.rate_limit, "Server-Limit");
+    EXPECT_EQ(headers.leaving, "Server-Leaving");
 }
 
 TEST(wire_names, occur_in_the_platform_folder_only) {
@@ -301,7 +302,7 @@
                                          "heartbeatAddr",    "weightedServices",  "coldLeft",
                                          "X-Request-Id",     "X-Deadline-Ms",     "targetVersion",
                                          "rolled_back",      "v1/instances",      "v1/readiness",
-                                         "Server-Limit"};
+                                         "Server-Limit",     "Server-Leaving"};
     const std::filesystem::path root(SOURCE_ROOT);
     for (const auto* folder : {"src", "bench", "schema"}) {
         for (const auto& entry : std::filesystem::recursive_directory_iterator(root / folder)) {
