edge: ignore what another upstream at the address says of itself

An upstream that has taken over an address answers 421.

Cause: statements were read before the answer was checked for the instance that it comes from.

Change: the check comes first. An announcement that lacks the start of its run no longer makes the gate forget the known one, and the entry compares runs in one place.

Evidence: upstream_headers.another_instance_speaks_for_itself_only fails on the code before.

--- a/src/call/choose_endpoint.cpp
+++ b/src/call/choose_endpoint.cpp
@@ -102,7 +102,7 @@
             continue;
         }
         const candidate next{&target, &get_or_create_load(loads, target, now)};
-        if (next.load->notice.is_leaving) {
+        if (is_leaving(*next.load, target)) {
             continue;
         }
         if (is_ejected(*next.load, now) || now < next.load->closed_until) {
@@ -150,9 +150,7 @@
             continue;
         }
         const auto load = loads.find(target.node);
-        if (load != loads.end() && load->second.notice.is_leaving &&
-            load->second.instance == target.instance &&
-            load->second.started_ms == target.started_ms) {
+        if (load != loads.end() && is_leaving(load->second, target)) {
             continue;
         }
         const auto wait =
--- a/src/call/load_table.cpp
+++ b/src/call/load_table.cpp
@@ -34,9 +34,13 @@
     load.latency += microseconds(static_cast<std::int64_t>(change));
 }
 
+bool is_same_run(const endpoint_load& load, const std::string& instance, std::uint64_t started_ms) {
+    return load.instance == instance && load.started_ms == started_ms;
+}
+
 /// Forgets what another run of the upstream said about itself.
 void follow_run(endpoint_load& load, const endpoint& target) {
-    if (load.instance != target.instance || load.started_ms != target.started_ms) {
+    if (!is_same_run(load, target.instance, target.started_ms)) {
         load.notice = {};
         load.instance = target.instance;
         load.started_ms = target.started_ms;
@@ -95,7 +99,7 @@
 
 void note_upstream(endpoint_load& load, const std::string& instance, std::uint64_t started_ms,
                    const upstream_notice& notice, instant now) {
-    if (load.instance != instance || load.started_ms != started_ms) {
+    if (!is_same_run(load, instance, started_ms)) {
         return;
     }
     // Without an instance id a new run could not be told from the one that left; then the gate
@@ -105,6 +109,10 @@
     load.noted_at = now;
 }
 
+bool is_leaving(const endpoint_load& load, const endpoint& target) {
+    return load.notice.is_leaving && is_same_run(load, target.instance, target.started_ms);
+}
+
 double usable_slots(const endpoint& target, const endpoint_load& load, instant now) {
     const auto slots = std::max(1.0, static_cast<double>(target.slots));
     const bool is_limited = load.notice.calls_per_s > 0 && now - load.noted_at <= rate_lifetime;
--- a/src/call/load_table.h
+++ b/src/call/load_table.h
@@ -111,6 +111,9 @@
 void note_upstream(endpoint_load& load, const std::string& instance, std::uint64_t started_ms,
                    const upstream_notice& notice, instant now);
 
+/// Whether this run of the endpoint's upstream has said that it leaves.
+[[nodiscard]] bool is_leaving(const endpoint_load& load, const endpoint& target);
+
 /// Calls that the endpoint can run at once: its slots, or fewer while it states a rate.
 [[nodiscard]] double usable_slots(const endpoint& target, const endpoint_load& load, instant now);
 
--- a/src/edge/gate_side.cpp
+++ b/src/edge/gate_side.cpp
@@ -102,8 +102,12 @@
 }
 
 void on_answer(gate_side& side, const gate_flow_ptr& flow, answer_head head, body_piece piece) {
-    apply_statement(side, *flow, head);
-    if (const auto reason = find_not_run_reason(side.names, head)) {
+    const auto reason = find_not_run_reason(side.names, head);
+    // Another upstream at the address speaks for itself only.
+    if (reason != msg::refusal_reason::wrong_instance) {
+        apply_statement(side, *flow, head);
+    }
+    if (reason) {
         end_not_run(side, flow, *reason, piece.is_last);
         return;
     }
@@ -220,8 +224,10 @@
         // Without an instance id only the announcement shows that another run has begun.
         side.gate.is_upstream_leaving = false;
     }
+    if (side.instance != upstream.instance || upstream.started_ms > 0) {
+        side.started_ms = upstream.started_ms;
+    }
     side.instance = upstream.instance;
-    side.started_ms = upstream.started_ms;
 }
 
 /// Calls that were not cancelled in time, or whose body makes no progress.
--- a/tests/edge/fake_upstream.cpp
+++ b/tests/edge/fake_upstream.cpp
@@ -203,6 +203,9 @@
     if (starts_with(path, "/leave")) {
         return with_header(plain(200, "ok"), "cyclamenhatch-upstream-leaves: 1");
     }
+    if (starts_with(path, "/other-leaves")) {
+        return with_header(with_id(plain(421, "other"), id), "cyclamenhatch-upstream-leaves: 1");
+    }
     if (starts_with(path, "/other")) {
         return with_id(plain(421, "other"), id);
     }
--- a/tests/edge/fake_upstream.h
+++ b/tests/edge/fake_upstream.h
@@ -22,8 +22,8 @@
 /// (closes in the middle of the answer), /hold (answers once released), /hold-bytes/N (the same,
 /// with N bytes), /stale (an answer to another request, then its own), /foreign (an answer to
 /// another request only), /unrun (reports that it did not run the call), /other (reports that it is
-/// not the expected instance), /limit/N (states a limit of N calls a second), /leave (says that it
-/// leaves). Answers echo the header x-id.
+/// not the expected instance), /other-leaves (the same, and says that it leaves), /limit/N (states
+/// a limit of N calls a second), /leave (says that it leaves). Answers echo the header x-id.
 class fake_upstream {
 public:
     fake_upstream();
--- a/tests/edge/upstream_headers_test.cpp
+++ b/tests/edge/upstream_headers_test.cpp
@@ -47,6 +47,16 @@
     EXPECT_EQ(paths.ask(with_id("/status/503", "8")).substr(0, 12), "503 upstream");
 }
 
+/// Guards against taking what another upstream at the address says for the expected one (DRAIN).
+TEST(upstream_headers, another_instance_speaks_for_itself_only) {
+    fake_upstream upstream;
+    joined_paths paths(upstream.port(), make_names());
+    paths.announce(msg::upstream_state::ready, upstream.port(), "i-1");
+    EXPECT_EQ(paths.ask(with_id("/other-leaves", "7")).substr(0, 11), "503 not-run");
+    paths.announce(msg::upstream_state::ready, upstream.port(), "i-1");
+    EXPECT_EQ(paths.ask(with_id("/ok", "8")).substr(0, 3), "200");
+}
+
 TEST(upstream_headers, another_instance_at_the_address_gets_no_further_calls) {
     fake_upstream upstream;
     joined_paths paths(upstream.port(), make_names());
