edge: keep an upstream's connection that opens while the loop is late

On a node whose loop stood still for 0.4 s or more, each connection to its upstream that was being opened was closed right after the request was written: the call ended as unknown, callers got 504, and a call that is not idempotent could not be tried again.

Cause: the success of the connection and the end of the time for opening it are ready in one turn of such a loop. Cancelling the timer then comes too late, since its handler is already queued.

Change: the timer closes only the connection that is still being opened.

Class: a timer's handler that trusts its cancellation; the other timers of the call path, the links and the HTTP parts recur or belong to Beast's streams.

--- a/src/edge/upstream_client.cpp
+++ b/src/edge/upstream_client.cpp
@@ -75,13 +75,18 @@
         return;
     }
     const auto& target = self->targets[self->next_target++];
+    self->is_connecting = true;
     self->timer.expires_after(connect_timeout);
-    self->timer.async_wait([self](error_code cancelled) {
-        if (!cancelled) {
+    self->timer.async_wait([self, target_number = self->next_target](error_code cancelled) {
+        // A late loop may see the connection's success and the end of its time in one turn; then
+        // the wait can no longer be cancelled.
+        const bool is_pending = self->is_connecting && self->next_target == target_number;
+        if (!cancelled && is_pending) {
             close_connection(*self->connection);
         }
     });
     self->connection->socket.async_connect(target, [self, is_whole](error_code error) {
+        self->is_connecting = false;
         self->timer.cancel();
         if (self->is_done) {
             return;
--- a/src/edge/upstream_exchange.h
+++ b/src/edge/upstream_exchange.h
@@ -36,6 +36,7 @@
     body_bytes incoming;
     std::function<void(body_piece)> on_piece;
     bool is_reused = false;
+    bool is_connecting = false;
     bool is_sent = false;
     /// Whether the answer being read belongs to an earlier request.
     bool is_skipping = false;
--- a/tests/edge/call_path_test.cpp
+++ b/tests/edge/call_path_test.cpp
@@ -354,6 +354,28 @@
     io.poll();
 }
 
+/// Guards against closing an upstream's connection that was opened in time, when a late loop sees
+/// its success and the end of the time for opening it in one turn.
+TEST(call_path, a_late_loop_keeps_a_connection_that_was_opened_in_time) {
+    fake_upstream upstream;
+    boost::asio::io_context io;
+    std::vector<peer_message> sent;
+    const auto node = start_lone_node(
+        upstream.port(), io, {}, [&](const outgoing& message) { sent.push_back(message.message); });
+    on_message(*node.path, make_open(1, "/ok"));
+    // Begins to connect.
+    io.poll_one();
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
+    while (sent.empty()) {
+        io.poll();
+    }
+    const auto* answer = std::get_if<msg::call_answer_msg>(&sent.front());
+    ASSERT_NE(answer, nullptr);
+    EXPECT_EQ(answer->status, 200);
+    (void)stop(*node.path);
+    io.poll();
+}
+
 /// Guards against running a request that is read after its caller has left.
 TEST(call_path, a_request_whose_caller_has_left_is_not_sent_on) {
     fake_upstream upstream;
