edge: serve what follows a kept answer when no more callers are taken

A request that waits behind an answer which did not say that its connection closes was read and dropped once the node took no more callers: its caller had to send it again, and a node that has read a whole request ends its connection without an answer (LOST).

Change: such a request is served and its answer closes the connection. While requests are open, further ones are left unread.

Evidence: on the code before, nothing_is_passed_on_once_the_node_takes_no_more_callers, which now also asks for the answer of the request that was being read, waits for it without end (its run was stopped after ten minutes).

--- a/src/edge/caller_session.cpp
+++ b/src/edge/caller_session.cpp
@@ -90,7 +90,7 @@
     touch(*self, true);
     const bool is_last = !is_read_whole(*exchange) || !exchange->answer.keep_alive();
     self->open.pop_front();
-    if (is_last || (self->open.empty() && self->listener->is_stopping)) {
+    if (is_last) {
         begin_lingering_close(self);
         return;
     }
@@ -234,8 +234,7 @@
 void on_head(const caller_session_ptr& self, error_code error) {
     const auto exchange = std::exchange(self->next, nullptr);
     self->head_started_at.reset();
-    if (!exchange || self->is_closing || self->is_last_answer ||
-        (self->listener->is_stopping && !self->open.empty())) {
+    if (!exchange || self->is_closing || self->is_last_answer) {
         return;
     }
     if (self->is_head_late) {
@@ -320,8 +319,12 @@
 }
 
 void read_head(const caller_session_ptr& self) {
-    if (!self->socket.is_open() || self->is_closing || self->is_last_answer ||
-        self->listener->is_stopping || self->next || self->open.size() >= max_pipelined) {
+    if (!self->socket.is_open() || self->is_closing || self->is_last_answer || self->next ||
+        self->open.size() >= max_pipelined) {
+        return;
+    }
+    // Leaves further requests unread, so that the connection closes after those that are open.
+    if (self->listener->is_stopping && !self->open.empty()) {
         return;
     }
     const auto limits = limits_of(*self);
