--- a/tests/edge/call_path_test.cpp
+++ b/tests/edge/call_path_test.cpp
@@ -218,36 +218,36 @@
 /// A caller's connection, read and written by blocking calls.
 class caller_connection {
 public:
-    explicit caller_connection(std::uint16_t port) : socket_(io_) {
-        socket_.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+    explicit caller_connection(std::uint16_t port) : socket(io) {
+        socket.connect({boost::asio::ip::make_address("127.0.0.1"), port});
     }
 
     void send(const std::string& text) {
         boost::system::error_code error;
-        boost::asio::write(socket_, boost::asio::buffer(text), error);
+        boost::asio::write(socket, boost::asio::buffer(text), error);
     }
 
     /// The head of the next answer.
     std::string read_head() {
         boost::system::error_code error;
-        const auto size = boost::asio::read_until(socket_, boost::asio::dynamic_buffer(received_),
+        const auto size = boost::asio::read_until(socket, boost::asio::dynamic_buffer(received),
                                                   "\r\n\r\n", error);
-        auto head = received_.substr(0, size);
-        received_.erase(0, size);
+        auto head = received.substr(0, size);
+        received.erase(0, size);
         return head;
     }
 
     /// All that follows until the connection ends.
     std::string read_to_end() {
         boost::system::error_code error;
-        boost::asio::read(socket_, boost::asio::dynamic_buffer(received_), error);
-        return std::move(received_);
+        boost::asio::read(socket, boost::asio::dynamic_buffer(received), error);
+        return std::move(received);
     }
 
 private:
-    boost::asio::io_context io_;
-    boost::asio::ip::tcp::socket socket_;
-    std::string received_;
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::socket socket;
+    std::string received;
 };
 
 /// Whether the upstream runs the path within 300 ms.
