--- a/tests/edge/upstream_bytes_test.cpp
+++ b/tests/edge/upstream_bytes_test.cpp
@@ -1,5 +1,6 @@
 #include "edge/upstream_client.h"
 #include "joined_paths.h"
+#include "single_exchange.h"
 #include "support/endless_server.h"
 
 #include <boost/asio/io_context.hpp>
@@ -18,67 +19,6 @@
 using cyclamenhatch::testing::endless_server;
 using cyclamenhatch::testing::make_faulty_answer_for_path;
 
-constexpr std::size_t slots = 4;
-constexpr milliseconds any_idle{60'000};
-const answer_match match{"x-id", "mine"};
-
-/// Outcome of an exchange.
-struct exchange_result {
-    unsigned status = 0;
-    std::string body;
-    bool is_whole = false;
-    bool is_failed = false;
-    bool is_not_run = false;
-};
-
-/// One request through a client, whose answer is read whole.
-struct single_exchange {
-    single_exchange(boost::asio::io_context& io, const std::shared_ptr<upstream_client>& client,
-                    const std::string& path)
-        : context(io), exchange(prepare_exchange(client, any_idle)) {
-        upstream_events events;
-        events.on_answer = [this](const answer_head& head, const body_piece& piece) {
-            end.status = head.status;
-            take(piece);
-        };
-        events.on_failure = [this](bool is_not_run) {
-            end.is_failed = true;
-            end.is_not_run = is_not_run;
-        };
-        events.on_taken = [] {};
-        send_request(exchange, {.method = "GET", .target = path, .headers = {{"x-id", "mine"}}},
-                     {{}, true}, match, std::move(events));
-    }
-
-    /// Runs the loop until the exchange has ended.
-    const exchange_result& wait() {
-        while (!end.is_whole && !end.is_failed) {
-            // The loop may have run out of work before.
-            context.restart();
-            context.run_one();
-        }
-        return end;
-    }
-
-    void take(const body_piece& piece) {
-        end.body.append(piece.bytes.begin(), piece.bytes.end());
-        end.is_whole = piece.is_last;
-        if (!piece.is_last) {
-            read_body(exchange, [this](const body_piece& next) { take(next); });
-        }
-    }
-
-    boost::asio::io_context& context;
-    upstream_exchange_ptr exchange;
-    exchange_result end;
-};
-
-std::shared_ptr<upstream_client> make_client(boost::asio::io_context& io, std::uint16_t port) {
-    auto client = make_upstream_client(io);
-    set_target(*client, {"127.0.0.1"}, port, slots);
-    return client;
-}
-
 struct trouble_row {
     const char* name;
     /// The body expected before the fault, if the answer's head was passed on.
@@ -289,7 +229,7 @@
         upstream.service = "ledger";
         upstream.version = "v1";
         upstream.state = msg::upstream_state::ready;
-        upstream.slots = slots;
+        upstream.slots = client_slots;
         set_upstream(*path, upstream, upstream_port);
     }
 
