edge: read the size of a piece before its bytes are moved

What callers saw: 200s framed as whole without their bytes (MIXED), or no answer at all, since nodes ended by themselves, several times a minute each.

Cause: fill_piece passed the moved buffer by value and that buffer's size in one call. C++ leaves the order open in which arguments are evaluated; on x86-64 g++ takes them from the right, on arm64 from the left. There the size was that of an empty buffer: 0 for a full piece, which then left as an empty last one, and nearly 2^64 for a part of one, which threw out of the loop and ended the process.

Change: trim_piece works on the buffer in place, so there is no moved value left whose size a caller could read.

--- a/src/edge/caller_session.cpp
+++ b/src/edge/caller_session.cpp
@@ -298,7 +298,7 @@
                                   return;
                               }
                               const auto size = exchange->incoming.size() - room;
-                              exchange->incoming = trim_piece(std::move(exchange->incoming), size);
+                              trim_piece(exchange->incoming, size);
                               deliver_piece(self, exchange);
                           });
 }
--- a/src/edge/http_message.cpp
+++ b/src/edge/http_message.cpp
@@ -24,12 +24,12 @@
 
 } // namespace
 
-body_bytes trim_piece(body_bytes bytes, std::size_t size) {
+void trim_piece(body_bytes& bytes, std::size_t size) {
     if (bytes.capacity() > 2 * size) {
-        return {bytes.begin(), bytes.begin() + static_cast<std::ptrdiff_t>(size)};
+        bytes = body_bytes(bytes.begin(), bytes.begin() + static_cast<std::ptrdiff_t>(size));
+        return;
     }
     bytes.resize(size);
-    return bytes;
 }
 
 bool equals_without_case(std::string_view left, std::string_view right) {
--- a/src/edge/http_message.h
+++ b/src/edge/http_message.h
@@ -20,8 +20,10 @@
 using header_fields = std::vector<header_field>;
 using body_bytes = std::vector<std::uint8_t>;
 
-/// The first `size` bytes, without much excess capacity, since pieces may be kept for long.
-[[nodiscard]] body_bytes trim_piece(body_bytes bytes, std::size_t size);
+/// Keeps the first `size` bytes, without much excess capacity, since pieces may be kept for long.
+/// Precondition: there are as many. Takes the bytes by reference, so that no caller moves from a
+/// buffer whose size it reads in the same call.
+void trim_piece(body_bytes& bytes, std::size_t size);
 
 /// A part of a body; `is_last` marks its end.
 struct body_piece {
--- a/src/edge/upstream_answer.cpp
+++ b/src/edge/upstream_answer.cpp
@@ -229,7 +229,7 @@
         receive(self, fill_piece);
         return;
     }
-    self->incoming = trim_piece(std::move(self->incoming), self->incoming.size() - room);
+    trim_piece(self->incoming, self->incoming.size() - room);
     deliver(self);
 }
 
