--- a/src/call/routing_view.h
+++ b/src/call/routing_view.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "call/quarantine_view.h"
 #include "messages/peer_message.h"
 #include "model/ids.h"
 #include "model/snapshot.h"
@@ -62,6 +63,8 @@
     snapshot_ptr config;
     std::map<service_id, std::vector<endpoint>> endpoints;
     std::map<service_id, version_share> shares;
+    /// Null while no request is suspected.
+    quarantine_view_ptr quarantine;
     /// Nodes that are alive, this one included.
     std::size_t live_nodes = 1;
     /// This node has the configuration and may take calls.
--- a/src/edge/call_headers.cpp
+++ b/src/edge/call_headers.cpp
@@ -79,6 +79,8 @@
         return "another upstream has the address";
     case refusal_reason::duplicate:
         return "the answer is no longer kept";
+    case refusal_reason::quarantined:
+        return "upstreams have crashed under this request";
     default:
         return "the call was not answered";
     }
--- a/src/edge/call_path.h
+++ b/src/edge/call_path.h
@@ -2,6 +2,7 @@
 
 #include "call/call_sample.h"
 #include "call/routing_view.h"
+#include "call/upstream_crash.h"
 #include "document/document.h"
 #include "edge/header_names.h"
 #include "messages/peer_message.h"
@@ -34,6 +35,10 @@
     /// Receives the instance id of this node's upstream when it says in an answer that it leaves;
     /// may be empty.
     std::function<void(const std::string&)> on_upstream_leaving;
+    /// Receives each crash of this node's upstream with the calls that it ran; may be empty.
+    std::function<void(call::upstream_crash)> on_upstream_crash;
+    /// Receives the digest of a suspect that has run well here; may be empty.
+    std::function<void(const request_digest&)> on_suspect_ran_well;
 };
 
 /// Opaque; made by start_call_path.
