edge: contain an exception to the upstream's exchange that threw it

Cause: no handler of an exchange caught anything, so the exception left the loop. Change: model/handler_guard runs a handler's body. An exception ends that exchange: its connection closes at once, handler_failed names the request, and the gate hears of an end with an unknown outcome, never "not run". The callbacks stay with the exchange until its handler returns, so an exception behind the last piece is reported as well. An exception that leaves a scope in which the entry's or gate's lock was taken is passed on: what other calls rely on may be half changed.

--- a/src/edge/entry_bodies.cpp
+++ b/src/edge/entry_bodies.cpp
@@ -2,6 +2,7 @@
 
 #include "call/call_key.h"
 #include "edge/entry_steps.h"
+#include "model/handler_guard.h"
 
 #include <utility>
 #include <vector>
@@ -10,7 +11,7 @@
 namespace cyclamenhatch::edge {
 namespace {
 
-using lock_type = std::unique_lock<std::mutex>;
+using lock_type = state_lock;
 
 void read_upload(entry_side& side, const entry_flow_ptr& flow);
 
--- a/src/edge/entry_side.cpp
+++ b/src/edge/entry_side.cpp
@@ -4,6 +4,7 @@
 #include "clock/process_clock.h"
 #include "edge/call_headers.h"
 #include "edge/entry_steps.h"
+#include "model/handler_guard.h"
 
 #include <algorithm>
 #include <charconv>
@@ -18,7 +19,7 @@
 /// The load record of an endpoint is dropped when no call went there for this long.
 constexpr microseconds idle_load_time{600'000'000};
 
-using lock_type = std::unique_lock<std::mutex>;
+using lock_type = state_lock;
 
 local_answer make_local_refusal(const entry_side& side, msg::refusal_reason reason,
                                 milliseconds retry_after) {
--- a/src/edge/entry_steps.cpp
+++ b/src/edge/entry_steps.cpp
@@ -3,6 +3,7 @@
 #include "call/call_key.h"
 #include "clock/process_clock.h"
 #include "edge/call_headers.h"
+#include "model/handler_guard.h"
 
 #include <algorithm>
 #include <utility>
@@ -10,7 +11,7 @@
 namespace cyclamenhatch::edge {
 namespace {
 
-using lock_type = std::unique_lock<std::mutex>;
+using lock_type = state_lock;
 
 /// Jitter that spreads retries over time: up to half of the stated delay is added.
 constexpr std::uint64_t jitter_divisor = 2;
@@ -141,7 +142,7 @@
 }
 
 void forget_flow(entry_side& side, const entry_flow_ptr& flow) {
-    const std::lock_guard guard(side.lock);
+    const lock_type guard(side.lock);
     side.flows.erase(flow->exchange.get());
 }
 
@@ -173,7 +174,7 @@
     const bool is_not_run = refusal.outcome == msg::call_outcome::not_run;
     ++(is_not_run ? side.counters.not_run : side.counters.unknown);
     if (refusal.retry_after.count() > 0) {
-        const std::lock_guard guard(side.lock);
+        const lock_type guard(side.lock);
         const auto max_jitter =
             static_cast<std::uint64_t>(refusal.retry_after.count()) / jitter_divisor + 1;
         refusal.retry_after += milliseconds(side.random() % max_jitter);
--- a/src/edge/gate_bodies.cpp
+++ b/src/edge/gate_bodies.cpp
@@ -2,6 +2,7 @@
 
 #include "call/call_key.h"
 #include "clock/process_clock.h"
+#include "model/handler_guard.h"
 
 #include <algorithm>
 #include <utility>
@@ -13,7 +14,7 @@
 /// asks for them.
 constexpr microseconds delivery_timeout{10'000'000};
 
-using lock_type = std::unique_lock<std::mutex>;
+using lock_type = state_lock;
 
 /// Credit that reports how much of the request's body the upstream has taken. Precondition: the
 /// lock is held.
--- a/src/edge/gate_log.cpp
+++ b/src/edge/gate_log.cpp
@@ -1,5 +1,7 @@
 #include "edge/gate_log.h"
 
+#include "model/handler_guard.h"
+
 #include <string>
 
 namespace cyclamenhatch::edge {
@@ -53,6 +55,11 @@
     events.on_fault = [&side, id = match.value](const upstream_fault& fault) {
         log_fault(side, id, fault);
     };
+    events.on_exception = [&side, id = match.value](const std::string& reason) {
+        if (side.log) {
+            side.log(make_handler_failed("upstream_exchange", id, reason));
+        }
+    };
 }
 
 void log_dropped(const gate_side& side, const dropped_answer& answer) {
--- a/src/edge/gate_side.cpp
+++ b/src/edge/gate_side.cpp
@@ -7,6 +7,7 @@
 #include "edge/gate_log.h"
 #include "edge/upstream_connection.h"
 #include "edge/upstream_headers.h"
+#include "model/handler_guard.h"
 
 #include <boost/asio/post.hpp>
 
@@ -27,7 +28,7 @@
 constexpr milliseconds fresh_idle{500};
 constexpr milliseconds any_idle{60'000};
 
-using lock_type = std::unique_lock<std::mutex>;
+using lock_type = state_lock;
 
 void perform(gate_side& side, call::gate_actions actions);
 
@@ -59,7 +60,7 @@
     }
     if (reason == msg::refusal_reason::wrong_instance) {
         // The announced upstream is gone; its successor must announce itself first.
-        const std::lock_guard guard(side.lock);
+        const lock_type guard(side.lock);
         side.gate.upstream = msg::upstream_state::none;
     }
     end_call(side, flow->call, {.is_not_run = true, .not_run_reason = reason});
--- a/src/edge/upstream_answer.cpp
+++ b/src/edge/upstream_answer.cpp
@@ -1,5 +1,6 @@
 #include "edge/upstream_exchange.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/beast/core/read_size.hpp>
 
 #include <algorithm>
@@ -47,7 +48,6 @@
 void finish(const exchange_ptr& self) {
     self->is_done = true;
     report_fault(*self, "bytes after the answer's end", self->connection->buffer.size());
-    self->events = {};
     if (!self->is_sent || !self->parser->keep_alive() || self->connection->buffer.size() > 0) {
         close_connection(*self->connection);
         return;
@@ -105,6 +105,25 @@
     return result;
 }
 
+void on_received(const exchange_ptr& self, error_code error, std::size_t bytes,
+                 void (*next)(const exchange_ptr&)) {
+    if (self->is_done) {
+        return;
+    }
+    self->connection->buffer.commit(bytes);
+    self->bytes_read += bytes;
+    if (error == asio::error::eof && self->parser->got_some()) {
+        error = {};
+        self->parser->put_eof(error);
+    }
+    const bool is_over = !self->has_own_answer && self->bytes_read > max_dropped_bytes;
+    if (error || is_over) {
+        give_up(self, error ? error.message() : "too much before the answer");
+        return;
+    }
+    next(self);
+}
+
 /// Reads once and continues with `next`.
 void receive(const exchange_ptr& self, void (*next)(const exchange_ptr&)) {
     auto& buffer = self->connection->buffer;
@@ -116,21 +135,7 @@
     const auto room = buffer.prepare(size);
     self->connection->socket.async_read_some(
         room, [self, next](error_code error, std::size_t bytes) {
-            if (self->is_done) {
-                return;
-            }
-            self->connection->buffer.commit(bytes);
-            self->bytes_read += bytes;
-            if (error == asio::error::eof && self->parser->got_some()) {
-                error = {};
-                self->parser->put_eof(error);
-            }
-            const bool is_over = !self->has_own_answer && self->bytes_read > max_dropped_bytes;
-            if (error || is_over) {
-                give_up(self, error ? error.message() : "too much before the answer");
-                return;
-            }
-            next(self);
+            run_handler(self, [&] { on_received(self, error, bytes, next); });
         });
 }
 
@@ -248,9 +253,30 @@
     // The callbacks may hold the exchange itself, so they are released at its end.
     const auto events = std::exchange(self->events, {});
     self->on_piece = nullptr;
+    // An owner that cannot note the end would wait for it for ever.
+    const shared_state_scope scope;
     events.on_failure(is_not_run);
 }
 
+void end_faulty(const upstream_exchange_ptr& self, const std::string& reason) {
+    self->is_done = true;
+    self->is_faulty = true;
+    if (self->connection) {
+        close_connection(*self->connection);
+    }
+    self->on_piece = nullptr;
+    if (self->on_exception) {
+        self->on_exception(reason);
+    }
+    // Posted: the owner may be running below this handler.
+    asio::post(self->executor, [self] {
+        const auto events = std::exchange(self->events, {});
+        if (events.on_failure) {
+            events.on_failure(false);
+        }
+    });
+}
+
 void read_answer(const upstream_exchange_ptr& self) {
     begin_answer(*self);
     read_heads(self);
--- a/src/edge/upstream_client.cpp
+++ b/src/edge/upstream_client.cpp
@@ -41,34 +41,53 @@
     connect(self, is_whole);
 }
 
+void on_written(const exchange_ptr& self, bool is_whole, error_code error, std::size_t bytes) {
+    if (self->is_done) {
+        return;
+    }
+    const bool is_failed = error && error != http::error::need_buffer;
+    if (is_failed && bytes == 0 && self->is_reused) {
+        reconnect(self, is_whole);
+        return;
+    }
+    if (is_failed && bytes == 0) {
+        fail(self, true);
+        return;
+    }
+    // An answer may follow a failed write: the upstream may have refused the body early.
+    self->is_sent = is_whole && !is_failed;
+    read_answer(self);
+    if (!is_whole && !is_failed) {
+        self->events.on_taken();
+    }
+}
+
 void write_request(const exchange_ptr& self, bool is_whole) {
     fill_request(self->request, self->head, self->outgoing.size(), is_whole);
     set_body(*self, is_whole);
     self->serializer.emplace(self->request);
     http::async_write(self->connection->socket, *self->serializer,
                       [self, is_whole](error_code error, std::size_t bytes) {
-                          if (self->is_done) {
-                              return;
-                          }
-                          const bool is_failed = error && error != http::error::need_buffer;
-                          if (is_failed && bytes == 0 && self->is_reused) {
-                              reconnect(self, is_whole);
-                              return;
-                          }
-                          if (is_failed && bytes == 0) {
-                              fail(self, true);
-                              return;
-                          }
-                          // An answer may follow a failed write: the upstream may have refused the
-                          // body early.
-                          self->is_sent = is_whole && !is_failed;
-                          read_answer(self);
-                          if (!is_whole && !is_failed) {
-                              self->events.on_taken();
-                          }
+                          run_handler(self, [&] { on_written(self, is_whole, error, bytes); });
                       });
 }
 
+void on_connected(const exchange_ptr& self, bool is_whole, error_code error) {
+    self->is_connecting = false;
+    self->timer.cancel();
+    if (self->is_done) {
+        return;
+    }
+    if (error) {
+        close_connection(*self->connection);
+        connect(self, is_whole);
+        return;
+    }
+    error_code ignored;
+    self->connection->socket.set_option(tcp::no_delay(true), ignored);
+    write_request(self, is_whole);
+}
+
 void connect(const exchange_ptr& self, bool is_whole) {
     if (self->next_target >= self->targets.size()) {
         fail(self, true);
@@ -86,22 +105,18 @@
         }
     });
     self->connection->socket.async_connect(target, [self, is_whole](error_code error) {
-        self->is_connecting = false;
-        self->timer.cancel();
-        if (self->is_done) {
-            return;
-        }
-        if (error) {
-            close_connection(*self->connection);
-            connect(self, is_whole);
-            return;
-        }
-        error_code ignored;
-        self->connection->socket.set_option(tcp::no_delay(true), ignored);
-        write_request(self, is_whole);
+        run_handler(self, [&] { on_connected(self, is_whole, error); });
     });
 }
 
+void begin(const exchange_ptr& self, bool is_whole) {
+    if (self->is_reused) {
+        write_request(self, is_whole);
+    } else {
+        connect(self, is_whole);
+    }
+}
+
 void write_piece(const exchange_ptr& self, body_piece piece, std::function<void()> on_done) {
     const bool is_last = piece.is_last;
     self->outgoing = std::move(piece.bytes);
@@ -112,7 +127,7 @@
                               return;
                           }
                           self->is_sent = is_last;
-                          on_done();
+                          run_handler(self, on_done);
                       });
 }
 
@@ -140,14 +155,11 @@
                            return;
                        }
                        self->events = std::move(events);
+                       self->on_exception = self->events.on_exception;
                        self->match = std::move(match);
                        self->head = std::move(head);
                        self->outgoing = std::move(first.bytes);
-                       if (self->is_reused) {
-                           write_request(self, first.is_last);
-                       } else {
-                           connect(self, first.is_last);
-                       }
+                       run_handler(self, [&] { begin(self, first.is_last); });
                    });
 }
 
@@ -156,7 +168,9 @@
     asio::dispatch(exchange->executor,
                    [exchange, piece = std::move(piece), on_done = std::move(on_done)]() mutable {
                        if (!exchange->is_done) {
-                           write_piece(exchange, std::move(piece), std::move(on_done));
+                           run_handler(exchange, [&] {
+                               write_piece(exchange, std::move(piece), std::move(on_done));
+                           });
                        }
                    });
 }
@@ -167,7 +181,7 @@
             return;
         }
         exchange->on_piece = std::move(on_done);
-        read_piece(exchange);
+        run_handler(exchange, [&] { read_piece(exchange); });
     });
 }
 
--- a/src/edge/upstream_client.h
+++ b/src/edge/upstream_client.h
@@ -46,6 +46,9 @@
     /// May be empty. Called before on_failure when bytes of an answer were read, or before the last
     /// piece when bytes follow the answer's end; the connection is closed.
     std::function<void(const upstream_fault&)> on_fault;
+    /// May be empty. An exception ended this exchange; on_failure follows, unless the exchange had
+    /// ended already.
+    std::function<void(const std::string& reason)> on_exception;
 };
 
 [[nodiscard]] std::shared_ptr<upstream_client> make_upstream_client(boost::asio::io_context& io);
--- a/src/edge/upstream_exchange.h
+++ b/src/edge/upstream_exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "edge/upstream_connection.h"
+#include "model/handler_guard.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http.hpp>
@@ -25,7 +26,10 @@
     std::unique_ptr<upstream_connection> connection;
     std::vector<tcp::endpoint> targets;
     std::size_t next_target = 0;
+    /// Empty once the exchange has ended and its last handler has returned.
     upstream_events events;
+    /// The handler of that name in `events`, kept to the end of the exchange.
+    std::function<void(const std::string&)> on_exception;
     answer_match match;
     request_head head;
     body_bytes outgoing;
@@ -45,6 +49,8 @@
     /// Whether that head was passed on.
     bool is_head_read = false;
     bool is_done = false;
+    /// Ended by an exception; its owner is still to be told.
+    bool is_faulty = false;
     std::atomic<std::uint64_t> bytes_read{0};
 };
 
@@ -53,6 +59,24 @@
 /// Ends the exchange without a whole answer, unless it has already ended.
 void fail(const upstream_exchange_ptr& self, bool is_not_run);
 
+/// Ends the exchange for an exception that was thrown while it was handled: its connection closes
+/// at once, its owner is told later that there is no whole answer.
+void end_faulty(const upstream_exchange_ptr& self, const std::string& reason);
+
+/// Runs the body of one of the exchange's handlers; an exception ends the exchange. Call it on the
+/// exchange's strand.
+template <class Body> void run_handler(const upstream_exchange_ptr& self, Body&& body) {
+    guard_handler(
+        [&] {
+            body();
+            if (self->is_done && !self->is_faulty) {
+                // The callbacks may hold the exchange itself.
+                self->events = {};
+            }
+        },
+        [&](const std::string& reason) { end_faulty(self, reason); });
+}
+
 /// Reads the answer whose request is being sent, up to its first piece. Answers to earlier requests
 /// and informational ones are dropped.
 void read_answer(const upstream_exchange_ptr& self);
