edge: contain an exception to the caller's connection that threw it

Change: each handler of a caller's connection runs under a guard. An exception closes that connection at once, so no answer on it can look whole, and none of its handlers runs after that; handler_failed names the request, and the call path hears of the end with the cause handler_failed, which cancels the call. That an answer's last piece is written is told before the answer counts as finished, else an exception between the two leaves a call that nobody ends.

--- a/src/edge/call_path.cpp
+++ b/src/edge/call_path.cpp
@@ -5,6 +5,7 @@
 #include "edge/call_path_state.h"
 #include "messages/address_text.h"
 #include "model/byte_rate.h"
+#include "model/handler_guard.h"
 
 #include <algorithm>
 #include <limits>
@@ -146,6 +147,12 @@
     events.may_overlap = [&path](const request_head& head) {
         return may_overlap(path.entry, head);
     };
+    events.on_exception = [&path](const std::string& request_id, const std::string& reason) {
+        if (path.callbacks.log) {
+            path.callbacks.log(make_handler_failed("caller_connection", request_id, reason));
+        }
+    };
+    events.request_id_header = path.names.request_id;
     return events;
 }
 
--- a/src/edge/caller_listener.cpp
+++ b/src/edge/caller_listener.cpp
@@ -15,6 +15,14 @@
 
 namespace {
 
+void begin_session(const std::shared_ptr<caller_listener>& listener, caller_socket socket) {
+    error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    const auto session = std::make_shared<caller_session>(listener, std::move(socket));
+    asio::dispatch(session->executor,
+                   [session] { run_handler(session, nullptr, [&] { read_head(session); }); });
+}
+
 void accept_next(const std::shared_ptr<caller_listener>& listener) {
     listener->acceptor.async_accept(
         asio::make_strand(listener->io), [listener](error_code error, caller_socket socket) {
@@ -22,10 +30,7 @@
                 return;
             }
             if (!error) {
-                error_code ignored;
-                socket.set_option(tcp::no_delay(true), ignored);
-                const auto session = std::make_shared<caller_session>(listener, std::move(socket));
-                asio::dispatch(session->executor, [session] { read_head(session); });
+                begin_session(listener, std::move(socket));
             }
             accept_next(listener);
         });
@@ -43,7 +48,9 @@
         }
     }
     for (const auto& session : sessions) {
-        asio::dispatch(session->executor, [session, function] { function(session); });
+        asio::dispatch(session->executor, [session, function] {
+            run_handler(session, nullptr, [&] { function(session); });
+        });
     }
 }
 
@@ -61,6 +68,8 @@
         return "bad_request";
     case disconnect_cause::node_stops:
         return "node_stops";
+    case disconnect_cause::handler_failed:
+        return "handler_failed";
     }
     return "";
 }
@@ -136,22 +145,24 @@
             return;
         }
         exchange->on_piece = std::move(on_done);
-        read_piece(exchange->owner, exchange);
+        run_handler(exchange->owner, exchange, [&] { read_piece(exchange->owner, exchange); });
     });
 }
 
 void start_answer(const caller_exchange_ptr& exchange, answer_head head, body_piece first,
                   std::function<void()> on_done) {
-    asio::dispatch(exchange->owner->executor, [exchange, head = std::move(head),
-                                               first = std::move(first),
-                                               on_done = std::move(on_done)]() mutable {
-        if (exchange->is_over || std::exchange(exchange->is_answered, true)) {
-            return;
-        }
-        queue_piece(
-            exchange,
-            {.head = std::move(head), .piece = std::move(first), .on_done = std::move(on_done)});
-    });
+    asio::dispatch(exchange->owner->executor,
+                   [exchange, head = std::move(head), first = std::move(first),
+                    on_done = std::move(on_done)]() mutable {
+                       if (exchange->is_over || std::exchange(exchange->is_answered, true)) {
+                           return;
+                       }
+                       run_handler(exchange->owner, exchange, [&] {
+                           queue_piece(exchange, {.head = std::move(head),
+                                                  .piece = std::move(first),
+                                                  .on_done = std::move(on_done)});
+                       });
+                   });
 }
 
 void write_body(const caller_exchange_ptr& exchange, body_piece piece,
@@ -159,9 +170,11 @@
     asio::dispatch(exchange->owner->executor,
                    [exchange, piece = std::move(piece), on_done = std::move(on_done)]() mutable {
                        if (!exchange->is_over) {
-                           queue_piece(exchange, {.head = std::nullopt,
-                                                  .piece = std::move(piece),
-                                                  .on_done = std::move(on_done)});
+                           run_handler(exchange->owner, exchange, [&] {
+                               queue_piece(exchange, {.head = std::nullopt,
+                                                      .piece = std::move(piece),
+                                                      .on_done = std::move(on_done)});
+                           });
                        }
                    });
 }
@@ -169,7 +182,7 @@
 void break_off(const caller_exchange_ptr& exchange) {
     asio::dispatch(exchange->owner->executor, [exchange] {
         if (!exchange->is_over) {
-            break_answer(exchange);
+            run_handler(exchange->owner, exchange, [&] { break_answer(exchange); });
         }
     });
 }
--- a/src/edge/caller_listener.h
+++ b/src/edge/caller_listener.h
@@ -39,7 +39,8 @@
     caller_stalled,
     connection_closing,
     bad_request,
-    node_stops
+    node_stops,
+    handler_failed
 };
 
 [[nodiscard]] const char* name_of(disconnect_cause cause);
@@ -54,6 +55,10 @@
     /// Whether a pipelined request may run at the same time as the earlier ones of its connection.
     /// When empty, none may.
     std::function<bool(const request_head&)> may_overlap;
+    /// May be empty. An exception ended the connection of this request, which may have no id yet.
+    std::function<void(const std::string& request_id, const std::string& reason)> on_exception;
+    /// Header with a request's id; may be empty.
+    std::string request_id_header;
 };
 
 /// Throws std::runtime_error when the port cannot be bound.
--- a/src/edge/caller_session.cpp
+++ b/src/edge/caller_session.cpp
@@ -19,14 +19,6 @@
 /// Bytes of an unwanted body that are read before a connection closes, so that the caller sees the
 /// answer rather than a reset.
 constexpr std::size_t max_discarded_bytes = 1'048'576;
-/// How long the caller may take to close its side after the last answer.
-constexpr std::chrono::seconds lingering_close_timeout{2};
-/// A caller that neither sends the rest of its request nor takes its answer for this long is
-/// disconnected.
-constexpr std::chrono::seconds stall_timeout{30};
-/// Added to the stated idle timeout, so that a request sent at the last moment does not cross the
-/// close.
-constexpr std::chrono::milliseconds idle_margin{1000};
 /// Requests of one connection that may be in flight at a time.
 constexpr std::size_t max_pipelined = 16;
 
@@ -35,33 +27,23 @@
     session.is_waiting_for_caller = is_waiting_for_caller;
 }
 
-listener_limits limits_of(const caller_session& session) {
-    const std::lock_guard guard(session.listener->lock);
-    return session.listener->limits;
+void discard_rest(const caller_session_ptr& self);
+
+void on_discarded(const caller_session_ptr& self, error_code error, std::size_t bytes) {
+    self->discarded_bytes += bytes;
+    if (error || self->discarded_bytes > max_discarded_bytes) {
+        close_session(self, disconnect_cause::caller_left);
+        return;
+    }
+    discard_rest(self);
 }
 
 void discard_rest(const caller_session_ptr& self) {
     self->discard_buffer.resize(piece_bytes);
-    self->socket.async_read_some(asio::buffer(self->discard_buffer),
-                                 [self](error_code error, std::size_t bytes) {
-                                     self->discarded_bytes += bytes;
-                                     if (error || self->discarded_bytes > max_discarded_bytes) {
-                                         close_session(self, disconnect_cause::caller_left);
-                                         return;
-                                     }
-                                     discard_rest(self);
-                                 });
-}
-
-/// Drops all open exchanges and reports the unfinished ones to the call path.
-void drop_exchanges(const caller_session_ptr& self, disconnect_cause cause) {
-    for (const auto& exchange : std::exchange(self->open, {})) {
-        exchange->on_piece = nullptr;
-        exchange->waiting_pieces.clear();
-        if (!std::exchange(exchange->is_over, true) && exchange->is_handed_over) {
-            self->listener->events.on_disconnect(exchange, cause);
-        }
-    }
+    self->socket.async_read_some(
+        asio::buffer(self->discard_buffer), [self](error_code error, std::size_t bytes) {
+            run_handler(self, nullptr, [&] { on_discarded(self, error, bytes); });
+        });
 }
 
 /// Shuts down sending and reads until the caller closes, so that it can read the last answer.
@@ -102,7 +84,30 @@
         read_head(self);
     }
     // Posted, so that pipelined requests do not deepen the stack.
-    asio::post(self->executor, [self] { write_next_piece(self); });
+    asio::post(self->executor,
+               [self] { run_handler(self, nullptr, [&] { write_next_piece(self); }); });
+}
+
+void on_written(const caller_session_ptr& self, const caller_exchange_ptr& exchange,
+                error_code error, bool is_last, const std::function<void()>& on_done) {
+    exchange->is_writing = false;
+    if (self->open.empty() || self->open.front() != exchange) {
+        return;
+    }
+    if (error && error != http::error::need_buffer) {
+        close_session(self, disconnect_cause::caller_left);
+        return;
+    }
+    touch(*self, false);
+    // Told first: once the answer counts as finished here, the call path hears no more of it.
+    if (on_done) {
+        on_done();
+    }
+    if (is_last) {
+        finish_answer(self);
+    } else {
+        write_next_piece(self);
+    }
 }
 
 void write_piece(const caller_session_ptr& self, const caller_exchange_ptr& exchange,
@@ -122,24 +127,8 @@
     http::async_write(self->socket, *exchange->serializer,
                       [self, exchange, is_last = next.piece.is_last,
                        on_done = std::move(next.on_done)](error_code error, std::size_t /*bytes*/) {
-                          exchange->is_writing = false;
-                          if (self->open.empty() || self->open.front() != exchange) {
-                              return;
-                          }
-                          if (error && error != http::error::need_buffer) {
-                              close_session(self, disconnect_cause::caller_left);
-                              return;
-                          }
-                          touch(*self, false);
-                          if (is_last) {
-                              finish_answer(self);
-                          }
-                          if (on_done) {
-                              on_done();
-                          }
-                          if (!is_last) {
-                              write_next_piece(self);
-                          }
+                          run_handler(self, exchange,
+                                      [&] { on_written(self, exchange, error, is_last, on_done); });
                       });
 }
 
@@ -205,7 +194,7 @@
                               close_session(self, disconnect_cause::caller_left);
                               return;
                           }
-                          read_piece(self, exchange);
+                          run_handler(self, exchange, [&] { read_piece(self, exchange); });
                       });
 }
 
@@ -281,28 +270,34 @@
     close_session(self, disconnect_cause::caller_left);
 }
 
+void on_read(const caller_session_ptr& self, const caller_exchange_ptr& exchange, error_code error);
+
 void read_some(const caller_session_ptr& self, const caller_exchange_ptr& exchange) {
     http::async_read_some(self->socket, self->buffer, *exchange->parser,
                           [self, exchange](error_code error, std::size_t /*bytes*/) {
-                              if (exchange->is_over || self->is_closing) {
-                                  return;
-                              }
-                              if (error && error != http::error::need_buffer) {
-                                  on_body_fault(self, exchange, error);
-                                  return;
-                              }
-                              touch(*self, true);
-                              const auto room = exchange->parser->get().body().size;
-                              if (!exchange->parser->is_done() && room > 0) {
-                                  read_some(self, exchange);
-                                  return;
-                              }
-                              const auto size = exchange->incoming.size() - room;
-                              trim_piece(exchange->incoming, size);
-                              deliver_piece(self, exchange);
+                              run_handler(self, exchange, [&] { on_read(self, exchange, error); });
                           });
 }
 
+void on_read(const caller_session_ptr& self, const caller_exchange_ptr& exchange,
+             error_code error) {
+    if (exchange->is_over || self->is_closing) {
+        return;
+    }
+    if (error && error != http::error::need_buffer) {
+        on_body_fault(self, exchange, error);
+        return;
+    }
+    touch(*self, true);
+    const auto room = exchange->parser->get().body().size;
+    if (!exchange->parser->is_done() && room > 0) {
+        read_some(self, exchange);
+        return;
+    }
+    trim_piece(exchange->incoming, exchange->incoming.size() - room);
+    deliver_piece(self, exchange);
+}
+
 } // namespace
 
 caller_session::caller_session(std::shared_ptr<caller_listener> listener_ptr,
@@ -337,9 +332,10 @@
     self->buffer.max_size(std::max<std::size_t>(limits.max_header_bytes, self->buffer.size()) +
                           piece_bytes);
     // The handler keeps the parser alive when the session drops it on closing.
-    http::async_read_header(
-        self->socket, self->buffer, parser,
-        [self, next](error_code error, std::size_t /*bytes*/) { on_head(self, error); });
+    http::async_read_header(self->socket, self->buffer, parser,
+                            [self, next](error_code error, std::size_t /*bytes*/) {
+                                run_handler(self, next, [&] { on_head(self, error); });
+                            });
 }
 
 void read_piece(const caller_session_ptr& self, const caller_exchange_ptr& exchange) {
@@ -371,38 +367,4 @@
     write_next_piece(exchange->owner);
 }
 
-void close_session(const caller_session_ptr& self, disconnect_cause cause) {
-    self->is_closing = true;
-    error_code ignored;
-    self->socket.close(ignored);
-    self->next.reset();
-    drop_exchanges(self, cause);
-}
-
-void check_silence(const caller_session_ptr& self, steady_instant now) {
-    const auto limits = limits_of(*self);
-    if (self->is_closing) {
-        if (now - self->active_at > lingering_close_timeout) {
-            close_session(self, disconnect_cause::caller_left);
-        }
-        return;
-    }
-    if (self->next && self->open.empty()) {
-        const bool has_begun = self->buffer.size() > 0 || self->next->parser->got_some();
-        if (!has_begun && now - self->active_at > limits.idle_timeout + idle_margin) {
-            close_session(self, disconnect_cause::caller_left);
-        } else if (has_begun && !self->head_started_at) {
-            self->head_started_at = now;
-        } else if (has_begun && now - *self->head_started_at > limits.header_timeout) {
-            self->is_head_late = true;
-            error_code ignored;
-            self->socket.cancel(ignored);
-        }
-        return;
-    }
-    if (self->is_waiting_for_caller && now - self->active_at > stall_timeout) {
-        close_session(self, disconnect_cause::caller_stalled);
-    }
-}
-
 } // namespace cyclamenhatch::edge
--- a/src/edge/caller_session.h
+++ b/src/edge/caller_session.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "edge/caller_listener.h"
+#include "model/handler_guard.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/strand.hpp>
@@ -96,6 +97,8 @@
     std::size_t discarded_bytes = 0;
     body_bytes discard_buffer;
     bool is_closing = false;
+    /// An exception has ended the session; its handlers do nothing more.
+    bool is_faulty = false;
     /// The answer being written tells the caller that the connection closes after it: requests
     /// behind it count as not read.
     bool is_last_answer = false;
@@ -112,6 +115,9 @@
 
 using caller_session_ptr = std::shared_ptr<caller_session>;
 
+/// The limits for requests that are read from now on.
+[[nodiscard]] listener_limits limits_of(const caller_session& session);
+
 /// Starts to read the head of the connection's next request, unless one is being read or the
 /// maximum number of requests is open.
 void read_head(const caller_session_ptr& self);
@@ -125,9 +131,28 @@
 /// Breaks off an answer once the earlier ones are written.
 void break_answer(const caller_exchange_ptr& exchange);
 
+/// Drops all open exchanges and reports the unfinished ones, with the cause, to the call path.
+void drop_exchanges(const caller_session_ptr& self, disconnect_cause cause);
+
 /// Closes the connection and reports each exchange in flight, with the cause, to the call path.
 void close_session(const caller_session_ptr& self, disconnect_cause cause);
 
+/// Ends the session for an exception: its connection closes at once, the call path is told later.
+/// `exchange` is the one that was handled; may be null.
+void end_faulty(const caller_session_ptr& self, const caller_exchange_ptr& exchange,
+                const std::string& reason);
+
+/// Runs the body of one of the session's handlers; an exception ends the session. Call it on the
+/// session's strand. `exchange` is the one that is handled; may be null.
+template <class Body>
+void run_handler(const caller_session_ptr& self, const caller_exchange_ptr& exchange, Body&& body) {
+    if (self->is_faulty) {
+        return;
+    }
+    guard_handler(std::forward<Body>(body),
+                  [&](const std::string& reason) { end_faulty(self, exchange, reason); });
+}
+
 /// Ends a connection that has been silent for too long. `now` is the current time.
 void check_silence(const caller_session_ptr& self, steady_instant now);
 
