platform: refuse announcements with a number out of range

What callers saw elsewhere: nodes that no longer followed the list of endpoints after one odd entry of another writer.

Change: whole_number compares before it rounds; an announcement with a number beyond what is exact in JSON names no endpoint and is answered 400.

Nested entries could not end a node: the library refuses more than 128 levels, before anything of ours copies or destroys them.

--- a/src/document/document.cpp
+++ b/src/document/document.cpp
@@ -154,6 +154,18 @@
     return value == nullptr ? fallback : *value;
 }
 
+std::optional<std::int64_t> whole_number(const document& value, std::int64_t lowest,
+                                         std::int64_t highest) {
+    if (const auto* whole = std::get_if<std::int64_t>(&value.value)) {
+        return *whole >= lowest && *whole <= highest ? std::optional(*whole) : std::nullopt;
+    }
+    const auto* fraction = std::get_if<double>(&value.value);
+    // Compared before it is rounded: rounding a number that does not fit is undefined.
+    const bool is_in_range = fraction != nullptr && *fraction >= static_cast<double>(lowest) &&
+                             *fraction <= static_cast<double>(highest);
+    return is_in_range ? std::optional<std::int64_t>(std::llround(*fraction)) : std::nullopt;
+}
+
 std::string write_json(const document& root, bool is_indented) {
     json_writer writer{.is_indented = is_indented};
     writer.write(root, 0);
--- a/src/document/document.h
+++ b/src/document/document.h
@@ -3,6 +3,7 @@
 #include "model/finding.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -56,8 +57,17 @@
                                      std::int64_t fallback);
 [[nodiscard]] bool flag_or(const document& parent, std::string_view key, bool fallback);
 
+/// Largest number up to which JSON numbers are exact for all writers.
+constexpr std::int64_t max_exact_number = (1LL << 53) - 1;
+
+/// The whole number nearest to an integer or a fraction. Nothing when the value is no number from
+/// `lowest` to `highest`, which is at most max_exact_number.
+[[nodiscard]] std::optional<std::int64_t> whole_number(const document& value, std::int64_t lowest,
+                                                       std::int64_t highest);
+
 /// Parses a text; `file` is the name that locations in findings carry. JSON numbers that do not fit
-/// an int64 become doubles.
+/// an int64 become doubles, and those beyond the largest double infinite ones. JSON nested deeper
+/// than 128 levels is refused, so that values are safe to walk, copy and destroy recursively.
 [[nodiscard]] result<document> parse_toml(std::string_view text, const std::string& file);
 [[nodiscard]] result<document> parse_json(std::string_view text, const std::string& file);
 
--- a/tests/document/document_test.cpp
+++ b/tests/document/document_test.cpp
@@ -61,6 +61,57 @@
     RC_ASSERT(write_json(std::get<document>(parsed)) == write_json(root));
 }
 
+std::string nest(const std::string& open, const std::string& close, std::size_t depth) {
+    std::string text;
+    for (std::size_t i = 0; i < depth; ++i) {
+        text += open;
+    }
+    text += "1";
+    for (std::size_t i = 0; i < depth; ++i) {
+        text += close;
+    }
+    return text;
+}
+
+/// Guards against a stack that overflows while a nested text is parsed, copied or destroyed.
+TEST(json, is_refused_when_it_is_nested_too_deeply) {
+    for (const std::size_t depth : {129U, 1'000U, 100'000U, 1'000'000U}) {
+        for (const auto& text : {nest("[", "]", depth), nest("{\"a\":", "}", depth),
+                                 nest("[{\"a\":", "}]", depth), nest("[", "", depth)}) {
+            EXPECT_TRUE(std::holds_alternative<findings>(parse_json(text, ""))) << depth;
+        }
+    }
+    const auto parsed = parse_json(nest("[", "]", 100), "");
+    ASSERT_TRUE(std::holds_alternative<document>(parsed));
+    const document copy = std::get<document>(parsed);
+    EXPECT_EQ(write_json(copy), nest("[", "]", 100));
+}
+
+struct number_row {
+    const char* text;
+    std::optional<std::int64_t> expected;
+};
+
+class number_in_json : public testing::TestWithParam<number_row> {};
+
+/// Guards against a number out of range that becomes another number.
+TEST_P(number_in_json, is_whole_and_in_range_or_none) {
+    const auto parsed = parse_json(GetParam().text, "");
+    ASSERT_TRUE(std::holds_alternative<document>(parsed)) << GetParam().text;
+    EXPECT_EQ(whole_number(std::get<document>(parsed), 0, max_exact_number), GetParam().expected)
+        << GetParam().text;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, number_in_json,
+    testing::Values(number_row{"0", 0}, number_row{"1.6", 2}, number_row{"-1", {}},
+                    number_row{"-0.4", {}}, number_row{"9007199254740991", max_exact_number},
+                    number_row{"9007199254740992", {}}, number_row{"9223372036854775807", {}},
+                    number_row{"9223372036854775808", {}}, number_row{"99999999999999999999", {}},
+                    number_row{"1e300", {}}, number_row{"1e400", {}}, number_row{"-1e400", {}},
+                    number_row{"1e-400", 0}, number_row{"\"1\"", {}}, number_row{"true", {}},
+                    number_row{"null", {}}, number_row{"[1]", {}}));
+
 RC_GTEST_PROP(documents, any_text_is_parsed_or_rejected, (const std::string& text)) {
     RC_ASSERT(parse_json(text, "").index() < 2U);
     RC_ASSERT(parse_toml(text, "").index() < 2U);
--- /dev/null
+++ b/tests/platform/odd_announcements_test.cpp
@@ -0,0 +1,141 @@
+#include "membership/upstream_run.h"
+#include "net/http_client.h"
+#include "net/http_service.h"
+#include "platform/announcements.h"
+
+#include <boost/asio/io_context.hpp>
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <ostream>
+#include <string>
+#include <vector>
+
+/// Entries of another writer that are no entries of an endpoint.
+namespace cyclamenhatch::platform {
+namespace {
+
+constexpr milliseconds test_timeout{10'000};
+constexpr std::size_t deep = 15'000;
+
+std::string repeat(const std::string& text, std::size_t count) {
+    std::string out;
+    for (std::size_t i = 0; i < count; ++i) {
+        out += text;
+    }
+    return out;
+}
+
+struct odd_row {
+    const char* name;
+    /// Text in the valid entry and its replacement.
+    std::string original;
+    std::string replacement;
+
+    friend std::ostream& operator<<(std::ostream& out, const odd_row& row) {
+        return out << row.name;
+    }
+};
+
+std::string test_name(const ::testing::TestParamInfo<odd_row>& row) {
+    return row.param.name;
+}
+
+std::string replace(std::string text, const odd_row& row) {
+    text.replace(text.find(row.original), row.original.size(), row.replacement);
+    return text;
+}
+
+std::string heartbeat_text(int sequence) {
+    return R"({"service":"s1","address":"10.0.0.9:8080","zone":"a","version":"v1","slots":12,)"
+           R"("state":"ready","coldLeft":0,"sequence":)" +
+           std::to_string(sequence) + R"(,"born":1700000000000})";
+}
+
+/// A node's announcement address over real connections, and the run that it holds of its upstream.
+struct announced_node {
+    announced_node()
+        : service(net::start_http_service(io, "127.0.0.1", 0,
+                                          [this](const net::service_request& request) {
+                                              return answer_announcement(handlers, request);
+                                          })),
+          client(net::make_http_client(io,
+                                       {.ip = "127.0.0.1", .port = net::service_port(*service)})) {}
+
+    /// The status of the answer to this announcement; 0 when there was none.
+    unsigned announce(const std::string& body) {
+        std::optional<net::http_outcome> outcome;
+        net::send(*client, {.method = "PUT", .target = "/v1/instances/i-1", .body = body},
+                  test_timeout, [&](const net::http_outcome& answer) { outcome = answer; });
+        while (!outcome) {
+            io.run_one();
+        }
+        const auto* answer = std::get_if<net::http_response>(&*outcome);
+        return answer == nullptr ? 0 : answer->status;
+    }
+
+    boost::asio::io_context io;
+    membership::upstream_run run;
+    int accepted = 0;
+    announcement_handlers handlers{
+        .on_heartbeat =
+            [this](const heartbeat& announced) {
+                accepted +=
+                    membership::apply_announcement(run, announced.upstream, instant{}) ? 1 : 0;
+                return findings{};
+            },
+        .on_leave = [](const std::string&) { return findings{}; }};
+    std::shared_ptr<net::http_service> service;
+    std::shared_ptr<net::http_client> client;
+};
+
+class odd_heartbeat : public ::testing::TestWithParam<odd_row> {};
+
+/// Guards against a node that ends, or no longer follows its endpoint, after an odd entry.
+TEST_P(odd_heartbeat, names_no_endpoint_and_the_next_holds) {
+    announced_node node;
+    EXPECT_EQ(node.announce(heartbeat_text(4)), 200U);
+    EXPECT_EQ(node.announce(replace(heartbeat_text(5), GetParam())), 400U);
+    EXPECT_EQ(node.accepted, 1);
+    EXPECT_EQ(node.announce(heartbeat_text(6)), 200U);
+    EXPECT_EQ(node.accepted, 2);
+    EXPECT_EQ(node.run.sequence, 6U);
+}
+
+const std::string address_field = R"("address":"10.0.0.9:8080")";
+const std::string sequence_field = R"("sequence":5)";
+const std::string slots_field = R"("slots":12)";
+const std::string born_field = R"("born":1700000000000)";
+const std::string cold_field = R"("coldLeft":0)";
+
+const odd_row odd_heartbeats[] = {
+    {"address_is_a_number", address_field, R"("address":8080)"},
+    {"sequence_beyond_double", sequence_field, R"("sequence":1e400)"},
+    {"sequence_beyond_int64", sequence_field, R"("sequence":99999999999999999999)"},
+    {"sequence_at_int64", sequence_field, R"("sequence":9223372036854775807)"},
+    {"sequence_is_a_fraction", sequence_field, R"("sequence":1e300)"},
+    {"sequence_below_zero", sequence_field, R"("sequence":-1)"},
+    {"sequence_is_a_list", sequence_field, R"("sequence":[5])"},
+    {"slots_beyond_double", slots_field, R"("slots":1e400)"},
+    {"slots_beyond_int64", slots_field, R"("slots":99999999999999999999)"},
+    {"slots_beyond_uint32", slots_field, R"("slots":4294967297)"},
+    {"born_beyond_double", born_field, R"("born":1e400)"},
+    {"born_beyond_int64", born_field, R"("born":99999999999999999999)"},
+    {"born_at_int64", born_field, R"("born":9223372036854775807)"},
+    {"cold_beyond_double", cold_field, R"("coldLeft":1e400)"},
+    {"cold_beyond_uint32", cold_field, R"("coldLeft":4294967296)"},
+    {"cold_is_a_flag", cold_field, R"("coldLeft":true)"},
+    {"nested_lists", cold_field, R"("coldLeft":0,"more":)" + repeat("[", deep) + repeat("]", deep)},
+    {"nested_tables", cold_field,
+     R"("coldLeft":0,"more":)" + repeat("{\"\":", deep / 2) + "1" + repeat("}", deep / 2)},
+    {"nested_without_end", cold_field, R"("coldLeft":0,"more":)" + repeat("[", 3 * deep)},
+    {"state_is_a_table", R"("state":"ready")", R"("state":{"ready":1})"},
+    {"service_is_null", R"("service":"s1")", R"("service":null)"},
+    {"lone_surrogate", R"("zone":"a")", R"("zone":"\ud800")"},
+    {"cut_short", R"("state":"ready")", R"("state":"rea)"},
+    {"state_is_long", R"("state":"ready")", R"("state":")" + std::string(50'000, 'r') + "\""}};
+
+INSTANTIATE_TEST_SUITE_P(entries, odd_heartbeat, ::testing::ValuesIn(odd_heartbeats), test_name);
+
+} // namespace
+} // namespace cyclamenhatch::platform
