--- /dev/null
+++ b/tests/platform/odd_configuration_test.cpp
@@ -0,0 +1,112 @@
+#include "platform/operator_config.h"
+
+#include <gtest/gtest.h>
+
+#include <ostream>
+#include <string>
+#include <vector>
+
+/// Configuration, orders and records of another writer.
+namespace cyclamenhatch::platform {
+namespace {
+
+std::string repeat(const std::string& text, std::size_t count) {
+    std::string out;
+    for (std::size_t i = 0; i < count; ++i) {
+        out += text;
+    }
+    return out;
+}
+
+struct odd_row {
+    const char* name;
+    /// Text in the valid entry and its replacement.
+    std::string original;
+    std::string replacement;
+
+    friend std::ostream& operator<<(std::ostream& out, const odd_row& row) {
+        return out << row.name;
+    }
+};
+
+std::string test_name(const ::testing::TestParamInfo<odd_row>& row) {
+    return row.param.name;
+}
+
+std::string replace(std::string text, const odd_row& row) {
+    text.replace(text.find(row.original), row.original.size(), row.replacement);
+    return text;
+}
+
+constexpr const char* order_text = R"({"service":"s1","targetVersion":"v2","duration":60})";
+constexpr const char* record_text =
+    R"({"service":"s1","state":"running","targetVersion":"v2","move":"m1","begunMs":5})";
+constexpr const char* document_text = R"({"version":7,
+  "routes":[{"name":"r1","host":"a.example","prefix":"/x/","type":"idempotent","timeout":1500,
+             "targetLatency":500,"priority":2,"maxAttempts":2,"service":"s1"}],
+  "services":[{"name":"s1","maxConns":130}],
+  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864}})";
+
+class odd_order : public ::testing::TestWithParam<odd_row> {};
+
+/// Guards against a move whose time is computed from a number out of range.
+TEST_P(odd_order, is_refused) {
+    EXPECT_TRUE(std::holds_alternative<findings>(read_order(replace(order_text, GetParam()))));
+}
+
+INSTANTIATE_TEST_SUITE_P(entries, odd_order,
+                         ::testing::ValuesIn(std::vector<odd_row>{
+                             {"duration_beyond_double", ":60", ":1e400"},
+                             {"duration_beyond_int64", ":60", ":99999999999999999999"},
+                             {"duration_in_ms_beyond_int64", ":60", ":9223372036854775807"},
+                             {"duration_is_huge", ":60", ":1e300"},
+                             {"duration_below_zero", ":60", ":-1e300"},
+                             {"duration_is_text", ":60", R"(:"60")"},
+                             {"nested", ":60", ":" + repeat("[", 100'000) + repeat("]", 100'000)}}),
+                         test_name);
+
+class odd_record : public ::testing::TestWithParam<odd_row> {};
+
+/// Guards against a move that is resumed with a start computed from a number out of range.
+TEST_P(odd_record, is_refused) {
+    EXPECT_TRUE(std::holds_alternative<findings>(read_record(replace(record_text, GetParam()))));
+}
+
+INSTANTIATE_TEST_SUITE_P(entries, odd_record,
+                         ::testing::ValuesIn(std::vector<odd_row>{
+                             {"begun_beyond_double", ":5}", ":1e400}"},
+                             {"begun_beyond_int64", ":5}", ":99999999999999999999}"},
+                             {"begun_at_int64", ":5}", ":9223372036854775807}"},
+                             {"begun_below_zero", ":5}", ":-1}"},
+                             {"begun_is_text", ":5}", R"(:"5"})"},
+                             {"nested", ":5}",
+                              ":" + repeat("{\"a\":", 100'000) + "1" + repeat("}", 100'001)}}),
+                         test_name);
+
+class odd_document : public ::testing::TestWithParam<odd_row> {};
+
+/// Guards against a limit of 0 that a number beyond the field's range became.
+TEST_P(odd_document, is_refused) {
+    ASSERT_TRUE(std::holds_alternative<feed::operators_document>(read_document(document_text)));
+    EXPECT_TRUE(
+        std::holds_alternative<findings>(read_document(replace(document_text, GetParam()))));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    entries, odd_document,
+    ::testing::ValuesIn(std::vector<odd_row>{
+        {"attempts_beyond_uint32", R"("maxAttempts":2)", R"("maxAttempts":4294967296)"},
+        {"priority_beyond_uint32", R"("priority":2)", R"("priority":4294967298)"},
+        {"connections_beyond_uint32", R"("maxConns":130)", R"("maxConns":4294967296)"},
+        {"header_bytes_beyond_uint32", R"(:16384)", R"(:4294967296)"},
+        {"timeout_beyond_double", ":1500", ":1e400"},
+        {"timeout_beyond_int64", ":1500", ":99999999999999999999"},
+        {"timeout_below_zero", ":1500", ":-1"},
+        {"version_beyond_int64", ":7,", ":99999999999999999999,"},
+        {"version_below_zero", ":7,", ":-7,"},
+        {"version_is_text", ":7,", R"(:"7",)"},
+        {"nested", ":1500", ":" + repeat("[", 100'000) + repeat("]", 100'000)}}),
+    test_name);
+
+} // namespace
+} // namespace cyclamenhatch::platform
