--- a/tests/platform/odd_announcements_test.cpp
+++ b/tests/platform/odd_announcements_test.cpp
@@ -131,6 +131,8 @@
     {"nested_without_end", cold_field, R"("coldLeft":0,"more":)" + repeat("[", 3 * deep)},
     {"state_is_a_table", R"("state":"ready")", R"("state":{"ready":1})"},
     {"service_is_null", R"("service":"s1")", R"("service":null)"},
+    {"service_is_no_utf8", R"("service":"s1")", "\"service\":\"s\xe2\x82\""},
+    {"extra_field_is_no_utf8", R"("zone":"a")", "\"zone\":\"\xff\xfe\""},
     {"lone_surrogate", R"("zone":"a")", R"("zone":"\ud800")"},
     {"cut_short", R"("state":"ready")", R"("state":"rea)"},
     {"state_is_long", R"("state":"ready")", R"("state":")" + std::string(50'000, 'r') + "\""}};
--- a/tests/platform/odd_configuration_test.cpp
+++ b/tests/platform/odd_configuration_test.cpp
@@ -62,7 +62,8 @@
                              {"duration_is_huge", ":60", ":1e300"},
                              {"duration_below_zero", ":60", ":-1e300"},
                              {"duration_is_text", ":60", R"(:"60")"},
-                             {"nested", ":60", ":" + repeat("[", 100'000) + repeat("]", 100'000)}}),
+                             {"nested", ":60", ":" + repeat("[", 100'000) + repeat("]", 100'000)},
+                             {"service_is_no_utf8", "\"s1\"", "\"s\xe2\x82\""}}),
                          test_name);
 
 class odd_record : public ::testing::TestWithParam<odd_row> {};
