store: let entries that hold no address name no node

Here an entry such as "nowhere:7400" or a megabyte of digits counted as a contact: two of them kept a node that knew no other from publishing its own entry, so that starting nodes could miss each other. An upstream announced at such a host was taken and could never be called. Nobody learned of odd entries.

Cause: the store's contacts had a parser of addresses of their own, and none checked the ip.

Change: parse_address is the only parser and refuses what is neither IPv4 nor IPv6; announcements are checked by it while they are read. An odd contact is logged once for each time that it is written (contact_refused), at most 16 of a list, cut at 100 bytes.

Ports of 0, 65536, -1 or "80x" were refused before. In odd_announcements_test the rows of addresses failed before, those of ports only since the node refused them one step later.

--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -85,6 +85,7 @@
 void apply_contact_actions(state& self, store::contact_actions&& produced, instant now,
                            actions& out) {
     append(out.requests, std::move(produced.requests));
+    append(out.logs, std::move(produced.logs));
     if (produced.contacts.empty()) {
         return;
     }
--- a/src/messages/address_text.cpp
+++ b/src/messages/address_text.cpp
@@ -1,9 +1,23 @@
 #include "messages/address_text.h"
 
+#include <arpa/inet.h>
+#include <array>
 #include <charconv>
 #include <limits>
+#include <netinet/in.h>
+#include <utility>
 
 namespace cyclamenhatch {
+namespace {
+
+bool is_ip(const std::string& text) {
+    std::array<unsigned char, sizeof(in6_addr)> address{};
+    return text.find('\0') == std::string::npos &&
+           (::inet_pton(AF_INET, text.c_str(), address.data()) == 1 ||
+            ::inet_pton(AF_INET6, text.c_str(), address.data()) == 1);
+}
+
+} // namespace
 
 std::optional<peer_address> parse_address(std::string_view text) {
     const auto colon = text.rfind(':');
@@ -11,7 +25,7 @@
         return std::nullopt;
     }
     auto ip = text.substr(0, colon);
-    if (ip.front() == '[' && ip.back() == ']') {
+    if (ip.size() > 1 && ip.front() == '[' && ip.back() == ']') {
         ip = ip.substr(1, ip.size() - 2);
     }
     const auto digits = text.substr(colon + 1);
@@ -20,10 +34,11 @@
     const auto parsed = std::from_chars(digits.data(), end, port);
     const bool is_port = parsed.ec == std::errc{} && parsed.ptr == end && port > 0 &&
                          port <= std::numeric_limits<std::uint16_t>::max();
-    if (!is_port || ip.empty()) {
+    std::string ip_text(ip);
+    if (!is_port || !is_ip(ip_text)) {
         return std::nullopt;
     }
-    return peer_address{std::string(ip), static_cast<std::uint16_t>(port)};
+    return peer_address{std::move(ip_text), static_cast<std::uint16_t>(port)};
 }
 
 std::string format_address(const peer_address& address) {
--- a/src/store/contacts.cpp
+++ b/src/store/contacts.cpp
@@ -1,10 +1,11 @@
 #include "store/contacts.h"
 
+#include "messages/address_text.h"
 #include "store/head_codec.h"
 #include "store/request_budget.h"
 
 #include <algorithm>
-#include <charconv>
+#include <map>
 #include <utility>
 
 namespace cyclamenhatch::store {
@@ -28,6 +29,10 @@
 constexpr double first_delay_divisor = 6;
 /// A node that needs contacts publishes its own entry when there are fewer other entries than this.
 constexpr std::size_t min_other_entries = 2;
+/// Number of entries without an address that are remembered as logged.
+constexpr std::size_t max_odd_entries = 16;
+/// Maximum number of bytes of a key or value in a log line.
+constexpr std::size_t max_logged_text = 100;
 
 /// The arguments of one call of the keeper, passed to its internal functions.
 struct keeper_context {
@@ -41,17 +46,6 @@
     return address.ip + ":" + std::to_string(address.port);
 }
 
-bool decode_address(const std::string& text, peer_address& address) {
-    const auto colon = text.rfind(':');
-    if (colon == std::string::npos || colon == 0) {
-        return false;
-    }
-    address.ip = text.substr(0, colon);
-    const char* end = text.data() + text.size();
-    const auto [rest, error] = std::from_chars(text.data() + colon + 1, end, address.port);
-    return error == std::errc{} && rest == end && address.port != 0;
-}
-
 milliseconds jitter(milliseconds interval, random_source& random) {
     std::uniform_int_distribution<std::int64_t> distribution(interval.count() * 3 / 4,
                                                              interval.count() * 5 / 4);
@@ -147,15 +141,40 @@
     }
 }
 
+/// Logs those odd entries that were not logged at this revision, up to max_odd_entries.
+void log_odd_entries(keeper_context& context, const std::vector<const kv_entry*>& odd_entries) {
+    std::map<std::string, std::int64_t> logged;
+    for (const auto* entry : odd_entries) {
+        if (logged.size() == max_odd_entries) {
+            break;
+        }
+        logged.emplace(entry->key, entry->mod_revision);
+        const auto known = context.keeper.logged_odd_entries.find(entry->key);
+        if (known == context.keeper.logged_odd_entries.end() ||
+            known->second != entry->mod_revision) {
+            context.actions.logs.push_back({log_level::warning,
+                                            "contact_refused",
+                                            {{"key", entry->key.substr(0, max_logged_text)},
+                                             {"value", entry->value.substr(0, max_logged_text)},
+                                             {"bytes", std::to_string(entry->value.size())}}});
+        }
+    }
+    context.keeper.logged_odd_entries = std::move(logged);
+}
+
 void on_read(keeper_context& context, const kv_entries& read) {
     auto& keeper = context.keeper;
     keeper.read_failures = 0;
+    std::vector<const kv_entry*> odd_entries;
     for (const auto& entry : read.entries) {
-        peer_address address;
-        if (decode_address(entry.value, address) && address != keeper.own_address) {
-            context.actions.contacts.push_back(std::move(address));
+        auto address = parse_address(entry.value);
+        if (!address) {
+            odd_entries.push_back(&entry);
+        } else if (*address != keeper.own_address) {
+            context.actions.contacts.push_back(std::move(*address));
         }
     }
+    log_odd_entries(context, odd_entries);
     keeper.other_entries = context.actions.contacts.size();
     keeper.read_due =
         context.now +
--- a/src/store/contacts.h
+++ b/src/store/contacts.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "messages/peer_message.h"
+#include "model/log_event.h"
 #include "model/random.h"
 #include "model/time.h"
 #include "store/kv.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -17,6 +19,7 @@
 struct contact_actions {
     std::vector<kv_request> requests;
     std::vector<peer_address> contacts;
+    std::vector<log_event> logs;
 };
 
 /// State of the own entry.
@@ -51,6 +54,8 @@
     bool needs_contacts = false;
     /// Number of other entries that the last read showed; unset before the first read.
     std::optional<std::size_t> other_entries;
+    /// Entries of the last read that hold no address and were logged, by key, with their revision.
+    std::map<std::string, std::int64_t> logged_odd_entries;
 };
 
 [[nodiscard]] contact_keeper make_contact_keeper(std::string prefix, std::string node,
--- a/tests/platform/odd_announcements_test.cpp
+++ b/tests/platform/odd_announcements_test.cpp
@@ -109,6 +109,16 @@
 const std::string cold_field = R"("coldLeft":0)";
 
 const odd_row odd_heartbeats[] = {
+    {"port_zero", address_field, R"("address":"10.0.0.9:0")"},
+    {"port_beyond_range", address_field, R"("address":"10.0.0.9:65536")"},
+    {"port_far_beyond_range", address_field, R"("address":"10.0.0.9:99999999999999999999")"},
+    {"port_below_zero", address_field, R"("address":"10.0.0.9:-1")"},
+    {"port_with_text", address_field, R"("address":"10.0.0.9:80x")"},
+    {"port_missing", address_field, R"("address":"10.0.0.9:")"},
+    {"no_colon", address_field, R"("address":"10.0.0.9")"},
+    {"host_is_no_ip", address_field, R"("address":"nowhere:8080")"},
+    {"host_is_empty", address_field, R"("address":"[]:8080")"},
+    {"host_is_long", address_field, R"("address":")" + std::string(50'000, '1') + R"(:8080")"},
     {"address_is_a_number", address_field, R"("address":8080)"},
     {"sequence_beyond_double", sequence_field, R"("sequence":1e400)"},
     {"sequence_beyond_int64", sequence_field, R"("sequence":99999999999999999999)"},
--- a/tests/store/test_cluster.h
+++ b/tests/store/test_cluster.h
@@ -27,6 +27,7 @@
     std::vector<snapshot_ptr> snapshots;
     std::vector<config_version> rejected_versions;
     std::vector<peer_address> contacts;
+    std::vector<std::string> lines;
     /// How often a read showed that the local configuration is current.
     int current_reports = 0;
 };
@@ -82,6 +83,9 @@
         fakes::send(cluster.store, node.name, request, cluster.now);
     }
     std::move(actions.contacts.begin(), actions.contacts.end(), std::back_inserter(node.contacts));
+    for (const auto& event : actions.logs) {
+        node.lines.push_back(to_line(event));
+    }
 }
 
 inline void deliver(test_cluster& cluster, test_node& node, const kv_response& response) {
