edge: tell crashes from lost answers, and refuse requests that are held

Cause (H1 of docs/incidents/request-that-crashes-upstreams.md): nothing tells such a request from another, and a gate does not notice that its upstream crashed.

If all its addresses refuse, it has crashed: the gate reports once, with the digests, routes and ids of all runs that failed in the last 100 ms or that it had in flight, and logs upstream_crashed. It waits at most 50 ms for the failures of the others. A listener that accepts or does not respond, an upstream that announced or said that it leaves, a draining node, and another run of the upstream give no report. call/crash_watch decides. - A suspect of the view that ends with a whole answer is reported once as having run well. - Entry and gate refuse a held request: the entry before anything is sent, the gate also when the request was queued before it was held. The entry does not try another gate then.

Why 503 with Retry-After and outcome not-run: the request has not run and never will under this id, and may be sent again when the hold is over, which is what 503 and Retry-After say. A 4xx would blame the caller, who may have sent a valid request; 502 and 504 say of the outcome that it may have run.

Not done: while the upstream is away each call still tries to connect and is refused, as before. Samples of attempts that ended by the crash of a held request still count as errors in the evidence of moves.

--- a/src/call/admission.cpp
+++ b/src/call/admission.cpp
@@ -147,8 +147,26 @@
     return now + patience / patience_divisor;
 }
 
+refusal make_held_refusal(milliseconds held_for) {
+    // Another gate would refuse it too, or let one more upstream crash.
+    return {.reason = refusal_reason::quarantined, .retry_helps = false, .retry_after = held_for};
+}
+
+refusal make_end_refusal(const upstream_end& end) {
+    if (end.held_for) {
+        return make_held_refusal(*end.held_for);
+    }
+    return {.outcome = end.is_not_run ? msg::call_outcome::not_run : msg::call_outcome::unknown,
+            .reason = end.is_not_run ? end.not_run_reason : refusal_reason::upstream_unreachable,
+            .retry_helps = true,
+            .retry_after = retry_elsewhere_after};
+}
+
 std::optional<refusal> find_refusal(const gate_state& gate, const gate_request& request,
                                     instant now) {
+    if (request.held_for) {
+        return make_held_refusal(*request.held_for);
+    }
     if (auto closed = find_closed_reason(gate)) {
         return closed;
     }
--- a/src/call/admission.h
+++ b/src/call/admission.h
@@ -69,6 +69,12 @@
 [[nodiscard]] instant overdue_time(const gate_state& gate, const gate_request& request,
                                    instant now);
 
+/// The refusal of a request under which upstreams have crashed.
+[[nodiscard]] refusal make_held_refusal(milliseconds held_for);
+
+/// The refusal of a dispatched call that ended without an answer.
+[[nodiscard]] refusal make_end_refusal(const upstream_end& end);
+
 /// The refusal of a call, or nothing when it may run or wait.
 [[nodiscard]] std::optional<refusal> find_refusal(const gate_state& gate,
                                                   const gate_request& request, instant now);
--- a/src/call/gate.cpp
+++ b/src/call/gate.cpp
@@ -309,13 +309,7 @@
             out.emplace_back(send_answer_action{waiter, end.answer});
         }
     } else {
-        refuse(
-            gate, call,
-            {.outcome = end.is_not_run ? call_outcome::not_run : call_outcome::unknown,
-             .reason = end.is_not_run ? end.not_run_reason : refusal_reason::upstream_unreachable,
-             .retry_helps = true,
-             .retry_after = retry_elsewhere_after},
-            now, out);
+        refuse(gate, call, make_end_refusal(end), now, out);
     }
     out.emplace_back(release_action{call});
     fill_slots(gate, now, out);
--- a/src/call/gate.h
+++ b/src/call/gate.h
@@ -56,6 +56,8 @@
     /// Rate that the upstream stated as known to the entry, in calls a second; nothing for unknown
     /// or none.
     std::optional<double> known_calls_per_s;
+    /// How long the request is still held because upstreams crashed under it; nothing if it is not.
+    std::optional<milliseconds> held_for;
 };
 
 struct running_call {
@@ -136,6 +138,8 @@
     bool is_not_run = false;
     /// The reason when `is_not_run` is set.
     msg::refusal_reason not_run_reason = msg::refusal_reason::upstream_unreachable;
+    /// Set with `is_not_run` when upstreams crashed under the request while the call waited here.
+    std::optional<milliseconds> held_for;
     /// An answer came, whether kept or streamed.
     bool is_answered = false;
     /// The upstream shed load or ran out of time.
--- a/src/edge/call_path.cpp
+++ b/src/edge/call_path.cpp
@@ -237,6 +237,9 @@
            .send_to_entry = {},
            .log = callbacks.log,
            .on_upstream_leaving = callbacks.on_upstream_leaving,
+           .suspects = [this] { return callbacks.view()->quarantine; },
+           .on_upstream_crash = callbacks.on_upstream_crash,
+           .on_suspect_ran_well = callbacks.on_suspect_ran_well,
            .histograms = histograms,
            .names = names},
       timer(io) {
--- a/src/edge/call_report.cpp
+++ b/src/edge/call_report.cpp
@@ -47,6 +47,7 @@
                            {"answered", to_number(counters.answered)},
                            {"not_run", to_number(counters.not_run)},
                            {"unknown", to_number(counters.unknown)},
+                           {"held", to_number(counters.held)},
                            {"broken_off", to_number(counters.broken_off)},
                            {"callers_gone", to_number(counters.callers_gone)},
                            {"attempts", to_number(counters.attempts)},
@@ -118,6 +119,7 @@
                            {"remembered_calls", to_number(gate.memory.calls.size())},
                            {"remembered_bytes", to_number(gate.memory.answer_bytes)},
                            {"tombstones", to_number(gate.memory.tombstones)},
+                           {"upstream_crashes", to_number(side.crash_count)},
                            {"kept_connections", to_number(count_idle(*side.client))},
                            {"opened", to_number(counters.opened)},
                            {"dispatched", to_number(counters.dispatched)},
@@ -161,6 +163,7 @@
     add_counter(out, "calls_answered_total", counters.answered);
     add_counter(out, "calls_not_run_total", counters.not_run);
     add_counter(out, "calls_unknown_total", counters.unknown);
+    add_counter(out, "calls_held_total", counters.held);
     add_counter(out, "calls_broken_off_total", counters.broken_off);
     add_counter(out, "callers_gone_total", counters.callers_gone);
     add_counter(out, "call_attempts_total", counters.attempts);
@@ -204,6 +207,7 @@
     add_counter(out, "gate_dispatched_total", gate.counters.dispatched);
     add_counter(out, "gate_duplicates_total", gate.counters.duplicates);
     add_counter(out, "gate_reattached_total", gate.counters.reattached);
+    add_counter(out, "gate_upstream_crashes_total", side.crash_count);
     out += "# TYPE cyclamenhatch_gate_refused_total counter\n";
     for (std::size_t i = 0; i < gate.counters.refused.size(); ++i) {
         const auto* name = msg::EnumNamerefusal_reason(static_cast<msg::refusal_reason>(i));
--- a/src/edge/entry_side.cpp
+++ b/src/edge/entry_side.cpp
@@ -3,6 +3,7 @@
 #include "call/call_key.h"
 #include "clock/process_clock.h"
 #include "edge/call_headers.h"
+#include "edge/entry_quarantine.h"
 #include "edge/entry_steps.h"
 #include "model/handler_guard.h"
 
@@ -34,14 +35,16 @@
 
 /// Answers a request without making an attempt.
 void refuse_request(entry_side& side, const caller_exchange_ptr& exchange,
-                    std::string_view request_id, local_answer answer) {
+                    std::string_view request_id, local_answer answer,
+                    const std::string& digest = {}) {
     ++side.counters.not_run;
     log_call(side, {log_level::info,
                     "call_refused",
                     {{"request", std::string(request_id)},
                      {"status", std::to_string(answer.head.status)},
                      {"config_version", config_version_text(side)},
-                     {"reason", answer.reason}}});
+                     {"reason", answer.reason},
+                     {"digest", digest}}});
     start_answer(exchange, std::move(answer.head), {std::move(answer.body), true}, nullptr);
 }
 
@@ -117,6 +120,7 @@
                            : std::string(find_header(head.headers, side.names.request_id));
     set_limits(side, *flow, *match.matched_route, limits);
     auto& request = flow->request;
+    request.digest = call::make_request_key(compute_digest_of(side.names, head, first));
     request.route = match.matched_route->name.value;
     request.owner =
         find_owner(side.names, *view.config, match.matched_section->content.service, head.headers);
@@ -201,6 +205,12 @@
     const bool is_first = head.is_first_on_connection;
     const auto flow = make_flow(side, *view, match, limits, std::move(head), std::move(first));
     flow->exchange = exchange;
+    const auto digest = call::from_request_key(flow->request.digest.get());
+    if (auto held = find_hold_answer(side.names, *view, digest, flow->received_at)) {
+        ++side.counters.held;
+        refuse_request(side, exchange, flow->request_id, *std::move(held), to_text(digest));
+        return;
+    }
     lock_type guard(side.lock);
     if (flow->objective && limits.time_left) {
         *flow->objective -= call::estimate_time_spent(
--- a/src/edge/entry_side.h
+++ b/src/edge/entry_side.h
@@ -70,6 +70,8 @@
     std::atomic<std::uint64_t> answered{0};
     std::atomic<std::uint64_t> not_run{0};
     std::atomic<std::uint64_t> unknown{0};
+    /// Refused at once because upstreams have crashed under the same request.
+    std::atomic<std::uint64_t> held{0};
     std::atomic<std::uint64_t> broken_off{0};
     std::atomic<std::uint64_t> callers_gone{0};
     std::atomic<std::uint64_t> attempts{0};
--- a/src/edge/gate_side.cpp
+++ b/src/edge/gate_side.cpp
@@ -1,10 +1,13 @@
 #include "edge/gate_side.h"
 
 #include "call/call_key.h"
+#include "call/held_request.h"
 #include "clock/process_clock.h"
 #include "edge/call_headers.h"
 #include "edge/gate_bodies.h"
+#include "edge/gate_crashes.h"
 #include "edge/gate_log.h"
+#include "edge/gate_request.h"
 #include "edge/upstream_connection.h"
 #include "edge/upstream_headers.h"
 #include "model/handler_guard.h"
@@ -86,6 +89,7 @@
     const bool begins_to_leave = statement.is_leaving && !side.gate.is_upstream_leaving;
     if (begins_to_leave) {
         auto refusals = call::on_upstream_leaving(side.gate, now);
+        watch_state(side);
         std::move(refusals.begin(), refusals.end(), std::back_inserter(actions));
     }
     const auto instance = side.instance;
@@ -139,6 +143,7 @@
 }
 
 void run(gate_side& side, const call_id& call) {
+    const auto suspects = side.suspects ? side.suspects() : nullptr;
     lock_type guard(side.lock);
     const auto it = side.flows.find(call);
     if (it == side.flows.end()) {
@@ -146,6 +151,12 @@
     }
     const auto flow = it->second;
     const auto now = current_time();
+    const auto digest = call::from_request_key(flow->request.digest.get());
+    if (const auto held_for = call::find_hold(suspects, digest, now)) {
+        guard.unlock();
+        end_call(side, call, {.is_not_run = true, .held_for = held_for});
+        return;
+    }
     flow->started_at = now;
     flow->progressed_at = now;
     flow->upstream_run = side.upstream_run;
@@ -155,6 +166,8 @@
     flow->is_writing = !flow->request.last;
     const auto time_left = std::max(microseconds{0}, flow->deadline - now);
     auto head = make_upstream_head(side.names, side.instance, flow->request, time_left);
+    auto match = make_answer_match(side.names, head);
+    watch_run(side, *flow, match.value, now);
     body_piece first{std::move(flow->request.body), flow->request.last};
     flow->upload = {.offset = first.bytes.size(), .is_whole = first.is_last};
     const auto exchange = flow->exchange;
@@ -168,7 +181,6 @@
         end_call(side, flow->call, {.is_not_run = is_not_run});
     };
     events.on_taken = [&side, flow] { begin_upload(side, flow); };
-    auto match = make_answer_match(side.names, head);
     log_faults(side, flow, match, events);
     send_request(exchange, std::move(head), std::move(first), std::move(match), std::move(events));
 }
@@ -184,6 +196,9 @@
         side.flows.erase(it);
     }
     const auto exchange = flow->exchange;
+    if (is_abort) {
+        call::note_cut(side.crashes, call, current_time());
+    }
     guard.unlock();
     if (is_abort && exchange) {
         log_cut(side, *flow);
@@ -220,6 +235,7 @@
         side.started_ms > 0 && upstream.started_ms > 0 && side.started_ms != upstream.started_ms;
     if (side.instance != upstream.instance || is_restarted) {
         ++side.upstream_run;
+        call::note_other_run(side.crashes);
         call::begin_upstream_run(side.gate);
     } else if (upstream.instance.empty() && upstream.state == msg::upstream_state::ready) {
         // Without an instance id only the announcement shows that another run has begun.
@@ -251,8 +267,11 @@
 
 void end_call(gate_side& side, const call_id& call, const call::upstream_end& end) {
     lock_type guard(side.lock);
-    auto actions = call::on_upstream_end(side.gate, call, end, current_time());
+    const auto now = current_time();
+    auto watched = watch_end(side, call, end, now);
+    auto actions = call::on_upstream_end(side.gate, call, end, now);
     guard.unlock();
+    carry_out(side, std::move(watched));
     perform(side, std::move(actions));
 }
 
@@ -262,24 +281,7 @@
     }
     const auto now = current_time();
     const auto call = call::from_key(message.call.get());
-    const call::gate_request request{
-        .call = call,
-        .entry_node = sender,
-        .is_reattach = message.reattach,
-        .service = service_id(message.service),
-        .version = version_id(message.version),
-        .owner = owner_id(message.owner),
-        .deadline = now + microseconds(message.deadline_us),
-        .gate_instance = message.gate_instance,
-        .objective = message.objective_us == 0
-                         ? std::nullopt
-                         : std::optional(now + microseconds(message.objective_us)),
-        .priority = message.priority,
-        .no_wait = message.no_wait,
-        .route = route_id(message.route),
-        .known_calls_per_s = message.known_calls_per_s > 0
-                                 ? std::optional(message.known_calls_per_s)
-                                 : std::nullopt};
+    const auto request = read_open(message, sender, find_hold(side, message, now), now);
     lock_type guard(side.lock);
     const auto rate_before = side.gate.rate.calls_per_s;
     const bool was_under_way = call::is_under_way(side.gate, call);
@@ -319,6 +321,7 @@
     lock_type guard(side.lock);
     follow_run(side, upstream);
     auto actions = call::on_upstream_change(side.gate, upstream, current_time());
+    watch_state(side);
     guard.unlock();
     perform(side, std::move(actions));
 }
@@ -326,6 +329,7 @@
 void on_drain(gate_side& side) {
     lock_type guard(side.lock);
     auto actions = call::on_drain(side.gate, current_time());
+    watch_state(side);
     guard.unlock();
     perform(side, std::move(actions));
 }
@@ -340,7 +344,9 @@
     auto actions = call::on_gate_timer(side.gate, now);
     const auto overdue = find_overdue(side, now);
     const auto dropped = trim_undelivered(side, now);
+    auto watched = watch_time(side, now);
     guard.unlock();
+    carry_out(side, std::move(watched));
     for (const auto& answer : dropped) {
         log_dropped(side, answer);
     }
@@ -367,6 +373,9 @@
     const auto flows = std::exchange(side.flows, {});
     side.undelivered.clear();
     side.held_back.clear();
+    if (side.probe) {
+        cancel_probe(*side.probe);
+    }
     guard.unlock();
     for (const auto& [call, flow] : flows) {
         if (flow->exchange) {
--- a/src/edge/gate_side.h
+++ b/src/edge/gate_side.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "call/body_stream.h"
+#include "call/crash_watch.h"
 #include "call/gate.h"
+#include "call/quarantine_view.h"
 #include "edge/header_names.h"
 #include "edge/latency_histogram.h"
 #include "edge/upstream_client.h"
@@ -71,6 +73,12 @@
     /// Called from any thread with the instance id of an upstream that says in an answer that it
     /// leaves; may be empty.
     std::function<void(const std::string&)> on_upstream_leaving;
+    /// Returns what is known of suspects, or null.
+    std::function<call::quarantine_view_ptr()> suspects;
+    /// Receives each crash of the upstream, from any thread; may be empty.
+    std::function<void(call::upstream_crash)> on_upstream_crash;
+    /// Receives the digest of a suspect that has run well, from any thread; may be empty.
+    std::function<void(const request_digest&)> on_suspect_ran_well;
     latency_histograms& histograms;
     const header_names& names;
     mutable std::mutex lock;
@@ -88,6 +96,12 @@
     /// Calls whose next piece waits for room on the link, first come first served.
     std::deque<gate_flow_ptr> held_back;
     snapshot_ptr reservations_config;
+    call::crash_watch crashes;
+    /// The run of the upstream that has crashed, while its calls are collected.
+    call::upstream_crash crashed;
+    /// The last probe of the upstream's listener; may be null.
+    upstream_probe_ptr probe;
+    std::uint64_t crash_count = 0;
 };
 
 void on_open(gate_side& side, const node_id& sender, msg::call_open_msg message);
--- a/src/edge/upstream_client.h
+++ b/src/edge/upstream_client.h
@@ -90,6 +90,19 @@
 /// Bytes read before the head of the request's own answer is whole; 0 after that. Thread safe.
 [[nodiscard]] std::uint64_t bytes_before_head(const upstream_exchange_ptr& exchange);
 
+/// A connection that only shows whether the upstream listens. Opaque.
+struct upstream_probe;
+using upstream_probe_ptr = std::shared_ptr<upstream_probe>;
+
+/// Opens a connection to the upstream and closes it again. Calls back once, within 200 ms:
+/// `is_refused` when all its addresses refuse connections, false when one accepts or does not
+/// respond. No callback comes before this function returns.
+[[nodiscard]] upstream_probe_ptr probe_listener(upstream_client& client,
+                                                std::function<void(bool is_refused)> on_done);
+
+/// No callback starts after that, but one may be running.
+void cancel_probe(upstream_probe& probe);
+
 /// Closes the exchange's connection; no callback starts after that, but one may be running.
 void abort_exchange(const upstream_exchange_ptr& exchange);
 
--- a/tests/edge/fake_upstream.cpp
+++ b/tests/edge/fake_upstream.cpp
@@ -101,6 +101,20 @@
     changed_.notify_all();
 }
 
+void fake_upstream::end() {
+    const std::lock_guard guard(lock_);
+    ::shutdown(acceptor_.native_handle(), SHUT_RDWR);
+    for (const int handle : open_sockets_) {
+        ::shutdown(handle, SHUT_RDWR);
+    }
+}
+
+void fake_upstream::come_back() {
+    acceptor_thread_.join();
+    acceptor_ = tcp::acceptor(io_, tcp::endpoint(asio::ip::make_address("127.0.0.1"), port_));
+    acceptor_thread_ = std::thread([this] { accept_all(); });
+}
+
 std::string fake_upstream::last_head() {
     const std::lock_guard guard(lock_);
     return last_head_;
@@ -181,6 +195,10 @@
     if (starts_with(path, "/chunked/")) {
         return chunked(std::stoul(path.substr(9)));
     }
+    if (starts_with(path, "/die")) {
+        end();
+        return {};
+    }
     if (starts_with(path, "/break")) {
         return {};
     }
--- a/tests/edge/fake_upstream.h
+++ b/tests/edge/fake_upstream.h
@@ -23,7 +23,9 @@
 /// with N bytes), /stale (an answer to another request, then its own), /foreign (an answer to
 /// another request only), /unrun (reports that it did not run the call), /other (reports that it is
 /// not the expected instance), /other-leaves (the same, and says that it leaves), /limit/N (states
-/// a limit of N calls a second), /leave (says that it leaves). Answers echo the header x-id.
+/// a limit of N calls a second), /leave (says that it leaves), /die (ends like a process that
+/// crashes: it accepts no connections any more and all that were open are closed). Answers echo the
+/// header x-id.
 class fake_upstream {
 public:
     fake_upstream();
@@ -38,6 +40,10 @@
     void wait_for_runs(const std::string& path, int count);
     /// Lets all held requests be answered.
     void release();
+    /// Ends like a process that crashes or exits: as /die.
+    void end();
+    /// Starts again at the same port. Precondition: it has ended.
+    void come_back();
     /// The head of the last request.
     [[nodiscard]] std::string last_head();
 
--- a/tests/edge/joined_paths.cpp
+++ b/tests/edge/joined_paths.cpp
@@ -6,6 +6,9 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
+#include <chrono>
+#include <iterator>
 #include <limits>
 #include <stdexcept>
 
@@ -80,6 +83,16 @@
     return view;
 }
 
+msg::upstream_record_msg make_record(msg::upstream_state state, const std::string& instance) {
+    msg::upstream_record_msg upstream;
+    upstream.instance = instance;
+    upstream.service = "ledger";
+    upstream.version = "v1";
+    upstream.state = state;
+    upstream.slots = 4;
+    return upstream;
+}
+
 std::shared_ptr<call_path> start(const std::string& name, std::uint16_t& port,
                                  const call_path_callbacks& callbacks, const header_names& names) {
     for (int tries = 0; tries < 20; ++tries) {
@@ -137,23 +150,67 @@
         auto& receiver = message.to == node_id("gate") ? gate_ : entry_;
         on_message(*receiver, incoming{node_id(self), std::move(message.message)});
     };
-    callbacks.view = [this] {
+    callbacks.view = [this, is_entry = self == "entry"] {
         const std::lock_guard guard(lock_);
-        return view_;
+        return is_entry && entry_view_ ? entry_view_ : view_;
     };
     callbacks.record_samples = [](const std::vector<call::call_sample>&) {};
+    callbacks.log = [this](log_event event) {
+        const std::lock_guard guard(lock_);
+        events_.push_back(std::move(event));
+    };
+    callbacks.on_upstream_crash = [this](call::upstream_crash crash) {
+        const std::lock_guard guard(lock_);
+        crashes_.push_back(std::move(crash));
+        crashed_.notify_all();
+    };
+    callbacks.on_suspect_ran_well = [this](const request_digest& digest) {
+        const std::lock_guard guard(lock_);
+        ran_well_.push_back(digest);
+    };
     return callbacks;
 }
 
+void joined_paths::add_endpoint_at_entry(std::uint16_t port) {
+    set_upstream(*entry_, make_record(msg::upstream_state::ready, "at-entry"), port);
+    const std::lock_guard guard(lock_);
+    auto view = std::make_shared<call::routing_view>(*view_);
+    auto& endpoints = view->endpoints[service_id("ledger")];
+    endpoints.push_back(endpoints.front());
+    endpoints.back().node = node_id("entry");
+    view_ = std::move(view);
+}
+
+void joined_paths::set_quarantine(const call::quarantine_view& suspects, bool only_gate) {
+    const std::lock_guard guard(lock_);
+    entry_view_ = only_gate ? view_ : nullptr;
+    auto view = std::make_shared<call::routing_view>(*view_);
+    view->quarantine = std::make_shared<const call::quarantine_view>(suspects);
+    view_ = std::move(view);
+}
+
+std::vector<call::upstream_crash> joined_paths::wait_for_crashes(std::size_t count) {
+    std::unique_lock guard(lock_);
+    crashed_.wait_for(guard, std::chrono::seconds(2), [&] { return crashes_.size() >= count; });
+    return crashes_;
+}
+
+std::vector<request_digest> joined_paths::ran_well() {
+    const std::lock_guard guard(lock_);
+    return ran_well_;
+}
+
+std::vector<log_event> joined_paths::events(const std::string& name) {
+    const std::lock_guard guard(lock_);
+    std::vector<log_event> found;
+    std::copy_if(events_.begin(), events_.end(), std::back_inserter(found),
+                 [&](const auto& event) { return event.name == name; });
+    return found;
+}
+
 void joined_paths::announce(msg::upstream_state state, std::uint16_t port,
                             const std::string& instance) {
-    msg::upstream_record_msg upstream;
-    upstream.instance = instance;
-    upstream.service = "ledger";
-    upstream.version = "v1";
-    upstream.state = state;
-    upstream.slots = 4;
-    set_upstream(*gate_, upstream, port);
+    set_upstream(*gate_, make_record(state, instance), port);
 }
 
 void joined_paths::cut_link() {
--- a/tests/edge/joined_paths.h
+++ b/tests/edge/joined_paths.h
@@ -3,6 +3,7 @@
 #include "edge/call_path.h"
 #include "fake_upstream.h"
 
+#include <condition_variable>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -46,6 +47,16 @@
     /// Removes the service's only endpoint from the view, as after the failure of its node.
     void forget_endpoint();
     void announce(msg::upstream_state state, std::uint16_t port, const std::string& instance = {});
+    /// Adds the entry's node as an endpoint whose upstream listens on this port.
+    void add_endpoint_at_entry(std::uint16_t port);
+    /// Sets what the gate knows of suspects and, unless `only_gate`, the entry.
+    void set_quarantine(const call::quarantine_view& suspects, bool only_gate = false);
+    /// Waits up to 2 s for this number of crashes; returns those reported so far, by any node.
+    [[nodiscard]] std::vector<call::upstream_crash> wait_for_crashes(std::size_t count);
+    /// Digests of the suspects that have run well so far.
+    [[nodiscard]] std::vector<request_digest> ran_well();
+    /// Events logged so far, by any node.
+    [[nodiscard]] std::vector<log_event> events(const std::string& name);
 
 private:
     [[nodiscard]] call_path_callbacks make_callbacks(const std::string& self);
@@ -53,6 +64,12 @@
     const header_names names_;
     std::mutex lock_;
     call::routing_view_ptr view_;
+    /// The entry's view when it differs.
+    call::routing_view_ptr entry_view_;
+    std::condition_variable crashed_;
+    std::vector<call::upstream_crash> crashes_;
+    std::vector<request_digest> ran_well_;
+    std::vector<log_event> events_;
     int answers_to_lose_ = 0;
     bool is_link_cut_ = false;
     int undelivered_ = 0;
