quarantine: hold requests under which three upstreams have crashed

Each node keeps a record of a request's crashes and of those that a later good run cleared. Records merge in any order to the same result and spread over the member table, without the store: at once in the step that learns them, for some ticks, and by an exchange every 2 s. Three crashes that count hold a request for 60 s, and each further one doubles that; the nodes release it one after another within 30 s, so that one which still crashes meets few upstreams. A node that has just started asks for all records and takes no calls before it has them or nobody answers for 1 s. The call path reads the result in its view.

The lists keep the newest 8 ids, so ids are ordered: time above random bits, and higher than any id known. A bounded pair of lists then still merges and the count among them is exact.

pick_members moves from move to membership, which both use.

The call path does not use the view yet.

--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -263,6 +263,7 @@
     state self{
         .settings = settings,
         .random = random_source{seed},
+        .quarantine_random = random_source{seed + 1},
         .members =
             membership::make_table(*settings.membership, self_record, read_contacts(settings), now),
         .distribution = distribution::make_state(*settings.distribution, now),
@@ -271,6 +272,7 @@
         .contacts = store::make_contact_keeper(prefix, settings.identity->node, link,
                                                settings.store->contact_lease_s, now),
         .moves = moves::make_state(*settings.move, now),
+        .quarantine = {.self = node_id{settings.identity->node}},
     };
     self.contacts.first_read_spread = milliseconds{settings.store->start_spread_ms};
     self.start_ms = static_cast<std::uint64_t>(to_unix_ms(now));
@@ -294,6 +296,7 @@
     tick_store(self, now, out);
     apply_held_config(self, now, out);
     tick_moves(self, now, out);
+    tick_quarantine(self, now, out);
 }
 
 void on_message(state& self, const incoming& received, instant now, actions& out) {
@@ -306,6 +309,7 @@
     moves::actions move_actions;
     moves::on_message(self.moves, self.members, received, now, self.random, move_actions);
     apply_move_actions(self, std::move(move_actions), now, out);
+    pass_to_quarantine(self, received, now, out);
 }
 
 void on_store_response(state& self, const store::kv_response& received, instant now, actions& out) {
@@ -368,7 +372,7 @@
 bool is_ready(const state& self) {
     const bool knows_members =
         self.members.has_joined || membership::live_records(self.members).size() > 1;
-    return knows_members && distribution::is_ready(self.distribution);
+    return knows_members && distribution::is_ready(self.distribution) && self.quarantine.has_learnt;
 }
 
 call::routing_view make_routing_view(const state& self, instant now) {
@@ -387,6 +391,7 @@
         }
     }
     view.shares = moves::version_shares(self.moves, now);
+    view.quarantine = self.quarantine.view;
     return view;
 }
 
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -2,12 +2,14 @@
 
 #include "call/call_sample.h"
 #include "call/routing_view.h"
+#include "call/upstream_crash.h"
 #include "distribution/distribution.h"
 #include "feed/operator_reader.h"
 #include "feed/record_keeper.h"
 #include "membership/membership.h"
 #include "model/log_event.h"
 #include "move/move_table.h"
+#include "quarantine/quarantine.h"
 #include "settings_generated.h"
 #include "store/config_writer.h"
 #include "store/contacts.h"
@@ -34,6 +36,8 @@
 struct state {
     msg::settings_msg settings;
     random_source random;
+    /// Of its own, so that suspects do not change what the other libraries do.
+    random_source quarantine_random;
     membership::table members;
     distribution::state distribution;
     store::config_writer writer;
@@ -53,6 +57,7 @@
     std::optional<feed::operator_reader> operator_reader;
     std::optional<feed::record_keeper> record_keeper;
     moves::state moves;
+    quarantine::state quarantine;
     /// Milliseconds since the Unix epoch at which this process started; its first incarnation.
     std::uint64_t start_ms = 0;
     bool is_leaving = false;
@@ -82,11 +87,21 @@
 void set_upstream(state& self, const msg::upstream_record_msg& upstream, instant now, actions& out);
 void record_samples(state& self, const std::vector<call::call_sample>& samples, instant now);
 
+/// The upstream beside this node has crashed.
+void record_crash(state& self, const call::upstream_crash& crash, instant now, actions& out);
+
+/// A suspected request has run well at the upstream beside this node.
+void record_good_run(state& self, const request_digest& digest, instant now, actions& out);
+
+/// Lets a held request through again by an operator's order, and clears the crashes of one that is
+/// only suspected. Returns whether it was held or suspected.
+bool lift_hold(state& self, const request_digest& digest, instant now, actions& out);
+
 /// Begins an orderly shutdown and announces to other members that this node leaves.
 void leave(state& self, instant now, actions& out);
 
-/// Whether this node can take calls: it has compared its configuration with others, and it knows
-/// another member or has found that nobody answers.
+/// Whether this node can take calls: it has compared its configuration with others, knows another
+/// member or has found that nobody answers, and has learnt which requests are held.
 [[nodiscard]] bool is_ready(const state& self);
 
 /// Builds the view that the call path routes by.
--- a/src/control/steps.h
+++ b/src/control/steps.h
@@ -30,6 +30,9 @@
 /// written again.
 void note_store_era(state& self, std::uint64_t era, instant now, actions& out);
 
+void tick_quarantine(state& self, instant now, actions& out);
+void pass_to_quarantine(state& self, const incoming& received, instant now, actions& out);
+
 /// Proposes the ending of a move.
 void submit_close(state& self, const store::move_close& close, instant now, actions& out);
 
--- a/src/move/spreading.cpp
+++ b/src/move/spreading.cpp
@@ -1,5 +1,7 @@
 #include "move/spreading.h"
 
+#include "membership/pick_members.h"
+
 #include <algorithm>
 #include <bit>
 #include <set>
@@ -32,19 +34,6 @@
 
 } // namespace
 
-std::vector<const msg::member_record_msg*> pick_members(const membership::table& members,
-                                                        std::size_t count, random_source& random) {
-    auto live = membership::live_records(members);
-    std::erase_if(live, [&](const auto* member) { return member->node == members.self.node; });
-    const std::size_t picked = std::min(count, live.size());
-    for (std::size_t i = 0; i < picked; ++i) {
-        std::uniform_int_distribution<std::size_t> index(i, live.size() - 1);
-        std::swap(live[i], live[index(random)]);
-    }
-    live.resize(picked);
-    return live;
-}
-
 std::uint32_t news_rounds(std::size_t members) {
     return static_cast<std::uint32_t>(std::bit_width(members)) + spare_rounds;
 }
@@ -79,7 +68,8 @@
         }
     }
     if (!news.empty()) {
-        send_to(pick_members(members, news_fan_out, random), make_state_message(news, now), sends);
+        send_to(membership::pick_members(members, news_fan_out, random),
+                make_state_message(news, now), sends);
     }
 }
 
@@ -87,7 +77,8 @@
                    const membership::table& members, std::size_t count, instant now,
                    random_source& random, std::vector<outgoing>& sends) {
     if (!records.empty()) {
-        send_to(pick_members(members, count, random), make_state_message(records, now), sends);
+        send_to(membership::pick_members(members, count, random), make_state_message(records, now),
+                sends);
     }
 }
 
--- a/src/move/spreading.h
+++ b/src/move/spreading.h
@@ -16,10 +16,6 @@
 /// Members that each change is sent to per round.
 inline constexpr std::size_t news_fan_out = 3;
 
-/// Up to `count` random live members other than this node.
-[[nodiscard]] std::vector<const msg::member_record_msg*>
-pick_members(const membership::table& members, std::size_t count, random_source& random);
-
 /// Rounds after which practically all of `members` members have received a change.
 [[nodiscard]] std::uint32_t news_rounds(std::size_t members);
 
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -38,12 +38,14 @@
     const bool is_ready = control::is_ready(node.control);
     const bool has_moves = !moves::version_shares(node.control.moves, now).empty();
     const bool is_same = node.view_generation == node.control.members.generation &&
+                         node.view_quarantine == node.control.quarantine.generation &&
                          node.view_config == node.control.distribution.config &&
                          node.view_is_ready == is_ready;
     if (is_same && !has_moves && !node.control.is_leaving) {
         return;
     }
     node.view_generation = node.control.members.generation;
+    node.view_quarantine = node.control.quarantine.generation;
     node.view_config = node.control.distribution.config;
     node.view_is_ready = is_ready;
     auto built =
@@ -226,6 +228,18 @@
     }
 }
 
+void record_crash(node_runtime& node, const call::upstream_crash& crash) {
+    step(node, [&](instant now, control::actions& actions) {
+        control::record_crash(node.control, crash, now, actions);
+    });
+}
+
+void record_good_run(node_runtime& node, const request_digest& digest) {
+    step(node, [&](instant now, control::actions& actions) {
+        control::record_good_run(node.control, digest, now, actions);
+    });
+}
+
 call::routing_view_ptr current_view(const node_runtime& node) {
     const auto now = current_time();
     const std::lock_guard<std::mutex> guard(node.view_lock);
--- a/src/node/node_runtime.h
+++ b/src/node/node_runtime.h
@@ -50,6 +50,7 @@
     std::optional<msg::upstream_record_msg> pending_upstream;
     /// What the published view was built from.
     std::uint64_t view_generation = 0;
+    std::uint64_t view_quarantine = 0;
     snapshot_ptr view_config;
     bool view_is_ready = false;
 
@@ -96,6 +97,12 @@
 /// safe.
 void announce_leave(node_runtime& node, const std::string& instance);
 
+/// Handles a crash of the upstream beside this node. Thread safe.
+void record_crash(node_runtime& node, const call::upstream_crash& crash);
+
+/// Handles a suspected request that has run well here. Thread safe.
+void record_good_run(node_runtime& node, const request_digest& digest);
+
 /// Returns the current view for the call path; never null. The view is not ready when the last tick
 /// is older than membership.pause_ms, as right after a pause of the process. Thread safe.
 [[nodiscard]] call::routing_view_ptr current_view(const node_runtime& node);
--- a/src/node/parts.cpp
+++ b/src/node/parts.cpp
@@ -23,7 +23,11 @@
                 },
             .log = [](const log_event& event) { write_log(event); },
             .on_upstream_leaving =
-                [node](const std::string& instance) { announce_draining(*node, instance); }};
+                [node](const std::string& instance) { announce_draining(*node, instance); },
+            .on_upstream_crash =
+                [node](const call::upstream_crash& crash) { record_crash(*node, crash); },
+            .on_suspect_ran_well =
+                [node](const request_digest& digest) { record_good_run(*node, digest); }};
 }
 
 admin::backend make_backend(const runtime_ptr& node) {
--- a/src/wire/link_counters.cpp
+++ b/src/wire/link_counters.cpp
@@ -32,7 +32,9 @@
     if (std::holds_alternative<msg::probe_msg>(message) ||
         std::holds_alternative<msg::probe_ack_msg>(message) ||
         std::holds_alternative<msg::member_sync_msg>(message) ||
-        std::holds_alternative<msg::member_page_msg>(message)) {
+        std::holds_alternative<msg::member_page_msg>(message) ||
+        // As a change of a member, news of a crash goes to random members.
+        std::holds_alternative<msg::quarantine_state_msg>(message)) {
         return traffic_kind::member;
     }
     if (std::holds_alternative<msg::move_evidence_msg>(message) ||
--- a/tests/control/control_test.cpp
+++ b/tests/control/control_test.cpp
@@ -265,5 +265,45 @@
     EXPECT_GE(count_contacts(fleet), 2);
 }
 
+constexpr request_digest deadly{.high = 1, .low = 2};
+
+void crash_three(feed_fleet& fleet) {
+    for (std::size_t node = 0; node < 3; ++node) {
+        fleet.crash(node, deadly);
+        fleet.run(milliseconds{100});
+    }
+}
+
+/// Guards against a hold that needs the store, and against a view without it.
+TEST(quarantine, a_request_is_held_everywhere_after_three_crashes_without_the_store) {
+    auto fleet = start_fleet(12);
+    fakes::set_down(fleet.store, true, fleet.now);
+    fleet.crash(0, deadly);
+    fleet.crash(5, deadly);
+    fleet.run(seconds{1});
+    EXPECT_EQ(fleet.count_holding(deadly), 0U);
+    fleet.crash(11, deadly);
+    fleet.run(milliseconds{200});
+    EXPECT_EQ(fleet.count_holding(deadly), 12U);
+    fleet.run_well(4, deadly);
+    fleet.run(milliseconds{200});
+    EXPECT_EQ(fleet.count_holding(deadly), 0U);
+}
+
+/// Guards against a restarted node that takes calls before it knows which requests are held.
+TEST(quarantine, a_node_takes_no_calls_before_it_knows_what_is_held) {
+    auto fleet = start_fleet(8);
+    crash_three(fleet);
+    fleet.run(seconds{1});
+    for (int restart = 0; restart < 10; ++restart) {
+        fleet.start(3);
+        for (int step = 0; step < 200; ++step) {
+            fleet.run(milliseconds{5});
+            EXPECT_EQ(fleet.count_holding(deadly), fleet.count_ready());
+        }
+        EXPECT_EQ(fleet.count_ready(), 8U);
+    }
+}
+
 } // namespace
 } // namespace cyclamenhatch::control
--- a/tests/control/feed_fleet.cpp
+++ b/tests/control/feed_fleet.cpp
@@ -145,6 +145,30 @@
     }
 }
 
+void feed_fleet::crash(std::size_t node, const request_digest& digest) {
+    actions out;
+    const call::upstream_crash witnessed{
+        .service = service_id("ledger"),
+        .runs = {{.digest = digest, .route = route_id("all"), .request_id = "q"}}};
+    record_crash(*nodes[node], witnessed, now, out);
+    carry_out(node, std::move(out));
+}
+
+void feed_fleet::run_well(std::size_t node, const request_digest& digest) {
+    actions out;
+    record_good_run(*nodes[node], digest, now, out);
+    carry_out(node, std::move(out));
+}
+
+std::size_t feed_fleet::count_holding(const request_digest& digest) const {
+    return static_cast<std::size_t>(
+        std::count_if(nodes.begin(), nodes.end(), [&](const auto& node) {
+            const auto view = make_routing_view(*node, now);
+            const auto* found = call::find_suspect(view.quarantine, digest);
+            return view.is_ready && found != nullptr && now < found->held_until;
+        }));
+}
+
 void feed_fleet::write(std::string_view key, const std::string& value) {
     store::kv_transaction transaction;
     transaction.puts.push_back({std::string(key), value, 0});
--- a/tests/control/feed_fleet.h
+++ b/tests/control/feed_fleet.h
@@ -27,6 +27,11 @@
     /// Starts a node, or replaces it by a new process.
     void start(std::size_t node);
     void run(milliseconds duration);
+    /// The upstream beside a node crashes while it runs a request.
+    void crash(std::size_t node, const request_digest& digest);
+    void run_well(std::size_t node, const request_digest& digest);
+    /// Ready nodes whose call path refuses the request.
+    [[nodiscard]] std::size_t count_holding(const request_digest& digest) const;
     /// Writes a key as the operators do.
     void write(std::string_view key, const std::string& value);
     [[nodiscard]] std::size_t count_ready() const;
--- a/tests/scenarios/cluster.cpp
+++ b/tests/scenarios/cluster.cpp
@@ -46,12 +46,15 @@
     for (auto& output : sends) {
         const auto address_match = sim.host_by_address.find(output.address);
         const auto name_match = sim.host_by_name.find(output.to.value);
+        const bool is_quarantine =
+            std::holds_alternative<msg::quarantine_state_msg>(output.message);
+        auto& random = is_quarantine ? sim.quarantine_random : sim.random;
         if (address_match != sim.host_by_address.end()) {
             send(sim.net, sender, address_match->second, {sender_id, std::move(output.message)},
-                 sim.now, sim.random);
+                 sim.now, random);
         } else if (name_match != sim.host_by_name.end()) {
             send(sim.net, sender, name_match->second, {sender_id, std::move(output.message)},
-                 sim.now, sim.random);
+                 sim.now, random);
         }
     }
 }
@@ -201,6 +204,7 @@
 cluster make_cluster(std::uint64_t seed) {
     cluster sim;
     sim.random.seed(seed);
+    sim.quarantine_random.seed(seed + 1);
     sim.start = from_unix_ms(1'800'000'000'000);
     sim.now = sim.start;
     sim.counters_reset_at = sim.start;
--- a/tests/scenarios/cluster.h
+++ b/tests/scenarios/cluster.h
@@ -47,6 +47,9 @@
 
 struct cluster {
     random_source random;
+    /// For the delays of the quarantine's messages, so that the other messages of a scenario meet
+    /// the same delays with and without them.
+    random_source quarantine_random;
     instant now;
     instant start;
     msg::settings_msg settings;
