tests: show that an answer cut in its head is never passed on

What callers saw elsewhere: a 200 with an empty or short body, framed as whole, from an upstream that stopped in the middle of its answer's head and closed.

It cannot happen here: at the end of a connection the parser is asked whether what it has is whole, and a head without its last line is not; a new parser begins behind each informational or late answer.

A body without a length is whole when the connection closes and not when it is reset.

--- /dev/null
+++ b/tests/edge/scripted_upstream.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace cyclamenhatch::edge::testing {
+
+enum class upstream_end { keep, close, reset };
+
+/// What an upstream writes for one request, and what it does with the connection then.
+struct upstream_script {
+    std::string bytes;
+    upstream_end end = upstream_end::keep;
+};
+
+/// Counted from 1: the connection, and the request on it.
+struct request_place {
+    int connection = 0;
+    int request = 0;
+    std::string id;
+};
+
+/// An upstream on the loop of the test that writes these bytes for each request. It takes requests
+/// without a body.
+class scripted_upstream {
+public:
+    using script = std::function<upstream_script(const request_place&)>;
+
+    scripted_upstream(boost::asio::io_context& io, script answers);
+
+    [[nodiscard]] std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+    [[nodiscard]] int connections() const { return connections_; }
+    /// Number of requests with this id.
+    [[nodiscard]] int requests(const std::string& id) const;
+
+private:
+    void accept_next();
+
+    script script_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    int connections_ = 0;
+    std::string ids_;
+};
+
+} // namespace cyclamenhatch::edge::testing
