edge: guard the gate's watch for crashes with the lock of shared state

An exception that leaves a scope under the gate's lock must not be contained, since the table may be half changed; the watch for crashes, which was written beside that change, now takes the same kind of lock. A test row with a misleading name is renamed.

--- a/src/edge/gate_crashes.cpp
+++ b/src/edge/gate_crashes.cpp
@@ -3,13 +3,14 @@
 #include "call/call_key.h"
 #include "call/held_request.h"
 #include "clock/process_clock.h"
+#include "model/handler_guard.h"
 
 #include <utility>
 
 namespace cyclamenhatch::edge {
 namespace {
 
-using lock_type = std::unique_lock<std::mutex>;
+using lock_type = state_lock;
 
 /// The crash to report now, if there is one. Precondition: the lock is held.
 std::optional<call::upstream_crash> take_crash(gate_side& side, instant now) {
@@ -97,7 +98,7 @@
     if (step.must_probe) {
         auto probe =
             probe_listener(*side.client, [&side](bool is_refused) { on_probed(side, is_refused); });
-        const std::lock_guard guard(side.lock);
+        const lock_type guard(side.lock);
         side.probe = std::move(probe);
     }
     if (step.crash) {
--- a/tests/platform/odd_announcements_test.cpp
+++ b/tests/platform/odd_announcements_test.cpp
@@ -123,7 +123,7 @@
     {"sequence_beyond_double", sequence_field, R"("sequence":1e400)"},
     {"sequence_beyond_int64", sequence_field, R"("sequence":99999999999999999999)"},
     {"sequence_at_int64", sequence_field, R"("sequence":9223372036854775807)"},
-    {"sequence_is_a_fraction", sequence_field, R"("sequence":1e300)"},
+    {"sequence_is_huge", sequence_field, R"("sequence":1e300)"},
     {"sequence_below_zero", sequence_field, R"("sequence":-1)"},
     {"sequence_is_a_list", sequence_field, R"("sequence":[5])"},
     {"slots_beyond_double", slots_field, R"("slots":1e400)"},
