call: repeat a call under which upstreams broke off once only

Change: after an upstream broke off under an idempotent call, the call goes to one more endpoint as before, but not to a third, and to none once the view knows two crashes of the same request. The caller then gets the 504 (unknown) at once. Refusals that say that nothing ran, such as a busy gate's, and server errors are repeated as before; a busy gate between two breaks does not hide the first.

Cost: a call that loses two answers in a row to single resets now ends with 504 where a third attempt was made before.

--- a/src/call/entry_call.cpp
+++ b/src/call/entry_call.cpp
@@ -1,5 +1,7 @@
 #include "call/entry_call.h"
 
+#include "call/held_request.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -211,7 +213,10 @@
     state.current.reset();
     state.may_have_run = state.may_have_run || !is_proven;
     ++(has_arrived(event.details) ? state.arrivals : state.refusals);
-    if (state.may_have_run && !state.is_idempotent) {
+    const bool is_break = event.details.reason == msg::refusal_reason::upstream_unreachable;
+    state.broken_off += is_break && !is_proven ? 1 : 0;
+    if ((state.may_have_run && !state.is_idempotent) ||
+        !may_repeat(state.broken_off, event.suspect_crashes)) {
         fail(state, event.details, out);
         return;
     }
--- a/src/call/entry_call.h
+++ b/src/call/entry_call.h
@@ -61,6 +61,8 @@
     std::uint32_t max_attempts = 1;
     /// Number of attempts that reached, or may have reached, an upstream.
     std::uint32_t arrivals = 0;
+    /// Upstreams that broke off under the call.
+    std::uint32_t broken_off = 0;
     /// Gates that had no free slot. Once no other is left they are tried again, and may then queue
     /// the call.
     std::vector<node_id> busy;
@@ -100,6 +102,8 @@
 struct refused_event {
     call_id call;
     refusal details;
+    /// Crashes that this node knows of the same request now.
+    std::uint32_t suspect_crashes = 0;
 };
 struct link_lost_event {
     node_id node;
--- a/src/call/held_request.h
+++ b/src/call/held_request.h
@@ -14,4 +14,8 @@
 [[nodiscard]] std::uint32_t count_crashes(const quarantine_view_ptr& view,
                                           const request_digest& digest);
 
+/// Whether a call may be sent to another upstream after `broken_off` of them broke off under it.
+/// `crashes` is the number of crashes known of its request.
+[[nodiscard]] bool may_repeat(std::uint32_t broken_off, std::uint32_t crashes);
+
 } // namespace cyclamenhatch::call
--- a/src/edge/entry_side.cpp
+++ b/src/edge/entry_side.cpp
@@ -1,6 +1,7 @@
 #include "edge/entry_side.h"
 
 #include "call/call_key.h"
+#include "call/held_request.h"
 #include "clock/process_clock.h"
 #include "edge/call_headers.h"
 #include "edge/entry_quarantine.h"
@@ -287,6 +288,7 @@
 }
 
 void on_refused(entry_side& side, const node_id& sender, const msg::call_refused_msg& message) {
+    const auto view = side.callbacks.view();
     lock_type guard(side.lock);
     const auto call = call::from_key(message.call.get());
     const auto flow = find_attempt(side, sender, call);
@@ -302,7 +304,10 @@
                                 .reason = message.reason,
                                 .retry_helps = message.retry_helps,
                                 .retry_after = milliseconds(message.retry_after_ms)};
-    auto result = step(side, flow, call::refused_event{call, refusal});
+    const auto digest = call::from_request_key(flow->request.digest.get());
+    auto result =
+        step(side, flow,
+             call::refused_event{call, refusal, call::count_crashes(view->quarantine, digest)});
     guard.unlock();
     perform(side, flow, std::move(result), nullptr);
 }
--- a/tests/edge/quarantine_test.cpp
+++ b/tests/edge/quarantine_test.cpp
@@ -125,6 +125,20 @@
     EXPECT_EQ(digests, (std::set{digest_of_get("/die"), digest_of_get("/hold")}));
 }
 
+/// Guards against an automatic repeat that takes one more upstream with a request that has crashed
+/// others.
+TEST(broken_off_call, is_not_repeated_once_its_request_has_crashed_two) {
+    fake_upstream first;
+    fake_upstream second;
+    joined_paths paths(first.port());
+    paths.add_endpoint_at_entry(second.port());
+    EXPECT_EQ(paths.get("/break").substr(0, 11), "504 unknown");
+    EXPECT_EQ(first.runs("/break") + second.runs("/break"), 2);
+    paths.set_quarantine({{digest_of_get("/break"), {.crashes = 2}}});
+    EXPECT_EQ(paths.get("/break").substr(0, 11), "504 unknown");
+    EXPECT_EQ(first.runs("/break") + second.runs("/break"), 3);
+}
+
 /// Guards against a suspect that stays one although it has run well since.
 TEST(suspect, that_runs_well_is_reported_once) {
     fake_upstream upstream;
