edge: count no failure of a held request as evidence

Change: a failed attempt of a request that is held when it ends gives no sample. It still counts for the endpoint's ejection, which is right while the upstream is away.

--- a/src/edge/entry_steps.cpp
+++ b/src/edge/entry_steps.cpp
@@ -1,6 +1,7 @@
 #include "edge/entry_steps.h"
 
 #include "call/call_key.h"
+#include "call/held_request.h"
 #include "clock/process_clock.h"
 #include "edge/call_headers.h"
 #include "model/handler_guard.h"
@@ -95,7 +96,11 @@
                             side.limits.max_ejected_percent);
     call::note_ended(side.loads[ended.target.node], ended.end, ended.latency, may_eject,
                      side.limits.ejection, now);
-    if (ended.end != call::attempt_end::cancelled) {
+    const auto digest = call::from_request_key(flow.request.digest.get());
+    // Whatever version runs a held request fails.
+    const bool is_held = ended.end == call::attempt_end::failed &&
+                         call::find_hold(view->quarantine, digest, now).has_value();
+    if (ended.end != call::attempt_end::cancelled && !is_held) {
         out.samples.push_back({.service = flow.service,
                                .route = flow.route,
                                .version = ended.target.version,
--- a/tests/edge/joined_paths.cpp
+++ b/tests/edge/joined_paths.cpp
@@ -154,7 +154,14 @@
         const std::lock_guard guard(lock_);
         return is_entry && entry_view_ ? entry_view_ : view_;
     };
-    callbacks.record_samples = [](const std::vector<call::call_sample>&) {};
+    callbacks.record_samples = [this](const std::vector<call::call_sample>& samples) {
+        const std::lock_guard guard(lock_);
+        errors_ +=
+            static_cast<int>(std::count_if(samples.begin(), samples.end(), [](const auto& sample) {
+                return sample.kind == call::sample_kind::error;
+            }));
+        changed_.notify_all();
+    };
     callbacks.log = [this](log_event event) {
         const std::lock_guard guard(lock_);
         events_.push_back(std::move(event));
@@ -162,7 +169,7 @@
     callbacks.on_upstream_crash = [this](call::upstream_crash crash) {
         const std::lock_guard guard(lock_);
         crashes_.push_back(std::move(crash));
-        crashed_.notify_all();
+        changed_.notify_all();
     };
     callbacks.on_suspect_ran_well = [this](const request_digest& digest) {
         const std::lock_guard guard(lock_);
@@ -191,10 +198,16 @@
 
 std::vector<call::upstream_crash> joined_paths::wait_for_crashes(std::size_t count) {
     std::unique_lock guard(lock_);
-    crashed_.wait_for(guard, std::chrono::seconds(2), [&] { return crashes_.size() >= count; });
+    changed_.wait_for(guard, std::chrono::seconds(2), [&] { return crashes_.size() >= count; });
     return crashes_;
 }
 
+int joined_paths::wait_for_errors(int count) {
+    std::unique_lock guard(lock_);
+    changed_.wait_for(guard, std::chrono::seconds(2), [&] { return errors_ >= count; });
+    return errors_;
+}
+
 std::vector<request_digest> joined_paths::ran_well() {
     const std::lock_guard guard(lock_);
     return ran_well_;
--- a/tests/edge/joined_paths.h
+++ b/tests/edge/joined_paths.h
@@ -53,6 +53,8 @@
     void set_quarantine(const call::quarantine_view& suspects, bool only_gate = false);
     /// Waits up to 2 s for this number of crashes; returns those reported so far, by any node.
     [[nodiscard]] std::vector<call::upstream_crash> wait_for_crashes(std::size_t count);
+    /// Waits up to 2 s for this number of samples of failed attempts; returns the number so far.
+    [[nodiscard]] int wait_for_errors(int count);
     /// Digests of the suspects that have run well so far.
     [[nodiscard]] std::vector<request_digest> ran_well();
     /// Events logged so far, by any node.
@@ -66,7 +68,8 @@
     call::routing_view_ptr view_;
     /// The entry's view when it differs.
     call::routing_view_ptr entry_view_;
-    std::condition_variable crashed_;
+    std::condition_variable changed_;
+    int errors_ = 0;
     std::vector<call::upstream_crash> crashes_;
     std::vector<request_digest> ran_well_;
     std::vector<log_event> events_;
--- a/tests/edge/quarantine_test.cpp
+++ b/tests/edge/quarantine_test.cpp
@@ -101,6 +101,24 @@
     EXPECT_EQ(upstream.runs("/ok"), 0);
 }
 
+/// Guards against a version that is blamed for a request that crashes whatever runs it.
+TEST(held_request, is_no_evidence_of_a_fault) {
+    fake_upstream upstream;
+    joined_paths paths(upstream.port());
+    auto held = std::async(std::launch::async, [&] { return paths.get("/hold-a"); });
+    auto other = std::async(std::launch::async, [&] { return paths.get("/hold-b"); });
+    upstream.wait_for_runs("/hold-a", 1);
+    upstream.wait_for_runs("/hold-b", 1);
+    paths.set_quarantine(hold("/hold-a"));
+    upstream.end();
+    EXPECT_EQ(held.get().substr(0, 11), "504 unknown");
+    EXPECT_EQ(other.get().substr(0, 11), "504 unknown");
+    upstream.come_back();
+    paths.announce(upstream_state::ready, upstream.port(), "i-2");
+    EXPECT_EQ(paths.get("/break").substr(0, 11), "504 unknown");
+    EXPECT_EQ(paths.wait_for_errors(2), 2);
+}
+
 /// Guards against a call that is lost because another one crashed its upstream.
 TEST(innocent_call, is_served_elsewhere_after_a_crash) {
     fake_upstream dying;
