net: contain an exception to the HTTP connection whose request threw it

Change: each handler of a connection runs under a guard. An exception closes that connection without an answer and logs handler_failed with the request's path.

--- a/src/net/http_service.cpp
+++ b/src/net/http_service.cpp
@@ -1,5 +1,7 @@
 #include "net/http_service.h"
 
+#include "model/handler_guard.h"
+
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -32,11 +34,12 @@
 } // namespace
 
 struct http_service : std::enable_shared_from_this<http_service> {
-    http_service(asio::io_context& io, service_handler request_handler)
-        : acceptor(io), handler(std::move(request_handler)) {}
+    http_service(asio::io_context& io, service_handler request_handler, service_log log_writer)
+        : acceptor(io), handler(std::move(request_handler)), log(std::move(log_writer)) {}
 
     tcp::acceptor acceptor;
     service_handler handler;
+    service_log log;
     std::set<session_ptr> sessions;
     bool is_stopped = false;
 };
@@ -60,6 +63,23 @@
     service->sessions.erase(self);
 }
 
+/// Path of the request being handled, without its query; empty when there is none.
+std::string path_of(const session& self) {
+    const std::string target(self.parser ? self.parser->get().target() : "");
+    return target.substr(0, target.find('?'));
+}
+
+/// Runs the body of one of the session's handlers; an exception ends the session.
+template <class Body>
+void run_handler(const service_ptr& service, const session_ptr& self, Body&& body) {
+    guard_handler(std::forward<Body>(body), [&](const std::string& reason) {
+        if (service->log) {
+            service->log(make_handler_failed("http_service", path_of(*self), reason));
+        }
+        end_session(service, self);
+    });
+}
+
 void read_next(const service_ptr& service, const session_ptr& self);
 
 void reply(const service_ptr& service, const session_ptr& self, service_answer answer,
@@ -79,7 +99,7 @@
                               end_session(service, self);
                               return;
                           }
-                          read_next(service, self);
+                          run_handler(service, self, [&] { read_next(service, self); });
                       });
 }
 
@@ -108,7 +128,7 @@
     self->stream.expires_after(max_silence);
     http::async_read(self->stream, self->buffer, *self->parser,
                      [service, self](error_code error, std::size_t /*bytes*/) {
-                         on_request(service, self, error);
+                         run_handler(service, self, [&] { on_request(service, self, error); });
                      });
 }
 
@@ -122,7 +142,7 @@
             socket.set_option(tcp::no_delay(true), ignored);
             const auto new_session = std::make_shared<session>(std::move(socket));
             service->sessions.insert(new_session);
-            read_next(service, new_session);
+            run_handler(service, new_session, [&] { read_next(service, new_session); });
         }
         accept_next(service);
     });
@@ -131,8 +151,9 @@
 } // namespace
 
 std::shared_ptr<http_service> start_http_service(asio::io_context& io, const std::string& ip,
-                                                 std::uint16_t port, service_handler handler) {
-    auto service = std::make_shared<http_service>(io, std::move(handler));
+                                                 std::uint16_t port, service_handler handler,
+                                                 service_log log) {
+    auto service = std::make_shared<http_service>(io, std::move(handler), std::move(log));
     try {
         const tcp::endpoint endpoint(asio::ip::make_address(ip), port);
         service->acceptor.open(endpoint.protocol());
--- a/src/net/http_service.h
+++ b/src/net/http_service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "model/log_event.h"
 #include "model/time.h"
 
 #include <boost/asio/io_context.hpp>
@@ -26,18 +27,19 @@
     std::string body;
 };
 
-/// Answers one request; called from the io_context's thread and must not block.
+/// Answers one request; called from the io_context's thread and must not block. An exception closes
+/// the connection without an answer, unless it has left a shared_state_scope.
 using service_handler = std::function<service_answer(const service_request&)>;
+using service_log = std::function<void(const log_event&)>;
 
 /// Opaque; made by start_http_service.
 struct http_service;
 
-/// Starts listening and serving. Throws std::runtime_error when the ip is not valid or the port
-/// cannot be bound.
-[[nodiscard]] std::shared_ptr<http_service> start_http_service(boost::asio::io_context& io,
-                                                               const std::string& ip,
-                                                               std::uint16_t port,
-                                                               service_handler handler);
+/// Starts listening and serving. `log` may be empty. Throws std::runtime_error when the ip is not
+/// valid or the port cannot be bound.
+[[nodiscard]] std::shared_ptr<http_service>
+start_http_service(boost::asio::io_context& io, const std::string& ip, std::uint16_t port,
+                   service_handler handler, service_log log = {});
 
 /// The port that the service listens on; needed when it was started on port 0.
 [[nodiscard]] std::uint16_t service_port(const http_service& service);
--- a/tests/net/net_test.cpp
+++ b/tests/net/net_test.cpp
@@ -7,7 +7,10 @@
 #include <gtest/gtest.h>
 
 #include <optional>
+#include <stdexcept>
+#include <string>
 #include <thread>
+#include <vector>
 
 namespace cyclamenhatch::net {
 namespace {
@@ -69,6 +72,32 @@
     stop(*service);
 }
 
+/// Guards against one request whose handling fails and that ends the node, and against a client
+/// that takes its answer for a whole one.
+TEST(http, a_fault_of_a_request_ends_its_connection_and_no_other) {
+    asio::io_context io;
+    std::vector<std::string> lines;
+    const auto service = start_http_service(
+        io, "127.0.0.1", 0,
+        [](const service_request& request) {
+            if (request.target == "/faulty?x=1") {
+                throw std::length_error("vector::_M_default_append");
+            }
+            return service_answer{};
+        },
+        [&](const log_event& event) { lines.push_back(to_line(event)); });
+    const auto client = connect_to(io, service_port(*service));
+    EXPECT_TRUE(
+        std::holds_alternative<no_answer>(send_and_wait(io, *client, {"GET", "/faulty?x=1", ""})));
+    EXPECT_TRUE(
+        std::holds_alternative<http_response>(send_and_wait(io, *client, {"GET", "/ok", ""})));
+    EXPECT_EQ(lines,
+              std::vector<std::string>{"event=handler_failed place=http_service request=/faulty "
+                                       "reason=vector::_M_default_append"});
+    close(*client);
+    stop(*service);
+}
+
 /// Guards against unbounded memory use for a client that sends an endless chunk size line.
 TEST(http, an_endless_chunk_size_line_is_refused_at_the_limit) {
     asio::io_context io;
