wire: contain an exception to the link whose message threw it

Change: reading and writing a link run under a guard. An exception closes that link with the cause handler_failed; entries then ask again for their calls as after any lost link. Dropping the message alone would leave a gap in the order that links keep. The choice and the closing of links change the pool's tables, and a step of the control state changes what all calls read: exceptions that leave these are passed on.

--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -1,6 +1,7 @@
 #include "node/node_runtime.h"
 
 #include "clock/process_clock.h"
+#include "model/handler_guard.h"
 #include "node/log_writer.h"
 
 #include <random>
@@ -141,6 +142,7 @@
           control::make_routing_view(control, current_time()))) {}
 
 void step(node_runtime& node, const std::function<void(instant, control::actions&)>& event) {
+    const shared_state_scope scope;
     control::actions actions;
     std::vector<matched_reply> replies;
     {
--- a/src/wire/link_choice.cpp
+++ b/src/wire/link_choice.cpp
@@ -1,6 +1,7 @@
 #include "wire/link_choice.h"
 
 #include "clock/process_clock.h"
+#include "model/handler_guard.h"
 
 #include <algorithm>
 #include <utility>
@@ -56,6 +57,7 @@
 }
 
 void choose_link(const pool_ptr& pool, const link_ptr& new_link) {
+    const shared_state_scope scope;
     const bool is_spare = new_link->is_spare;
     const auto suspect = new_link->suspect.lock();
     if (suspect && proves_silence(*new_link, *suspect)) {
@@ -81,6 +83,7 @@
     if (current->is_used_by_peer) {
         return;
     }
+    const shared_state_scope scope;
     current->is_used_by_peer = true;
     const auto open_links = pool.links; // Closing a link changes the list.
     for (const auto& other : open_links) {
--- a/src/wire/link_close.cpp
+++ b/src/wire/link_close.cpp
@@ -1,4 +1,5 @@
 #include "clock/process_clock.h"
+#include "model/handler_guard.h"
 #include "wire/link_choice.h"
 #include "wire/link_pool_state.h"
 
@@ -91,6 +92,7 @@
     if (peer_link->is_closed) {
         return;
     }
+    const shared_state_scope scope;
     peer_link->is_closed = true;
     record_close(pool, *peer_link, reason);
     boost::system::error_code ignored;
--- a/src/wire/link_counters.cpp
+++ b/src/wire/link_counters.cpp
@@ -5,7 +5,7 @@
 
 constexpr std::array<std::string_view, close_cause_count> cause_names{
     "silent",      "replaced",     "spare",        "idle",    "unconnected", "dial_failed",
-    "peer_closed", "write_failed", "broken_frame", "refused", "stopping"};
+    "peer_closed", "write_failed", "broken_frame", "refused", "stopping",    "handler_failed"};
 
 constexpr std::array<std::string_view, traffic_kind_count> traffic_names{"member", "config", "move",
                                                                          "call", "link"};
--- a/src/wire/link_counters.h
+++ b/src/wire/link_counters.h
@@ -12,19 +12,20 @@
 
 /// Why a link was closed.
 enum class close_cause {
-    silent,       ///< A ping was not answered for link.dead_timeout_ms.
-    replaced,     ///< The peer answered on a new link while this one was silent.
-    spare,        ///< A spare whose tested link showed signs of life again.
-    idle,         ///< Unused for link.idle_timeout_s.
-    unconnected,  ///< No hello arrived within link.connect_timeout_ms.
-    dial_failed,  ///< The connection was refused or could not be opened.
-    peer_closed,  ///< The peer closed or reset the connection.
-    write_failed, ///< Writing to the connection failed.
-    broken_frame, ///< The received bytes were not a valid message.
-    refused,      ///< Wrong cluster key, other protocol version, or first message not a hello.
-    stopping,     ///< This node shuts down.
+    silent,         ///< A ping was not answered for link.dead_timeout_ms.
+    replaced,       ///< The peer answered on a new link while this one was silent.
+    spare,          ///< A spare whose tested link showed signs of life again.
+    idle,           ///< Unused for link.idle_timeout_s.
+    unconnected,    ///< No hello arrived within link.connect_timeout_ms.
+    dial_failed,    ///< The connection was refused or could not be opened.
+    peer_closed,    ///< The peer closed or reset the connection.
+    write_failed,   ///< Writing to the connection failed.
+    broken_frame,   ///< The received bytes were not a valid message.
+    refused,        ///< Wrong cluster key, other protocol version, or first message not a hello.
+    stopping,       ///< This node shuts down.
+    handler_failed, ///< An exception while the link or a message on it was handled.
 };
-constexpr std::size_t close_cause_count = 11;
+constexpr std::size_t close_cause_count = 12;
 
 /// The components that send messages.
 enum class traffic_kind { member, config, move, call, link };
--- a/src/wire/link_io.cpp
+++ b/src/wire/link_io.cpp
@@ -1,5 +1,6 @@
 #include "clock/process_clock.h"
 #include "messages/envelope.h"
+#include "model/handler_guard.h"
 #include "wire/link_choice.h"
 #include "wire/link_pool_state.h"
 
@@ -31,6 +32,16 @@
     return difference == 0;
 }
 
+/// Runs the body of one of the link's handlers; an exception closes the link, so that both sides
+/// ask again for what it may have cost.
+template <class Body>
+void run_handler(const pool_ptr& pool, const link_ptr& peer_link, Body&& body) {
+    guard_handler(std::forward<Body>(body), [&](const std::string& reason) {
+        pool->events.on_log(make_handler_failed("link", peer_link->peer.value, reason));
+        close_link(*pool, peer_link, {close_cause::handler_failed, reason});
+    });
+}
+
 void on_written(const pool_ptr& pool, const link_ptr& peer_link, const error_code& error) {
     if (peer_link->is_closed) {
         return;
@@ -209,21 +220,27 @@
     }
 }
 
+void start_read(const pool_ptr& pool, const link_ptr& peer_link);
+
+void on_readable(const pool_ptr& pool, const link_ptr& peer_link, const error_code& error) {
+    if (peer_link->is_closed) {
+        return;
+    }
+    const auto reason = error ? close_reason{close_cause::peer_closed, error.message()}
+                              : read_available(pool, peer_link);
+    if (reason) {
+        close_link(*pool, peer_link, *reason);
+        return;
+    }
+    if (!peer_link->is_closed) {
+        start_read(pool, peer_link);
+    }
+}
+
 void start_read(const pool_ptr& pool, const link_ptr& peer_link) {
     peer_link->socket.async_wait(
         tcp::socket::wait_read, [pool, peer_link](const error_code& error) {
-            if (peer_link->is_closed) {
-                return;
-            }
-            const auto reason = error ? close_reason{close_cause::peer_closed, error.message()}
-                                      : read_available(pool, peer_link);
-            if (reason) {
-                close_link(*pool, peer_link, *reason);
-                return;
-            }
-            if (!peer_link->is_closed) {
-                start_read(pool, peer_link);
-            }
+            run_handler(pool, peer_link, [&] { on_readable(pool, peer_link, error); });
         });
 }
 
@@ -251,7 +268,7 @@
             return on_write_progress(*peer_link, error, bytes, total);
         },
         [pool, peer_link](const error_code& error, std::size_t /*bytes*/) {
-            on_written(pool, peer_link, error);
+            run_handler(pool, peer_link, [&] { on_written(pool, peer_link, error); });
         });
 }
 
