node: log the exception that ends the process, and where it came from

What the operator saw: "failed: vector::_M_default_append" on standard error, no event, and nothing on which part had failed; nodes whose loops have threads of their own ended without any line. Change: the loop's end by an exception is logged as node_failed with its reason and the innermost scope of shared state that it left.

--- a/src/edge/call_path.cpp
+++ b/src/edge/call_path.cpp
@@ -8,6 +8,7 @@
 #include "model/handler_guard.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <limits>
 #include <random>
 #include <utility>
@@ -207,9 +208,21 @@
     });
 }
 
+void run_worker(call_path& path) {
+    const bool has_ended = run_logged([&] { path.io.run(); },
+                                      [&](const log_event& event) {
+                                          if (path.callbacks.log) {
+                                              path.callbacks.log(event);
+                                          }
+                                      });
+    if (!has_ended) {
+        std::abort();
+    }
+}
+
 void start_workers(call_path& path, std::uint32_t count) {
     for (std::uint32_t i = 0; i < std::max(1U, count); ++i) {
-        path.workers.emplace_back([&path] { path.io.run(); });
+        path.workers.emplace_back([&path] { run_worker(path); });
     }
 }
 
--- a/src/model/handler_guard.h
+++ b/src/model/handler_guard.h
@@ -78,4 +78,16 @@
     }
 }
 
+/// Runs the body of a thread that handles events. Returns false after an exception, which is passed
+/// to `log` as node_failed: the process must then end.
+template <class Body, class Log> [[nodiscard]] bool run_logged(Body&& body, Log&& log) {
+    try {
+        body();
+        return true;
+    } catch (...) {
+        log(make_node_failed());
+        return false;
+    }
+}
+
 } // namespace cyclamenhatch
--- a/src/node/run_on_loop.cpp
+++ b/src/node/run_on_loop.cpp
@@ -2,6 +2,7 @@
 
 #include "clock/process_clock.h"
 #include "messages/address_text.h"
+#include "model/handler_guard.h"
 #include "net/http_service.h"
 #include "node/log_writer.h"
 #include "node/node_runtime.h"
@@ -96,8 +97,8 @@
     if (!endpoint) {
         throw std::runtime_error("\"" + address + "\" is not an address to listen on");
     }
-    self.services.push_back(
-        net::start_http_service(self.loop, endpoint->ip, endpoint->port, std::move(handler)));
+    self.services.push_back(net::start_http_service(self.loop, endpoint->ip, endpoint->port,
+                                                    std::move(handler), write_log));
 }
 
 void start_services(platform_node& self) {
@@ -333,7 +334,9 @@
     schedule_tick(self);
     schedule_settings_check(self);
     await_signal(self);
-    self.loop.run();
+    if (!run_logged([&] { self.loop.run(); }, write_log)) {
+        return 1;
+    }
     stop_parts(self);
     return 0;
 }
--- a/src/wire/link_pool.cpp
+++ b/src/wire/link_pool.cpp
@@ -2,10 +2,12 @@
 
 #include "clock/process_clock.h"
 #include "messages/envelope.h"
+#include "model/handler_guard.h"
 #include "wire/link_pool_state.h"
 
 #include <algorithm>
 #include <boost/asio.hpp>
+#include <cstdlib>
 #include <future>
 #include <stdexcept>
 
@@ -241,7 +243,11 @@
     if (!pool.own_context) {
         return;
     }
-    pool.thread = std::thread([self = pool.shared_from_this()] { self->context.run(); });
+    pool.thread = std::thread([self = pool.shared_from_this()] {
+        if (!run_logged([&] { self->context.run(); }, self->events.on_log)) {
+            std::abort();
+        }
+    });
 }
 
 void send(link_pool& pool, outgoing message) {
--- a/tests/model/handler_guard_test.cpp
+++ b/tests/model/handler_guard_test.cpp
@@ -5,6 +5,7 @@
 #include <new>
 #include <stdexcept>
 #include <string>
+#include <vector>
 
 namespace cyclamenhatch {
 namespace {
@@ -78,6 +79,15 @@
     EXPECT_TRUE(is_contained) << "an earlier fault decides about a later one";
 }
 
+/// Guards against a loop that ends by an exception as if it had been stopped, or without a line.
+TEST(handler_guard, logs_an_exception_that_ends_a_loop) {
+    std::vector<std::string> lines;
+    const auto log = [&](const log_event& event) { lines.push_back(to_line(event)); };
+    EXPECT_TRUE(run_logged([] {}, log));
+    EXPECT_FALSE(run_logged([] { throw std::runtime_error("no timer"); }, log));
+    EXPECT_EQ(lines, std::vector<std::string>{"event=node_failed place=loop reason=\"no timer\""});
+}
+
 /// Guards against a process that ends without a line that says where.
 TEST(handler_guard, names_the_place_of_a_fault_in_shared_state) {
     try {
