--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -205,6 +205,20 @@
     }
 }
 
+/// Guards against an order whose time does not fit the configuration's milliseconds and becomes
+/// another time, or none.
+TEST(move_orders, are_refused_when_their_time_cannot_be_kept) {
+    const auto read_with = [](const std::string& duration) {
+        return read_order(R"({"service":"s1","targetVersion":"v2","duration":)" + duration + "}");
+    };
+    for (const auto* bad : {"4294967.296", "5000000", "1e15", "1e300", "0.0004"}) {
+        EXPECT_TRUE(std::holds_alternative<findings>(read_with(bad))) << bad;
+    }
+    EXPECT_EQ(std::get<feed::move_order>(read_with("4294967.295")).duration,
+              milliseconds{4'294'967'295});
+    EXPECT_EQ(std::get<feed::move_order>(read_with("0.001")).duration, milliseconds{1});
+}
+
 TEST(move_records, are_read_as_they_were_written) {
     for (const auto state :
          {feed::record_state::running, feed::record_state::done, feed::record_state::taken_back}) {
