edge: take no refusal of an earlier attempt for one of a later

What callers saw elsewhere: an upstream wrote an earlier refusal once more on a kept connection, and callers were told "not run" for calls that ran, or such a call ran at a second endpoint.

Cause here: answers are matched by the call's id, and each attempt of a call has the same. When all endpoints were tried, a busy one is tried again; the copy of its first refusal then proved that the second attempt had not run, while it ran.

Change: a connection remembers the ids of its last 256 requests, and a request whose id it has carried goes over a new one.

--- a/src/edge/upstream_client.cpp
+++ b/src/edge/upstream_client.cpp
@@ -35,12 +35,20 @@
 void reconnect(const exchange_ptr& self, bool is_whole) {
     close_connection(*self->connection);
     self->connection->buffer.clear();
+    self->connection->sent_ids.clear();
     self->is_reused = false;
     self->next_target = 0;
     self->request = {};
     connect(self, is_whole);
 }
 
+/// Whether a late answer to an earlier attempt of this call may come on the connection. No id could
+/// tell it from the answer to this attempt.
+bool may_bring_own_id(const upstream_exchange& exchange) {
+    return !exchange.match.header.empty() &&
+           has_carried(*exchange.connection, exchange.match.value);
+}
+
 void on_written(const exchange_ptr& self, bool is_whole, error_code error, std::size_t bytes) {
     if (self->is_done) {
         return;
@@ -63,6 +71,9 @@
 }
 
 void write_request(const exchange_ptr& self, bool is_whole) {
+    if (!self->match.header.empty()) {
+        remember_id(*self->connection, self->match.value);
+    }
     fill_request(self->request, self->head, self->outgoing.size(), is_whole);
     set_body(*self, is_whole);
     self->serializer.emplace(self->request);
@@ -110,7 +121,9 @@
 }
 
 void begin(const exchange_ptr& self, bool is_whole) {
-    if (self->is_reused) {
+    if (self->is_reused && may_bring_own_id(*self)) {
+        reconnect(self, is_whole);
+    } else if (self->is_reused) {
         write_request(self, is_whole);
     } else {
         connect(self, is_whole);
--- a/src/edge/upstream_client.h
+++ b/src/edge/upstream_client.h
@@ -73,7 +73,8 @@
                                                      std::chrono::milliseconds max_idle);
 
 /// Sends the request. With a first piece that is not the last, more follow by write_body after
-/// on_taken. Answers that do not match belong to an earlier request and are dropped. No callback
+/// on_taken. Answers that do not match belong to an earlier request and are dropped. A kept
+/// connection that has carried a request with the same id is replaced. No callback
 /// comes before this function returns. Precondition: called once.
 void send_request(const upstream_exchange_ptr& exchange, request_head head, body_piece first,
                   answer_match match, upstream_events events);
--- a/src/edge/upstream_connection.cpp
+++ b/src/edge/upstream_connection.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <charconv>
+#include <functional>
 #include <utility>
 
 namespace cyclamenhatch::edge {
@@ -54,6 +55,21 @@
     }
 }
 
+void remember_id(upstream_connection& connection, const std::string& id) {
+    const auto hash = std::hash<std::string>{}(id);
+    if (connection.sent_ids.size() < max_remembered_ids) {
+        connection.sent_ids.push_back(hash);
+        return;
+    }
+    connection.sent_ids[connection.next_id] = hash;
+    connection.next_id = (connection.next_id + 1) % max_remembered_ids;
+}
+
+bool has_carried(const upstream_connection& connection, const std::string& id) {
+    const auto& ids = connection.sent_ids;
+    return std::find(ids.begin(), ids.end(), std::hash<std::string>{}(id)) != ids.end();
+}
+
 std::chrono::milliseconds parse_keep_alive(const std::string& header) {
     constexpr std::string_view name = "timeout=";
     constexpr std::chrono::milliseconds margin{500};
--- a/src/edge/upstream_connection.h
+++ b/src/edge/upstream_connection.h
@@ -27,6 +27,9 @@
 /// read of 64 KB. Longer framing, such as a chunk's size line or trailers, is refused.
 inline constexpr std::size_t max_unparsed_bytes = 131'072;
 
+/// Number of requests of a connection whose ids are remembered.
+inline constexpr std::size_t max_remembered_ids = 256;
+
 struct upstream_connection {
     explicit upstream_connection(asio::io_context& io) : socket(asio::make_strand(io)) {}
 
@@ -36,6 +39,9 @@
     std::chrono::steady_clock::time_point idle_since;
     /// How long the connection may be idle and still be reused.
     std::chrono::milliseconds keep_alive = default_keep_alive;
+    /// Hashes of the ids of the last requests sent on it, at most max_remembered_ids, as a ring.
+    std::vector<std::size_t> sent_ids;
+    std::size_t next_id = 0;
 };
 
 struct upstream_client {
@@ -60,6 +66,13 @@
 /// moved.
 void release_connection(upstream_client& client, std::unique_ptr<upstream_connection> connection);
 
+/// Records that a request with this id is sent on the connection.
+void remember_id(upstream_connection& connection, const std::string& id);
+
+/// Whether one of the last max_remembered_ids requests on the connection had this id, so that a
+/// late answer may bear it. Another id is taken for it once in 2^56 requests or so.
+[[nodiscard]] bool has_carried(const upstream_connection& connection, const std::string& id);
+
 /// The idle timeout stated by a Keep-Alive header, less a margin of 500 ms for requests in flight
 /// when it expires.
 [[nodiscard]] std::chrono::milliseconds parse_keep_alive(const std::string& header);
