edge: let only an answer that names its call alone speak for it

What callers saw elsewhere: "not run" for calls that ran, after a refusal that an upstream wrote once more. Here an answer with two ids, of which the first was this call's, counted as this call's, and a call without an id took any answer on its kept connection, a late refusal of another call as well.

Change: an answer that names two calls leaves the outcome unknown; where ids are configured, a call without one goes over a new connection.

--- a/src/edge/upstream_answer.cpp
+++ b/src/edge/upstream_answer.cpp
@@ -82,17 +82,25 @@
     on_answer(std::move(answer), std::move(piece));
 }
 
-/// Whether the answer names its request, or answers are not matched by id.
-bool names_request(const upstream_exchange& exchange) {
-    return exchange.match.header.empty() || exchange.parser->get().count(exchange.match.header) > 0;
-}
+/// The request to which an answer belongs.
+enum class answer_owner { own_request, earlier_request, unknown };
 
-/// Whether the answer whose head was read belongs to another request.
-bool is_stale(const upstream_exchange& exchange) {
-    if (exchange.match.header.empty()) {
-        return false;
+/// Decides by the ids that the answer names. One that names none or several proves nothing.
+answer_owner find_owner(const upstream_exchange& exchange) {
+    const auto& match = exchange.match;
+    // The connection of a request without an id is new, so that no earlier one can be answered.
+    if (match.header.empty() || match.value.empty()) {
+        return answer_owner::own_request;
+    }
+    const auto [first, last] = exchange.parser->get().equal_range(match.header);
+    if (first == last) {
+        return answer_owner::unknown;
+    }
+    const auto id = first->value();
+    if (std::any_of(first, last, [&](const auto& field) { return field.value() != id; })) {
+        return answer_owner::unknown;
     }
-    return exchange.parser->get()[exchange.match.header] != exchange.match.value;
+    return id == match.value ? answer_owner::own_request : answer_owner::earlier_request;
 }
 
 /// Parses the bytes read. Returns need_more when they hold no further complete part of the answer.
@@ -201,12 +209,13 @@
             begin_answer(*self);
             continue;
         }
-        if (status < first_final_status || !names_request(*self)) {
+        const auto owner = find_owner(*self);
+        if (status < first_final_status || owner == answer_owner::unknown) {
             give_up(self, status < first_final_status ? "status out of place"
                                                       : "answer to an unknown request");
             return;
         }
-        self->is_skipping = is_stale(*self);
+        self->is_skipping = owner == answer_owner::earlier_request;
         if (!self->is_skipping) {
             self->has_own_answer = true;
             self->incoming.clear();
--- a/src/edge/upstream_client.cpp
+++ b/src/edge/upstream_client.cpp
@@ -42,11 +42,12 @@
     connect(self, is_whole);
 }
 
-/// Whether a late answer to an earlier attempt of this call may come on the connection. No id could
-/// tell it from the answer to this attempt.
-bool may_bring_own_id(const upstream_exchange& exchange) {
-    return !exchange.match.header.empty() &&
-           has_carried(*exchange.connection, exchange.match.value);
+/// Whether a late answer may come on the connection that no id could tell from the answer to this
+/// request: it has none, or an earlier attempt of the same call had the same.
+bool is_ambiguous(const upstream_exchange& exchange) {
+    const auto& match = exchange.match;
+    return !match.header.empty() &&
+           (match.value.empty() || has_carried(*exchange.connection, match.value));
 }
 
 void on_written(const exchange_ptr& self, bool is_whole, error_code error, std::size_t bytes) {
@@ -71,7 +72,7 @@
 }
 
 void write_request(const exchange_ptr& self, bool is_whole) {
-    if (!self->match.header.empty()) {
+    if (!self->match.value.empty()) {
         remember_id(*self->connection, self->match.value);
     }
     fill_request(self->request, self->head, self->outgoing.size(), is_whole);
@@ -121,7 +122,7 @@
 }
 
 void begin(const exchange_ptr& self, bool is_whole) {
-    if (self->is_reused && may_bring_own_id(*self)) {
+    if (self->is_reused && is_ambiguous(*self)) {
         reconnect(self, is_whole);
     } else if (self->is_reused) {
         write_request(self, is_whole);
--- a/src/edge/upstream_client.h
+++ b/src/edge/upstream_client.h
@@ -23,7 +23,8 @@
 struct upstream_client;
 
 /// Header that an answer must have to belong to its request. With an empty name every answer
-/// matches.
+/// matches. With an empty value the request has no id and goes over a new connection, where every
+/// answer matches.
 struct answer_match {
     std::string header;
     std::string value;
--- a/src/edge/upstream_headers.cpp
+++ b/src/edge/upstream_headers.cpp
@@ -73,8 +73,7 @@
     if (names.request_id.empty()) {
         return {};
     }
-    const std::string id(find_header(head.headers, names.request_id));
-    return id.empty() ? answer_match{} : answer_match{names.request_id, id};
+    return {names.request_id, std::string(find_header(head.headers, names.request_id))};
 }
 
 } // namespace cyclamenhatch::edge
--- a/tests/edge/late_refusal_test.cpp
+++ b/tests/edge/late_refusal_test.cpp
@@ -100,6 +100,13 @@
     EXPECT_EQ(ask_twice(repeated(no_id), "second").substr(0, 11), "504 unknown");
 }
 
+/// Guards against a refusal that names two calls and counts as a proof
+/// (REFUSED, TWICE).
+TEST_P(late_refusal, that_names_two_calls_proves_nothing) {
+    EXPECT_EQ(ask_twice(repeated("second\r\nx-id: first"), "second").substr(0, 11), "504 unknown");
+    EXPECT_EQ(ask_twice(repeated("first\r\nx-id: second"), "second").substr(0, 11), "504 unknown");
+}
+
 /// Guards against a refusal of a call's first attempt that counts as one of its
 /// second, which runs: both have the same id (REFUSED, TWICE).
 TEST_P(late_refusal, of_an_earlier_attempt_is_not_taken_for_one_of_a_later) {
@@ -119,8 +126,26 @@
     EXPECT_EQ(upstream.connections(), 2) << "only another connection is free of late answers";
 }
 
-/// Guards against a kept connection that is used although a late refusal is on
-/// it already.
+/// Guards against a proof in a late answer that a call without an id takes for its own (REFUSED).
+TEST_P(late_refusal, of_an_earlier_call_does_not_reach_a_call_without_an_id) {
+    for (const auto& copied_id : {std::string("first"), no_id}) {
+        running_upstream running([&](const request_place& place) -> upstream_script {
+            if (place.id == "first") {
+                return {repeated("first")};
+            }
+            const auto* answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
+            return {(place.connection == 1 ? repeated(copied_id) : "") + answer};
+        });
+        joined_paths paths(running.upstream.port(), names_of_refusals());
+        announce(paths, running, "i-1");
+        EXPECT_EQ(paths.get("/once/a", "x-id: first\r\n").substr(0, 11), "503 not-run");
+        announce(paths, running, "i-2");
+        EXPECT_EQ(paths.get("/once/b"), "200 done");
+        EXPECT_EQ(paths.get("/once/b"), "200 done");
+    }
+}
+
+/// Guards against a kept connection that is used although a late refusal is on it already.
 TEST_P(late_refusal, on_an_idle_connection_ends_it) {
     boost::asio::io_context io;
     scripted_upstream upstream(io, [&](const request_place& place) -> upstream_script {
