edge: refuse answers whose bytes differ from the stated length

On a persistent connection a short last piece left the caller waiting, or was filled up with the bytes of the next answer.

edge/answer_length says from status, method, Content-Length and bytes whether a body is partial, complete, too short or too long. A body that has all its bytes must be marked as ended, since its receiver would take it for whole. Answers to HEAD and with 1xx, 204 or 304 must have no bytes. - The gate checks what it read before it sends it. A mismatch ends the call as an upstream that broke off: outcome unknown, and a reattach gets the same end. - The entry checks each message, resent ones included. Without a head sent, the attempt ends as a lost one: idempotent calls go elsewhere, others get 504 unknown. Otherwise the caller's connection is broken off (call_broken_off reason=length_mismatch). - The entry writes the length that the upstream stated. - Both log answer_length_mismatch and count it. The gate's on_answer and on_piece are declared in their headers, so that tests can hand them answers that the HTTP parser never produces.

--- a/src/call/entry_call.cpp
+++ b/src/call/entry_call.cpp
@@ -3,6 +3,7 @@
 #include "call/held_request.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace cyclamenhatch::call {
@@ -120,6 +121,22 @@
             .retry_after = default_retry_after};
 }
 
+/// Gives up the current attempt. An answer that has begun is broken off; otherwise only an
+/// idempotent call goes elsewhere.
+void abandon(entry_call& state, answer_break cause, const entry_context& context, actions& out) {
+    if (state.is_answering) {
+        break_off(state, cause, out);
+        give_up_attempt(state, context.now, out);
+        return;
+    }
+    give_up_attempt(state, context.now, out);
+    if (!state.is_idempotent) {
+        fail(state, lost_attempt(), out);
+        return;
+    }
+    open_elsewhere(state, lost_attempt(), context, out);
+}
+
 void on_event(entry_call& state, const request_event& /*event*/, const entry_context& context,
               actions& out) {
     if (state.is_over || state.current || !state.tried.empty()) {
@@ -184,6 +201,15 @@
     state.current.reset();
 }
 
+void on_event(entry_call& state, const broken_answer_event& event, const entry_context& context,
+              actions& out) {
+    if (!is_current(state, event.call)) {
+        out.emplace_back(drop_action{});
+        return;
+    }
+    abandon(state, answer_break::length_mismatch, context, out);
+}
+
 /// Whether the gate refused because it has no start now and was asked not to wait, so that it may
 /// still queue the call.
 bool is_without_wait(msg::refusal_reason reason, const entry_call& state) {
@@ -279,12 +305,7 @@
         state.is_answering) {
         return;
     }
-    give_up_attempt(state, context.now, out);
-    if (!state.is_idempotent) {
-        fail(state, lost_attempt(), out);
-        return;
-    }
-    open_elsewhere(state, lost_attempt(), context, out);
+    abandon(state, answer_break::gate_unreachable, context, out);
 }
 
 /// Whether the reattaches are used up: the call goes elsewhere, or its answer is broken off.
@@ -310,14 +331,8 @@
     if (!current.reattach_at || context.now < *current.reattach_at) {
         return;
     }
-    if (is_given_up(state) && state.is_answering) {
-        break_off(state, answer_break::gate_unreachable, out);
-        give_up_attempt(state, context.now, out);
-        return;
-    }
     if (is_given_up(state)) {
-        give_up_attempt(state, context.now, out);
-        open_elsewhere(state, lost_attempt(), context, out);
+        abandon(state, answer_break::gate_unreachable, context, out);
         return;
     }
     current.is_asking = true;
@@ -362,13 +377,8 @@
 } // namespace
 
 const char* name_of(answer_break cause) {
-    switch (cause) {
-    case answer_break::gate_unreachable:
-        return "gate_unreachable";
-    case answer_break::gate_refused:
-        return "gate_refused";
-    }
-    return "";
+    static constexpr std::array names{"gate_unreachable", "gate_refused", "length_mismatch"};
+    return names.at(static_cast<std::size_t>(cause));
 }
 
 bool has_arrived(const refusal& details) {
--- a/src/call/entry_call.h
+++ b/src/call/entry_call.h
@@ -99,6 +99,10 @@
 struct answer_end_event {
     call_id call;
 };
+/// The answer of this attempt has another length than its head states.
+struct broken_answer_event {
+    call_id call;
+};
 struct refused_event {
     call_id call;
     refusal details;
@@ -131,9 +135,9 @@
 struct node_stops_event {};
 
 using entry_event =
-    std::variant<request_event, answer_event, answer_end_event, refused_event, link_lost_event,
-                 piece_missing_event, piece_event, under_way_event, endpoint_gone_event,
-                 timer_event, caller_gone_event, node_stops_event>;
+    std::variant<request_event, answer_event, answer_end_event, broken_answer_event, refused_event,
+                 link_lost_event, piece_missing_event, piece_event, under_way_event,
+                 endpoint_gone_event, timer_event, caller_gone_event, node_stops_event>;
 
 /// Send the request to the gate under a new id.
 struct open_action {
@@ -160,7 +164,7 @@
     refusal details;
 };
 /// Why an answer that has begun cannot be completed.
-enum class answer_break { gate_unreachable, gate_refused };
+enum class answer_break { gate_unreachable, gate_refused, length_mismatch };
 
 [[nodiscard]] const char* name_of(answer_break cause);
 
--- a/src/edge/call_report.cpp
+++ b/src/edge/call_report.cpp
@@ -165,6 +165,7 @@
     add_counter(out, "calls_unknown_total", counters.unknown);
     add_counter(out, "calls_held_total", counters.held);
     add_counter(out, "calls_broken_off_total", counters.broken_off);
+    add_counter(out, "call_answer_length_mismatches_total", counters.length_mismatches);
     add_counter(out, "callers_gone_total", counters.callers_gone);
     add_counter(out, "call_attempts_total", counters.attempts);
     add_counter(out, "call_reattaches_total", counters.reattaches);
@@ -208,6 +209,7 @@
     add_counter(out, "gate_duplicates_total", gate.counters.duplicates);
     add_counter(out, "gate_reattached_total", gate.counters.reattached);
     add_counter(out, "gate_upstream_crashes_total", side.crash_count);
+    add_counter(out, "gate_answer_length_mismatches_total", side.length_mismatches);
     out += "# TYPE cyclamenhatch_gate_refused_total counter\n";
     for (std::size_t i = 0; i < gate.counters.refused.size(); ++i) {
         const auto* name = msg::EnumNamerefusal_reason(static_cast<msg::refusal_reason>(i));
--- a/src/edge/caller_answer.cpp
+++ b/src/edge/caller_answer.cpp
@@ -1,23 +1,22 @@
 #include "edge/caller_answer.h"
 
+#include "edge/answer_length.h"
+
 namespace cyclamenhatch::edge {
 namespace {
 
-bool has_no_body(unsigned status) {
-    return status == 204 || status == 304 || status < 200;
-}
-
-/// Sets the framing: the known length, the length that the upstream stated, or chunked.
+/// Sets the framing: the length that the upstream stated, else that of a body in one piece, else
+/// chunked. Precondition: the first piece fits the stated length.
 void set_framing(caller_exchange& exchange, const answer_head& head, const body_piece& first) {
-    if (has_no_body(head.status)) {
+    if (is_bodiless_status(head.status)) {
         return;
     }
-    const std::string stated_length(find_header(head.headers, "content-length"));
-    const bool is_head_request = exchange.parser->get().method() == http::verb::head;
-    if (first.is_last && !(is_head_request && !stated_length.empty())) {
+    const std::string method(exchange.parser->get().method_string());
+    const auto length = find_answer_length(head.status, method, head.headers);
+    if (length.stated) {
+        exchange.answer.content_length(*length.stated);
+    } else if (first.is_last) {
         exchange.answer.content_length(first.bytes.size());
-    } else if (!stated_length.empty()) {
-        exchange.answer.set(http::field::content_length, stated_length);
     } else {
         exchange.answer.chunked(true);
     }
--- a/src/edge/entry_bodies.cpp
+++ b/src/edge/entry_bodies.cpp
@@ -2,7 +2,6 @@
 
 #include "call/call_key.h"
 #include "edge/entry_steps.h"
-#include "model/handler_guard.h"
 
 #include <utility>
 #include <vector>
@@ -47,6 +46,24 @@
 
 } // namespace
 
+void end_mismatched(entry_side& side, const entry_flow_ptr& flow, std::uint64_t bytes,
+                    lock_type& guard) {
+    ++side.counters.length_mismatches;
+    const auto target = flow->state.current->target;
+    const log_event event{log_level::warning,
+                          "answer_length_mismatch",
+                          {{"request", flow->request_id},
+                           {"service", flow->service.value},
+                           {"place", "entry"},
+                           {"stated", stated_text(flow->length)},
+                           {"passed", std::to_string(bytes)},
+                           {"node", target.node.value}}};
+    auto result = step(side, flow, call::broken_answer_event{target.call});
+    guard.unlock();
+    log_call(side, event);
+    perform(side, flow, std::move(result), nullptr);
+}
+
 void on_data(entry_side& side, const node_id& sender, msg::call_data_msg message) {
     lock_type guard(side.lock);
     const auto call = call::from_key(message.call.get());
@@ -68,6 +85,10 @@
         perform(side, flow, std::move(result), nullptr);
         return;
     }
+    if (is_mismatch(fit_body(flow->length, flow->download.offset, message.last))) {
+        end_mismatched(side, flow, flow->download.offset, guard);
+        return;
+    }
     flow->waiting_pieces.push_back({std::move(message.body), message.last});
     // A piece that is written at once is acknowledged when the caller has taken it. The last piece
     // is acknowledged now, since the gate need not keep a body that has arrived whole.
--- a/src/edge/entry_side.cpp
+++ b/src/edge/entry_side.cpp
@@ -6,10 +6,8 @@
 #include "edge/call_headers.h"
 #include "edge/entry_quarantine.h"
 #include "edge/entry_steps.h"
-#include "model/handler_guard.h"
 
 #include <algorithm>
-#include <charconv>
 #include <optional>
 #include <utility>
 
@@ -157,20 +155,6 @@
     return rules;
 }
 
-/// Value of the Content-Length header, if it is present and a number.
-std::optional<std::uint64_t> find_stated_bytes(const wire_headers& headers) {
-    const auto it = std::find_if(headers.begin(), headers.end(), [](const auto& header) {
-        return equals_without_case(header->name, "content-length");
-    });
-    if (it == headers.end()) {
-        return std::nullopt;
-    }
-    const auto& text = (*it)->value;
-    std::uint64_t bytes = 0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), bytes);
-    return parsed.ec == std::errc{} ? std::optional(bytes) : std::nullopt;
-}
-
 /// Records what the upstream of the current attempt says about itself. Precondition: the lock is
 /// held and there is an attempt.
 void note_upstream(entry_side& side, const entry_flow& flow, const call::upstream_notice& notice,
@@ -272,11 +256,15 @@
     call::note_report(side.loads[sender], flow->route, load, message.gate_instance, now);
     note_upstream(side, *flow, {message.calls_per_s, message.upstream_leaves}, now);
     record_segments(side, *flow, message, now);
+    flow->length = find_answer_length(message.status, flow->request.method, message.headers);
+    if (is_mismatch(fit_body(flow->length, message.body.size(), message.last))) {
+        end_mismatched(side, flow, message.body.size(), guard);
+        return;
+    }
     if (!message.last) {
         flow->streaming_target = flow->state.current->target;
     }
     flow->download = {.offset = message.body.size(), .is_whole = message.last};
-    flow->stated_bytes = find_stated_bytes(message.headers);
     flow->run_time = microseconds(message.upstream_us);
     constexpr unsigned first_server_error = 500;
     auto result = step(side, flow,
--- a/src/edge/entry_side.h
+++ b/src/edge/entry_side.h
@@ -4,6 +4,7 @@
 #include "call/choose_endpoint.h"
 #include "call/entry_call.h"
 #include "call/returning_caller.h"
+#include "edge/answer_length.h"
 #include "edge/call_path.h"
 #include "edge/caller_listener.h"
 #include "edge/header_names.h"
@@ -53,8 +54,8 @@
     call::incoming_body download;
     /// Bytes of the answer's body that the caller's connection has taken.
     std::uint64_t taken_bytes = 0;
-    /// Content-Length of the answer, if its head states one.
-    std::optional<std::uint64_t> stated_bytes;
+    /// Set with the answer's head.
+    answer_length length;
     std::deque<body_piece> waiting_pieces;
     bool is_writing = false;
     /// The attempt that an answer of more than one piece comes from; set with its head.
@@ -73,6 +74,8 @@
     /// Refused at once because upstreams have crashed under the same request.
     std::atomic<std::uint64_t> held{0};
     std::atomic<std::uint64_t> broken_off{0};
+    /// Answers whose body had another length than its head states.
+    std::atomic<std::uint64_t> length_mismatches{0};
     std::atomic<std::uint64_t> callers_gone{0};
     std::atomic<std::uint64_t> attempts{0};
     std::atomic<std::uint64_t> server_errors_retried{0};
--- a/src/edge/entry_steps.cpp
+++ b/src/edge/entry_steps.cpp
@@ -4,7 +4,6 @@
 #include "call/held_request.h"
 #include "clock/process_clock.h"
 #include "edge/call_headers.h"
-#include "model/handler_guard.h"
 
 #include <algorithm>
 #include <utility>
@@ -280,7 +279,7 @@
              {"service", flow.service.value},
              {"reason", cause},
              {"node", flow.state.tried.empty() ? "" : flow.state.tried.back().value},
-             {"bytes_due", flow.stated_bytes ? std::to_string(*flow.stated_bytes) : "unknown"},
+             {"bytes_due", flow.length.stated ? std::to_string(*flow.length.stated) : "unknown"},
              {"bytes_received", std::to_string(flow.download.offset)},
              {"bytes_taken", std::to_string(flow.taken_bytes)},
              {"age_ms", ms_text(now - flow.received_at)},
--- a/src/edge/entry_steps.h
+++ b/src/edge/entry_steps.h
@@ -1,9 +1,10 @@
 #pragma once
 
 #include "edge/entry_side.h"
-
+#include "model/handler_guard.h"
 #include "model/log_event.h"
 
+#include <cstdint>
 #include <vector>
 
 /// Carries out the actions that the entry decides on.
@@ -26,6 +27,12 @@
 [[nodiscard]] step_result step(entry_side& side, const entry_flow_ptr& flow,
                                const call::entry_event& event);
 
+/// Ends the attempt of a call whose answer, with `bytes` of its body so far, has another length
+/// than its head states: nothing more of that answer is passed on. Precondition: the call has an
+/// attempt and `guard` holds the entry's lock, which is released.
+void end_mismatched(entry_side& side, const entry_flow_ptr& flow, std::uint64_t bytes,
+                    state_lock& guard);
+
 /// Carries out the actions of a step. Precondition: the entry's lock is not held. `answer` is the
 /// answer message that caused the step, or null.
 void perform(entry_side& side, const entry_flow_ptr& flow, step_result result,
--- a/src/edge/gate_bodies.cpp
+++ b/src/edge/gate_bodies.cpp
@@ -2,6 +2,7 @@
 
 #include "call/call_key.h"
 #include "clock/process_clock.h"
+#include "edge/gate_log.h"
 #include "model/handler_guard.h"
 
 #include <algorithm>
@@ -84,11 +85,18 @@
     flow->request = {};
 }
 
-/// Forwards a further piece of the answer to the entry.
+} // namespace
+
 void on_piece(gate_side& side, const gate_flow_ptr& flow, body_piece piece) {
     lock_type guard(side.lock);
     flow->progressed_at = current_time();
     flow->is_reading = false;
+    const auto bytes = flow->download.offset + piece.bytes.size();
+    if (is_mismatch(fit_body(flow->length, bytes, piece.is_last))) {
+        guard.unlock();
+        end_mismatched(side, flow, bytes, piece.is_last);
+        return;
+    }
     auto data = call::make_data(
         flow->call, call::add_piece(flow->download, std::move(piece.bytes), piece.is_last));
     const auto entry = flow->entry;
@@ -104,6 +112,18 @@
     read_download(side, flow);
 }
 
+void end_mismatched(gate_side& side, const gate_flow_ptr& flow, std::uint64_t bytes,
+                    bool is_ended) {
+    ++side.length_mismatches;
+    log_mismatch(side, *flow, bytes);
+    if (!is_ended) {
+        abort_exchange(flow->exchange);
+    }
+    end_call(side, flow->call, {});
+}
+
+namespace {
+
 /// The messages to resend to the entry of a call whose link was lost. Precondition: the lock is
 /// held.
 std::vector<peer_message> find_missing(gate_flow& flow, const msg::call_open_msg& request) {
--- a/src/edge/gate_bodies.h
+++ b/src/edge/gate_bodies.h
@@ -2,6 +2,7 @@
 
 #include "edge/gate_side.h"
 
+#include <cstdint>
 #include <vector>
 
 /// Forwards the bodies of calls between entries and the upstream. Precondition of all functions
@@ -11,6 +12,15 @@
 /// Lets the entry send the rest of the body once the upstream has the head and the first piece.
 void begin_upload(gate_side& side, const gate_flow_ptr& flow);
 
+/// Forwards a further piece of the upstream's answer to the entry. Precondition: the answer's head
+/// was forwarded, and its last piece was not.
+void on_piece(gate_side& side, const gate_flow_ptr& flow, body_piece piece);
+
+/// Ends a call whose answer has another length than its upstream stated, as if the upstream had
+/// broken off: its outcome is unknown. `bytes`: of the body so far; `is_ended`: the upstream sends
+/// no more.
+void end_mismatched(gate_side& side, const gate_flow_ptr& flow, std::uint64_t bytes, bool is_ended);
+
 /// Reads the next piece of the answer if the entry and the link have room for it.
 void read_download(gate_side& side, const gate_flow_ptr& flow);
 
--- a/src/edge/gate_log.cpp
+++ b/src/edge/gate_log.cpp
@@ -86,6 +86,18 @@
     }
 }
 
+void log_mismatch(const gate_side& side, const gate_flow& flow, std::uint64_t bytes) {
+    if (side.log) {
+        side.log({log_level::warning,
+                  "answer_length_mismatch",
+                  {{"request", flow.request_id},
+                   {"service", flow.request.service},
+                   {"place", "gate"},
+                   {"stated", stated_text(flow.length)},
+                   {"passed", std::to_string(bytes)}}});
+    }
+}
+
 void log_cut(const gate_side& side, const gate_flow& flow) {
     const auto bytes = bytes_before_head(flow.exchange);
     if (bytes > 0) {
--- a/src/edge/gate_log.h
+++ b/src/edge/gate_log.h
@@ -32,6 +32,10 @@
 /// Logs that the upstream's run has said in the answer to a request that it leaves.
 void log_leaving(const gate_side& side, const std::string& instance, const std::string& request);
 
+/// Logs an answer whose body has another length than its head states. `bytes`: of the body so far.
+/// Precondition: no other thread can change the flow's length.
+void log_mismatch(const gate_side& side, const gate_flow& flow, std::uint64_t bytes);
+
 /// Logs a call that is aborted after its upstream has sent some bytes but not a whole head.
 void log_cut(const gate_side& side, const gate_flow& flow);
 
--- a/src/edge/gate_side.cpp
+++ b/src/edge/gate_side.cpp
@@ -106,6 +106,8 @@
     perform(side, std::move(actions));
 }
 
+} // namespace
+
 void on_answer(gate_side& side, const gate_flow_ptr& flow, answer_head head, body_piece piece) {
     const auto reason = find_not_run_reason(side.names, head);
     // Another upstream at the address speaks for itself only.
@@ -122,6 +124,12 @@
     flow->progressed_at = now;
     side.histograms.record(segment::upstream, flow->upstream_time);
     const bool is_whole = piece.is_last;
+    flow->length = find_answer_length(head.status, flow->request.method, head.headers);
+    if (is_mismatch(fit_body(flow->length, piece.bytes.size(), is_whole))) {
+        guard.unlock();
+        end_mismatched(side, flow, piece.bytes.size(), is_whole);
+        return;
+    }
     const bool is_overload = head.status == overloaded_status;
     auto answer = make_answer(side, *flow, std::move(head), std::move(piece));
     if (is_whole) {
@@ -142,6 +150,8 @@
     read_download(side, flow);
 }
 
+namespace {
+
 void run(gate_side& side, const call_id& call) {
     const auto suspects = side.suspects ? side.suspects() : nullptr;
     lock_type guard(side.lock);
--- a/src/edge/gate_side.h
+++ b/src/edge/gate_side.h
@@ -4,6 +4,7 @@
 #include "call/crash_watch.h"
 #include "call/gate.h"
 #include "call/quarantine_view.h"
+#include "edge/answer_length.h"
 #include "edge/header_names.h"
 #include "edge/latency_histogram.h"
 #include "edge/upstream_client.h"
@@ -11,6 +12,7 @@
 #include "model/log_event.h"
 #include "model/snapshot.h"
 
+#include <atomic>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -50,6 +52,8 @@
     bool is_reading = false;
     /// The head of an answer of more than one piece, until the entry has confirmed it.
     std::unique_ptr<msg::call_answer_msg> head;
+    /// Set with the answer's head.
+    answer_length length;
     call::outgoing_body download;
     /// Whether the next piece waits for room on the link.
     bool is_held_back = false;
@@ -81,6 +85,8 @@
     std::function<void(const request_digest&)> on_suspect_ran_well;
     latency_histograms& histograms;
     const header_names& names;
+    /// Answers whose body had another length than the upstream stated.
+    std::atomic<std::uint64_t> length_mismatches{0};
     mutable std::mutex lock;
     // Guarded by lock.
     call::gate_state gate;
@@ -106,6 +112,10 @@
 
 void on_open(gate_side& side, const node_id& sender, msg::call_open_msg message);
 
+/// Handles the head and the first piece of the upstream's answer to a running call. Precondition:
+/// the call was dispatched and had no answer.
+void on_answer(gate_side& side, const gate_flow_ptr& flow, answer_head head, body_piece piece);
+
 /// Returns false when the gate has no such call.
 bool on_data(gate_side& side, msg::call_data_msg& message);
 bool on_credit(gate_side& side, const msg::call_credit_msg& message);
--- a/src/edge/upstream_headers.cpp
+++ b/src/edge/upstream_headers.cpp
@@ -55,7 +55,7 @@
 
 request_head make_upstream_head(const header_names& names, const std::string& instance,
                                 msg::call_open_msg& request, microseconds time_left) {
-    request_head head{.method = std::move(request.method),
+    request_head head{.method = request.method,
                       .target = std::move(request.target),
                       .headers = from_wire(request.headers)};
     add_header(head.headers, names.deadline,
--- a/tests/edge/fake_upstream.cpp
+++ b/tests/edge/fake_upstream.cpp
@@ -21,6 +21,8 @@
     return text.rfind(start, 0) == 0;
 }
 
+constexpr std::string_view final_chunk = "0\r\n\r\n";
+
 std::string chunked(std::size_t bytes) {
     std::string out = "HTTP/1.1 200 Told\r\nTransfer-Encoding: chunked\r\n\r\n";
     while (bytes > 0) {
@@ -30,7 +32,7 @@
         out += length + std::string(size, 'c') + "\r\n";
         bytes -= size;
     }
-    return out + "0\r\n\r\n";
+    return out + std::string(final_chunk);
 }
 
 std::size_t stated_length(const std::string& head) {
@@ -170,10 +172,11 @@
     socket.close(error);
 }
 
-std::string fake_upstream::answer_to(const std::string& path, const std::string& body,
+std::string fake_upstream::answer_to(const std::string& full_path, const std::string& body,
                                      const std::string& id) {
     std::unique_lock guard(lock_);
-    ++runs_[path];
+    ++runs_[full_path];
+    const auto path = starts_with(full_path, "/once/") ? full_path.substr(5) : full_path;
     changed_.notify_all();
     if (starts_with(path, "/hold")) {
         changed_.wait(guard, [&] { return is_released_; });
@@ -202,6 +205,16 @@
     if (starts_with(path, "/break")) {
         return {};
     }
+    if (starts_with(path, "/no-content")) {
+        return "HTTP/1.1 204 Told\r\n\r\n";
+    }
+    if (starts_with(path, "/head/")) {
+        return "HTTP/1.1 200 Told\r\nContent-Length: " + path.substr(6) + "\r\n\r\n";
+    }
+    if (starts_with(path, "/half-chunked/")) {
+        const auto whole = chunked(std::stoul(path.substr(14)));
+        return whole.substr(0, whole.size() - final_chunk.size());
+    }
     if (starts_with(path, "/half")) {
         return "HTTP/1.1 200 Told\r\nContent-Length: 100000\r\n\r\n" +
                std::string(std::stoul(path.substr(6)), 'h');
--- a/tests/edge/fake_upstream.h
+++ b/tests/edge/fake_upstream.h
@@ -19,13 +19,14 @@
 
 /// An upstream whose behaviour the path of each request selects: /ok, /echo, /status/N, /bytes/N,
 /// /chunked/N, /counted/N (N bytes, no two pieces equal), /break (closes without an answer), /half
-/// (closes in the middle of the answer), /hold (answers once released), /hold-bytes/N (the same,
-/// with N bytes), /stale (an answer to another request, then its own), /foreign (an answer to
-/// another request only), /unrun (reports that it did not run the call), /other (reports that it is
-/// not the expected instance), /other-leaves (the same, and says that it leaves), /limit/N (states
-/// a limit of N calls a second), /leave (says that it leaves), /die (ends like a process that
-/// crashes: it accepts no connections any more and all that were open are closed). Answers echo the
-/// header x-id.
+/// (closes in the middle of the answer), /half-chunked/N (closes before the final chunk of an
+/// answer of N bytes), /no-content (204), /head/N (a head that states N bytes, for HEAD), /hold
+/// (answers once released), /hold-bytes/N (the same, with N bytes), /stale (an answer to another
+/// request, then its own), /foreign (an answer to another request only), /unrun (reports that it
+/// did not run the call), /other (reports that it is not the expected instance), /other-leaves (the
+/// same, and says that it leaves), /limit/N (states a limit of N calls a second), /leave (says that
+/// it leaves), /die (ends like a process that crashes: it accepts no connections any more and all
+/// that were open are closed). "/once" before a path changes nothing. Answers echo the header x-id.
 class fake_upstream {
 public:
     fake_upstream();
@@ -50,7 +51,8 @@
 private:
     void accept_all();
     void serve(boost::asio::ip::tcp::socket socket);
-    std::string answer_to(const std::string& path, const std::string& body, const std::string& id);
+    std::string answer_to(const std::string& full_path, const std::string& body,
+                          const std::string& id);
 
     boost::asio::io_context io_;
     boost::asio::ip::tcp::acceptor acceptor_;
--- a/tests/edge/joined_paths.cpp
+++ b/tests/edge/joined_paths.cpp
@@ -59,7 +59,8 @@
     part.service.version = version_id("v1");
     part.service.reserved_slots = 4;
     part.routes = {make_route("all", "/", true), make_route("once", "/hold-once", false),
-                   make_route("break-once", "/break-once", false)};
+                   make_route("break-once", "/break-once", false),
+                   make_route("plain-once", "/once", false)};
     part.versions = {{.name = version_id("v1"), .service = service_id("ledger"), .last_write = {}}};
     auto built = build_snapshot(config_version{1}, {make_stored_section(part)}, {});
     return std::get<snapshot_ptr>(built);
@@ -146,6 +147,9 @@
                 --answers_to_lose_;
                 return;
             }
+            if (change_) {
+                change_(message.to, message.message);
+            }
         }
         auto& receiver = message.to == node_id("gate") ? gate_ : entry_;
         on_message(*receiver, incoming{node_id(self), std::move(message.message)});
@@ -178,13 +182,16 @@
     return callbacks;
 }
 
-void joined_paths::add_endpoint_at_entry(std::uint16_t port) {
+void joined_paths::add_endpoint_at_entry(std::uint16_t port, const std::string& data_centre) {
     set_upstream(*entry_, make_record(msg::upstream_state::ready, "at-entry"), port);
     const std::lock_guard guard(lock_);
     auto view = std::make_shared<call::routing_view>(*view_);
     auto& endpoints = view->endpoints[service_id("ledger")];
     endpoints.push_back(endpoints.front());
     endpoints.back().node = node_id("entry");
+    if (!data_centre.empty()) {
+        endpoints.back().data_centre = data_centre_id(data_centre);
+    }
     view_ = std::move(view);
 }
 
@@ -247,6 +254,11 @@
     should_lose_ = std::move(should_lose);
 }
 
+void joined_paths::alter(std::function<void(const node_id& receiver, peer_message&)> change) {
+    const std::lock_guard guard(lock_);
+    change_ = std::move(change);
+}
+
 int joined_paths::lost_count() {
     const std::lock_guard guard(lock_);
     return lost_count_;
@@ -301,6 +313,17 @@
     return error ? "broken off" : parser.get().body();
 }
 
+std::string joined_paths::ask_raw(const std::string& request) {
+    asio::io_context io;
+    tcp::socket socket(io);
+    socket.connect({asio::ip::make_address("127.0.0.1"), entry_port_});
+    boost::system::error_code error;
+    asio::write(socket, asio::buffer(request), error);
+    std::string received;
+    asio::read(socket, asio::dynamic_buffer(received), error);
+    return received;
+}
+
 std::vector<std::string> joined_paths::ask_many(const std::string& requests, int answers) {
     namespace http = boost::beast::http;
     asio::io_context io;
--- a/tests/edge/joined_paths.h
+++ b/tests/edge/joined_paths.h
@@ -34,6 +34,8 @@
     void lose_answers(int count);
     /// From now on, loses each message for which the predicate returns true.
     void lose(std::function<bool(const node_id& receiver, const peer_message&)> should_lose);
+    /// From now on, passes each message that is not lost to the function, which may change it.
+    void alter(std::function<void(const node_id& receiver, peer_message&)> change);
     /// Number of messages lost by the predicate.
     [[nodiscard]] int lost_count();
     /// Sends bytes to the entry and reads until the connection closes or the answer is whole.
@@ -44,11 +46,14 @@
     /// Sends bytes to the entry and returns the bodies of `answers` whole answers, in order of
     /// arrival, or "closed" for each that is missing.
     [[nodiscard]] std::vector<std::string> ask_many(const std::string& requests, int answers);
+    /// Sends bytes to the entry and returns all bytes that come back until the connection closes.
+    [[nodiscard]] std::string ask_raw(const std::string& request);
     /// Removes the service's only endpoint from the view, as after the failure of its node.
     void forget_endpoint();
     void announce(msg::upstream_state state, std::uint16_t port, const std::string& instance = {});
-    /// Adds the entry's node as an endpoint whose upstream listens on this port.
-    void add_endpoint_at_entry(std::uint16_t port);
+    /// Adds the entry's node as an endpoint whose upstream listens on this port. Calls try one in
+    /// another data centre second. No message to it passes through lose and alter.
+    void add_endpoint_at_entry(std::uint16_t port, const std::string& data_centre = {});
     /// Sets what the gate knows of suspects and, unless `only_gate`, the entry.
     void set_quarantine(const call::quarantine_view& suspects, bool only_gate = false);
     /// Waits up to 2 s for this number of crashes; returns those reported so far, by any node.
@@ -77,6 +82,7 @@
     bool is_link_cut_ = false;
     int undelivered_ = 0;
     std::function<bool(const node_id& receiver, const peer_message&)> should_lose_;
+    std::function<void(const node_id& receiver, peer_message&)> change_;
     int lost_count_ = 0;
     std::shared_ptr<call_path> entry_;
     std::shared_ptr<call_path> gate_;
