edge: end an answer whose pieces overlap instead of asking for ever

A piece that was damaged on the way, and is not the last one, left entry and gate with other counts of the same body: every later piece was a gap, the entry asked for what it lacked, the gate resent the piece that was cut, and the entry dropped it as a repeated one and asked again. The caller waited without end, and no event said so. Pieces are resent as they were sent, so one that holds both bytes that were received and further ones proves the mismatch. receive_piece reports it as an overlap, and the entry ends the answer as one of another length. The gate treats an overlap in a request's body as a repeated piece, as before.

--- a/src/call/body_stream.cpp
+++ b/src/call/body_stream.cpp
@@ -60,7 +60,8 @@
 
 piece_fit receive_piece(incoming_body& body, std::uint64_t offset, std::size_t size, bool is_last) {
     if (body.is_whole || offset < body.offset) {
-        return piece_fit::repeated;
+        const bool is_new = !body.is_whole && offset + size > body.offset;
+        return is_new ? piece_fit::overlap : piece_fit::repeated;
     }
     if (offset > body.offset) {
         return piece_fit::gap;
--- a/src/call/body_stream.h
+++ b/src/call/body_stream.h
@@ -71,6 +71,9 @@
     repeated,
     /// An earlier piece is missing.
     gap,
+    /// Some of the piece's bytes were received before. Pieces are resent as they were sent, so the
+    /// two sides count other bytes.
+    overlap,
 };
 
 /// Advances the body when the piece is the next one.
--- a/src/edge/entry_bodies.cpp
+++ b/src/edge/entry_bodies.cpp
@@ -85,7 +85,8 @@
         perform(side, flow, std::move(result), nullptr);
         return;
     }
-    if (is_mismatch(fit_body(flow->length, flow->download.offset, message.last))) {
+    if (fit == call::piece_fit::overlap ||
+        is_mismatch(fit_body(flow->length, flow->download.offset, message.last))) {
         end_mismatched(side, flow, flow->download.offset, guard);
         return;
     }
--- a/src/edge/gate_bodies.cpp
+++ b/src/edge/gate_bodies.cpp
@@ -257,7 +257,7 @@
     }
     const auto fit =
         call::receive_piece(flow->upload, message.offset, message.body.size(), message.last);
-    if (fit == call::piece_fit::repeated) {
+    if (fit == call::piece_fit::repeated || fit == call::piece_fit::overlap) {
         return true;
     }
     if (fit == call::piece_fit::gap) {
--- a/tests/call/body_stream_test.cpp
+++ b/tests/call/body_stream_test.cpp
@@ -249,5 +249,15 @@
     EXPECT_FALSE(call.state.is_over);
 }
 
+/// Guards against two sides that count other bytes and resend one piece for ever.
+TEST(body_stream, a_piece_that_overlaps_received_bytes_is_told_from_a_repeated_one) {
+    incoming_body body{.offset = 99, .is_whole = false};
+    EXPECT_EQ(receive_piece(body, 0, 99, false), piece_fit::repeated);
+    EXPECT_EQ(receive_piece(body, 0, 100, false), piece_fit::overlap);
+    EXPECT_EQ(receive_piece(body, 100, 1, false), piece_fit::gap);
+    EXPECT_EQ(receive_piece(body, 99, 1, true), piece_fit::next);
+    EXPECT_EQ(receive_piece(body, 99, 2, true), piece_fit::repeated);
+}
+
 } // namespace
 } // namespace cyclamenhatch::call
--- a/tests/edge/answer_length_test.cpp
+++ b/tests/edge/answer_length_test.cpp
@@ -202,6 +202,9 @@
     {"last_empty", "GET", "/counted/65536", damage::bytes_lost, last_piece},
     {"last_long_by_one", "GET", "/counted/65536", damage::byte_added, last_piece},
     {"last_without_end", "GET", "/counted/65536", damage::end_lost, last_piece},
+    {"second_short_by_one", "GET", "/counted/65536", damage::byte_lost, 1},
+    {"second_long_by_one", "GET", "/counted/65536", damage::byte_added, 1},
+    {"second_short_of_chunked", "GET", "/chunked/65536", damage::byte_lost, 1},
     {"second_ends", "GET", "/counted/65536", damage::end_added, 1},
     {"last_short_by_one_once", "GET", "/once/counted/65536", damage::byte_lost, last_piece},
 };
