edge: probe an upstream that accepts a second time before calling it alive

A process that ends may close its connections shortly before its listener. The gate's probe was then accepted, and a crash under the only call in flight went unreported: nothing else failed that would have probed again.

Change: an accepted probe is repeated once after 20 ms, within the same 200 ms; a probe that is still under way when another is begun is cancelled, so that its result is not taken for that of the new one.

Tests: edge_test deadly_request.is_reported_when_the_listener_closes_last (no crash reported before the change). The cancelling has no test of its own.

--- a/src/edge/gate_crashes.cpp
+++ b/src/edge/gate_crashes.cpp
@@ -99,6 +99,10 @@
         auto probe =
             probe_listener(*side.client, [&side](bool is_refused) { on_probed(side, is_refused); });
         const lock_type guard(side.lock);
+        // The last one may still be under way when another run of the upstream has begun since.
+        if (side.probe) {
+            cancel_probe(*side.probe);
+        }
         side.probe = std::move(probe);
     }
     if (step.crash) {
--- a/src/edge/upstream_client.h
+++ b/src/edge/upstream_client.h
@@ -96,9 +96,10 @@
 struct upstream_probe;
 using upstream_probe_ptr = std::shared_ptr<upstream_probe>;
 
-/// Opens a connection to the upstream and closes it again. Calls back once, within 200 ms:
-/// `is_refused` when all its addresses refuse connections, false when one accepts or does not
-/// respond. No callback comes before this function returns.
+/// Opens a connection to the upstream and closes it again; if that was accepted, once more after
+/// 20 ms, since the listener of a process that ends may close last. Calls back once, within 200 ms:
+/// `is_refused` when all its addresses refuse connections, false when one accepts both times or
+/// does not respond. No callback comes before this function returns.
 [[nodiscard]] upstream_probe_ptr probe_listener(upstream_client& client,
                                                 std::function<void(bool is_refused)> on_done);
 
--- a/src/edge/upstream_probe.cpp
+++ b/src/edge/upstream_probe.cpp
@@ -12,7 +12,7 @@
 
 struct upstream_probe {
     explicit upstream_probe(asio::io_context& io)
-        : executor(asio::make_strand(io)), socket(executor), timer(executor) {}
+        : executor(asio::make_strand(io)), socket(executor), timer(executor), pause(executor) {}
 
     const upstream_strand executor;
     std::atomic<bool> is_done{false};
@@ -22,6 +22,8 @@
     std::vector<tcp::endpoint> targets;
     std::size_t next_target = 0;
     std::size_t refusals = 0;
+    bool is_second = false;
+    asio::steady_timer pause;
     std::function<void(bool)> on_done;
 };
 
@@ -29,6 +31,8 @@
 
 /// An upstream on this host that responds later than this is alive.
 constexpr std::chrono::milliseconds probe_timeout{200};
+/// The sockets of a process that ends close within a few milliseconds of each other.
+constexpr std::chrono::milliseconds second_delay{20};
 
 void finish(const upstream_probe_ptr& self, bool is_refused) {
     if (self->is_done.exchange(true)) {
@@ -37,9 +41,29 @@
     error_code ignored;
     self->socket.close(ignored);
     self->timer.cancel();
+    self->pause.cancel();
     std::exchange(self->on_done, nullptr)(is_refused);
 }
 
+void try_next(const upstream_probe_ptr& self);
+
+void on_accepted(const upstream_probe_ptr& self) {
+    if (std::exchange(self->is_second, true)) {
+        finish(self, false);
+        return;
+    }
+    error_code ignored;
+    self->socket.close(ignored);
+    self->next_target = 0;
+    self->refusals = 0;
+    self->pause.expires_after(second_delay);
+    self->pause.async_wait([self](error_code cancelled) {
+        if (!cancelled && !self->is_done) {
+            try_next(self);
+        }
+    });
+}
+
 void try_next(const upstream_probe_ptr& self) {
     if (self->next_target >= self->targets.size()) {
         finish(self, self->refusals > 0);
@@ -51,7 +75,7 @@
             return;
         }
         if (!error) {
-            finish(self, false);
+            on_accepted(self);
             return;
         }
         self->refusals += error == asio::error::connection_refused ? 1 : 0;
--- a/tests/edge/fake_upstream.cpp
+++ b/tests/edge/fake_upstream.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio.hpp>
 
 #include <algorithm>
+#include <chrono>
 #include <sys/socket.h>
 
 namespace cyclamenhatch::edge::testing {
@@ -106,6 +107,19 @@
 void fake_upstream::end() {
     const std::lock_guard guard(lock_);
     ::shutdown(acceptor_.native_handle(), SHUT_RDWR);
+    close_all();
+}
+
+void fake_upstream::end_late() {
+    std::unique_lock guard(lock_);
+    close_all();
+    const auto accepted = accepted_;
+    changed_.wait_for(guard, std::chrono::seconds(1), [&] { return accepted_ > accepted; });
+    ::shutdown(acceptor_.native_handle(), SHUT_RDWR);
+    close_all();
+}
+
+void fake_upstream::close_all() {
     for (const int handle : open_sockets_) {
         ::shutdown(handle, SHUT_RDWR);
     }
@@ -131,6 +145,8 @@
             return;
         }
         const std::lock_guard guard(lock_);
+        ++accepted_;
+        changed_.notify_all();
         open_sockets_.push_back(socket.native_handle());
         threads_.emplace_back([this, shared_socket = std::make_shared<tcp::socket>(std::move(
                                          socket))]() mutable { serve(std::move(*shared_socket)); });
@@ -198,6 +214,10 @@
     if (starts_with(path, "/chunked/")) {
         return chunked(std::stoul(path.substr(9)));
     }
+    if (starts_with(path, "/die-late")) {
+        end_late();
+        return {};
+    }
     if (starts_with(path, "/die")) {
         end();
         return {};
--- a/tests/edge/fake_upstream.h
+++ b/tests/edge/fake_upstream.h
@@ -26,7 +26,8 @@
 /// did not run the call), /other (reports that it is not the expected instance), /other-leaves (the
 /// same, and says that it leaves), /limit/N (states a limit of N calls a second), /leave (says that
 /// it leaves), /die (ends like a process that crashes: it accepts no connections any more and all
-/// that were open are closed). "/once" before a path changes nothing. Answers echo the header x-id.
+/// that were open are closed), /die-late (the same, but it accepts one more connection after those
+/// open were closed). "/once" before a path changes nothing. Answers echo the header x-id.
 class fake_upstream {
 public:
     fake_upstream();
@@ -50,6 +51,9 @@
 
 private:
     void accept_all();
+    void end_late();
+    /// Precondition: the lock is held.
+    void close_all();
     void serve(boost::asio::ip::tcp::socket socket);
     std::string answer_to(const std::string& full_path, const std::string& body,
                           const std::string& id);
@@ -62,6 +66,7 @@
     std::map<std::string, int> runs_;
     std::string last_head_;
     bool is_released_ = false;
+    int accepted_ = 0;
     std::vector<std::thread> threads_;
     std::vector<int> open_sockets_;
     std::thread acceptor_thread_;
--- a/tests/edge/quarantine_test.cpp
+++ b/tests/edge/quarantine_test.cpp
@@ -71,6 +71,18 @@
     EXPECT_EQ(refusals.front().fields.back().value, to_text(digest_of_get("/die")));
 }
 
+/// Guards against a crash that is missed because the upstream's connections end shortly before its
+/// listener.
+TEST(deadly_request, is_reported_when_the_listener_closes_last) {
+    fake_upstream upstream;
+    joined_paths paths(upstream.port());
+    EXPECT_EQ(paths.get("/die-late").substr(0, 11), "504 unknown");
+    const auto crashes = paths.wait_for_crashes(1);
+    ASSERT_EQ(crashes.size(), 1U);
+    ASSERT_EQ(crashes.front().runs.size(), 1U);
+    EXPECT_EQ(crashes.front().runs.front().digest, digest_of_get("/die-late"));
+}
+
 /// Guards against an entry that does not know yet of a hold and sends the request on.
 TEST(held_request, is_refused_by_a_gate_that_knows_of_it) {
     fake_upstream upstream;
