edge: state a quantile beyond the last bin as the axis' end

What operators saw: when a latency above 100 s decides a quantile, the dump stated 9,223,372,036,854,775,807 us for it on arm64; the overflow bin's upper edge is infinite and was converted to an integer, whose result depends on the machine. Change: that quantile is the axis' end, 100 s; edges are rounded instead of cut off.

--- a/src/edge/latency_histogram.cpp
+++ b/src/edge/latency_histogram.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <cmath>
 #include <sstream>
 #include <vector>
 
@@ -66,7 +67,9 @@
     for (int index = -1; index <= static_cast<int>(bin_count); ++index) {
         cumulative += static_cast<double>(bin_value(counts, index));
         if (cumulative > 0 && cumulative >= rank) {
-            return microseconds(static_cast<std::int64_t>(counts.axis().value(index + 1)));
+            // The overflow bin has no upper edge.
+            const auto edge = std::min(index + 1, static_cast<int>(bin_count));
+            return microseconds(std::llround(counts.axis().value(edge)));
         }
     }
     return microseconds{0};
--- a/src/edge/latency_histogram.h
+++ b/src/edge/latency_histogram.h
@@ -37,7 +37,8 @@
 
     void record(segment part, microseconds latency);
 
-    /// Upper edge of the bin that holds the quantile (0 to 1); zero when nothing was recorded.
+    /// Upper edge of the bin that holds the quantile (0 to 1), at most 100 s; zero when nothing was
+    /// recorded.
     [[nodiscard]] microseconds quantile(segment part, double share) const;
 
     [[nodiscard]] std::uint64_t count(segment part) const;
