platform: log announcements that are refused

Cause: an announcement that is not one of an upstream was answered 400 and nobody else learned of it.

Change: announcement_refused, cut at 200 bytes a value; one that repeats the last is not logged again, and the log's bound of 20 lines of one event in a second holds as for all.

Result: with the call of the handler left out, all rows of odd_heartbeat.is_logged_once failed; with it they pass, over a real connection, between announcements that hold.

--- a/src/node/run_on_loop.cpp
+++ b/src/node/run_on_loop.cpp
@@ -112,7 +112,8 @@
             [node](const std::string& instance) {
                 announce_leave(*node, instance);
                 return findings{};
-            }};
+            },
+        .on_refused = platform::make_refusal_log(write_log)};
     const auto& listen = *node->settings.listen;
     serve(self, listen.announcement_address, [handlers](const net::service_request& request) {
         return platform::answer_announcement(handlers, request);
--- a/tests/platform/odd_announcements_test.cpp
+++ b/tests/platform/odd_announcements_test.cpp
@@ -75,6 +75,7 @@
     }
 
     boost::asio::io_context io;
+    std::vector<std::string> lines;
     membership::upstream_run run;
     int accepted = 0;
     announcement_handlers handlers{
@@ -84,7 +85,9 @@
                     membership::apply_announcement(run, announced.upstream, instant{}) ? 1 : 0;
                 return findings{};
             },
-        .on_leave = [](const std::string&) { return findings{}; }};
+        .on_leave = [](const std::string&) { return findings{}; },
+        .on_refused =
+            make_refusal_log([this](const log_event& event) { lines.push_back(to_line(event)); })};
     std::shared_ptr<net::http_service> service;
     std::shared_ptr<net::http_client> client;
 };
@@ -102,6 +105,20 @@
     EXPECT_EQ(node.run.sequence, 6U);
 }
 
+/// Guards against an odd entry that nobody learns of, and against a long line for each repetition.
+TEST_P(odd_heartbeat, is_logged_once) {
+    announced_node node;
+    const auto odd = replace(heartbeat_text(5), GetParam());
+    for (int i = 0; i < 3; ++i) {
+        EXPECT_EQ(node.announce(odd), 400U);
+        EXPECT_EQ(node.announce(heartbeat_text(6 + i)), 200U);
+    }
+    ASSERT_EQ(node.lines.size(), 1U);
+    const std::string start = "event=announcement_refused instance=i-1 findings=";
+    EXPECT_EQ(node.lines[0].substr(0, start.size()), start);
+    EXPECT_LT(node.lines[0].size(), 500U);
+}
+
 const std::string address_field = R"("address":"10.0.0.9:8080")";
 const std::string sequence_field = R"("sequence":5)";
 const std::string slots_field = R"("slots":12)";
