quarantine: state the cost of records and messages in tests

The headers and the design note state bounds of memory and message size, which nothing measured. Two tests state them: a record with its place in the table and in the view takes at most 500 bytes, counted from the sizes of its parts; a message of 64 records takes less than 16 KB with all ids, and less than half with one.

The header said "a third" of 16 KB for one crash, which was not measured; it says less than half.

--- a/src/quarantine/spreading.h
+++ b/src/quarantine/spreading.h
@@ -13,7 +13,7 @@
 
 /// Members that each change is sent to per round.
 inline constexpr std::size_t news_fan_out = 3;
-/// A message takes up to 16 KB, and a third of it when most requests have seen one crash.
+/// A message takes up to 16 KB, and less than half when most requests have seen one crash.
 inline constexpr std::size_t max_records_per_message = 64;
 /// Changes sent per round; those with most crashes go first.
 inline constexpr std::size_t max_news = 32;
--- a/tests/quarantine/record_test.cpp
+++ b/tests/quarantine/record_test.cpp
@@ -147,5 +147,13 @@
     EXPECT_NE(make_crash_id(UINT64_MAX, start_time, random), 0U);
 }
 
+/// Guards against a record that costs more than its page says.
+TEST(record, takes_at_most_500_bytes_with_its_place_in_the_table_and_the_view) {
+    constexpr std::size_t table_node = 4 * sizeof(void*) + sizeof(record_table::value_type);
+    constexpr std::size_t heap_block = max_crash_ids * sizeof(std::uint64_t) + 2 * sizeof(void*);
+    constexpr std::size_t view_node = sizeof(call::quarantine_view::value_type) + 5 * sizeof(void*);
+    EXPECT_LE(table_node + 2 * heap_block + view_node, 500U);
+}
+
 } // namespace
 } // namespace cyclamenhatch::quarantine
--- a/tests/quarantine/spreading_test.cpp
+++ b/tests/quarantine/spreading_test.cpp
@@ -1,5 +1,6 @@
 #include "quarantine/spreading.h"
 
+#include "messages/envelope.h"
 #include "quarantine/fixture.h"
 
 #include <gtest/gtest.h>
@@ -131,6 +132,27 @@
     EXPECT_LE(fleet.largest_message, max_records_per_message);
 }
 
+/// Guards against messages that crowd a link: records with all the ids they can have.
+TEST(spreading, a_message_of_full_records_takes_less_than_16_kb) {
+    const auto size_with = [](std::size_t crashes) {
+        record known;
+        known.service = service_id("ledger");
+        known.route = route_id("ledger-all");
+        for (std::uint64_t id = 1; id <= crashes; ++id) {
+            add_crash(known, id << 40U, start_time);
+            clear(known);
+        }
+        msg::quarantine_state_msg message;
+        for (std::size_t i = 0; i < max_records_per_message; ++i) {
+            message.records.push_back(std::make_unique<msg::suspect_record_msg>(
+                to_message(make_digest(i), known, start_time)));
+        }
+        return encode_envelope(node_id("n1"), message).size();
+    };
+    EXPECT_LE(size_with(max_crash_ids), 16'384U);
+    EXPECT_LE(size_with(1), 16'384U / 2);
+}
+
 /// Guards against a malformed message that is kept or sent on.
 TEST(spreading, malformed_records_are_ignored) {
     EXPECT_FALSE(from_message({}, start_time));
