admin: show held requests and let operators lift a hold

GET /v1/quarantine lists suspected and held requests, the dump 100 of them; /metrics has gauges and counters.

--- a/src/admin/api.cpp
+++ b/src/admin/api.cpp
@@ -2,6 +2,7 @@
 #include "admin/announcement_reader.h"
 #include "admin/move_report.h"
 #include "admin/problem.h"
+#include "admin/quarantine_page.h"
 #include "admin/resource_lookup.h"
 #include "admin/resource_write.h"
 
@@ -49,16 +50,6 @@
            });
 }
 
-api_response make_not_allowed(const std::string& allowed) {
-    auto response = make_problem({.status = 405, .detail = "use " + allowed});
-    response.headers["Allow"] = allowed;
-    return response;
-}
-
-api_response make_not_found(const std::string& detail) {
-    return make_problem({.status = 404, .detail = detail});
-}
-
 api_response make_not_ready() {
     return make_problem({.status = 503,
                          .detail = "this node does not yet hold a current configuration",
@@ -296,6 +287,10 @@
                                        : make_not_allowed("POST"));
         return;
     }
+    if (is_quarantine_path(request)) {
+        reply(handle_quarantine(context, request));
+        return;
+    }
     if (auto page = show_page(context, request)) {
         reply(request.method == "GET" ? std::move(*page) : make_not_allowed("GET"));
         return;
--- a/src/admin/backend.h
+++ b/src/admin/backend.h
@@ -3,6 +3,7 @@
 #include "distribution/distribution.h"
 #include "document/document.h"
 #include "model/finding.h"
+#include "model/request_digest.h"
 #include "model/snapshot.h"
 #include "move/move_table.h"
 #include "settings_generated.h"
@@ -37,6 +38,10 @@
     std::function<document()> dump;
     /// Slot use per owner.
     std::function<document()> usage;
+    /// Requests that are suspected or held because upstreams crashed under them.
+    std::function<document()> quarantine;
+    /// Clears the known crashes of a request everywhere; returns whether there were any.
+    std::function<bool(const request_digest&)> lift_hold;
     /// Prometheus text.
     std::function<std::string()> metrics;
     /// Takes the announcement of an upstream or of its new state; returns findings when refused.
--- a/src/admin/problem.cpp
+++ b/src/admin/problem.cpp
@@ -69,4 +69,14 @@
     return {.status = status, .body = write_json(body) + "\n"};
 }
 
+api_response make_not_allowed(const std::string& allowed) {
+    auto response = make_problem({.status = 405, .detail = "use " + allowed});
+    response.headers["Allow"] = allowed;
+    return response;
+}
+
+api_response make_not_found(const std::string& detail) {
+    return make_problem({.status = 404, .detail = detail});
+}
+
 } // namespace cyclamenhatch::admin
--- a/src/admin/problem.h
+++ b/src/admin/problem.h
@@ -20,6 +20,11 @@
 /// Returns an application/problem+json response with all findings.
 [[nodiscard]] api_response make_problem(const problem& error);
 
+/// The response to a request whose path takes only the `allowed` methods.
+[[nodiscard]] api_response make_not_allowed(const std::string& allowed);
+
+[[nodiscard]] api_response make_not_found(const std::string& detail);
+
 /// Returns an application/json response.
 [[nodiscard]] api_response make_json(int status, const document& body);
 
--- a/src/model/request_digest.cpp
+++ b/src/model/request_digest.cpp
@@ -2,6 +2,8 @@
 
 #include "model/digest.h"
 
+#include <algorithm>
+#include <cctype>
 #include <charconv>
 
 namespace cyclamenhatch {
@@ -48,4 +50,14 @@
     return text;
 }
 
+std::optional<request_digest> parse_request_digest(std::string_view text) {
+    const bool is_hexadecimal = std::all_of(
+        text.begin(), text.end(), [](unsigned char digit) { return std::isxdigit(digit) != 0; });
+    if (text.size() != 2 * half_digits || !is_hexadecimal) {
+        return std::nullopt;
+    }
+    return request_digest{read_half(text.substr(0, half_digits)),
+                          read_half(text.substr(half_digits))};
+}
+
 } // namespace cyclamenhatch
--- a/src/model/request_digest.h
+++ b/src/model/request_digest.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -38,6 +39,9 @@
 /// 32 hexadecimal digits, as in logs and in the admin API. Thread safe.
 [[nodiscard]] std::string to_text(const request_digest& digest);
 
+/// Reads what to_text returns, in digits of either case; empty for any other text. Thread safe.
+[[nodiscard]] std::optional<request_digest> parse_request_digest(std::string_view text);
+
 } // namespace cyclamenhatch
 
 template <> struct std::hash<cyclamenhatch::request_digest> {
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -242,6 +242,14 @@
     });
 }
 
+bool lift_hold(node_runtime& node, const request_digest& digest) {
+    bool was_suspected = false;
+    step(node, [&](instant now, control::actions& actions) {
+        was_suspected = control::lift_hold(node.control, digest, now, actions);
+    });
+    return was_suspected;
+}
+
 call::routing_view_ptr current_view(const node_runtime& node) {
     const auto now = current_time();
     const std::lock_guard<std::mutex> guard(node.view_lock);
--- a/src/node/node_runtime.h
+++ b/src/node/node_runtime.h
@@ -103,6 +103,10 @@
 /// Handles a suspected request that has run well here. Thread safe.
 void record_good_run(node_runtime& node, const request_digest& digest);
 
+/// Clears the crashes of a request by an operator's order; returns whether any counted. Thread
+/// safe.
+bool lift_hold(node_runtime& node, const request_digest& digest);
+
 /// Returns the current view for the call path; never null. The view is not ready when the last tick
 /// is older than membership.pause_ms, as right after a pause of the process. Thread safe.
 [[nodiscard]] call::routing_view_ptr current_view(const node_runtime& node);
--- a/src/node/parts.cpp
+++ b/src/node/parts.cpp
@@ -2,6 +2,7 @@
 
 #include "clock/process_clock.h"
 #include "node/log_writer.h"
+#include "node/quarantine_document.h"
 #include "node/state_document.h"
 
 namespace cyclamenhatch::node {
@@ -47,6 +48,11 @@
     backend.status = [node] { return describe_fleet(*node); };
     backend.dump = [node] { return dump_state(*node); };
     backend.usage = [node] { return edge::owner_usage(*node->calls); };
+    backend.quarantine = [node] {
+        const std::lock_guard<std::mutex> guard(node->control_lock);
+        return describe_quarantine(node->control.quarantine, current_time());
+    };
+    backend.lift_hold = [node](const request_digest& digest) { return lift_hold(*node, digest); };
     backend.metrics = [node] { return metrics_text(*node); };
     backend.announce = [node](const admin::announcement& announcement) {
         return announce(*node, announcement);
--- a/src/node/state_document.cpp
+++ b/src/node/state_document.cpp
@@ -2,6 +2,7 @@
 
 #include "clock/process_clock.h"
 #include "membership/duty.h"
+#include "node/quarantine_document.h"
 
 #include <algorithm>
 
@@ -11,6 +12,7 @@
 constexpr std::size_t max_members = 2000;
 constexpr std::size_t max_links = 200;
 constexpr std::size_t max_versions = 20;
+constexpr std::size_t max_suspects = 100;
 
 document number(std::uint64_t value) {
     return static_cast<std::int64_t>(value);
@@ -267,6 +269,14 @@
     add_line(text, "config_deltas_missed_total", counts.deltas_missed);
 }
 
+void add_quarantine(std::string& text, const quarantine::state& known, instant now) {
+    add_line(text, "suspected_requests", known.view ? known.view->size() : 0);
+    add_line(text, "held_requests", quarantine::count_held(known, now));
+    add_line(text, "upstream_crashes_witnessed_total", known.counts.crashes);
+    add_line(text, "request_holds_total", known.counts.holds);
+    add_line(text, "requests_cleared_total", known.counts.cleared);
+}
+
 } // namespace
 
 document dump_state(node_runtime& node) {
@@ -286,6 +296,7 @@
                     {"progress", describe_progress(state.distribution)},
                     {"transfers", describe_transfers(state.distribution.counts)},
                     {"moves", describe_moves(state, now)},
+                    {"quarantine", describe_quarantine(state.quarantine, now, max_suspects)},
                     {"duties", describe_duties(state)},
                     {"store", describe_store(node)},
                     {"members", describe_members(state.members)}};
@@ -331,6 +342,7 @@
         add_line(text, "store_is_down", is_store_down(state) ? 1 : 0);
         add_line(text, "process_pauses_total", state.members.pauses);
         add_transfers(text, state.distribution.counts);
+        add_quarantine(text, state.quarantine, current_time());
     }
     add_line(text, "loop_lag_ms", static_cast<std::uint64_t>(node.loop_lag_ms.load()));
     add_links(text, wire::counters(*node.links));
--- a/tests/admin/fake_backend.h
+++ b/tests/admin/fake_backend.h
@@ -12,6 +12,7 @@
     std::vector<store::write_request> written;
     std::vector<distribution::version_progress> progress;
     std::vector<announcement> announced;
+    std::vector<request_digest> lifted;
 };
 
 inline section make_catalogue() {
@@ -57,6 +58,11 @@
         return std::vector<moves::move_status>{
             {.key = {service_id{"catalogue"}, move_id{"to-v2"}, 2}, .phase = "baking"}};
     };
+    fake.quarantine = [] { return document(document::table{{"page", "quarantine"}}); };
+    fake.lift_hold = [&node](const request_digest& digest) {
+        node.lifted.push_back(digest);
+        return digest.high == 0;
+    };
     fake.status = [] { return document(document::table{{"page", "status"}}); };
     fake.dump = [] { return document(document::table{{"page", "dump"}}); };
     fake.usage = [] { return document(document::table{{"page", "usage"}}); };
--- a/tests/model/request_digest_test.cpp
+++ b/tests/model/request_digest_test.cpp
@@ -58,5 +58,15 @@
     EXPECT_EQ(to_text({0x0123456789abcdef, 0xf}), "0123456789abcdef000000000000000f");
 }
 
+/// Guards against an operator who lifts the hold of another request by a text that was cut off.
+TEST(request_digest, is_read_from_its_text_only) {
+    const auto digest = compute_request_digest(make_content());
+    EXPECT_EQ(parse_request_digest(to_text(digest)), digest);
+    EXPECT_FALSE(parse_request_digest(to_text(digest).substr(1)));
+    EXPECT_FALSE(parse_request_digest(to_text(digest) + "0"));
+    EXPECT_FALSE(parse_request_digest("0x" + to_text(digest).substr(2)));
+    EXPECT_FALSE(parse_request_digest(""));
+}
+
 } // namespace
 } // namespace cyclamenhatch
