--- a/tests/platform/odd_announcements_test.cpp
+++ b/tests/platform/odd_announcements_test.cpp
@@ -1,6 +1,7 @@
 #include "membership/upstream_run.h"
 #include "net/http_client.h"
 #include "net/http_service.h"
+#include "odd_entry.h"
 #include "platform/announcements.h"
 
 #include <boost/asio/io_context.hpp>
@@ -15,37 +16,14 @@
 namespace cyclamenhatch::platform {
 namespace {
 
+using testing::odd_row;
+using testing::repeat;
+using testing::replace;
+using testing::test_name;
+
 constexpr milliseconds test_timeout{10'000};
 constexpr std::size_t deep = 15'000;
 
-std::string repeat(const std::string& text, std::size_t count) {
-    std::string out;
-    for (std::size_t i = 0; i < count; ++i) {
-        out += text;
-    }
-    return out;
-}
-
-struct odd_row {
-    const char* name;
-    /// Text in the valid entry and its replacement.
-    std::string original;
-    std::string replacement;
-
-    friend std::ostream& operator<<(std::ostream& out, const odd_row& row) {
-        return out << row.name;
-    }
-};
-
-std::string test_name(const ::testing::TestParamInfo<odd_row>& row) {
-    return row.param.name;
-}
-
-std::string replace(std::string text, const odd_row& row) {
-    text.replace(text.find(row.original), row.original.size(), row.replacement);
-    return text;
-}
-
 std::string heartbeat_text(int sequence) {
     return R"({"service":"s1","address":"10.0.0.9:8080","zone":"a","version":"v1","slots":12,)"
            R"("state":"ready","coldLeft":0,"sequence":)" +
--- a/tests/platform/odd_configuration_test.cpp
+++ b/tests/platform/odd_configuration_test.cpp
@@ -1,3 +1,4 @@
+#include "odd_entry.h"
 #include "platform/operator_config.h"
 
 #include <gtest/gtest.h>
@@ -10,33 +11,10 @@
 namespace cyclamenhatch::platform {
 namespace {
 
-std::string repeat(const std::string& text, std::size_t count) {
-    std::string out;
-    for (std::size_t i = 0; i < count; ++i) {
-        out += text;
-    }
-    return out;
-}
-
-struct odd_row {
-    const char* name;
-    /// Text in the valid entry and its replacement.
-    std::string original;
-    std::string replacement;
-
-    friend std::ostream& operator<<(std::ostream& out, const odd_row& row) {
-        return out << row.name;
-    }
-};
-
-std::string test_name(const ::testing::TestParamInfo<odd_row>& row) {
-    return row.param.name;
-}
-
-std::string replace(std::string text, const odd_row& row) {
-    text.replace(text.find(row.original), row.original.size(), row.replacement);
-    return text;
-}
+using testing::odd_row;
+using testing::repeat;
+using testing::replace;
+using testing::test_name;
 
 constexpr const char* order_text = R"({"service":"s1","targetVersion":"v2","duration":60})";
 constexpr const char* record_text =
