quarantine: let only crashes after a hold make the next one longer

What callers would see: when many upstreams crash within a moment for a reason of their own, each request in flight at eight of them was held for an hour, though nothing was known against it after the third; no copy runs that could clear it.

Change: the length doubles with each crash that comes after the last hold has ended, not with each crash id.

--- a/src/quarantine/record.cpp
+++ b/src/quarantine/record.cpp
@@ -31,11 +31,43 @@
     return true;
 }
 
-seconds hold_time(std::size_t crashes) {
-    if (crashes >= max_crash_ids) {
+/// `earlier_holds`: those that ended and were followed by another crash.
+seconds hold_time(std::size_t earlier_holds) {
+    if (earlier_holds >= max_crash_ids - crashes_to_hold) {
         return longest_hold;
     }
-    return std::min(longest_hold, first_hold * (1U << (crashes - crashes_to_hold)));
+    return std::min(longest_hold, first_hold * (1U << earlier_holds));
+}
+
+std::uint64_t milliseconds_of(std::uint64_t id) {
+    return id >> random_bits;
+}
+
+/// Counts the holds that ended and were followed by another crash. Crashes while a hold lasts were
+/// under way when it began, and say nothing about whether the request is cured.
+std::size_t count_earlier_holds(const crash_ids& crashes, const crash_ids& cleared) {
+    std::size_t counted = 0;
+    std::size_t holds = 0;
+    std::uint64_t held_until = 0;
+    for (const auto id : crashes) {
+        if (std::binary_search(cleared.begin(), cleared.end(), id)) {
+            continue;
+        }
+        if (++counted < crashes_to_hold) {
+            continue;
+        }
+        const auto at = milliseconds_of(id);
+        if (counted > crashes_to_hold && at > held_until) {
+            ++holds;
+        }
+        const auto hold_ms = milliseconds(hold_time(holds)).count();
+        held_until = std::max(held_until, at + static_cast<std::uint64_t>(hold_ms));
+    }
+    return holds;
+}
+
+seconds hold_time(const record& self) {
+    return hold_time(count_earlier_holds(self.crashes, self.cleared));
 }
 
 } // namespace
@@ -43,7 +75,7 @@
 std::uint64_t make_crash_id(std::uint64_t highest_known, instant now, random_source& random) {
     constexpr std::uint64_t last_time = UINT64_MAX >> random_bits;
     const auto own_time = static_cast<std::uint64_t>(to_unix_ms(now));
-    const auto time = std::max(own_time, (highest_known >> random_bits) + 1);
+    const auto time = std::max(own_time, milliseconds_of(highest_known) + 1);
     std::uniform_int_distribution<std::uint64_t> low(1, (1ULL << random_bits) - 1);
     return (std::min(time, last_time) << random_bits) | low(random);
 }
@@ -87,8 +119,8 @@
 }
 
 instant hold_end(const record& self) {
-    const auto crashes = count_crashes(self);
-    return crashes < crashes_to_hold ? instant::min() : self.last_crash + hold_time(crashes);
+    return count_crashes(self) < crashes_to_hold ? instant::min()
+                                                 : self.last_crash + hold_time(self);
 }
 
 instant release_time(const record& self, const request_digest& digest, const node_id& node) {
@@ -96,7 +128,7 @@
     if (crashes < crashes_to_hold) {
         return instant::min();
     }
-    const auto spread = std::min(longest_release_spread, milliseconds(hold_time(crashes)) / 2);
+    const auto spread = std::min(longest_release_spread, milliseconds(hold_time(self)) / 2);
     const auto hash = membership::stable_hash(node.value, digest.low ^ crashes);
     const milliseconds delay(hash % static_cast<std::uint64_t>(spread.count()));
     return hold_end(self) + delay;
@@ -106,7 +138,7 @@
     if (self.crashes.size() < crashes_to_hold) {
         return self.last_crash + suspicion_time;
     }
-    return self.last_crash + hold_time(self.crashes.size()) + memory_after_hold;
+    return self.last_crash + hold_time(count_earlier_holds(self.crashes, {})) + memory_after_hold;
 }
 
 } // namespace cyclamenhatch::quarantine
--- a/src/quarantine/record.h
+++ b/src/quarantine/record.h
@@ -19,8 +19,8 @@
 inline constexpr std::size_t crashes_to_hold = 3;
 /// Crash ids kept of one request, the newest ones.
 inline constexpr std::size_t max_crash_ids = 8;
-/// How long a request is held after the crash that made it held. Doubles with each further crash
-/// that counts; the longest hold follows when the list of ids is full.
+/// How long a request is held after the crash that made it held. Doubles with each crash that comes
+/// after the last hold has ended; the longest hold follows when the list of ids holds no more.
 inline constexpr seconds first_hold{60};
 inline constexpr seconds longest_hold{3600};
 /// How long a request that is not held is remembered after its last crash.
