edge: let a failure of a suspect clear no crashes

A whole answer of any status cleared all crashes of a request. An upstream that sheds a call, runs out of its time or lacks the answer of a call of its own answers before the point at which the request would crash it, so the next three upstreams were lost again.

Change: only an answer below 500 that is no 408 or 429 is a good run.

--- a/src/call/gate.h
+++ b/src/call/gate.h
@@ -142,6 +142,8 @@
     std::optional<milliseconds> held_for;
     /// An answer came, whether kept or streamed.
     bool is_answered = false;
+    /// The answer shows that the upstream has run the request to its end.
+    bool has_run_well = false;
     /// The upstream shed load or ran out of time.
     bool is_overload = false;
     /// Time from dispatch to the answer's head.
--- a/src/edge/gate_bodies.cpp
+++ b/src/edge/gate_bodies.cpp
@@ -106,7 +106,10 @@
     guard.unlock();
     side.send_to_entry(entry, std::move(data));
     if (piece.is_last) {
-        end_call(side, flow->call, {.is_answered = true, .latency = flow->upstream_time});
+        end_call(side, flow->call,
+                 {.is_answered = true,
+                  .has_run_well = flow->is_good_run,
+                  .latency = flow->upstream_time});
         return;
     }
     read_download(side, flow);
--- a/src/edge/gate_crashes.cpp
+++ b/src/edge/gate_crashes.cpp
@@ -71,7 +71,8 @@
                      instant now) {
     crash_step step;
     if (end.is_answered) {
-        if (const auto run = call::note_answered(side.crashes, call)) {
+        const auto run = call::note_answered(side.crashes, call);
+        if (run && end.has_run_well) {
             step.ran_well = run->digest;
         }
     } else if (end.is_not_run) {
--- a/src/edge/gate_side.cpp
+++ b/src/edge/gate_side.cpp
@@ -131,12 +131,14 @@
         return;
     }
     const bool is_overload = head.status == overloaded_status;
+    flow->is_good_run = call::is_good_run(head.status);
     auto answer = make_answer(side, *flow, std::move(head), std::move(piece));
     if (is_whole) {
         guard.unlock();
         end_call(side, flow->call,
                  {.answer = std::move(answer),
                   .is_answered = true,
+                  .has_run_well = flow->is_good_run,
                   .is_overload = is_overload,
                   .latency = flow->upstream_time});
         return;
--- a/src/edge/gate_side.h
+++ b/src/edge/gate_side.h
@@ -49,6 +49,8 @@
     bool is_resend_requested = false;
     bool is_writing = false;
     bool is_answering = false;
+    /// Whether the answer's status is that of a good run.
+    bool is_good_run = false;
     bool is_reading = false;
     /// The head of an answer of more than one piece, until the entry has confirmed it.
     std::unique_ptr<msg::call_answer_msg> head;
