quarantine: ignore records of the empty digest

Found by review. Calls of a sender that states no digest have the empty one, so a record of it in a faulty message would hold all of them.

Result: spreading.malformed_records_are_ignored failed with the new line before; quarantine_test 34 passed.

--- a/src/quarantine/spreading.cpp
+++ b/src/quarantine/spreading.cpp
@@ -96,6 +96,10 @@
     if (!message.digest || message.age_ms > max_age_ms) {
         return std::nullopt;
     }
+    const request_digest digest{message.digest->high(), message.digest->low()};
+    if (digest == request_digest{}) {
+        return std::nullopt;
+    }
     // A cleared crash is a crash.
     crash_ids crashes = message.crashes;
     crashes.insert(crashes.end(), message.cleared.begin(), message.cleared.end());
@@ -108,8 +112,7 @@
     if (sent.crashes.empty()) {
         return std::nullopt;
     }
-    return std::pair{request_digest{message.digest->high(), message.digest->low()},
-                     std::move(sent)};
+    return std::pair{digest, std::move(sent)};
 }
 
 void send_news(state& self, const membership::table& members, instant now, random_source& random,
--- a/tests/quarantine/spreading_test.cpp
+++ b/tests/quarantine/spreading_test.cpp
@@ -132,7 +132,7 @@
     EXPECT_LE(fleet.largest_message, max_records_per_message);
 }
 
-/// Guards against messages that crowd a link: records with all the ids they can have.
+/// Guards against messages that delay others on a link: records with all the ids they can have.
 TEST(spreading, a_message_of_full_records_takes_less_than_16_kb) {
     const auto size_with = [](std::size_t crashes) {
         record known;
@@ -168,6 +168,10 @@
     ASSERT_TRUE(read);
     EXPECT_EQ(read->second.crashes, (crash_ids{3, 4, 5, 6, 7, 8, 9, 12}));
     EXPECT_LE(read->second.service.value.size(), 256U);
+    // Calls of senders that state no digest would be held.
+    message.digest = std::make_unique<msg::request_key>(0, 0);
+    EXPECT_FALSE(from_message(message, start_time));
+    message.digest = std::make_unique<msg::request_key>(1, 2);
     message.age_ms = UINT64_MAX;
     EXPECT_FALSE(from_message(message, start_time));
 }
