--- a/tests/edge/fake_upstream.cpp
+++ b/tests/edge/fake_upstream.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 #include <sys/socket.h>
 
 namespace cyclamenhatch::edge::testing {
@@ -59,6 +60,37 @@
     return with_header(std::move(answer), "x-id: " + id);
 }
 
+/// The answer whose size the path states; nothing for other paths.
+std::optional<std::string> make_answer_by_size(const std::string& path) {
+    if (starts_with(path, "/hold-bytes/")) {
+        return plain(200, std::string(std::stoul(path.substr(12)), 'b'));
+    }
+    if (starts_with(path, "/bytes/")) {
+        return plain(200, std::string(std::stoul(path.substr(7)), 'b'));
+    }
+    if (starts_with(path, "/counted/")) {
+        return plain(200, counted_bytes(std::stoul(path.substr(9))));
+    }
+    if (starts_with(path, "/chunked/")) {
+        return chunked(std::stoul(path.substr(9)));
+    }
+    if (starts_with(path, "/no-content")) {
+        return "HTTP/1.1 204 Told\r\n\r\n";
+    }
+    if (starts_with(path, "/head/")) {
+        return "HTTP/1.1 200 Told\r\nContent-Length: " + path.substr(6) + "\r\n\r\n";
+    }
+    if (starts_with(path, "/half-chunked/")) {
+        const auto whole = chunked(std::stoul(path.substr(14)));
+        return whole.substr(0, whole.size() - final_chunk.size());
+    }
+    if (starts_with(path, "/half")) {
+        return "HTTP/1.1 200 Told\r\nContent-Length: 100000\r\n\r\n" +
+               std::string(std::stoul(path.substr(6)), 'h');
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 std::string counted_bytes(std::size_t bytes) {
@@ -202,17 +234,8 @@
         auto answer = plain(std::stoi(path.substr(8)), "told");
         return id.empty() ? answer : with_id(std::move(answer), id);
     }
-    if (starts_with(path, "/hold-bytes/")) {
-        return plain(200, std::string(std::stoul(path.substr(12)), 'b'));
-    }
-    if (starts_with(path, "/bytes/")) {
-        return plain(200, std::string(std::stoul(path.substr(7)), 'b'));
-    }
-    if (starts_with(path, "/counted/")) {
-        return plain(200, counted_bytes(std::stoul(path.substr(9))));
-    }
-    if (starts_with(path, "/chunked/")) {
-        return chunked(std::stoul(path.substr(9)));
+    if (auto answer = make_answer_by_size(path)) {
+        return *std::move(answer);
     }
     if (starts_with(path, "/die-late")) {
         end_late();
@@ -225,20 +248,6 @@
     if (starts_with(path, "/break")) {
         return {};
     }
-    if (starts_with(path, "/no-content")) {
-        return "HTTP/1.1 204 Told\r\n\r\n";
-    }
-    if (starts_with(path, "/head/")) {
-        return "HTTP/1.1 200 Told\r\nContent-Length: " + path.substr(6) + "\r\n\r\n";
-    }
-    if (starts_with(path, "/half-chunked/")) {
-        const auto whole = chunked(std::stoul(path.substr(14)));
-        return whole.substr(0, whole.size() - final_chunk.size());
-    }
-    if (starts_with(path, "/half")) {
-        return "HTTP/1.1 200 Told\r\nContent-Length: 100000\r\n\r\n" +
-               std::string(std::stoul(path.substr(6)), 'h');
-    }
     if (starts_with(path, "/stale")) {
         return with_id(plain(200, "not yours"), "another") + with_id(plain(200, "yours"), id);
     }
