--- a/src/edge/upstream_probe.cpp
+++ b/src/edge/upstream_probe.cpp
@@ -29,7 +29,7 @@
 
 namespace {
 
-/// An upstream on this host that responds later than this is alive.
+/// A connection to this host that takes longer counts as accepted: only a refusal shows a crash.
 constexpr std::chrono::milliseconds probe_timeout{200};
 /// The sockets of a process that ends close within a few milliseconds of each other.
 constexpr std::chrono::milliseconds second_delay{20};
