--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -145,6 +145,8 @@
         self.next_lease = 1000
         self.changed = asyncio.Event()
         self.on_write = None
+        # While set, every call is answered 503, which says that nothing was done.
+        self.is_busy = False
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, HOST, self.port)
@@ -210,6 +212,8 @@
         url = urllib.parse.urlsplit(target)
         query = dict(urllib.parse.parse_qsl(url.query))
         path = url.path
+        if self.is_busy:
+            return 503, {}
         if path == "/v1/kv-key":
             item = self.items.get(query.get("key"))
             return (200, item | {"currentRev": self.revision}) if item else (404, {})
@@ -247,7 +251,7 @@
             found = [e for e in self.events
                      if e["revision"] > after and e["key"].startswith(prefix)]
             left = ends - time.monotonic()
-            if found or left <= 0:
+            if found or left <= 0 or self.is_busy:
                 return {"events": found, "currentRev": self.revision}
             try:
                 await asyncio.wait_for(changed.wait(), left)
@@ -290,6 +294,8 @@
         self.runs = []  # (time, request id)
         self.beating = None
         self.writers = set()
+        # Whether a run ends with a failure of the endpoint's own (500).
+        self.fails = lambda: False
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, HOST, self.port)
@@ -362,6 +368,8 @@
             await asyncio.sleep(self.work_s(request) if callable(self.work_s) else self.work_s)
         finally:
             self.running -= 1
+        if self.fails():
+            return answer_bytes(500, b"failed", load | {"X-Server-Stamp": f"{self.id}.{request}"})
         return answer_bytes(200, f"{self.id} ran {request}".encode(),
                             load | {"X-Server-Stamp": f"{self.id}.{request}"})
 
