--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -147,6 +147,9 @@
         self.on_write = None
         # While set, every call is answered 503, which says that nothing was done.
         self.is_busy = False
+        # Rises when the store comes back from an older copy; in all answers when above 0.
+        self.era = 0
+        self.first_known = 0
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, HOST, self.port)
@@ -199,9 +202,14 @@
                     break
                 method, target = head[0].split()[:2]
                 body = await read_body(reader, head[1])
+                era = self.era
                 status, value = await self.answer(method, target, body)
-                writer.write(answer_bytes(status, json.dumps(value).encode(),
-                                          {"Content-Type": "application/json"}))
+                if self.era != era:
+                    break
+                headers = {"Content-Type": "application/json"}
+                if era:
+                    headers["Store-Era"] = era
+                writer.write(answer_bytes(status, json.dumps(value).encode(), headers))
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
@@ -223,6 +231,8 @@
             return 200, {"items": [self.items[k] for k in keys[:500]], "hasMore": len(keys) > 500,
                          "currentRev": self.revision}
         if path == "/v1/kv-watch":
+            if not self.first_known <= int(query["after"]) <= self.revision:
+                return 410, {}
             return 200, await self.watch(query)
         if path == "/v1/kv-txn":
             return self.transact(json.loads(body))
@@ -243,6 +253,20 @@
             return 200, {}
         return 404, {}
 
+    def copy(self):
+        return {key: dict(item) for key, item in self.items.items()}, self.revision
+
+    def come_back_from(self, copied):
+        """A drill: what was written since the copy is gone, leases too, and revisions are given out
+        again."""
+        items, self.revision = copied
+        self.items = {key: dict(item) for key, item in items.items() if not item["lease"]}
+        self.first_known = self.revision
+        self.events, self.leases = [], {}
+        self.era += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     async def watch(self, query):
         after, prefix = int(query["after"]), query["prefix"]
         ends = time.monotonic() + int(query.get("waitMs", 0)) / 1000
