edge, wire: measure how long calls wait on links, and log late dispatches and lost cancels

The logs could not tell the hypotheses apart: nothing stated the age of a call at the entry, on the link and at the gate, and lost cancels left no trace.

Each envelope states when it was encoded, by a clock that counts suspension. It is recorded as the segment link_delay and logged with call_dispatched_late and run_cancelled. call_sent_late names old calls at the entry; cancel_undelivered and cancel_ignored name lost cancels.

A late gate (H1) shows as a large link_delay_ms, a lost cancel (H2) as cancel_undelivered, a late entry (H3) as call_sent_late, or as loop_late at the entry beside a small link_delay_ms. No decision uses these figures yet. Nodes of earlier versions state no time; their messages have no delay.

--- a/src/call/gate.cpp
+++ b/src/call/gate.cpp
@@ -260,7 +260,8 @@
     const auto it = gate.memory.calls.find(call);
     if (it == gate.memory.calls.end()) {
         // An open of this call may still arrive; the tombstone makes the gate refuse it.
-        (void)place_tombstone(gate.memory, call, gate.settings.memory, now);
+        const bool is_kept = place_tombstone(gate.memory, call, gate.settings.memory, now);
+        gate.counters.ignored_cancels += is_kept ? 0 : 1;
         return out;
     }
     const auto state = it->second.state;
--- a/src/call/gate.h
+++ b/src/call/gate.h
@@ -75,6 +75,8 @@
     std::uint64_t reattached = 0;
     std::uint64_t tombstones = 0;
     std::uint64_t cancelled = 0;
+    /// Cancels of unknown calls for which there was no room to remember them.
+    std::uint64_t ignored_cancels = 0;
     /// By refusal_reason.
     std::array<std::uint64_t, static_cast<std::size_t>(msg::refusal_reason::MAX) + 1> refused{};
 };
--- a/src/clock/process_clock.cpp
+++ b/src/clock/process_clock.cpp
@@ -1,5 +1,7 @@
 #include "clock/process_clock.h"
 
+#include <ctime>
+
 namespace cyclamenhatch {
 
 instant current_time() {
@@ -9,4 +11,11 @@
     return start + floor<microseconds>(std::chrono::steady_clock::now() - steady_start);
 }
 
+microseconds time_since_boot() {
+    constexpr std::int64_t ns_per_us = 1'000;
+    timespec time{};
+    (void)::clock_gettime(CLOCK_BOOTTIME, &time);
+    return seconds(time.tv_sec) + microseconds(time.tv_nsec / ns_per_us);
+}
+
 } // namespace cyclamenhatch
--- a/src/clock/process_clock.h
+++ b/src/clock/process_clock.h
@@ -9,4 +9,8 @@
 /// this clock; decision code takes the time as an argument. Thread safe.
 [[nodiscard]] instant current_time();
 
+/// Time since this host started, including time in which it was suspended. Two hosts differ by an
+/// offset that stays the same until one of them starts again. Thread safe.
+[[nodiscard]] microseconds time_since_boot();
+
 } // namespace cyclamenhatch
--- a/src/edge/call_path.cpp
+++ b/src/edge/call_path.cpp
@@ -3,6 +3,7 @@
 #include "call/call_key.h"
 #include "clock/process_clock.h"
 #include "edge/call_path_state.h"
+#include "edge/entry_steps.h"
 #include "messages/address_text.h"
 #include "model/byte_rate.h"
 #include "model/handler_guard.h"
@@ -60,38 +61,38 @@
     return std::get_if<Message>(&envelope.message);
 }
 
-void handle(call_path& path, const node_id& /*sender*/, msg::call_cancel_msg& message) {
-    on_cancel(path.gate, call::from_key(message.call.get()));
+void handle(call_path& path, const incoming& envelope, msg::call_cancel_msg& message) {
+    on_cancel(path.gate, call::from_key(message.call.get()), envelope.delay);
 }
 
-void handle(call_path& path, const node_id& sender, msg::call_open_msg& message) {
-    on_open(path.gate, sender, std::move(message));
+void handle(call_path& path, const incoming& envelope, msg::call_open_msg& message) {
+    on_open(path.gate, envelope.from, std::move(message), envelope.delay);
 }
 
-void handle(call_path& path, const node_id& sender, msg::call_answer_msg& message) {
-    on_answer(path.entry, sender, std::move(message));
+void handle(call_path& path, const incoming& envelope, msg::call_answer_msg& message) {
+    on_answer(path.entry, envelope.from, std::move(message));
 }
 
-void handle(call_path& path, const node_id& sender, msg::call_refused_msg& message) {
-    on_refused(path.entry, sender, message);
+void handle(call_path& path, const incoming& envelope, msg::call_refused_msg& message) {
+    on_refused(path.entry, envelope.from, message);
 }
 
 /// The id of a call between two nodes is known only to the gate or only to the entry of this node,
 /// so the gate is tried first.
-void handle(call_path& path, const node_id& sender, msg::call_data_msg& message) {
+void handle(call_path& path, const incoming& envelope, msg::call_data_msg& message) {
     if (!on_data(path.gate, message)) {
-        on_data(path.entry, sender, std::move(message));
+        on_data(path.entry, envelope.from, std::move(message));
     }
 }
 
-void handle(call_path& path, const node_id& sender, msg::call_credit_msg& message) {
+void handle(call_path& path, const incoming& envelope, msg::call_credit_msg& message) {
     if (!on_credit(path.gate, message)) {
-        on_credit(path.entry, sender, message);
+        on_credit(path.entry, envelope.from, message);
     }
 }
 
 template <class Message>
-void handle(call_path& /*path*/, const node_id& /*sender*/, Message& /*message*/) {}
+void handle(call_path& /*path*/, const incoming& /*envelope*/, Message& /*message*/) {}
 
 /// Delivers a message from this node's entry to its own gate.
 void handle_at_gate(call_path& path, peer_message message) {
@@ -288,7 +289,7 @@
 }
 
 void on_message(call_path& path, incoming&& envelope) {
-    std::visit([&](auto& message) { handle(path, envelope.from, message); }, envelope.message);
+    std::visit([&](auto& message) { handle(path, envelope, message); }, envelope.message);
 }
 
 void on_link_lost(call_path& path, const node_id& peer) {
@@ -301,6 +302,8 @@
         on_message(path, {message.to, make_refusal(*open)});
     } else if (std::holds_alternative<msg::call_data_msg>(message.message)) {
         on_link_lost(path, message.to);
+    } else if (const auto* cancel = std::get_if<msg::call_cancel_msg>(&message.message)) {
+        log_undelivered_cancel(path.entry, message.to, call::from_key(cancel->call.get()));
     }
 }
 
--- a/src/edge/entry_steps.cpp
+++ b/src/edge/entry_steps.cpp
@@ -15,6 +15,8 @@
 
 /// Jitter that spreads retries over time: up to half of the stated delay is added.
 constexpr std::uint64_t jitter_divisor = 2;
+/// Attempts that are sent at this age of the call or later are logged.
+constexpr microseconds late_send_threshold{250'000};
 
 const std::vector<call::endpoint>& endpoints_of(const call::routing_view& view,
                                                 const service_id& service) {
@@ -212,11 +214,28 @@
                  [&side, flow, bytes, is_last] { on_taken(side, flow, bytes, is_last); });
 }
 
+void log_late_send(const entry_side& side, const entry_flow& flow, const call::open_action& open,
+                   instant now) {
+    const auto age = now - flow.received_at;
+    if (age < late_send_threshold) {
+        return;
+    }
+    log_call(side, {log_level::info,
+                    "call_sent_late",
+                    {{"request", flow.request_id},
+                     {"node", open.target.node.value},
+                     {"age_ms", ms_text(age)},
+                     {"refusals", std::to_string(flow.state.refusals)},
+                     {"arrivals", std::to_string(flow.state.arrivals)},
+                     {"left_ms", ms_text(flow.state.deadline - now)}}});
+}
+
 void perform_one(entry_side& side, const entry_flow_ptr& flow, call::entry_action& action,
                  msg::call_answer_msg* answer) {
     const auto now = current_time();
     if (const auto* open = std::get_if<call::open_action>(&action)) {
         ++side.counters.attempts;
+        log_late_send(side, *flow, *open, now);
         side.send_to_gate(open->target.node, open->target.address, make_open(*flow, *open, now));
     } else if (const auto* reattach = std::get_if<call::reattach_action>(&action)) {
         ++side.counters.reattaches;
@@ -292,6 +311,13 @@
     }
 }
 
+void log_undelivered_cancel(const entry_side& side, const node_id& node, const call_id& call) {
+    log_call(side, {log_level::warning,
+                    "cancel_undelivered",
+                    {{"node", node.value},
+                     {"call", std::to_string(call.high) + "-" + std::to_string(call.low)}}});
+}
+
 step_result step(entry_side& side, const entry_flow_ptr& flow, const call::entry_event& event) {
     const auto now = current_time();
     const auto before = flow->state.current;
--- a/src/edge/gate_log.cpp
+++ b/src/edge/gate_log.cpp
@@ -18,6 +18,10 @@
     }
 }
 
+std::string ms_text(microseconds span) {
+    return std::to_string(std::chrono::duration_cast<milliseconds>(span).count());
+}
+
 std::string rate_text(std::optional<double> calls_per_s) {
     return calls_per_s ? std::to_string(*calls_per_s) : "none";
 }
@@ -98,6 +102,40 @@
     }
 }
 
+void log_late_dispatch(const gate_side& side, const gate_flow& flow, microseconds time_left) {
+    if (side.log) {
+        side.log({log_level::warning,
+                  "call_dispatched_late",
+                  {{"request", flow.request_id},
+                   {"entry", flow.entry.value},
+                   {"link_delay_ms", ms_text(flow.link_delay)},
+                   {"queue_ms", ms_text(flow.queue_time)},
+                   {"left_ms", ms_text(time_left)}}});
+    }
+}
+
+void log_cancelled_run(const gate_side& side, const gate_flow& flow, microseconds delay,
+                       instant now) {
+    if (side.log) {
+        side.log({log_level::info,
+                  "run_cancelled",
+                  {{"request", flow.request_id},
+                   {"entry", flow.entry.value},
+                   {"link_delay_ms", ms_text(flow.link_delay)},
+                   {"queue_ms", ms_text(flow.queue_time)},
+                   {"ran_ms", ms_text(now - flow.started_at)},
+                   {"cancel_delay_ms", ms_text(delay)}}});
+    }
+}
+
+void log_ignored_cancel(const gate_side& side, const call_id& call) {
+    if (side.log) {
+        side.log({log_level::warning,
+                  "cancel_ignored",
+                  {{"call", std::to_string(call.high) + "-" + std::to_string(call.low)}}});
+    }
+}
+
 void log_cut(const gate_side& side, const gate_flow& flow) {
     const auto bytes = bytes_before_head(flow.exchange);
     if (bytes > 0) {
--- a/src/edge/gate_log.h
+++ b/src/edge/gate_log.h
@@ -36,6 +36,18 @@
 /// Precondition: no other thread can change the flow's length.
 void log_mismatch(const gate_side& side, const gate_flow& flow, std::uint64_t bytes);
 
+/// Logs a call that is dispatched long after its entry sent it.
+void log_late_dispatch(const gate_side& side, const gate_flow& flow, microseconds time_left);
+
+/// Logs a call that is cancelled while its upstream runs it. `delay` is how long the cancel waited
+/// on its link.
+void log_cancelled_run(const gate_side& side, const gate_flow& flow, microseconds delay,
+                       instant now);
+
+/// Logs a cancel of an unknown call that could not be remembered: the call runs if it still
+/// arrives.
+void log_ignored_cancel(const gate_side& side, const call_id& call);
+
 /// Logs a call that is aborted after its upstream has sent some bytes but not a whole head.
 void log_cut(const gate_side& side, const gate_flow& flow);
 
--- a/src/edge/gate_side.cpp
+++ b/src/edge/gate_side.cpp
@@ -31,6 +31,9 @@
 constexpr milliseconds fresh_idle{500};
 constexpr milliseconds any_idle{60'000};
 
+/// Calls that are dispatched at this age or later are logged.
+constexpr microseconds late_dispatch_threshold{250'000};
+
 using lock_type = state_lock;
 
 void perform(gate_side& side, call::gate_actions actions);
@@ -185,6 +188,9 @@
     const auto exchange = flow->exchange;
     guard.unlock();
     side.histograms.record(segment::gate_queue, flow->queue_time);
+    if (flow->link_delay + flow->queue_time >= late_dispatch_threshold) {
+        log_late_dispatch(side, *flow, time_left);
+    }
     upstream_events events;
     events.on_answer = [&side, flow](answer_head answer, body_piece piece) {
         on_answer(side, flow, std::move(answer), std::move(piece));
@@ -287,11 +293,13 @@
     perform(side, std::move(actions));
 }
 
-void on_open(gate_side& side, const node_id& sender, msg::call_open_msg message) {
+void on_open(gate_side& side, const node_id& sender, msg::call_open_msg message,
+             microseconds delay) {
     if (message.reattach && resend_lost(side, sender, message)) {
         return;
     }
     const auto now = current_time();
+    side.histograms.record(segment::link_delay, delay);
     const auto call = call::from_key(message.call.get());
     const auto request = read_open(message, sender, find_hold(side, message, now), now);
     lock_type guard(side.lock);
@@ -306,6 +314,7 @@
         flow->entry = sender;
         flow->request = std::move(message);
         flow->received_at = now;
+        flow->link_delay = delay;
         flow->deadline = request.deadline;
         side.flows.emplace(call, std::move(flow));
     }
@@ -321,11 +330,22 @@
     perform(side, std::move(actions));
 }
 
-void on_cancel(gate_side& side, const call_id& call) {
+void on_cancel(gate_side& side, const call_id& call, microseconds delay) {
     lock_type guard(side.lock);
+    const auto now = current_time();
     side.undelivered.erase(call);
-    auto actions = call::on_cancel(side.gate, call, current_time());
+    const auto it = side.flows.find(call);
+    const auto flow = it == side.flows.end() ? nullptr : it->second;
+    const auto ignored_before = side.gate.counters.ignored_cancels;
+    auto actions = call::on_cancel(side.gate, call, now);
+    const bool is_ignored = side.gate.counters.ignored_cancels != ignored_before;
     guard.unlock();
+    if (flow && flow->exchange) {
+        log_cancelled_run(side, *flow, delay, now);
+    }
+    if (is_ignored) {
+        log_ignored_cancel(side, call);
+    }
     perform(side, std::move(actions));
 }
 
--- a/src/edge/gate_side.h
+++ b/src/edge/gate_side.h
@@ -33,6 +33,8 @@
     /// Set before the exchange begins; empty when the request has no id.
     std::string request_id;
     instant received_at{};
+    /// How long the message that opened the call waited on its link.
+    microseconds link_delay{0};
     instant deadline{};
     instant started_at{};
     /// When a piece of a body was last read or written.
@@ -112,7 +114,9 @@
     std::uint64_t crash_count = 0;
 };
 
-void on_open(gate_side& side, const node_id& sender, msg::call_open_msg message);
+/// `delay` is how long the message waited on its link.
+void on_open(gate_side& side, const node_id& sender, msg::call_open_msg message,
+             microseconds delay = microseconds{0});
 
 /// Handles the head and the first piece of the upstream's answer to a running call. Precondition:
 /// the call was dispatched and had no answer.
@@ -125,7 +129,8 @@
 /// Ends a call at the gate and carries out the resulting actions.
 void end_call(gate_side& side, const call_id& call, const call::upstream_end& end);
 
-void on_cancel(gate_side& side, const call_id& call);
+/// `delay` is how long the message waited on its link.
+void on_cancel(gate_side& side, const call_id& call, microseconds delay = microseconds{0});
 void on_upstream(gate_side& side, const msg::upstream_record_msg& upstream);
 void on_drain(gate_side& side);
 
--- a/src/edge/latency_histogram.cpp
+++ b/src/edge/latency_histogram.cpp
@@ -41,7 +41,7 @@
 
 std::string_view segment_name(segment part) {
     static constexpr std::array<std::string_view, segment_count> names{
-        "entry", "link", "gate_queue", "upstream", "whole"};
+        "entry", "link", "link_delay", "gate_queue", "upstream", "whole"};
     return names.at(static_cast<std::size_t>(part));
 }
 
--- a/src/edge/latency_histogram.h
+++ b/src/edge/latency_histogram.h
@@ -15,6 +15,8 @@
     entry,
     /// Attempt time that neither the gate's queue nor the upstream accounts for.
     link,
+    /// Waiting of the message that opens a call on its link.
+    link_delay,
     /// Waiting at the gate for a slot.
     gate_queue,
     /// From dispatch to the upstream's answer.
@@ -23,7 +25,7 @@
     whole,
 };
 
-inline constexpr std::size_t segment_count = 5;
+inline constexpr std::size_t segment_count = 6;
 
 [[nodiscard]] std::string_view segment_name(segment part);
 
--- a/src/messages/envelope.cpp
+++ b/src/messages/envelope.cpp
@@ -31,7 +31,7 @@
 
 } // namespace
 
-std::string encode_envelope(const node_id& sender, const peer_message& message) {
+std::string encode_envelope(const node_id& sender, const peer_message& message, microseconds sent) {
     flatbuffers::FlatBufferBuilder builder;
     const auto sender_offset = builder.CreateString(sender.value);
     const auto body_offset = std::visit(
@@ -45,7 +45,8 @@
             return msg::bodyUnionTraits<std::decay_t<decltype(body)>>::enum_value;
         },
         message);
-    builder.Finish(msg::Createenvelope(builder, sender_offset, kind, body_offset));
+    builder.Finish(msg::Createenvelope(builder, sender_offset, kind, body_offset,
+                                       static_cast<std::uint64_t>(sent.count())));
     return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -57,6 +58,7 @@
     }
     const auto* envelope = msg::Getenvelope(data);
     incoming decoded;
+    decoded.sent = microseconds(static_cast<std::int64_t>(envelope->sent_us()));
     if (envelope->from() != nullptr) {
         decoded.from = node_id{envelope->from()->str()};
     }
--- a/src/messages/envelope.h
+++ b/src/messages/envelope.h
@@ -8,8 +8,10 @@
 
 namespace cyclamenhatch {
 
-/// Encodes a message and its sender as one envelope, without the length prefix of the frame.
-[[nodiscard]] std::string encode_envelope(const node_id& sender, const peer_message& message);
+/// Encodes a message and its sender as one envelope, without the length prefix of the frame. `sent`
+/// is the time_since_boot of the sender's host, or 0 for unknown.
+[[nodiscard]] std::string encode_envelope(const node_id& sender, const peer_message& message,
+                                          microseconds sent = microseconds{0});
 
 /// Verifies and decodes one envelope. Returns findings when the bytes are not a valid envelope or
 /// contain an unknown kind of message. Never reads outside the bytes.
--- a/src/messages/peer_message.h
+++ b/src/messages/peer_message.h
@@ -2,6 +2,7 @@
 
 #include "messages_generated.h"
 #include "model/ids.h"
+#include "model/time.h"
 
 #include <cstdint>
 #include <string>
@@ -41,6 +42,11 @@
 struct incoming {
     node_id from;
     peer_message message;
+    /// When it was encoded, by the sender's time_since_boot; 0 if unknown.
+    microseconds sent{0};
+    /// How much longer than the fastest recent message of its link it took from its encoding to its
+    /// handling; 0 if unknown.
+    microseconds delay{0};
 };
 
 /// Whether a message belongs to a call; all other messages are control traffic.
--- a/src/wire/link.h
+++ b/src/wire/link.h
@@ -3,6 +3,7 @@
 #include "messages/peer_message.h"
 #include "wire/frame_reader.h"
 #include "wire/link_health.h"
+#include "wire/transit_delay.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -39,6 +40,7 @@
     std::weak_ptr<link> spare;
     link_times times;
     frame_reader reader;
+    transit_delay transit;
     /// Hello, pings and pongs; written before `queue`, which may take a slow link seconds to send.
     std::deque<std::string> urgent;
     std::deque<queued_frame> queue;
--- a/src/wire/link_io.cpp
+++ b/src/wire/link_io.cpp
@@ -182,6 +182,7 @@
             return close_reason{close_cause::broken_frame, errors->front().problem};
         }
         auto& message = std::get<incoming>(decoded);
+        message.delay = note_arrival(peer_link->transit, message.sent, time_since_boot());
         auto& counter = is_call_message(message.message) ? pool->counts.call_bytes_received
                                                          : pool->counts.control_bytes_received;
         counter.fetch_add(frame->size() + frame_header_bytes, std::memory_order_relaxed);
@@ -297,7 +298,8 @@
 }
 
 void send_link_message(const pool_ptr& pool, const link_ptr& peer_link, peer_message message) {
-    auto frame = make_frame(encode_envelope(node_id{pool->settings.identity->node}, message));
+    auto frame = make_frame(
+        encode_envelope(node_id{pool->settings.identity->node}, message, time_since_boot()));
     enqueue(pool, peer_link, {peer_link->peer, peer_link->address, std::move(message)},
             std::move(frame));
 }
--- a/src/wire/link_pool.cpp
+++ b/src/wire/link_pool.cpp
@@ -252,8 +252,8 @@
 
 void send(link_pool& pool, outgoing message) {
     // Encoded here to keep the work off the pool's only thread.
-    auto frame =
-        make_frame(encode_envelope(node_id{pool.settings.identity->node}, message.message));
+    auto frame = make_frame(
+        encode_envelope(node_id{pool.settings.identity->node}, message.message, time_since_boot()));
     if (frame.size() > pool.settings.link->max_frame_bytes + frame_header_bytes) {
         return_undelivered(pool, std::move(message));
         return;
