--- a/src/edge/gate_log.h
+++ b/src/edge/gate_log.h
@@ -39,7 +39,7 @@
 /// Logs a call that is dispatched long after its entry sent it.
 void log_late_dispatch(const gate_side& side, const gate_flow& flow, microseconds time_left);
 
-/// Logs a call that is cancelled while its upstream runs it. `delay` is how long the cancel waited
+/// Logs a call that is cancelled while its upstream runs it, when either message was late. `delay` is how long the cancel waited
 /// on its link.
 void log_cancelled_run(const gate_side& side, const gate_flow& flow, microseconds delay,
                        instant now);
--- a/src/edge/gate_side.cpp
+++ b/src/edge/gate_side.cpp
@@ -31,7 +31,7 @@
 constexpr milliseconds fresh_idle{500};
 constexpr milliseconds any_idle{60'000};
 
-/// Calls that are dispatched at this age or later are logged.
+/// Calls that are dispatched at this age or later are logged, and cancels that are this late.
 constexpr microseconds late_dispatch_threshold{250'000};
 
 using lock_type = state_lock;
@@ -340,7 +340,7 @@
     auto actions = call::on_cancel(side.gate, call, now);
     const bool is_ignored = side.gate.counters.ignored_cancels != ignored_before;
     guard.unlock();
-    if (flow && flow->exchange) {
+    if (flow && flow->exchange && std::max(flow->link_delay, delay) >= late_dispatch_threshold) {
         log_cancelled_run(side, *flow, delay, now);
     }
     if (is_ignored) {
