--- a/tests/edge/call_path_test.cpp
+++ b/tests/edge/call_path_test.cpp
@@ -331,6 +331,39 @@
     EXPECT_NE(caller.read_to_end().find("HTTP/1.1 201"), std::string::npos);
 }
 
+/// Guards against a request that may not be repeated and is passed on late in the grace time,
+/// behind an answer of the node itself: it is cut with no answer when the node ends (LOST).
+TEST(call_path, nothing_is_passed_on_behind_an_answer_of_a_node_that_stops) {
+    fake_upstream upstream;
+    joined_paths paths(upstream.port());
+    caller_connection caller(paths.entry_port());
+    caller.send(request("GET /hold") + request("POST /once/status/201"));
+    upstream.wait_for_runs("/hold", 1);
+    begin_drain(paths.entry());
+    stop_accepting(paths.entry());
+    EXPECT_EQ(answer_pending_calls(paths.entry()), 1U);
+    EXPECT_FALSE(runs_soon(upstream, "/once/status/201"));
+    const auto answers = caller.read_to_end();
+    EXPECT_NE(answers.find("HTTP/1.1 504"), std::string::npos) << answers;
+    EXPECT_EQ(answers.find("HTTP/1.1 201"), std::string::npos) << answers;
+    upstream.release();
+}
+
+/// Guards against a deadline that moves with the time that a request waits behind another on its
+/// connection.
+TEST(call_path, a_request_that_waits_behind_another_keeps_its_deadline) {
+    fake_upstream upstream;
+    joined_paths paths(upstream.port());
+    caller_connection caller(paths.entry_port());
+    caller.send(request("GET /hold") +
+                request("POST /once/status/201", "cyclamenhatch-deadline-ms: 50\r\n"));
+    upstream.wait_for_runs("/hold", 1);
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    upstream.release();
+    EXPECT_NE(caller.read_head().find("HTTP/1.1 200"), std::string::npos);
+    EXPECT_FALSE(runs_soon(upstream, "/once/status/201"));
+}
+
 TEST(call_path, caller_that_leaves_frees_its_slot) {
     fake_upstream upstream;
     joined_paths paths(upstream.port());
--- a/tests/edge/joined_paths.cpp
+++ b/tests/edge/joined_paths.cpp
@@ -107,6 +107,22 @@
     throw std::runtime_error("no free port");
 }
 
+lone_node start_lone(const std::string& name, asio::io_context& io, const std::string& link_rate,
+                     std::function<void(const outgoing&)> on_send) {
+    call_path_callbacks callbacks;
+    callbacks.send = [on_send = std::move(on_send)](const outgoing& message) {
+        if (on_send) {
+            on_send(message);
+        }
+    };
+    callbacks.view = [view = make_view(true)] { return view; };
+    callbacks.record_samples = [](const std::vector<call::call_sample>&) {};
+    const auto port = find_port();
+    auto settings = make_settings(name, port);
+    settings.listen->link_rate = link_rate;
+    return {start_call_path(settings, callbacks, {}, &io), port};
+}
+
 } // namespace
 
 joined_paths::joined_paths(std::uint16_t upstream_port, const header_names& names)
@@ -348,25 +364,19 @@
 lone_node start_lone_node(std::uint16_t upstream_port, boost::asio::io_context& io,
                           const std::string& link_rate,
                           std::function<void(const outgoing&)> on_send) {
-    call_path_callbacks callbacks;
-    callbacks.send = [on_send = std::move(on_send)](const outgoing& message) {
-        if (on_send) {
-            on_send(message);
-        }
-    };
-    callbacks.view = [view = make_view(true)] { return view; };
-    callbacks.record_samples = [](const std::vector<call::call_sample>&) {};
-    const auto port = find_port();
-    auto settings = make_settings("gate", port);
-    settings.listen->link_rate = link_rate;
-    auto path = start_call_path(settings, callbacks, {}, &io);
+    auto node = start_lone("gate", io, link_rate, std::move(on_send));
     msg::upstream_record_msg upstream;
     upstream.service = "ledger";
     upstream.version = "v1";
     upstream.state = msg::upstream_state::ready;
     upstream.slots = 4;
-    set_upstream(*path, upstream, upstream_port);
-    return {std::move(path), port};
+    set_upstream(*node.path, upstream, upstream_port);
+    return node;
+}
+
+lone_node start_lone_entry(boost::asio::io_context& io,
+                           std::function<void(const outgoing&)> on_send) {
+    return start_lone("entry", io, {}, std::move(on_send));
 }
 
 incoming make_open(std::uint64_t number, const std::string& path) {
--- a/tests/edge/joined_paths.h
+++ b/tests/edge/joined_paths.h
@@ -101,6 +101,10 @@
                                         const std::string& link_rate = {},
                                         std::function<void(const outgoing&)> on_send = {});
 
+/// A node without an upstream whose calls go to another node, on an io_context that the test runs.
+[[nodiscard]] lone_node start_lone_entry(boost::asio::io_context& io,
+                                         std::function<void(const outgoing&)> on_send);
+
 /// A message that opens or cancels the call with this number at such a gate.
 [[nodiscard]] incoming make_open(std::uint64_t number, const std::string& path);
 [[nodiscard]] incoming make_cancel(std::uint64_t number);
--- a/tests/wire/link_replace_test.cpp
+++ b/tests/wire/link_replace_test.cpp
@@ -232,5 +232,85 @@
     EXPECT_TRUE(node.lost_peers.empty());
 }
 
+msg::call_open_msg make_open(std::uint64_t number) {
+    msg::call_open_msg open;
+    open.call = std::make_unique<msg::call_key>(number, number);
+    return open;
+}
+
+msg::call_cancel_msg make_cancel(std::uint64_t number) {
+    msg::call_cancel_msg cancel;
+    cancel.call = std::make_unique<msg::call_key>(number, number);
+    return cancel;
+}
+
+/// Guards against a cancel that waits behind large answers while its call runs.
+TEST_F(full_link_to_a_peer, lets_a_cancel_overtake) {
+    send(*node.pool, {node_id{"b"}, peer.address(), make_cancel(1)});
+    send(*node.pool, {node_id{"b"}, peer.address(), make_probe(1)});
+    peer_link->is_reading = true;
+    start_read(peer_link);
+    run_until(loop, [&] { return has<msg::probe_msg>(peer_link); });
+    const auto& received = peer_link->received;
+    const auto is_cancel = [](const incoming& message) {
+        return std::holds_alternative<msg::call_cancel_msg>(message.message);
+    };
+    const auto cancel = std::find_if(received.begin(), received.end(), is_cancel);
+    ASSERT_NE(cancel, received.end());
+    const auto pieces_behind = std::count_if(cancel, received.end(), [](const incoming& message) {
+        return std::holds_alternative<msg::call_data_msg>(message.message);
+    });
+    EXPECT_GT(pieces_behind, 0);
+}
+
+/// Guards against opening a call whose caller has left while the call waited for a full link.
+TEST_F(full_link_to_a_peer, withdraws_a_call_that_is_cancelled_before_it_is_sent) {
+    send(*node.pool, {node_id{"b"}, peer.address(), make_open(1)});
+    send(*node.pool, {node_id{"b"}, peer.address(), make_open(2)});
+    send(*node.pool, {node_id{"b"}, peer.address(), make_cancel(1)});
+    send(*node.pool, {node_id{"b"}, peer.address(), make_probe(1)});
+    peer_link->is_reading = true;
+    start_read(peer_link);
+    run_until(loop, [&] { return has<msg::probe_msg>(peer_link); });
+    std::vector<std::uint64_t> opened;
+    for (const auto& message : peer_link->received) {
+        if (const auto* open = std::get_if<msg::call_open_msg>(&message.message)) {
+            opened.push_back(open->call->high());
+        }
+    }
+    EXPECT_EQ(opened, std::vector<std::uint64_t>{2});
+}
+
+/// Guards against a cancel that is lost without a report when its link closes.
+TEST_F(full_link_to_a_peer, returns_a_cancel_that_it_has_not_sent) {
+    send(*node.pool, {node_id{"b"}, peer.address(), make_cancel(1)});
+    loop.poll();
+    const auto full_link = node.pool->links.at(0);
+    close_link(*node.pool, full_link, {close_cause::silent, ""});
+    EXPECT_TRUE(
+        std::any_of(node.undelivered.begin(), node.undelivered.end(), [](const outgoing& message) {
+            return std::holds_alternative<msg::call_cancel_msg>(message.message);
+        }));
+}
+
+/// Guards against a late node that does not notice how long messages waited for it.
+TEST(received_message, states_how_long_it_waited_on_its_link) {
+    asio::io_context loop;
+    loop_pool node(loop, "a");
+    scripted_peer peer(loop, "b");
+    const auto peer_link = peer.dial(node.address());
+    peer.send_hello(peer_link);
+    constexpr microseconds encoded{9'000'000};
+    const auto send_encoded_at = [&](microseconds sent) {
+        asio::write(peer_link->socket,
+                    asio::buffer(make_frame(encode_envelope(node_id{"b"}, make_probe(1), sent))));
+    };
+    send_encoded_at(encoded);
+    send_encoded_at(encoded - milliseconds{1663});
+    run_until(loop, [&] { return node.received.size() == 2; });
+    EXPECT_EQ(node.received[0].delay.count(), 0);
+    EXPECT_GE(node.received[1].delay, milliseconds{1663});
+}
+
 } // namespace
 } // namespace cyclamenhatch::wire::on_loop
--- a/tests/wire/transit_delay_test.cpp
+++ b/tests/wire/transit_delay_test.cpp
@@ -43,7 +43,7 @@
                     {{100, 101, 0}, {10'200, 10'211, 10}, {20'300, 20'321, 10}}},
         transit_row{"after_silence", {{100, 101, 0}, {60'000, 61'001, 1000}}},
         transit_row{"unknown_clock", {{0, 101, 0}, {0, 2000, 0}}}),
-    [](const auto& info) { return std::string(info.param.name); });
+    [](const auto& row) { return std::string(row.param.name); });
 
 /// Guards against delays that depend on the offset of the two hosts' clocks.
 TEST(transit, does_not_depend_on_the_offset_of_the_clocks) {
