gate: count the time that a call waited on its link

Cause: an open states the time left when it is encoded, and the gate counted it from its own reading. A gate that is late, or a link that is full, moved the deadline by the wait; and a cancel that waits behind the open, in the peer's queue because the window of the link is full, is read only after the run.

A call that waited longer than 0.4 s is refused as not run; the entry sends it again, to the same gate if there is no other, if its caller waits. No clock needs to be right for that, and nothing depends on the cancel's order.

--- a/src/call/admission.cpp
+++ b/src/call/admission.cpp
@@ -27,6 +27,10 @@
 /// Share of the slots that more urgent calls are assumed to leave to the others.
 constexpr double min_slot_share = 0.125;
 
+/// A call that waited longer than this on its link does not run, since a cancel may still wait
+/// behind it: upstreams must not get a call half a second after its caller has left.
+constexpr microseconds max_link_delay{400'000};
+
 /// Whether a call that arrives now finds a slot and a start by the stated rate.
 bool is_free(const gate_state& gate, instant now) {
     return gate.running.size() < current_limit(gate.limit) && may_start(gate.rate, now);
@@ -178,6 +182,11 @@
     if (request.deadline <= now) {
         return refusal{.reason = refusal_reason::deadline};
     }
+    if (request.link_delay > max_link_delay) {
+        return refusal{.reason = refusal_reason::delayed,
+                       .retry_helps = true,
+                       .retry_after = retry_elsewhere_after};
+    }
     const bool is_bound_by_rate = is_rate_bound(gate, now);
     // An idle gate always tries: its measured latency may be out of date.
     const bool is_idle = gate.running.empty() && !is_bound_by_rate;
--- a/src/call/entry_call.cpp
+++ b/src/call/entry_call.cpp
@@ -210,11 +210,11 @@
     abandon(state, answer_break::length_mismatch, context, out);
 }
 
-/// Whether the gate refused because it has no start now and was asked not to wait, so that it may
-/// still queue the call.
-bool is_without_wait(msg::refusal_reason reason, const entry_call& state) {
+/// Whether the gate may still take the call: it has no start now and was asked not to wait, or the
+/// call was delayed on its way there.
+bool may_ask_again(msg::refusal_reason reason, const entry_call& state) {
     const bool was_no_wait = state.current->target.has_room && !state.may_wait;
-    return reason == msg::refusal_reason::busy ||
+    return reason == msg::refusal_reason::busy || reason == msg::refusal_reason::delayed ||
            (reason == msg::refusal_reason::rate_limited && was_no_wait);
 }
 
@@ -233,7 +233,7 @@
     // A run with an unknown outcome is not a refusal: the upstream broke off.
     const auto end = is_proven ? attempt_end::refused : attempt_end::failed;
     out.emplace_back(ended_action{state.current->target, end, age(*state.current, context.now)});
-    if (is_without_wait(event.details.reason, state)) {
+    if (may_ask_again(event.details.reason, state)) {
         state.busy.push_back(state.current->target.node);
     }
     state.current.reset();
--- a/src/call/gate.h
+++ b/src/call/gate.h
@@ -40,8 +40,10 @@
     service_id service;
     version_id version;
     owner_id owner;
-    /// By the gate's clock: receipt plus the time left that the entry stated.
+    /// By the gate's clock: receipt plus the time left that the entry stated, less link_delay.
     instant deadline{};
+    /// How long the message that opens the call waited on its link.
+    microseconds link_delay{0};
     /// Run of the gate's process as known to the entry; 0 for unknown.
     std::uint64_t gate_instance = 0;
     /// When the answer loses most of its worth to the caller; the deadline when there is no
--- a/src/edge/call_headers.cpp
+++ b/src/edge/call_headers.cpp
@@ -81,6 +81,8 @@
         return "the answer is no longer kept";
     case refusal_reason::quarantined:
         return "upstreams have crashed under this request";
+    case refusal_reason::delayed:
+        return "the call waited too long on its way to the endpoint";
     default:
         return "the call was not answered";
     }
--- a/src/edge/gate_side.cpp
+++ b/src/edge/gate_side.cpp
@@ -301,7 +301,7 @@
     const auto now = current_time();
     side.histograms.record(segment::link_delay, delay);
     const auto call = call::from_key(message.call.get());
-    const auto request = read_open(message, sender, find_hold(side, message, now), now);
+    const auto request = read_open(message, sender, find_hold(side, message, now), delay, now);
     lock_type guard(side.lock);
     const auto rate_before = side.gate.rate.calls_per_s;
     const bool was_under_way = call::is_under_way(side.gate, call);
--- a/tests/call/gate_test.cpp
+++ b/tests/call/gate_test.cpp
@@ -134,6 +134,20 @@
 INSTANTIATE_TEST_SUITE_P(rows, admission, ::testing::ValuesIn(admission_rows),
                          [](const auto& row) { return std::string(row.param.name); });
 
+/// Guards against running a call whose cancel still waits behind it on a link that was read late.
+TEST(gate, refuses_a_call_that_waited_long_on_its_link) {
+    auto gate = make_gate(2, 2);
+    auto prompt = make_request(1);
+    prompt.link_delay = 399 * millisecond;
+    EXPECT_EQ(describe(on_open(gate, prompt, start)), "run 1");
+    auto delayed = make_request(2);
+    delayed.link_delay = 401 * millisecond;
+    EXPECT_EQ(describe(on_open(gate, delayed, start)), "refuse 2 delayed not_run retry");
+    auto expired = make_request(3, -millisecond);
+    expired.link_delay = 401 * millisecond;
+    EXPECT_EQ(describe(on_open(gate, expired, start)), "refuse 3 deadline not_run");
+}
+
 TEST(gate, runs_the_earliest_deadline_first) {
     auto gate = make_gate(1, 8);
     (void)on_open(gate, make_request(1), start);
