gate: refuse a call whose deadline passes before its turn

Cause: between the decision to run a call and its turn on the loop the deadline was not looked at again; such a call went to the upstream with 0 ms left.

Change: it ends as not run, which is what happened.

--- a/src/edge/gate_side.cpp
+++ b/src/edge/gate_side.cpp
@@ -172,6 +172,11 @@
         end_call(side, call, {.is_not_run = true, .held_for = held_for});
         return;
     }
+    if (now >= flow->deadline) {
+        guard.unlock();
+        end_call(side, call, {.is_not_run = true, .not_run_reason = msg::refusal_reason::deadline});
+        return;
+    }
     flow->started_at = now;
     flow->progressed_at = now;
     flow->upstream_run = side.upstream_run;
@@ -179,7 +184,7 @@
     flow->exchange =
         prepare_exchange(side.client, flow->request.idempotent ? any_idle : fresh_idle);
     flow->is_writing = !flow->request.last;
-    const auto time_left = std::max(microseconds{0}, flow->deadline - now);
+    const auto time_left = flow->deadline - now;
     auto head = make_upstream_head(side.names, side.instance, flow->request, time_left);
     auto match = make_answer_match(side.names, head);
     watch_run(side, *flow, match.value, now);
