wire: let cancels overtake, and withdraw calls that were not sent

Cause: a cancel waited in the queue of its link behind large answers, and behind the very open that it cancels. Both were then written, and on a full link the upstream ran the call for as long as the cancel took to follow.

Change: a cancel of a call whose open is still in the queue takes it out of there; every other cancel is written before the queue, once the link is established. A gate that gets a cancel before its open refuses the open, as it did before, so the order does no harm. Cancels that a closed link has not written are returned as undelivered, like the rest of the queue.

--- a/src/node/state_document.cpp
+++ b/src/node/state_document.cpp
@@ -198,6 +198,7 @@
                            {"messages_sent", number(counts.messages_sent)},
                            {"messages_received", number(counts.messages_received)},
                            {"messages_undelivered", number(counts.messages_undelivered)},
+                           {"calls_withdrawn", number(counts.calls_withdrawn)},
                            {"links_opened", number(counts.links_opened)},
                            {"links_silent", number(counts.links_silent)},
                            {"links_refused", number(counts.links_refused)},
--- a/src/wire/link_close.cpp
+++ b/src/wire/link_close.cpp
@@ -4,7 +4,9 @@
 #include "wire/link_pool_state.h"
 
 #include <algorithm>
+#include <iterator>
 #include <string>
+#include <utility>
 
 namespace cyclamenhatch::wire {
 namespace {
@@ -98,7 +100,11 @@
     boost::system::error_code ignored;
     peer_link->socket.close(ignored);
     remove_link(pool, peer_link);
-    auto unsent = std::move(peer_link->queue);
+    auto unsent = std::exchange(peer_link->urgent, {});
+    std::erase_if(unsent, [](const queued_frame& frame) {
+        return kind_of(frame.message.message) == traffic_kind::link;
+    });
+    std::move(peer_link->queue.begin(), peer_link->queue.end(), std::back_inserter(unsent));
     peer_link->queue.clear();
     for (auto& frame : unsent) {
         return_undelivered(pool, std::move(frame.message));
--- a/src/wire/link_counters.h
+++ b/src/wire/link_counters.h
@@ -49,6 +49,8 @@
     std::uint64_t messages_sent = 0;
     std::uint64_t messages_received = 0;
     std::uint64_t messages_undelivered = 0;
+    /// Calls cancelled before the message that opens them was written.
+    std::uint64_t calls_withdrawn = 0;
     std::uint64_t links_opened = 0;
     std::uint64_t links_silent = 0;
     std::uint64_t links_refused = 0;
--- a/src/wire/link_io.cpp
+++ b/src/wire/link_io.cpp
@@ -77,7 +77,7 @@
     // as undelivered.
     const bool only_hello = !peer_link.times.is_established;
     while (!peer_link.urgent.empty()) {
-        peer_link.writing.push_back(std::move(peer_link.urgent.front()));
+        peer_link.writing.push_back(std::move(peer_link.urgent.front().bytes));
         peer_link.urgent.pop_front();
         if (only_hello) {
             return;
@@ -101,6 +101,42 @@
     pool.counts.messages_sent.fetch_add(1, std::memory_order_relaxed);
 }
 
+/// The call that a message belongs to; null when there is none.
+const msg::call_key* find_call(const peer_message& message) {
+    return std::visit(
+        [](const auto& body) -> const msg::call_key* {
+            if constexpr (requires { body.call; }) {
+                return body.call.get();
+            } else {
+                return nullptr;
+            }
+        },
+        message);
+}
+
+/// Removes a call's messages from the queue if the one that opens it is still there. Returns
+/// whether it was.
+bool withdraw_call(link_pool& pool, link& peer_link, const msg::call_key& call) {
+    const auto belongs = [&](const queued_frame& frame) {
+        const auto* key = find_call(frame.message.message);
+        return key != nullptr && *key == call;
+    };
+    const auto opens = [&](const queued_frame& frame) {
+        const auto* open = std::get_if<msg::call_open_msg>(&frame.message.message);
+        return open != nullptr && !open->reattach && belongs(frame);
+    };
+    auto& queue = peer_link.queue;
+    if (std::none_of(queue.begin(), queue.end(), opens)) {
+        return false;
+    }
+    for (const auto& frame : queue) {
+        peer_link.queued_bytes -= belongs(frame) ? frame.bytes.size() : 0;
+    }
+    std::erase_if(queue, belongs);
+    pool.counts.calls_withdrawn.fetch_add(1, std::memory_order_relaxed);
+    return true;
+}
+
 void send_hello(const pool_ptr& pool, const link_ptr& peer_link) {
     msg::hello_msg hello;
     hello.node = pool->settings.identity->node;
@@ -274,6 +310,11 @@
 }
 
 void enqueue(const pool_ptr& pool, const link_ptr& peer_link, outgoing message, std::string frame) {
+    const auto* cancel = std::get_if<msg::call_cancel_msg>(&message.message);
+    const bool is_cancel = cancel != nullptr;
+    if (is_cancel && cancel->call && withdraw_call(*pool, *peer_link, *cancel->call)) {
+        return;
+    }
     if (peer_link->queued_bytes + frame.size() > max_queued_bytes) {
         return_undelivered(*pool, std::move(message));
         return;
@@ -289,11 +330,10 @@
     }
     count_sent(*pool, message.message, frame.size());
     peer_link->queued_bytes += frame.size();
-    if (is_link_message) {
-        peer_link->urgent.push_back(std::move(frame));
-    } else {
-        peer_link->queue.push_back({std::move(frame), std::move(message)});
-    }
+    // The hello must come first.
+    const bool may_overtake = is_link_message || (is_cancel && peer_link->times.is_established);
+    auto& queue = may_overtake ? peer_link->urgent : peer_link->queue;
+    queue.push_back({std::move(frame), std::move(message)});
     start_write(pool, peer_link);
 }
 
--- a/src/wire/link_pool.cpp
+++ b/src/wire/link_pool.cpp
@@ -273,6 +273,7 @@
                          .messages_sent = counts.messages_sent,
                          .messages_received = counts.messages_received,
                          .messages_undelivered = counts.messages_undelivered,
+                         .calls_withdrawn = counts.calls_withdrawn,
                          .links_opened = counts.links_opened,
                          .links_refused = counts.links_refused,
                          .frames_broken = counts.frames_broken};
--- a/src/wire/link_pool_state.h
+++ b/src/wire/link_pool_state.h
@@ -26,6 +26,7 @@
     std::atomic<std::uint64_t> messages_sent{0};
     std::atomic<std::uint64_t> messages_received{0};
     std::atomic<std::uint64_t> messages_undelivered{0};
+    std::atomic<std::uint64_t> calls_withdrawn{0};
     std::atomic<std::uint64_t> links_opened{0};
     std::atomic<std::uint64_t> links_refused{0};
     std::atomic<std::uint64_t> frames_broken{0};
