entry: repeat cancels that may be lost with a link

Cause: a cancel whose link closed before it was written, or that was written on a link that was lost, was dropped; nothing but the deadline then ended the run, and an open in the buffer of a late gate started one.

Evidence: table/lost_cancel.is_sent_again, both rows, failed on: the upstream worked on for the 5 s of the test.

--- a/src/edge/call_path.cpp
+++ b/src/edge/call_path.cpp
@@ -3,7 +3,6 @@
 #include "call/call_key.h"
 #include "clock/process_clock.h"
 #include "edge/call_path_state.h"
-#include "edge/entry_steps.h"
 #include "messages/address_text.h"
 #include "model/byte_rate.h"
 #include "model/handler_guard.h"
@@ -303,7 +302,7 @@
     } else if (std::holds_alternative<msg::call_data_msg>(message.message)) {
         on_link_lost(path, message.to);
     } else if (const auto* cancel = std::get_if<msg::call_cancel_msg>(&message.message)) {
-        log_undelivered_cancel(path.entry, message.to, call::from_key(cancel->call.get()));
+        on_undelivered_cancel(path.entry, message.to, call::from_key(cancel->call.get()));
     }
 }
 
--- a/src/edge/call_path.h
+++ b/src/edge/call_path.h
@@ -57,13 +57,13 @@
 void on_message(call_path& path, incoming&& envelope);
 
 /// Reports that the link to a node was lost or went silent: each call in flight there is reattached
-/// under the same call id. Thread safe.
+/// under the same call id, and cancels that were sent there lately are repeated. Thread safe.
 void on_link_lost(call_path& path, const node_id& peer);
 
 /// Reports a message of which no byte reached the network. A call that it would have opened counts
 /// as not run; a call that lost a piece of its body is reattached. A lost reattach is repeated only
-/// by its timer: repeating it at once would send it, and all others to that node, in a loop. Other
-/// kinds of messages are ignored. Thread safe.
+/// by its timer: repeating it at once would send it, and all others to that node, in a loop. A lost
+/// cancel is repeated for some seconds. Other kinds of messages are ignored. Thread safe.
 void on_undelivered(call_path& path, const outgoing& message);
 
 /// Sets the address and state of this node's upstream. Without an address, the addresses of this
--- a/src/edge/entry_side.cpp
+++ b/src/edge/entry_side.cpp
@@ -313,12 +313,19 @@
     for (const auto& flow : affected) {
         results.emplace_back(flow, step(side, flow, call::link_lost_event{peer}));
     }
+    call::note_link_lost(side.cancels, peer, current_time());
     guard.unlock();
     for (auto& [flow, result] : results) {
         perform(side, flow, std::move(result), nullptr);
     }
 }
 
+void on_undelivered_cancel(entry_side& side, const node_id& node, const call_id& call) {
+    log_undelivered_cancel(side, node, call);
+    const lock_type guard(side.lock);
+    call::note_undelivered(side.cancels, call, current_time());
+}
+
 void on_timer(entry_side& side) {
     const auto now = current_time();
     const auto view = side.callbacks.view();
@@ -335,7 +342,11 @@
         call::forget_idle(side.loads, idle_load_time, now);
         call::forget_idle(side.stated_times, now);
     }
+    const auto lost_cancels = call::take_due(side.cancels, now);
     guard.unlock();
+    for (const auto& cancel : lost_cancels) {
+        send_cancel(side, cancel.call, cancel.node, cancel.address);
+    }
     for (auto& [flow, result] : results) {
         perform(side, flow, std::move(result), nullptr);
     }
--- a/src/edge/entry_side.h
+++ b/src/edge/entry_side.h
@@ -4,6 +4,7 @@
 #include "call/choose_endpoint.h"
 #include "call/entry_call.h"
 #include "call/returning_caller.h"
+#include "call/sent_cancels.h"
 #include "edge/answer_length.h"
 #include "edge/call_path.h"
 #include "edge/caller_listener.h"
@@ -122,6 +123,7 @@
     /// Calls whose caller waits for or reads its answer.
     std::unordered_map<const caller_exchange*, entry_flow_ptr> flows;
     entry_timers timers;
+    call::sent_cancels cancels;
     instant cleaned_at{};
 };
 
@@ -134,6 +136,8 @@
 void on_data(entry_side& side, const node_id& sender, msg::call_data_msg message);
 void on_credit(entry_side& side, const node_id& sender, const msg::call_credit_msg& message);
 void on_link_lost(entry_side& side, const node_id& peer);
+/// Handles a cancel of which no byte reached the network.
+void on_undelivered_cancel(entry_side& side, const node_id& node, const call_id& call);
 
 /// Whether a request may run at the same time as an earlier one of its connection: only if its
 /// route is idempotent.
--- a/src/edge/entry_steps.cpp
+++ b/src/edge/entry_steps.cpp
@@ -243,9 +243,12 @@
                           make_reattach(*flow, reattach->target, now));
         send_credit(side, flow);
     } else if (const auto* cancel = std::get_if<call::cancel_action>(&action)) {
-        msg::call_cancel_msg message;
-        message.call = call::make_key(cancel->target.call);
-        side.send_to_gate(cancel->target.node, cancel->target.address, std::move(message));
+        const auto& target = cancel->target;
+        {
+            const lock_type guard(side.lock);
+            call::note_sent(side.cancels, target.call, target.node, target.address, now);
+        }
+        send_cancel(side, target.call, target.node, target.address);
     } else if (std::holds_alternative<call::pass_answer_action>(action) && answer != nullptr) {
         pass_answer(side, flow, *answer);
     } else if (std::holds_alternative<call::keep_answer_action>(action) && answer != nullptr) {
@@ -311,6 +314,13 @@
     }
 }
 
+void send_cancel(entry_side& side, const call_id& call, const node_id& node,
+                 const peer_address& address) {
+    msg::call_cancel_msg message;
+    message.call = call::make_key(call);
+    side.send_to_gate(node, address, std::move(message));
+}
+
 void log_undelivered_cancel(const entry_side& side, const node_id& node, const call_id& call) {
     log_call(side, {log_level::warning,
                     "cancel_undelivered",
