entry: make no second attempt for a caller that has left

Cause: a late entry handles a refusal before the end of the caller's connection, though that came first, and opened the call at another gate. The cancel follows only after that.

Change: before an attempt after the first, the entry looks at the caller's connection, as it does before the first one.

--- a/src/edge/caller_listener.cpp
+++ b/src/edge/caller_listener.cpp
@@ -1,5 +1,6 @@
 #include "edge/caller_listener.h"
 
+#include "edge/caller_request.h"
 #include "edge/caller_session.h"
 
 #include <boost/asio/dispatch.hpp>
@@ -179,6 +180,22 @@
                    });
 }
 
+void run_if_caller_waits(const caller_exchange_ptr& exchange, std::function<void()> next) {
+    asio::dispatch(exchange->owner->executor, [exchange, next = std::move(next)] {
+        if (exchange->is_over) {
+            return;
+        }
+        const auto& session = exchange->owner;
+        run_handler(session, exchange, [&] {
+            if (has_caller_left(*session)) {
+                close_session(session, disconnect_cause::caller_left);
+            } else {
+                next();
+            }
+        });
+    });
+}
+
 void break_off(const caller_exchange_ptr& exchange) {
     asio::dispatch(exchange->owner->executor, [exchange] {
         if (!exchange->is_over) {
--- a/src/edge/caller_listener.h
+++ b/src/edge/caller_listener.h
@@ -101,6 +101,10 @@
 void write_body(const caller_exchange_ptr& exchange, body_piece piece,
                 std::function<void()> on_done);
 
+/// Calls `next` if the caller still waits. Otherwise the caller's leaving is reported as if the end
+/// of its connection had been read, and `next` isn't called.
+void run_if_caller_waits(const caller_exchange_ptr& exchange, std::function<void()> next);
+
 /// Closes the caller's connection, so that the caller sees that the answer is incomplete.
 void break_off(const caller_exchange_ptr& exchange);
 
--- a/src/edge/entry_steps.cpp
+++ b/src/edge/entry_steps.cpp
@@ -230,13 +230,27 @@
                      {"left_ms", ms_text(flow.state.deadline - now)}}});
 }
 
+void send_now(entry_side& side, const entry_flow& flow, const call::open_action& open) {
+    const auto now = current_time();
+    ++side.counters.attempts;
+    log_late_send(side, flow, open, now);
+    side.send_to_gate(open.target.node, open.target.address, make_open(flow, open, now));
+}
+
+/// Sends an attempt; one after the first only if the caller still waits.
+void send_open(entry_side& side, const entry_flow_ptr& flow, const call::open_action& open) {
+    if (flow->state.tried.size() == 1 && flow->state.refusals == 0) {
+        send_now(side, *flow, open);
+        return;
+    }
+    run_if_caller_waits(flow->exchange, [&side, flow, open] { send_now(side, *flow, open); });
+}
+
 void perform_one(entry_side& side, const entry_flow_ptr& flow, call::entry_action& action,
                  msg::call_answer_msg* answer) {
     const auto now = current_time();
     if (const auto* open = std::get_if<call::open_action>(&action)) {
-        ++side.counters.attempts;
-        log_late_send(side, *flow, *open, now);
-        side.send_to_gate(open->target.node, open->target.address, make_open(*flow, *open, now));
+        send_open(side, flow, *open);
     } else if (const auto* reattach = std::get_if<call::reattach_action>(&action)) {
         ++side.counters.reattaches;
         side.send_to_gate(reattach->target.node, reattach->target.address,
