entry: pass on no call that the end of its node would cut

Cause: nothing compared what a call may need with what is left of the grace time. A node that stops answers all unanswered calls itself, once, shortly before its end; a request that waits behind one of them on a kept connection was passed on after that, and the end of the node cut it.

Change: a node that drains states when runs must end. A call that comes after it, or whose route has lately needed longer than is left, is refused at once as not run; every other call is sent with no more time than that, so that its upstream ends it before the node does. After the node's last answers all is refused. call_path.a_call_that_may_outlast_its_node_is_refused and .a_call_is_to_end_before_its_node guard it.

--- a/src/call/returning_caller.cpp
+++ b/src/call/returning_caller.cpp
@@ -1,11 +1,8 @@
 #include "call/returning_caller.h"
 
-#include <algorithm>
-
 namespace cyclamenhatch::call {
 namespace {
 
-constexpr microseconds window{10'000'000};
 /// Callers of one route wait for similar times: a first attempt has at least this share of the
 /// longest time left, and a call with less is a retry.
 constexpr double first_attempt_share = 0.8;
@@ -21,14 +18,8 @@
 microseconds estimate_time_spent(stated_times_table& times_by_route, const route_id& route,
                                  microseconds left, bool is_first_on_connection, instant now) {
     auto& times = times_by_route[route];
-    if (now - times.window_start > window) {
-        const bool is_recent = now - times.window_start <= 2 * window;
-        times.longest_before = is_recent ? times.longest : microseconds{0};
-        times.longest = microseconds{0};
-        times.window_start = now;
-    }
-    times.longest = std::max(times.longest, left);
-    const auto longest = std::max(times.longest, times.longest_before);
+    note(times, left, now);
+    const auto longest = longest_of(times);
     if (!is_first_on_connection || left >= scale(longest, first_attempt_share)) {
         return microseconds{0};
     }
@@ -36,8 +27,7 @@
 }
 
 void forget_idle(stated_times_table& times_by_route, instant now) {
-    std::erase_if(times_by_route,
-                  [&](const auto& entry) { return now - entry.second.window_start > 2 * window; });
+    std::erase_if(times_by_route, [&](const auto& entry) { return is_stale(entry.second, now); });
 }
 
 } // namespace cyclamenhatch::call
--- a/src/call/returning_caller.h
+++ b/src/call/returning_caller.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "call/recent_longest.h"
 #include "model/ids.h"
-#include "model/time.h"
 
 #include <map>
 
@@ -10,16 +10,9 @@
 /// that can still meet theirs.
 namespace cyclamenhatch::call {
 
-/// Longest times left that recent calls of one route have stated.
-struct stated_times {
-    /// In the current window and in the one before it.
-    microseconds longest{0};
-    microseconds longest_before{0};
-    instant window_start{};
-};
-
-/// Not thread safe; the holder of the entry serialises access.
-using stated_times_table = std::map<route_id, stated_times>;
+/// Longest times left that recent calls have stated. Not thread safe; the holder of the entry
+/// serialises access.
+using stated_times_table = std::map<route_id, recent_longest>;
 
 /// Records the time left that a call states, and estimates the time that the caller's earlier
 /// attempts took: zero for a first attempt. A call that is not the first on its connection counts
@@ -28,7 +21,7 @@
                                                const route_id& route, microseconds left,
                                                bool is_first_on_connection, instant now);
 
-/// Forgets routes whose last window began more than two windows ago.
+/// Forgets routes that are idle.
 void forget_idle(stated_times_table& times_by_route, instant now);
 
 } // namespace cyclamenhatch::call
--- a/src/edge/call_path.cpp
+++ b/src/edge/call_path.cpp
@@ -318,7 +318,8 @@
     on_upstream(path.gate, upstream);
 }
 
-void begin_drain(call_path& path) {
+void begin_drain(call_path& path, instant runs_end) {
+    limit_runs(path.entry, runs_end);
     if (!path.entry.limits.lingers) {
         path.entry.is_draining = true;
     }
--- a/src/edge/call_path.h
+++ b/src/edge/call_path.h
@@ -75,8 +75,9 @@
 void set_upstream_state(call_path& path, const msg::upstream_record_msg& upstream);
 
 /// Tells callers to open other connections, and takes no new calls from them unless the settings
-/// let the entry linger. Thread safe.
-void begin_drain(call_path& path);
+/// let the entry linger. Calls that it takes are to end by `runs_end`; those that may take longer
+/// are refused. Thread safe.
+void begin_drain(call_path& path, instant runs_end = instant::max());
 
 /// Refuses new calls for the upstream; those in flight continue.
 void close_gate(call_path& path);
@@ -91,8 +92,9 @@
 /// Calls in flight at this node's entry and gate. Thread safe.
 [[nodiscard]] std::size_t count_in_flight(const call_path& path);
 
-/// Ends each call that has no answer yet with an answer of this node. Call it shortly before stop,
-/// so that the answers reach their callers. Returns the number of these calls. Thread safe.
+/// Ends each call that has no answer yet with an answer of this node, and refuses later ones. Call
+/// it shortly before stop, so that the answers reach their callers. Returns the number of calls
+/// that it ends. Thread safe.
 std::size_t answer_pending_calls(call_path& path);
 
 /// Closes the listener and aborts the calls in flight. Returns their number.
--- a/src/edge/entry_side.cpp
+++ b/src/edge/entry_side.cpp
@@ -163,6 +163,18 @@
     call::note_upstream(side.loads[target.node], target.instance, target.started_ms, notice, now);
 }
 
+/// Whether a call that arrives now is likely to end before this node stops. Precondition: the lock
+/// is held.
+bool may_end_in_time(const entry_side& side, const route_id& route, instant now) {
+    if (!side.runs_end) {
+        return true;
+    }
+    const auto times = side.answer_times.find(route);
+    const auto longest =
+        times == side.answer_times.end() ? microseconds{0} : call::longest_of(times->second);
+    return now + longest < *side.runs_end;
+}
+
 void record_segments(entry_side& side, const entry_flow& flow, const msg::call_answer_msg& message,
                      instant now) {
     const auto time_at_gate = microseconds(message.gate_us) + microseconds(message.upstream_us);
@@ -197,6 +209,12 @@
         return;
     }
     lock_type guard(side.lock);
+    if (!may_end_in_time(side, flow->route, flow->received_at)) {
+        guard.unlock();
+        refuse_request(side, exchange, flow->request_id,
+                       make_local_refusal(side, msg::refusal_reason::draining, short_retry_delay));
+        return;
+    }
     if (flow->objective && limits.time_left) {
         *flow->objective -= call::estimate_time_spent(
             side.stated_times, flow->route, *limits.time_left, is_first, flow->received_at);
@@ -256,6 +274,7 @@
     call::note_report(side.loads[sender], flow->route, load, message.gate_instance, now);
     note_upstream(side, *flow, {message.calls_per_s, message.upstream_leaves}, now);
     record_segments(side, *flow, message, now);
+    call::note(side.answer_times[flow->route], now - flow->received_at, now);
     flow->length = find_answer_length(message.status, flow->request.method, message.headers);
     if (is_mismatch(fit_body(flow->length, message.body.size(), message.last))) {
         end_mismatched(side, flow, message.body.size(), guard);
@@ -341,6 +360,7 @@
         side.cleaned_at = now;
         call::forget_idle(side.loads, idle_load_time, now);
         call::forget_idle(side.stated_times, now);
+        call::forget_idle(side.answer_times, now);
     }
     const auto lost_cancels = call::take_due(side.cancels, now);
     guard.unlock();
@@ -357,8 +377,14 @@
     return side.flows.size();
 }
 
+void limit_runs(entry_side& side, instant runs_end) {
+    const lock_type guard(side.lock);
+    side.runs_end = runs_end;
+}
+
 std::size_t answer_pending_calls(entry_side& side) {
     lock_type guard(side.lock);
+    side.runs_end = current_time();
     std::vector<std::pair<entry_flow_ptr, step_result>> results;
     for (const auto& [exchange, flow] : side.flows) {
         if (!flow->state.is_answering && !flow->state.is_over) {
--- a/src/edge/entry_side.h
+++ b/src/edge/entry_side.h
@@ -115,6 +115,10 @@
     random_source random;
     call::load_table loads;
     call::stated_times_table stated_times;
+    /// Longest times that recent calls took to their answers.
+    std::map<route_id, call::recent_longest> answer_times;
+    /// Set while the node drains: when calls must end at their upstreams.
+    std::optional<instant> runs_end;
     std::map<service_id, call::retry_budget> budgets;
     /// Retry rules for the current number of live nodes.
     call::budget_rules retry_rules;
@@ -148,8 +152,13 @@
 
 [[nodiscard]] std::size_t count_in_flight(const entry_side& side);
 
+/// From now on calls are sent such that they end by this time, and those that may take longer are
+/// refused.
+void limit_runs(entry_side& side, instant runs_end);
+
 /// Ends each call that has no answer yet with an answer of this node, so that no caller is left
-/// with a closed connection when the node stops. Returns the number of these calls.
+/// with a closed connection when the node stops, and refuses later ones. Returns the number of
+/// calls that it ends.
 std::size_t answer_pending_calls(entry_side& side);
 
 /// Breaks off all calls; returns their number.
--- a/src/edge/entry_steps.cpp
+++ b/src/edge/entry_steps.cpp
@@ -130,7 +130,8 @@
     return message;
 }
 
-msg::call_open_msg make_open(const entry_flow& flow, const call::open_action& action, instant now) {
+msg::call_open_msg make_open(const entry_flow& flow, const call::open_action& action,
+                             instant runs_end, instant now) {
     msg::call_open_msg message(flow.request);
     message.version = action.target.version.value;
     message.no_wait = action.no_wait;
@@ -143,7 +144,7 @@
     message.known_calls_per_s = action.target.calls_per_s;
     message.attempt =
         static_cast<std::uint8_t>(std::min(flow.request.attempt + action.attempt_number - 1, 255U));
-    message.deadline_us = time_left(flow.state.deadline, now);
+    message.deadline_us = time_left(std::min(flow.state.deadline, runs_end), now);
     return message;
 }
 
@@ -230,11 +231,18 @@
                      {"left_ms", ms_text(flow.state.deadline - now)}}});
 }
 
+/// When calls must end at their upstreams.
+instant find_runs_end(const entry_side& side) {
+    const lock_type guard(side.lock);
+    return side.runs_end.value_or(instant::max());
+}
+
 void send_now(entry_side& side, const entry_flow& flow, const call::open_action& open) {
     const auto now = current_time();
     ++side.counters.attempts;
     log_late_send(side, flow, open, now);
-    side.send_to_gate(open.target.node, open.target.address, make_open(flow, open, now));
+    side.send_to_gate(open.target.node, open.target.address,
+                      make_open(flow, open, find_runs_end(side), now));
 }
 
 /// Sends an attempt; one after the first only if the caller still waits.
--- a/tests/edge/call_path_test.cpp
+++ b/tests/edge/call_path_test.cpp
@@ -1,5 +1,7 @@
 #include "joined_paths.h"
 
+#include "clock/process_clock.h"
+
 #include <boost/asio.hpp>
 #include <gtest/gtest.h>
 
@@ -349,6 +351,34 @@
     upstream.release();
 }
 
+/// Guards against passing on a late call that the end of its node cuts: it is refused as not run.
+TEST(call_path, a_call_that_may_outlast_its_node_is_refused) {
+    fake_upstream upstream;
+    joined_paths paths(upstream.port());
+    auto slow = std::async(std::launch::async, [&] { return paths.get("/hold"); });
+    upstream.wait_for_runs("/hold", 1);
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    upstream.release();
+    EXPECT_EQ(slow.get().substr(0, 3), "200");
+    begin_drain(paths.entry(), current_time() + milliseconds(100));
+    EXPECT_EQ(paths.get("/ok").substr(0, 11), "503 not-run");
+    EXPECT_EQ(upstream.runs("/ok"), 0);
+}
+
+/// Guards against upstreams that work on a late call beyond the end of its node.
+TEST(call_path, a_call_is_to_end_before_its_node) {
+    fake_upstream upstream;
+    joined_paths paths(upstream.port());
+    constexpr int runs_end_ms = 5000;
+    begin_drain(paths.entry(), current_time() + milliseconds(runs_end_ms));
+    EXPECT_EQ(paths.get("/ok"), "200 upstream ok");
+    const auto head = upstream.last_head();
+    const std::string name = "cyclamenhatch-deadline-ms: ";
+    const auto position = head.find(name);
+    ASSERT_NE(position, std::string::npos) << head;
+    EXPECT_LE(std::stoi(head.substr(position + name.size())), runs_end_ms);
+}
+
 /// Guards against a deadline that moves with the time that a request waits behind another on its
 /// connection.
 TEST(call_path, a_request_that_waits_behind_another_keeps_its_deadline) {
