node: derive the steps of a drain from the grace time

Cause: drain_timeout_ms was 5500 in the template of every deployment, a number for a grace time of 6 s; bounds.grace was not used.

Change: call.grace states the time after which the process is killed. The node ends shortly before it, and answers in place of upstreams only in its last sixth; the limits of gate and callers shrink with a grace time below 6 s. With 6 s nothing changes.

--- a/src/document/settings_check.cpp
+++ b/src/document/settings_check.cpp
@@ -1,6 +1,7 @@
 #include "document/settings_check.h"
 
 #include "model/byte_rate.h"
+#include "model/time.h"
 
 #include <arpa/inet.h>
 #include <array>
@@ -243,6 +244,13 @@
     };
 }
 
+void check_grace(settings_report& report, const msg::call_settings_msg& call) {
+    if (!call.grace.empty() && !parse_duration(call.grace)) {
+        report.add("call.grace", "\"" + call.grace + "\" is not a time",
+                   "write it as \"6 s\", or leave it empty");
+    }
+}
+
 /// Checks values that depend on each other.
 void check_pairs(settings_report& report, const msg::settings_msg& settings) {
     if (settings.membership->probe_timeout_ms >= settings.membership->probe_interval_ms) {
@@ -271,6 +279,7 @@
     check_addresses(report, settings);
     check_ranges(report, list_control_rules(settings));
     check_ranges(report, list_call_rules(settings));
+    check_grace(report, *settings.call);
     check_pairs(report, settings);
     return std::move(report.problems);
 }
--- a/src/model/time.cpp
+++ b/src/model/time.cpp
@@ -1,5 +1,7 @@
 #include "model/time.h"
 
+#include <charconv>
+#include <cmath>
 #include <cstdio>
 #include <ctime>
 
@@ -125,6 +127,18 @@
            std::chrono::minutes{*minute} + seconds{*second} + *fraction - *offset;
 }
 
+std::optional<microseconds> parse_duration(std::string_view text) {
+    constexpr double us_per_s = 1'000'000;
+    constexpr double max_s = 1e9;
+    double number = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
+    const std::string_view unit(parsed.ptr, text.data() + text.size());
+    if (parsed.ec != std::errc{} || unit != " s" || !(number > 0) || number > max_s) {
+        return std::nullopt;
+    }
+    return microseconds(std::llround(number * us_per_s));
+}
+
 std::string format_rfc3339(instant time) {
     const auto unix_ms = to_unix_ms(time);
     const auto whole_seconds = std::chrono::floor<seconds>(time);
--- a/src/model/time.h
+++ b/src/model/time.h
@@ -27,6 +27,9 @@
 /// Empty when the text is not one.
 [[nodiscard]] std::optional<instant> parse_rfc3339(std::string_view text);
 
+/// Parses a time above 0 in seconds, such as "6 s" or "2.5 s". Empty when the text is not one.
+[[nodiscard]] std::optional<microseconds> parse_duration(std::string_view text);
+
 /// Formats a time in UTC with milliseconds.
 [[nodiscard]] std::string format_rfc3339(instant time);
 
--- a/src/node/run_node.cpp
+++ b/src/node/run_node.cpp
@@ -1,6 +1,7 @@
 #include "node/run_node.h"
 
 #include "admin/server.h"
+#include "call/drain_plan.h"
 #include "clock/process_clock.h"
 #include "node/log_writer.h"
 #include "node/node_runtime.h"
@@ -57,21 +58,22 @@
     return admin::start_admin_server(node->settings, make_backend(node));
 }
 
-/// Waits until no call is in flight or the drain timeout has passed.
-void wait_for_calls(node_runtime& node) {
-    const auto deadline = current_time() + milliseconds{node.settings.call->drain_timeout_ms};
+/// Waits until no call is in flight or the node must stop.
+void wait_for_calls(node_runtime& node, milliseconds timeout) {
+    const auto deadline = current_time() + timeout;
     while (edge::count_in_flight(*node.calls) > 0 && current_time() < deadline) {
         std::this_thread::sleep_for(milliseconds{20});
     }
 }
 
 void shut_down(node_runtime& node) {
-    edge::begin_drain(*node.calls);
+    const auto plan = call::plan_drain(*node.settings.call);
+    edge::begin_drain(*node.calls, current_time() + plan.runs_end);
     edge::close_gate(*node.calls);
     step(node, [&](instant now, control::actions& actions) {
         control::leave(node.control, now, actions);
     });
-    wait_for_calls(node);
+    wait_for_calls(node, plan.node_stops);
 }
 
 } // namespace
--- a/src/node/run_on_loop.cpp
+++ b/src/node/run_on_loop.cpp
@@ -1,5 +1,6 @@
 #include "node/run_on_loop.h"
 
+#include "call/drain_plan.h"
 #include "clock/process_clock.h"
 #include "messages/address_text.h"
 #include "model/handler_guard.h"
@@ -38,8 +39,6 @@
 /// How long a draining node must be idle before it stops, so that the last answers have left the
 /// host.
 constexpr milliseconds drain_idle_time{200};
-/// How long before the drain timeout the node itself answers the calls that are still unanswered.
-constexpr milliseconds final_answer_margin{300};
 
 /// State of one node on the platform. Used on the loop's thread only.
 struct platform_node {
@@ -60,6 +59,7 @@
     bool has_left = false;
     bool has_answered_unfinished = false;
     instant drain_started;
+    call::drain_plan drain;
     /// Since when no call and no unsent message is pending while the node drains.
     instant idle_since;
 };
@@ -207,25 +207,22 @@
                        [](const wire::link_status& link) { return link.queued_bytes > 0; });
 }
 
-/// Whether callers have had drain_linger_ms to learn that this node leaves and it is idle, or the
-/// drain timeout has passed.
+/// Whether callers have had the time to learn that this node leaves and it is idle, or it must
+/// stop.
 bool is_drained(platform_node& self) {
-    const auto& call = *self.node->settings.call;
     const auto now = current_time();
     const auto elapsed = now - self.drain_started;
     if (edge::count_in_flight(*self.node->calls) > 0 || has_unsent(self)) {
         self.idle_since = now;
     }
-    const bool has_linger_elapsed = elapsed >= milliseconds{call.drain_linger_ms};
-    return elapsed >= milliseconds{call.drain_timeout_ms} ||
-           (has_linger_elapsed && now - self.idle_since >= drain_idle_time);
+    return elapsed >= self.drain.node_stops ||
+           (elapsed >= self.drain.callers_end && now - self.idle_since >= drain_idle_time);
 }
 
-/// Answers the calls that cannot finish before the drain timeout, shortly before it.
+/// Answers the calls that cannot finish before the node stops, shortly before it.
 void answer_unfinished_when_due(platform_node& self) {
-    const milliseconds delay{self.node->settings.call->drain_timeout_ms};
     if (self.has_answered_unfinished ||
-        current_time() - self.drain_started < delay - final_answer_margin) {
+        current_time() - self.drain_started < self.drain.final_answers) {
         return;
     }
     self.has_answered_unfinished = true;
@@ -236,10 +233,9 @@
     }
 }
 
-/// Leaves the fleet after drain_gate_ms, so that other nodes send no more calls for the upstream.
+/// Leaves the fleet once the gate closes, so that other nodes send no more calls for the upstream.
 void leave_when_due(platform_node& self) {
-    const milliseconds delay{self.node->settings.call->drain_gate_ms};
-    if (self.has_left || current_time() - self.drain_started < delay) {
+    if (self.has_left || current_time() - self.drain_started < self.drain.gate_closes) {
         return;
     }
     self.has_left = true;
@@ -256,9 +252,7 @@
         if (cancelled) {
             return;
         }
-        const milliseconds linger{self.node->settings.call->drain_linger_ms};
-        if (current_time() - self.drain_started >= linger) {
-            // Callers have had the linger time to learn that this node is not ready.
+        if (current_time() - self.drain_started >= self.drain.callers_end) {
             edge::stop_accepting(*self.node->calls);
         }
         answer_unfinished_when_due(self);
@@ -277,8 +271,14 @@
     self.is_draining = true;
     self.drain_started = current_time();
     self.idle_since = self.drain_started;
-    write_log({log_level::info, "node_draining", {{"signal", std::to_string(signal_number)}}});
-    edge::begin_drain(*self.node->calls);
+    self.drain = call::plan_drain(*self.node->settings.call);
+    write_log({log_level::info,
+               "node_draining",
+               {{"signal", std::to_string(signal_number)},
+                {"callers_end_ms", std::to_string(self.drain.callers_end.count())},
+                {"final_answers_ms", std::to_string(self.drain.final_answers.count())},
+                {"node_stops_ms", std::to_string(self.drain.node_stops.count())}}});
+    edge::begin_drain(*self.node->calls, self.drain_started + self.drain.runs_end);
     wait_for_drain(self);
 }
 
--- a/tests/model/snapshot_test.cpp
+++ b/tests/model/snapshot_test.cpp
@@ -106,5 +106,24 @@
                                          time_row{"1970-01-01T24:00:00Z", -1},
                                          time_row{"1970-01-01 noon", -1}, time_row{"", -1}));
 
+struct duration_row {
+    const char* text;
+    std::int64_t expected_us;
+};
+
+class duration_text : public testing::TestWithParam<duration_row> {};
+
+TEST_P(duration_text, is_parsed_in_seconds) {
+    const auto parsed = parse_duration(GetParam().text);
+    EXPECT_EQ(parsed ? parsed->count() : -1, GetParam().expected_us);
+}
+
+INSTANTIATE_TEST_SUITE_P(table, duration_text,
+                         testing::Values(duration_row{"6 s", 6'000'000},
+                                         duration_row{"2.5 s", 2'500'000}, duration_row{"0 s", -1},
+                                         duration_row{"-1 s", -1}, duration_row{"6", -1},
+                                         duration_row{"6 ms", -1}, duration_row{"nan s", -1},
+                                         duration_row{"inf s", -1}, duration_row{"", -1}));
+
 } // namespace
 } // namespace cyclamenhatch
