entry: count a deadline from when its request was read

The time that a caller has left counted from the request's turn, not from its arrival, so a request that waited behind another on its connection got a later deadline than its caller had set.

Evidence: call_path.a_request_that_waits_behind_another_keeps_its_deadline failed on: it ran with 50 ms stated after 100 ms.

Change: deadline and objective count from the reading of the request's head.

--- a/src/edge/caller_session.cpp
+++ b/src/edge/caller_session.cpp
@@ -1,5 +1,6 @@
 #include "edge/caller_session.h"
 
+#include "clock/process_clock.h"
 #include "edge/caller_answer.h"
 #include "edge/caller_request.h"
 
@@ -187,6 +188,7 @@
     exchange->is_handed_over = true;
     auto head = take_head(*exchange);
     head.is_first_on_connection = !std::exchange(self->is_used, true);
+    head.read_at = exchange->read_at;
     self->listener->events.on_request(exchange, std::move(head), std::move(first));
 }
 
@@ -227,6 +229,9 @@
 void on_head(const caller_session_ptr& self, error_code error) {
     const auto exchange = std::exchange(self->next, nullptr);
     self->head_started_at.reset();
+    if (exchange) {
+        exchange->read_at = current_time();
+    }
     if (!exchange || self->is_closing || self->is_last_answer) {
         return;
     }
--- a/src/edge/caller_session.h
+++ b/src/edge/caller_session.h
@@ -59,6 +59,8 @@
 
     const std::shared_ptr<caller_session> owner;
     // All members below are used on the session's strand only.
+    /// When the request's head was read.
+    instant read_at{};
     std::optional<http::request_parser<http::buffer_body>> parser;
     body_bytes incoming;
     std::function<void(body_piece)> on_piece;
--- a/src/edge/entry_side.cpp
+++ b/src/edge/entry_side.cpp
@@ -112,7 +112,7 @@
 entry_flow_ptr make_flow(entry_side& side, const call::routing_view& view, const route_match& match,
                          const call_limits& limits, request_head head, body_piece first) {
     auto flow = std::make_shared<entry_flow>();
-    flow->received_at = current_time();
+    flow->received_at = head.read_at;
     flow->route = match.matched_route->name;
     flow->request_id = side.names.request_id.empty()
                            ? std::string()
@@ -202,28 +202,29 @@
     const bool is_first = head.is_first_on_connection;
     const auto flow = make_flow(side, *view, match, limits, std::move(head), std::move(first));
     flow->exchange = exchange;
+    const auto now = current_time();
     const auto digest = call::from_request_key(flow->request.digest.get());
-    if (auto held = find_hold_answer(side.names, *view, digest, flow->received_at)) {
+    if (auto held = find_hold_answer(side.names, *view, digest, now)) {
         ++side.counters.held;
         refuse_request(side, exchange, flow->request_id, *std::move(held), to_text(digest));
         return;
     }
     lock_type guard(side.lock);
-    if (!may_end_in_time(side, flow->route, flow->received_at)) {
+    if (!may_end_in_time(side, flow->route, now)) {
         guard.unlock();
         refuse_request(side, exchange, flow->request_id,
                        make_local_refusal(side, msg::refusal_reason::draining, short_retry_delay));
         return;
     }
     if (flow->objective && limits.time_left) {
-        *flow->objective -= call::estimate_time_spent(
-            side.stated_times, flow->route, *limits.time_left, is_first, flow->received_at);
+        *flow->objective -= call::estimate_time_spent(side.stated_times, flow->route,
+                                                      *limits.time_left, is_first, now);
     }
     const auto caller_key = key.empty() ? std::nullopt : std::optional<std::string_view>(key);
     choose_destination(side, *view, match, caller_key, *flow);
     side.flows.emplace(exchange.get(), flow);
     side.retry_rules = budget_rules_of(side, *view);
-    call::note_first_attempt(side.budgets[flow->service], side.retry_rules, flow->received_at);
+    call::note_first_attempt(side.budgets[flow->service], side.retry_rules, now);
     auto result = step(side, flow, call::request_event{});
     guard.unlock();
     side.histograms.record(segment::entry, current_time() - flow->received_at);
--- a/src/edge/http_message.h
+++ b/src/edge/http_message.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "model/time.h"
+
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -37,6 +39,9 @@
     std::string target;
     header_fields headers;
     bool is_first_on_connection = false;
+    /// When the head was read; the caller's deadline counts from then, also while the request waits
+    /// behind another on its connection.
+    instant read_at{};
 };
 
 struct answer_head {
