edge: log late messages with their request, and not ordinary waits

The line now comes after the request is known and only for 0.1 s or more on the link; call_sent_late begins at 1 s.

--- a/src/edge/entry_steps.cpp
+++ b/src/edge/entry_steps.cpp
@@ -16,7 +16,7 @@
 /// Jitter that spreads retries over time: up to half of the stated delay is added.
 constexpr std::uint64_t jitter_divisor = 2;
 /// Attempts that are sent at this age of the call or later are logged.
-constexpr microseconds late_send_threshold{250'000};
+constexpr microseconds late_send_threshold{1'000'000};
 
 const std::vector<call::endpoint>& endpoints_of(const call::routing_view& view,
                                                 const service_id& service) {
--- a/src/edge/gate_log.h
+++ b/src/edge/gate_log.h
@@ -36,11 +36,11 @@
 /// Precondition: no other thread can change the flow's length.
 void log_mismatch(const gate_side& side, const gate_flow& flow, std::uint64_t bytes);
 
-/// Logs a call that is dispatched long after its entry sent it.
+/// Logs a call that waited long on its link and is dispatched. Precondition: log_faults was called.
 void log_late_dispatch(const gate_side& side, const gate_flow& flow, microseconds time_left);
 
-/// Logs a call that is cancelled while its upstream runs it, when either message was late. `delay` is how long the cancel waited
-/// on its link.
+/// Logs a call that is cancelled while its upstream runs it, when either message was late. `delay`
+/// is how long the cancel waited on its link.
 void log_cancelled_run(const gate_side& side, const gate_flow& flow, microseconds delay,
                        instant now);
 
--- a/src/edge/gate_side.cpp
+++ b/src/edge/gate_side.cpp
@@ -31,8 +31,8 @@
 constexpr milliseconds fresh_idle{500};
 constexpr milliseconds any_idle{60'000};
 
-/// Calls that are dispatched at this age or later are logged, and cancels that are this late.
-constexpr microseconds late_dispatch_threshold{250'000};
+/// Messages that open or cancel a call are logged when they waited this long on their link.
+constexpr microseconds late_message_threshold{100'000};
 
 using lock_type = state_lock;
 
@@ -193,9 +193,6 @@
     const auto exchange = flow->exchange;
     guard.unlock();
     side.histograms.record(segment::gate_queue, flow->queue_time);
-    if (flow->link_delay + flow->queue_time >= late_dispatch_threshold) {
-        log_late_dispatch(side, *flow, time_left);
-    }
     upstream_events events;
     events.on_answer = [&side, flow](answer_head answer, body_piece piece) {
         on_answer(side, flow, std::move(answer), std::move(piece));
@@ -205,6 +202,9 @@
     };
     events.on_taken = [&side, flow] { begin_upload(side, flow); };
     log_faults(side, flow, match, events);
+    if (flow->link_delay >= late_message_threshold) {
+        log_late_dispatch(side, *flow, time_left);
+    }
     send_request(exchange, std::move(head), std::move(first), std::move(match), std::move(events));
 }
 
@@ -345,7 +345,7 @@
     auto actions = call::on_cancel(side.gate, call, now);
     const bool is_ignored = side.gate.counters.ignored_cancels != ignored_before;
     guard.unlock();
-    if (flow && flow->exchange && std::max(flow->link_delay, delay) >= late_dispatch_threshold) {
+    if (flow && flow->exchange && std::max(flow->link_delay, delay) >= late_message_threshold) {
         log_cancelled_run(side, *flow, delay, now);
     }
     if (is_ignored) {
