--- a/src/call/entry_call.h
+++ b/src/call/entry_call.h
@@ -63,8 +63,8 @@
     std::uint32_t arrivals = 0;
     /// Upstreams that broke off under the call.
     std::uint32_t broken_off = 0;
-    /// Gates that had no free slot or got the call late. Once no other is left they are tried again,
-    /// and may then queue the call.
+    /// Gates that had no free slot or got the call late. Once no other is left they are tried
+    /// again, and may then queue the call.
     std::vector<node_id> busy;
     /// The next gate may queue the call.
     bool may_wait = false;
--- a/src/edge/entry_steps.cpp
+++ b/src/edge/entry_steps.cpp
@@ -4,6 +4,7 @@
 #include "call/held_request.h"
 #include "clock/process_clock.h"
 #include "edge/call_headers.h"
+#include "edge/entry_attempts.h"
 
 #include <algorithm>
 #include <utility>
@@ -15,8 +16,6 @@
 
 /// Jitter that spreads retries over time: up to half of the stated delay is added.
 constexpr std::uint64_t jitter_divisor = 2;
-/// Attempts that are sent at this age of the call or later are logged.
-constexpr microseconds late_send_threshold{1'000'000};
 
 const std::vector<call::endpoint>& endpoints_of(const call::routing_view& view,
                                                 const service_id& service) {
@@ -112,51 +111,11 @@
     }
 }
 
-std::uint64_t time_left(instant end, instant now) {
-    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, (end - now).count()));
-}
-
-msg::call_open_msg make_reattach(const entry_flow& flow, const call::attempt_target& target,
-                                 instant now) {
-    msg::call_open_msg message;
-    message.call = call::make_key(target.call);
-    message.reattach = true;
-    message.service = flow.request.service;
-    message.version = target.version.value;
-    message.gate_instance = target.gate_instance;
-    message.deadline_us = time_left(flow.state.deadline, now);
-    message.has_head = flow.state.is_answering;
-    message.received = flow.download.offset;
-    return message;
-}
-
-msg::call_open_msg make_open(const entry_flow& flow, const call::open_action& action,
-                             instant runs_end, instant now) {
-    msg::call_open_msg message(flow.request);
-    message.version = action.target.version.value;
-    message.no_wait = action.no_wait;
-    if (flow.objective) {
-        // At least 1, since 0 means no objective.
-        message.objective_us = std::max<std::uint64_t>(1, time_left(*flow.objective, now));
-    }
-    message.call = call::make_key(action.target.call);
-    message.gate_instance = action.target.gate_instance;
-    message.known_calls_per_s = action.target.calls_per_s;
-    message.attempt =
-        static_cast<std::uint8_t>(std::min(flow.request.attempt + action.attempt_number - 1, 255U));
-    message.deadline_us = time_left(std::min(flow.state.deadline, runs_end), now);
-    return message;
-}
-
 void forget_flow(entry_side& side, const entry_flow_ptr& flow) {
     const lock_type guard(side.lock);
     side.flows.erase(flow->exchange.get());
 }
 
-std::string ms_text(microseconds span) {
-    return std::to_string(std::chrono::duration_cast<milliseconds>(span).count());
-}
-
 /// Log event for a call that ended without an upstream's answer.
 log_event describe_failure(const entry_flow& flow, const call::refusal& refusal, unsigned status) {
     const auto now = current_time();
@@ -215,45 +174,6 @@
                  [&side, flow, bytes, is_last] { on_taken(side, flow, bytes, is_last); });
 }
 
-void log_late_send(const entry_side& side, const entry_flow& flow, const call::open_action& open,
-                   instant now) {
-    const auto age = now - flow.received_at;
-    if (age < late_send_threshold) {
-        return;
-    }
-    log_call(side, {log_level::info,
-                    "call_sent_late",
-                    {{"request", flow.request_id},
-                     {"node", open.target.node.value},
-                     {"age_ms", ms_text(age)},
-                     {"refusals", std::to_string(flow.state.refusals)},
-                     {"arrivals", std::to_string(flow.state.arrivals)},
-                     {"left_ms", ms_text(flow.state.deadline - now)}}});
-}
-
-/// When calls must end at their upstreams.
-instant find_runs_end(const entry_side& side) {
-    const lock_type guard(side.lock);
-    return side.runs_end.value_or(instant::max());
-}
-
-void send_now(entry_side& side, const entry_flow& flow, const call::open_action& open) {
-    const auto now = current_time();
-    ++side.counters.attempts;
-    log_late_send(side, flow, open, now);
-    side.send_to_gate(open.target.node, open.target.address,
-                      make_open(flow, open, find_runs_end(side), now));
-}
-
-/// Sends an attempt; one after the first only if the caller still waits.
-void send_open(entry_side& side, const entry_flow_ptr& flow, const call::open_action& open) {
-    if (flow->state.tried.size() == 1 && flow->state.refusals == 0) {
-        send_now(side, *flow, open);
-        return;
-    }
-    run_if_caller_waits(flow->exchange, [&side, flow, open] { send_now(side, *flow, open); });
-}
-
 void perform_one(entry_side& side, const entry_flow_ptr& flow, call::entry_action& action,
                  msg::call_answer_msg* answer) {
     const auto now = current_time();
@@ -261,8 +181,7 @@
         send_open(side, flow, *open);
     } else if (const auto* reattach = std::get_if<call::reattach_action>(&action)) {
         ++side.counters.reattaches;
-        side.send_to_gate(reattach->target.node, reattach->target.address,
-                          make_reattach(*flow, reattach->target, now));
+        send_reattach(side, *flow, reattach->target);
         send_credit(side, flow);
     } else if (const auto* cancel = std::get_if<call::cancel_action>(&action)) {
         const auto& target = cancel->target;
@@ -336,20 +255,6 @@
     }
 }
 
-void send_cancel(entry_side& side, const call_id& call, const node_id& node,
-                 const peer_address& address) {
-    msg::call_cancel_msg message;
-    message.call = call::make_key(call);
-    side.send_to_gate(node, address, std::move(message));
-}
-
-void log_undelivered_cancel(const entry_side& side, const node_id& node, const call_id& call) {
-    log_call(side, {log_level::warning,
-                    "cancel_undelivered",
-                    {{"node", node.value},
-                     {"call", std::to_string(call.high) + "-" + std::to_string(call.low)}}});
-}
-
 step_result step(entry_side& side, const entry_flow_ptr& flow, const call::entry_event& event) {
     const auto now = current_time();
     const auto before = flow->state.current;
--- a/src/edge/entry_steps.h
+++ b/src/edge/entry_steps.h
@@ -50,13 +50,6 @@
 /// Writes the next waiting piece of the answer to the caller. Precondition: as for perform.
 void write_download(entry_side& side, const entry_flow_ptr& flow);
 
-/// Sends a cancel to a gate. Precondition: as for perform.
-void send_cancel(entry_side& side, const call_id& call, const node_id& node,
-                 const peer_address& address);
-
-/// Logs a cancel of which no byte reached the network.
-void log_undelivered_cancel(const entry_side& side, const node_id& node, const call_id& call);
-
 /// The event for an expired timer: endpoint_gone_event when the link was lost and the endpoint is
 /// no longer in the view, otherwise timer_event.
 [[nodiscard]] call::entry_event find_timer_event(const call::routing_view& view,
--- a/src/edge/gate_log.cpp
+++ b/src/edge/gate_log.cpp
@@ -18,10 +18,6 @@
     }
 }
 
-std::string ms_text(microseconds span) {
-    return std::to_string(std::chrono::duration_cast<milliseconds>(span).count());
-}
-
 std::string rate_text(std::optional<double> calls_per_s) {
     return calls_per_s ? std::to_string(*calls_per_s) : "none";
 }
--- a/src/model/log_event.cpp
+++ b/src/model/log_event.cpp
@@ -32,4 +32,8 @@
     return line;
 }
 
+std::string ms_text(microseconds span) {
+    return std::to_string(std::chrono::duration_cast<milliseconds>(span).count());
+}
+
 } // namespace cyclamenhatch
--- a/src/model/log_event.h
+++ b/src/model/log_event.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "model/time.h"
+
 #include <string>
 #include <utility>
 #include <vector>
@@ -24,4 +26,7 @@
 /// "event=NAME key=value ..."; values with spaces, quotes or '=' are quoted.
 [[nodiscard]] std::string to_line(const log_event& event);
 
+/// Whole milliseconds of a time, as the value of a key that ends in _ms.
+[[nodiscard]] std::string ms_text(microseconds span);
+
 } // namespace cyclamenhatch
--- a/src/wire/link.h
+++ b/src/wire/link.h
@@ -41,8 +41,8 @@
     link_times times;
     frame_reader reader;
     transit_delay transit;
-    /// Hello, pings, pongs and cancels; written before `queue`, which may take a slow link seconds to
-    /// send. A gate that gets a cancel first does not run the call.
+    /// Hello, pings, pongs and cancels; written before `queue`, which may take a slow link seconds
+    /// to send. A gate that gets a cancel first does not run the call.
     std::deque<queued_frame> urgent;
     std::deque<queued_frame> queue;
     /// Frames of the write in progress.
--- a/tests/edge/joined_paths.cpp
+++ b/tests/edge/joined_paths.cpp
@@ -361,6 +361,10 @@
     return ask("GET " + path + " HTTP/1.1\r\nHost: shop\r\n" + headers + "\r\n");
 }
 
+std::string request(const std::string& line, const std::string& headers, const std::string& body) {
+    return line + " HTTP/1.1\r\nHost: shop:80\r\n" + headers + "\r\n" + body;
+}
+
 lone_node start_lone_node(std::uint16_t upstream_port, boost::asio::io_context& io,
                           const std::string& link_rate,
                           std::function<void(const outgoing&)> on_send) {
--- a/tests/edge/joined_paths.h
+++ b/tests/edge/joined_paths.h
@@ -90,6 +90,10 @@
     std::uint16_t gate_port_ = 0;
 };
 
+/// The text of a request with this request line, such as "GET /ok".
+[[nodiscard]] std::string request(const std::string& line, const std::string& headers = {},
+                                  const std::string& body = {});
+
 struct lone_node {
     std::shared_ptr<call_path> path;
     std::uint16_t caller_port = 0;
--- a/tests/edge/left_caller_test.cpp
+++ b/tests/edge/left_caller_test.cpp
@@ -91,10 +91,6 @@
     EXPECT_EQ(refusals()[0].reason, msg::refusal_reason::deadline);
 }
 
-std::string request_text(const std::string& path) {
-    return "GET " + path + " HTTP/1.1\r\nHost: shop\r\n\r\n";
-}
-
 struct lost_cancel_row {
     const char* name;
     /// Whether the entry is told that the cancel was not sent; otherwise it is told that the link
@@ -123,7 +119,7 @@
         boost::asio::io_context callers;
         boost::asio::ip::tcp::socket socket(callers);
         socket.connect({boost::asio::ip::make_address("127.0.0.1"), paths.entry_port()});
-        boost::asio::write(socket, boost::asio::buffer(request_text("/hold")));
+        boost::asio::write(socket, boost::asio::buffer(request("GET /hold")));
         upstream.wait_for_runs("/hold", 1);
     }
     auto lost = cancel.get_future().get();
@@ -161,7 +157,7 @@
         boost::asio::io_context callers;
         boost::asio::ip::tcp::socket socket(callers);
         socket.connect({boost::asio::ip::make_address("127.0.0.1"), entry.caller_port});
-        boost::asio::write(socket, boost::asio::buffer(request_text("/ok")));
+        boost::asio::write(socket, boost::asio::buffer(request("GET /ok")));
         while (count_opens() == 0) {
             io.poll();
         }
