membership: keep an upstream's leave across restarts of its node

Cause: what a node knows of a confirmed leave lives in its process. After a restart the first heartbeat is news, also one that was held up since before the leave. The other members hold the leave in their tables and lose it: the record of the new process, which knows nothing of its upstream, has a higher incarnation and replaces theirs whole.

Change: a record says whether its upstream's state is final. One that states a leave is replaced only by another run, whatever its incarnation. A page for such a member contains its own record, so a restarted node takes the leave over before it offers an upstream; one that announces the run all the same is sent its record. A leave is sent to eight members before it is confirmed.

--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -348,7 +348,7 @@
 
 void set_upstream(state& self, const msg::upstream_record_msg& upstream, instant now,
                   actions& out) {
-    membership::set_upstream(self.members, upstream, now);
+    append(out.sends, membership::set_upstream(self.members, upstream, now, self.random));
     out.logs.push_back({log_level::info,
                         "upstream_announced",
                         {{"service", upstream.service},
--- a/src/membership/joiner.cpp
+++ b/src/membership/joiner.cpp
@@ -1,5 +1,6 @@
 #include "membership/joiner.h"
 
+#include "membership/announced_leave.h"
 #include "membership/prober.h"
 #include "membership/record_merge.h"
 #include "membership/stable_hash.h"
@@ -186,7 +187,7 @@
             continue;
         }
         other.wants_recheck = false;
-        if (!is_live(other.record)) {
+        if (!is_live(other.record) || other.must_learn_leave) {
             sends.push_back(make_untracked_probe(state, node));
             --remaining;
         }
@@ -293,6 +294,9 @@
         page.records.push_back(std::make_unique<msg::member_record_msg>(*record));
     }
     const auto* requester = find_record(state, sender);
+    if (requester != nullptr && is_lasting_leave(requester->upstream.get())) {
+        page.records.push_back(std::make_unique<msg::member_record_msg>(*requester));
+    }
     sends.push_back({.to = sender,
                      .address = requester == nullptr ? peer_address{} : link_address(*requester),
                      .message = std::move(page)});
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -1,5 +1,6 @@
 #include "membership/membership.h"
 
+#include "membership/announced_leave.h"
 #include "membership/joiner.h"
 #include "membership/prober.h"
 #include "membership/record_merge.h"
@@ -11,9 +12,20 @@
 namespace cyclamenhatch::membership {
 namespace {
 
-/// Members that are sent the leave of this node directly; they spread it to the others.
+/// Members that are sent a leave directly; they spread it to the others.
 constexpr std::size_t leave_fan_out = 8;
 
+/// This node's own record, for a few random members at once.
+std::vector<outgoing> push_self(const table& state, random_source& random) {
+    std::vector<outgoing> sends;
+    for (const auto* receiver : choose_members(state, leave_fan_out, random)) {
+        record_list updates;
+        updates.push_back(std::make_unique<msg::member_record_msg>(state.self));
+        sends.push_back(make_push(*receiver, std::move(updates)));
+    }
+    return sends;
+}
+
 /// Detects a pause of this process. Its timers ran on meanwhile, so it must not suspect members
 /// that it could not hear.
 void notice_pause(table& state, instant now) {
@@ -110,9 +122,11 @@
     return sends;
 }
 
-void set_upstream(table& state, const msg::upstream_record_msg& upstream, instant /*now*/) {
+std::vector<outgoing> set_upstream(table& state, const msg::upstream_record_msg& upstream,
+                                   instant /*now*/, random_source& random) {
     state.self.upstream = std::make_unique<msg::upstream_record_msg>(upstream);
     renew_self(state, 0);
+    return is_lasting_leave(&upstream) ? push_self(state, random) : std::vector<outgoing>{};
 }
 
 void set_store_unreachable(table& state, bool is_unreachable) {
@@ -123,15 +137,9 @@
 }
 
 std::vector<outgoing> leave(table& state, instant /*now*/, random_source& random) {
-    std::vector<outgoing> sends;
     state.self.state = msg::liveness::left;
     renew_self(state, 0);
-    for (const auto* receiver : choose_members(state, leave_fan_out, random)) {
-        record_list updates;
-        updates.push_back(std::make_unique<msg::member_record_msg>(state.self));
-        sends.push_back(make_push(*receiver, std::move(updates)));
-    }
-    return sends;
+    return push_self(state, random);
 }
 
 void add_contacts(table& state, const std::vector<peer_address>& contacts, instant now) {
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -26,6 +26,9 @@
     bool is_own_suspicion = false;
     /// Another member reports this departed member as alive: probe it so that it can refute.
     bool wants_recheck = false;
+    /// It announces an upstream run that has left: the next message to it contains its record, from
+    /// which it recovers the leave.
+    bool must_learn_leave = false;
 };
 
 struct probe_in_flight {
@@ -124,8 +127,12 @@
 [[nodiscard]] std::vector<outgoing> on_message(table& state, const incoming& message, instant now,
                                                random_source& random);
 
-/// Announces the upstream beside this node, or a change of its state.
-void set_upstream(table& state, const msg::upstream_record_msg& upstream, instant now);
+/// Announces the upstream beside this node, or a change of its state. Returns the messages to be
+/// sent before a leave of the upstream is confirmed to it, so that others know of it even if this
+/// process ends now.
+[[nodiscard]] std::vector<outgoing> set_upstream(table& state,
+                                                 const msg::upstream_record_msg& upstream,
+                                                 instant now, random_source& random);
 
 /// Announces whether this node reaches the store; a no-op when nothing changes.
 void set_store_unreachable(table& state, bool is_unreachable);
--- a/src/membership/record_merge.cpp
+++ b/src/membership/record_merge.cpp
@@ -1,17 +1,21 @@
 #include "membership/record_merge.h"
 
+#include "membership/announced_leave.h"
 #include "membership/updates.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cyclamenhatch::membership {
 namespace {
 
 void merge_own(table& state, const msg::member_record_msg& record) {
+    const bool is_recovered =
+        keep_leave(state.self, record.upstream.get()) != leave_fit::consistent;
     const bool is_ahead = record.incarnation > state.self.incarnation;
     const bool is_false =
         record.incarnation == state.self.incarnation && record.state > state.self.state;
-    if (is_ahead || is_false) {
+    if (is_ahead || is_false || is_recovered) {
         renew_self(state, record.incarnation);
     }
 }
@@ -43,7 +47,12 @@
 void replace_record(table& state, member& existing, const msg::member_record_msg& record,
                     instant now) {
     const auto before = existing.record.state;
+    const auto known_upstream = std::move(existing.record.upstream);
     existing.record = record;
+    if (keep_leave(existing.record, known_upstream.get()) == leave_fit::contradicted) {
+        existing.must_learn_leave = true;
+        existing.wants_recheck = true;
+    }
     if (record.state == msg::liveness::dead && before == msg::liveness::alive) {
         existing.record.state = msg::liveness::suspect;
     }
--- a/src/membership/record_merge.h
+++ b/src/membership/record_merge.h
@@ -3,7 +3,7 @@
 #include "membership/membership.h"
 
 /// Merges member records into a table. The higher incarnation wins; within one incarnation the
-/// higher liveness does.
+/// higher liveness does. An upstream run that has left stays so in every incarnation.
 namespace cyclamenhatch::membership {
 
 /// How a record was received.
@@ -14,7 +14,8 @@
     page,
 };
 
-/// Merges one record. False claims about this node are refuted. A claim that a member has died only
+/// Merges one record. False claims about this node are refuted; a leave of its upstream that others
+/// remember is recovered. A claim that a member has died only
 /// starts a suspicion unless it has been suspect here for half of suspicion_ms, so that after a
 /// partition heals the other side can't remove live members. Returns whether the record of another
 /// member changed.
--- a/src/membership/updates.cpp
+++ b/src/membership/updates.cpp
@@ -106,8 +106,10 @@
 record_list take_updates(table& state, const node_id& receiver_id) {
     record_list records;
     const auto receiver = state.members.find(receiver_id);
-    if (receiver != state.members.end() && receiver->second.record.state != msg::liveness::alive) {
+    if (receiver != state.members.end() && (receiver->second.record.state != msg::liveness::alive ||
+                                            receiver->second.must_learn_leave)) {
         records.push_back(copy_record(state, receiver_id));
+        receiver->second.must_learn_leave = false;
     }
     sort_least_sent(state, state.settings.updates_per_message);
     for (auto& update : state.updates) {
--- a/src/membership/upstream_run.cpp
+++ b/src/membership/upstream_run.cpp
@@ -41,6 +41,7 @@
     }
     if (record) {
         record->state = state;
+        record->leaves = !record->instance.empty();
     }
     return record;
 }
@@ -71,6 +72,10 @@
     return true;
 }
 
+bool has_announced_leave(const upstream_run& run) {
+    return !run.instance.empty() && (run.has_left || is_leaving(run.state));
+}
+
 bool record_leave(upstream_run& run, const std::string& instance, instant now) {
     const bool is_first_report = run.instance.empty() && run.state == msg::upstream_state::none;
     if (run.instance != instance && !is_first_report) {
--- a/src/membership/upstream_run.h
+++ b/src/membership/upstream_run.h
@@ -27,6 +27,9 @@
 [[nodiscard]] bool apply_announcement(upstream_run& run,
                                       const msg::upstream_record_msg& announcement, instant now);
 
+/// Whether this run, known by its instance id, has announced that it leaves.
+[[nodiscard]] bool has_announced_leave(const upstream_run& run);
+
 /// Records that the run with this instance id leaves, even if it was not known before. Returns
 /// false when another run is present.
 [[nodiscard]] bool record_leave(upstream_run& run, const std::string& instance, instant now);
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -1,6 +1,7 @@
 #include "node/node_runtime.h"
 
 #include "clock/process_clock.h"
+#include "membership/announced_leave.h"
 #include "model/handler_guard.h"
 #include "node/log_writer.h"
 
@@ -95,6 +96,7 @@
     // A new sequence number or less remaining cold time alone is not sent to other nodes.
     auto record = upstream;
     record.sequence = 0;
+    record.leaves = membership::has_announced_leave(node.upstream_run);
     if (current && current->instance == record.instance &&
         current->started_ms == record.started_ms) {
         record.cold_ms = current->cold_ms;
@@ -120,6 +122,23 @@
         {log_level::warning, "upstream_expired", {{"service", expired.service}}});
 }
 
+/// Applies a leave of the upstream that an earlier process of this node has confirmed and that
+/// other members remember. Returns the record for the gate, nothing if there is no such leave.
+std::optional<msg::upstream_record_msg> recover_leave(node_runtime& node, instant now,
+                                                      control::actions& actions) {
+    const auto& own_record = node.control.members.self.upstream;
+    if (!membership::recover_leave(node.upstream_run, own_record.get(), now)) {
+        return std::nullopt;
+    }
+    node.pending_upstream.reset();
+    actions.logs.push_back({log_level::info,
+                            "upstream_leave_recovered",
+                            {{"instance", own_record->instance},
+                             {"started_ms", std::to_string(own_record->started_ms)},
+                             {"state", msg::EnumNameupstream_state(own_record->state)}}});
+    return *own_record;
+}
+
 void log_high_traffic(node_runtime& node, instant now) {
     const auto sent = wire::counters(*node.links).bytes_sent;
     for (const auto& high : wire::find_high_traffic(node.traffic, sent, now)) {
@@ -161,14 +180,19 @@
         const std::lock_guard<std::mutex> guard(node.samples_lock);
         samples.swap(node.samples);
     }
+    std::optional<msg::upstream_record_msg> recovered;
     step(node, [&](instant now, control::actions& actions) {
         control::record_samples(node.control, samples, now);
+        recovered = recover_leave(node, now, actions);
         if (node.pending_upstream && is_serving(node)) {
             set_own_upstream(node, msg::upstream_record_msg(*node.pending_upstream), now, actions);
         }
         expire_announcement(node, now, actions);
         control::on_tick(node.control, now, actions);
     });
+    if (recovered) {
+        edge::set_upstream_state(*node.calls, *recovered);
+    }
     log_high_traffic(node, current_time());
     const std::lock_guard<std::mutex> guard(node.view_lock);
     node.last_tick = current_time();
@@ -192,13 +216,18 @@
 }
 
 findings announce(node_runtime& node, const admin::announcement& announcement) {
+    std::optional<msg::upstream_record_msg> recovered;
     bool is_accepted = false;
     step(node, [&](instant now, control::actions& actions) {
+        recovered = recover_leave(node, now, actions);
         is_accepted = membership::apply_announcement(node.upstream_run, announcement.upstream, now);
         if (is_accepted) {
             set_own_upstream(node, announcement.upstream, now, actions);
         }
     });
+    if (recovered) {
+        edge::set_upstream_state(*node.calls, *recovered);
+    }
     if (is_accepted) {
         edge::set_upstream(*node.calls, announcement.upstream, announcement.port, announcement.ip);
     }
--- a/tests/control/control_test.cpp
+++ b/tests/control/control_test.cpp
@@ -103,6 +103,27 @@
     expect_prefix(fleet, "/second/");
 }
 
+/// Guards against a leave that is confirmed to the upstream and forgotten when its node ends before
+/// its next tick (DRAIN).
+TEST(announced_leave, is_known_to_others_once_it_is_confirmed) {
+    auto fleet = start_fleet(4);
+    msg::upstream_record_msg upstream;
+    upstream.service = "ledger";
+    upstream.instance = "a";
+    upstream.started_ms = 1;
+    upstream.state = msg::upstream_state::ready;
+    fleet.announce(3, upstream);
+    fleet.run(seconds{2});
+    upstream.state = msg::upstream_state::gone;
+    upstream.leaves = true;
+    fleet.announce(3, upstream);
+    fleet.start(3);
+    fleet.run(seconds{2});
+    const auto& recovered = fleet.nodes[3]->members.self.upstream;
+    ASSERT_TRUE(recovered);
+    EXPECT_EQ(recovered->state, msg::upstream_state::gone);
+}
+
 /// A fleet on a store that states its era.
 feed_fleet start_fleet_in_era(std::size_t count) {
     feed_fleet fleet(count);
--- a/tests/control/feed_fleet.cpp
+++ b/tests/control/feed_fleet.cpp
@@ -154,6 +154,12 @@
     carry_out(node, std::move(out));
 }
 
+void feed_fleet::announce(std::size_t node, const msg::upstream_record_msg& upstream) {
+    actions out;
+    set_upstream(*nodes[node], upstream, now, out);
+    carry_out(node, std::move(out));
+}
+
 void feed_fleet::run_well(std::size_t node, const request_digest& digest) {
     actions out;
     record_good_run(*nodes[node], digest, now, out);
--- a/tests/control/feed_fleet.h
+++ b/tests/control/feed_fleet.h
@@ -29,6 +29,8 @@
     void run(milliseconds duration);
     /// The upstream beside a node crashes while it runs a request.
     void crash(std::size_t node, const request_digest& digest);
+    /// The upstream beside a node announces itself, or its leave.
+    void announce(std::size_t node, const msg::upstream_record_msg& upstream);
     void run_well(std::size_t node, const request_digest& digest);
     /// Ready nodes whose call path refuses the request.
     [[nodiscard]] std::size_t count_holding(const request_digest& digest) const;
--- /dev/null
+++ b/tests/node/node_runtime_test.cpp
@@ -0,0 +1,133 @@
+#include "node/node_runtime.h"
+
+#include "node/parts.h"
+
+#include <boost/asio/io_context.hpp>
+#include <gtest/gtest.h>
+
+namespace cyclamenhatch::node {
+namespace {
+
+constexpr std::uint64_t run_start_ms = 400'000;
+
+msg::settings_msg make_settings() {
+    msg::settings_msg settings;
+    settings.identity = std::make_unique<msg::identity_settings_msg>();
+    settings.identity->node = "self";
+    settings.listen = std::make_unique<msg::listen_settings_msg>();
+    settings.listen->ip = "127.0.0.1";
+    settings.listen->link_port = 0;
+    settings.listen->caller_port = 0;
+    settings.cluster = std::make_unique<msg::cluster_settings_msg>();
+    settings.store = std::make_unique<msg::store_settings_msg>();
+    settings.membership = std::make_unique<msg::membership_settings_msg>();
+    settings.distribution = std::make_unique<msg::distribution_settings_msg>();
+    settings.link = std::make_unique<msg::link_settings_msg>();
+    settings.call = std::make_unique<msg::call_settings_msg>();
+    settings.move = std::make_unique<msg::move_settings_msg>();
+    settings.process = std::make_unique<msg::process_settings_msg>();
+    return settings;
+}
+
+admin::announcement make_heartbeat(std::uint64_t started_ms) {
+    admin::announcement announcement;
+    announcement.upstream.service = "ledger";
+    announcement.upstream.version = "v1";
+    announcement.upstream.instance = "a";
+    announcement.upstream.state = msg::upstream_state::ready;
+    announcement.upstream.slots = 4;
+    announcement.upstream.started_ms = started_ms;
+    announcement.upstream.sequence = 5;
+    announcement.port = 1;
+    return announcement;
+}
+
+/// A node that has just started, on an event loop that does not run. It reaches no other node.
+struct started_node {
+    started_node() {
+        auto& self = *runtime;
+        self.links = wire::open_link_pool(self.settings, make_link_events(runtime), &io);
+        self.store = {.execute = [](const store::kv_request&) {},
+                      .stop = [] {},
+                      .counts = [] { return store::store_counters{}; }};
+        self.calls =
+            edge::start_call_path(self.settings, make_call_path_callbacks(runtime), {}, &io);
+    }
+    ~started_node() {
+        (void)edge::stop(*runtime->calls);
+        wire::stop(*runtime->links);
+        runtime->calls.reset();
+        runtime->links.reset();
+        runtime->store = {};
+        io.poll();
+    }
+    started_node(const started_node&) = delete;
+    started_node& operator=(const started_node&) = delete;
+
+    /// Another member sends what it holds of this node: its upstream has left.
+    void receive_leave() {
+        auto record = std::make_unique<msg::member_record_msg>();
+        record->node = "self";
+        record->incarnation = 1;
+        record->upstream =
+            std::make_unique<msg::upstream_record_msg>(make_heartbeat(run_start_ms).upstream);
+        record->upstream->state = msg::upstream_state::gone;
+        record->upstream->leaves = true;
+        msg::probe_ack_msg push;
+        push.updates.push_back(std::move(record));
+        dispatch(*runtime, {node_id{"other"}, std::move(push)});
+    }
+
+    [[nodiscard]] msg::upstream_state announced_state() const {
+        const auto& upstream = runtime->control.members.self.upstream;
+        return upstream ? upstream->state : msg::upstream_state::none;
+    }
+
+    boost::asio::io_context io;
+    runtime_ptr runtime = std::make_shared<node_runtime>(make_settings());
+};
+
+/// Guards against a heartbeat that was held up on its way and brings back an upstream whose leave
+/// this node has confirmed before it was restarted (DRAIN).
+TEST(restarted_node, does_not_offer_an_upstream_that_left) {
+    started_node node;
+    node.receive_leave();
+    EXPECT_TRUE(announce(*node.runtime, make_heartbeat(run_start_ms)).empty());
+    tick(*node.runtime);
+    EXPECT_EQ(node.announced_state(), msg::upstream_state::gone);
+    EXPECT_FALSE(node.runtime->pending_upstream);
+}
+
+/// The same when the heartbeat arrives before any other member has answered.
+TEST(restarted_node, withdraws_an_upstream_when_it_learns_that_it_left) {
+    started_node node;
+    EXPECT_TRUE(announce(*node.runtime, make_heartbeat(run_start_ms)).empty());
+    EXPECT_TRUE(node.runtime->pending_upstream);
+    node.receive_leave();
+    tick(*node.runtime);
+    EXPECT_FALSE(node.runtime->pending_upstream);
+    EXPECT_EQ(node.announced_state(), msg::upstream_state::gone);
+    EXPECT_TRUE(node.runtime->upstream_run.has_left);
+}
+
+/// A new run under the same id is not taken for the one that left.
+TEST(restarted_node, offers_the_next_run) {
+    started_node node;
+    node.receive_leave();
+    EXPECT_TRUE(announce(*node.runtime, make_heartbeat(run_start_ms + 1)).empty());
+    EXPECT_TRUE(node.runtime->pending_upstream);
+    EXPECT_FALSE(node.runtime->upstream_run.has_left);
+}
+
+/// Guards against a leave that other members cannot keep, since its record does not say that it is
+/// final.
+TEST(leaving_upstream, is_announced_as_final) {
+    started_node node;
+    EXPECT_TRUE(announce(*node.runtime, make_heartbeat(run_start_ms)).empty());
+    announce_leave(*node.runtime, "a");
+    ASSERT_EQ(node.announced_state(), msg::upstream_state::gone);
+    EXPECT_TRUE(node.runtime->control.members.self.upstream->leaves);
+}
+
+} // namespace
+} // namespace cyclamenhatch::node
