call: count what a piece of a body costs in its window

Heads were bounded here; bodies were bounded in bytes only.

Cause: a piece that waits for its receiver costs its message, its frame and its places in queues, some 1 KB, whatever it carries. The window of 256 KB counted its bytes alone, so an upstream that sends chunks of one byte decided how much gate and entry keep. The gate also read 512 bytes at a time, since Beast reads as much as the buffer's capacity, which a head leaves at that; so even large chunks became pieces of 512 bytes.

Without this change body_stream.holds_bounded_memory_whatever_the_size_of_its_pieces fails (19.2 MB where 0.28 are allowed), and so do gate_of_endless_bodies.holds_a_window_for_each_ call (four rows; 72,959 messages for 24 calls where 6,168 are allowed, 608,225 for 200) and endless_framing.ends_an_answer_with_next_to_no_body.

Change: each piece counts 1 KB more than its bytes, in both directions. A body is read up to 16 KB at a time; the read buffer of an idle connection is released; a piece keeps no more than a quarter of excess capacity. An answer whose framing exceeds 2 MB and 16 times its body ends as unknown: chunks of one byte with 4 KB of extension kept a host busy until the deadline.

--- a/src/call/body_stream.cpp
+++ b/src/call/body_stream.cpp
@@ -11,6 +11,10 @@
     return piece.offset + piece.bytes.size();
 }
 
+std::uint64_t overhead_of(const outgoing_body& body) {
+    return body.kept.size() * piece_overhead_bytes;
+}
+
 } // namespace
 
 const sent_piece& add_piece(outgoing_body& body, std::vector<std::uint8_t> bytes, bool is_last) {
@@ -37,7 +41,7 @@
 }
 
 bool has_room(const outgoing_body& body) {
-    return !body.is_ended && body.offset - body.taken < body_window_bytes;
+    return !body.is_ended && body.offset - body.taken + overhead_of(body) < body_window_bytes;
 }
 
 bool is_taken_whole(const outgoing_body& body) {
@@ -58,6 +62,10 @@
         [](std::uint64_t sum, const sent_piece& piece) { return sum + piece.bytes.size(); });
 }
 
+std::uint64_t kept_memory(const outgoing_body& body) {
+    return kept_bytes(body) + overhead_of(body);
+}
+
 piece_fit receive_piece(incoming_body& body, std::uint64_t offset, std::size_t size, bool is_last) {
     if (body.is_whole || offset < body.offset) {
         const bool is_new = !body.is_whole && offset + size > body.offset;
--- a/src/call/body_stream.h
+++ b/src/call/body_stream.h
@@ -8,9 +8,14 @@
 /// keeps each one until the receiver has passed it on, and resends it when asked.
 namespace cyclamenhatch::call {
 
-/// Bytes of one body that may be sent and not yet passed on by the receiver.
+/// Memory of one body that may be sent and not yet passed on by the receiver: its bytes and
+/// piece_overhead_bytes for each piece.
 inline constexpr std::uint64_t body_window_bytes = 262'144;
 
+/// Memory that a piece takes besides its bytes: the piece, its message in the link's queue and the
+/// frame. Without it the sender of a body in tiny chunks decides how much is kept.
+inline constexpr std::uint64_t piece_overhead_bytes = 1024;
+
 struct sent_piece {
     std::uint64_t offset = 0;
     std::vector<std::uint8_t> bytes;
@@ -57,6 +62,9 @@
 /// Bytes held for resending.
 [[nodiscard]] std::uint64_t kept_bytes(const outgoing_body& body);
 
+/// The same with piece_overhead_bytes for each piece.
+[[nodiscard]] std::uint64_t kept_memory(const outgoing_body& body);
+
 /// The receiver's state. Not thread safe; the caller serialises access.
 struct incoming_body {
     /// Bytes received so far.
--- a/src/edge/gate_bodies.cpp
+++ b/src/edge/gate_bodies.cpp
@@ -233,7 +233,7 @@
     });
     std::uint64_t bytes = 0;
     for (const auto& [call, flow] : side.undelivered) {
-        bytes += call::kept_bytes(flow->download);
+        bytes += call::kept_memory(flow->download);
     }
     while (bytes > side.gate.settings.memory.max_answer_bytes) {
         const auto oldest =
@@ -241,7 +241,7 @@
                              [](const auto& left, const auto& right) {
                                  return left.second->progressed_at < right.second->progressed_at;
                              });
-        bytes -= call::kept_bytes(oldest->second->download);
+        bytes -= call::kept_memory(oldest->second->download);
         dropped.push_back({oldest->second, "memory"});
         side.undelivered.erase(oldest);
     }
--- a/src/edge/http_message.cpp
+++ b/src/edge/http_message.cpp
@@ -18,6 +18,9 @@
                                                               "content-length",
                                                               "expect"};
 
+/// Divides the size of a piece: how much more than its bytes it may occupy.
+constexpr std::size_t max_slack_divisor = 4;
+
 char to_lower(char letter) {
     return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
 }
@@ -25,7 +28,7 @@
 } // namespace
 
 void trim_piece(body_bytes& bytes, std::size_t size) {
-    if (bytes.capacity() > 2 * size) {
+    if (bytes.capacity() > size + size / max_slack_divisor) {
         bytes = body_bytes(bytes.begin(), bytes.begin() + static_cast<std::ptrdiff_t>(size));
         return;
     }
--- a/src/edge/upstream_answer.cpp
+++ b/src/edge/upstream_answer.cpp
@@ -22,6 +22,11 @@
 /// Informational answers and answers to earlier requests are dropped up to this total size. Usually
 /// there is at most one late answer, of ordinary size.
 constexpr std::size_t max_dropped_bytes = 1'048'576;
+/// Limit of the bytes read for one answer that are not its body: heads, dropped answers and chunk
+/// framing. A longer body may have more framing, in proportion; a chunk of one byte has five bytes
+/// of it.
+constexpr std::uint64_t max_framing_bytes = 2'097'152;
+constexpr std::uint64_t max_framing_ratio = 16;
 /// Prefix of each status line, and the length up to the end of the status, as in "HTTP/1.1 200 ".
 constexpr std::string_view protocol_start = "HTTP/1.";
 constexpr std::size_t status_end = 13;
@@ -60,6 +65,7 @@
 /// Passes on what was read: the head with the first piece, or a further piece.
 void deliver(const exchange_ptr& self) {
     const bool is_last = self->parser->is_done();
+    self->passed_bytes += self->incoming.size();
     body_piece piece{std::exchange(self->incoming, {}), is_last};
     if (self->is_head_read) {
         const auto on_piece = std::exchange(self->on_piece, nullptr);
@@ -135,7 +141,10 @@
 /// Reads once and continues with `next`.
 void receive(const exchange_ptr& self, void (*next)(const exchange_ptr&)) {
     auto& buffer = self->connection->buffer;
-    const auto size = boost::beast::read_size(buffer, read_bytes);
+    // Beast reads as much as the buffer's capacity, which a head leaves at 512 bytes.
+    const std::size_t least = self->has_own_answer ? piece_bytes : 0;
+    const auto size = std::min(std::max(boost::beast::read_size(buffer, read_bytes), least),
+                               buffer.max_size() - buffer.size());
     if (size == 0) {
         give_up(self, "too long between two parts of an answer");
         return;
@@ -225,6 +234,13 @@
     }
 }
 
+/// Whether the upstream sends next to no body in much framing, which would keep this host busy
+/// until the call's deadline. `filled` bytes of the current piece are read.
+bool has_too_much_framing(const upstream_exchange& exchange, std::size_t filled) {
+    return exchange.bytes_read >
+           max_framing_bytes + max_framing_ratio * (exchange.passed_bytes + filled);
+}
+
 /// Fills the current piece. Bodies of known length are split into full pieces; others are passed on
 /// as they arrive, but not amid unparsed chunk framing. This keeps short answers in one piece,
 /// which the gate can store and repeat.
@@ -239,6 +255,10 @@
     const bool has_unparsed_bytes = self->connection->buffer.size() > 0;
     const bool wants_more =
         room > 0 && (is_empty || has_unparsed_bytes || self->parser->content_length());
+    if (has_too_much_framing(*self, self->incoming.size() - room)) {
+        give_up(self, "too much framing for the body");
+        return;
+    }
     if (wants_more && !self->parser->is_done()) {
         receive(self, fill_piece);
         return;
--- a/src/edge/upstream_connection.cpp
+++ b/src/edge/upstream_connection.cpp
@@ -48,6 +48,7 @@
 
 void release_connection(upstream_client& client, std::unique_ptr<upstream_connection> connection) {
     connection->idle_since = std::chrono::steady_clock::now();
+    connection->buffer.shrink_to_fit();
     const std::lock_guard guard(client.lock);
     if (connection->generation == client.generation &&
         client.idle.size() < client.max_idle_connections) {
--- a/src/edge/upstream_exchange.h
+++ b/src/edge/upstream_exchange.h
@@ -52,6 +52,8 @@
     /// Ended by an exception; its owner is still to be told.
     bool is_faulty = false;
     std::atomic<std::uint64_t> bytes_read{0};
+    /// Bytes of the answer's body that were passed on.
+    std::uint64_t passed_bytes = 0;
 };
 
 void close_connection(upstream_connection& connection);
--- a/tests/call/body_stream_test.cpp
+++ b/tests/call/body_stream_test.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <malloc.h>
 #include <string>
 #include <utility>
 #include <vector>
@@ -136,6 +137,23 @@
     EXPECT_TRUE(has_room(body));
 }
 
+/// Guards against memory that grows with the number of pieces: an upstream that sends chunks of one
+/// byte, whose receiver takes nothing, filled the window with 262,144 of them.
+TEST(body_stream, holds_bounded_memory_whatever_the_size_of_its_pieces) {
+    for (const std::size_t size : {1U, 2U, 100U, 512U, 16'384U}) {
+        const auto before = mallinfo2().uordblks;
+        outgoing_body body;
+        while (has_room(body)) {
+            (void)add_piece(body, bytes(size), false);
+        }
+        const auto used = mallinfo2().uordblks - before;
+        EXPECT_LE(used, body_window_bytes + 16'384 + piece_overhead_bytes) << size;
+        EXPECT_LE(kept_memory(body), body_window_bytes + size + piece_overhead_bytes) << size;
+        note_taken(body, body.offset, false);
+        EXPECT_TRUE(has_room(body)) << size;
+    }
+}
+
 /// An idempotent call that waits for its answer, at an entry whose only endpoint is its gate.
 struct waiting_call {
     waiting_call() {
--- a/tests/edge/upstream_bytes_test.cpp
+++ b/tests/edge/upstream_bytes_test.cpp
@@ -1,3 +1,4 @@
+#include "call/body_stream.h"
 #include "edge/upstream_client.h"
 #include "joined_paths.h"
 #include "single_exchange.h"
@@ -9,6 +10,8 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <chrono>
+#include <malloc.h>
 #include <ostream>
 #include <thread>
 
@@ -186,6 +189,19 @@
                                               trouble_row{"chunked-body", ""}}),
                          test_name);
 
+/// Guards against a host that is kept busy until the deadline by an answer whose chunks are nearly
+/// all framing.
+TEST(endless_framing, ends_an_answer_with_next_to_no_body) {
+    endless_server upstream(make_faulty_answer_for_path);
+    boost::asio::io_context io;
+    const auto client = make_client(io, upstream.port());
+    const auto end = single_exchange(io, client, "/fast/extended-chunks").wait();
+    EXPECT_TRUE(end.is_failed);
+    EXPECT_FALSE(end.is_whole);
+    upstream.wait_for_closed(1);
+    EXPECT_FALSE(upstream.is_exhausted());
+}
+
 /// Guards against memory held for a caller that sends an endless chunk size line.
 TEST(caller_bytes, framing_without_end_is_refused_at_a_bound) {
     endless_server upstream(make_faulty_answer_for_path);
@@ -209,9 +225,10 @@
     EXPECT_EQ(paths.get("/ok"), "200 hello");
 }
 
-/// A gate of a faulty upstream, with its log lines.
+/// A gate of a faulty upstream, with its log lines and the number of messages to its entry, which
+/// acknowledges none.
 struct logging_gate {
-    explicit logging_gate(std::uint16_t upstream_port) {
+    explicit logging_gate(std::uint16_t upstream_port, std::uint32_t slots = client_slots) {
         msg::settings_msg settings;
         settings.identity = std::make_unique<msg::identity_settings_msg>();
         settings.identity->node = "gate";
@@ -229,7 +246,7 @@
         upstream.service = "ledger";
         upstream.version = "v1";
         upstream.state = msg::upstream_state::ready;
-        upstream.slots = client_slots;
+        upstream.slots = slots;
         set_upstream(*path, upstream, upstream_port);
     }
 
@@ -273,5 +290,56 @@
     gate.io.poll();
 }
 
+struct held_bodies_row {
+    const char* name;
+    const char* path;
+    std::uint32_t calls;
+};
+
+class gate_of_endless_bodies : public ::testing::TestWithParam<held_bodies_row> {};
+
+/// Guards against memory that an upstream fills by the size of its chunks: what is kept for an
+/// entry that takes nothing was bounded in bytes of the body only (LOST, processes that run out of
+/// memory).
+TEST_P(gate_of_endless_bodies, holds_a_window_for_each_call) {
+    const auto& row = GetParam();
+    endless_server upstream(make_faulty_answer_for_path);
+    logging_gate gate(upstream.port(), row.calls);
+    const auto before = mallinfo2().uordblks;
+    for (std::uint64_t number = 1; number <= row.calls; ++number) {
+        gate.open(number, row.path);
+    }
+    while (gate.sent < static_cast<int>(row.calls)) {
+        gate.io.poll();
+    }
+    // Long enough to see whether more is read.
+    constexpr std::chrono::milliseconds quiet_time{200};
+    for (int seen = 0; seen != gate.sent;) {
+        seen = gate.sent;
+        gate.io.run_for(quiet_time);
+    }
+    const auto held = mallinfo2().uordblks - before;
+    RecordProperty("held_bytes", std::to_string(held));
+    RecordProperty("messages", std::to_string(gate.sent));
+    // A window of pieces that occupy a quarter more than their bytes, the piece that exceeds it,
+    // the one being read, and as much for the call and its connection; bytes that are not parsed
+    // yet.
+    constexpr std::uint64_t window_bytes = call::body_window_bytes * 5 / 4;
+    constexpr std::uint64_t unparsed_bytes = 131'072;
+    EXPECT_LE(held, row.calls * (window_bytes + 3 * piece_bytes + unparsed_bytes));
+    const auto most_pieces = call::body_window_bytes / call::piece_overhead_bytes + 1;
+    EXPECT_LE(static_cast<std::uint64_t>(gate.sent), row.calls * most_pieces);
+    (void)stop(*gate.path);
+    gate.io.poll();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    endless, gate_of_endless_bodies,
+    ::testing::Values(held_bodies_row{"tiny_chunks_24", "/fast/tiny-chunks", 24},
+                      held_bodies_row{"tiny_chunks_200", "/fast/tiny-chunks", 200},
+                      held_bodies_row{"large_chunks_24", "/fast/chunked-body", 24},
+                      held_bodies_row{"large_chunks_200", "/fast/chunked-body", 200}),
+    [](const auto& row) { return row.param.name; });
+
 } // namespace
 } // namespace cyclamenhatch::edge::testing
--- a/tests/support/endless_server.h
+++ b/tests/support/endless_server.h
@@ -252,6 +252,12 @@
     if (name == "chunked-body") {
         return {chunked, "4000\r\nhello" + std::string(0x4000 - 5, 'x') + "\r\n"};
     }
+    if (name == "tiny-chunks") {
+        return {chunked, "1\r\nx\r\n"};
+    }
+    if (name == "extended-chunks") {
+        return {chunked, "1;" + std::string(4096, 'a') + "\r\nx\r\n"};
+    }
     if (name == "body-without-length") {
         return {head + "\r\n", "hello"};
     }
