--- a/tests/control/control_test.cpp
+++ b/tests/control/control_test.cpp
@@ -103,10 +103,9 @@
     expect_prefix(fleet, "/second/");
 }
 
-/// Guards against a leave that is confirmed to the upstream and forgotten when its node ends before
-/// its next tick (DRAIN).
-TEST(announced_leave, is_known_to_others_once_it_is_confirmed) {
-    auto fleet = start_fleet(4);
+/// A fleet in which the upstream beside the node 3 has just announced its leave.
+feed_fleet start_fleet_with_leave(std::size_t count) {
+    auto fleet = start_fleet(count);
     msg::upstream_record_msg upstream;
     upstream.service = "ledger";
     upstream.instance = "a";
@@ -117,6 +116,13 @@
     upstream.state = msg::upstream_state::gone;
     upstream.leaves = true;
     fleet.announce(3, upstream);
+    return fleet;
+}
+
+/// Guards against a leave that is confirmed to the upstream and forgotten when its node ends before
+/// its next tick (DRAIN).
+TEST(announced_leave, is_known_to_others_once_it_is_confirmed) {
+    auto fleet = start_fleet_with_leave(4);
     fleet.start(3);
     fleet.run(seconds{2});
     const auto& recovered = fleet.nodes[3]->members.self.upstream;
@@ -124,6 +130,20 @@
     EXPECT_EQ(recovered->state, msg::upstream_state::gone);
 }
 
+/// Guards against a leave that is forgotten when all nodes are killed at the same moment (DRAIN).
+TEST(announced_leave, outlives_a_restart_of_all_nodes) {
+    auto fleet = start_fleet_with_leave(4);
+    fleet.run(seconds{2});
+    for (std::size_t node = 0; node < fleet.nodes.size(); ++node) {
+        fleet.start(node);
+    }
+    fleet.run(seconds{4});
+    ASSERT_EQ(fleet.count_ready(), 4U);
+    const auto& recovered = fleet.nodes[3]->members.self.upstream;
+    ASSERT_TRUE(recovered);
+    EXPECT_EQ(recovered->state, msg::upstream_state::gone);
+}
+
 /// A fleet on a store that states its era.
 feed_fleet start_fleet_in_era(std::size_t count) {
     feed_fleet fleet(count);
