model: add workspaces, evacuated data centres and warm-up to the configuration

The parts to come share resources, messages and settings, so these land first.

- Services state a warm-up time and rate; routes state that they are anonymous or carry large bodies.
- Resources and settings may hold fractions: the codec of documents read and wrote the bits of a floating-point number as a whole one.

--- a/scripts/settings_reference.py
+++ b/scripts/settings_reference.py
@@ -19,6 +19,7 @@
     "ushort": "0 to 65535",
     "uint": "0 to 4294967295",
     "ulong": "0 to 9223372036854775807",
+    "double": "number",
 }
 
 
--- a/src/admin/resource_lookup.cpp
+++ b/src/admin/resource_lookup.cpp
@@ -25,7 +25,9 @@
 void for_each(const section& part, store::resource_kind kind, Visitor visit) {
     switch (kind) {
     case store::resource_kind::service:
-        visit(part.service);
+        if (!is_fleet_section(part)) {
+            visit(part.service);
+        }
         return;
     case store::resource_kind::route:
         std::for_each(part.routes.begin(), part.routes.end(), visit);
--- a/src/call/owner_shares.cpp
+++ b/src/call/owner_shares.cpp
@@ -70,6 +70,9 @@
 std::map<owner_id, std::uint32_t> collect_reservations(const snapshot& config) {
     std::map<owner_id, std::uint32_t> reserved;
     for (const auto& [name, part] : config.sections) {
+        if (is_fleet_section(part->content)) {
+            continue;
+        }
         auto& slots = reserved[part->content.service.owner];
         slots = std::max(slots, part->content.service.reserved_slots);
     }
--- a/src/distribution/patch.h
+++ b/src/distribution/patch.h
@@ -5,7 +5,7 @@
 
 #include <memory>
 
-/// Patches of single sections, which hold only the routes that differ.
+/// Patches of single sections, which hold only the routes and workspaces that differ.
 namespace cyclamenhatch::distribution {
 
 /// The change from one section of a service to another. Null when the whole section must be sent
--- a/src/document/schema_reader.cpp
+++ b/src/document/schema_reader.cpp
@@ -43,6 +43,7 @@
     ensure_table(settings.move);
     ensure_table(settings.link);
     ensure_table(settings.process);
+    ensure_table(settings.allowance);
 }
 
 /// Sorts findings by file, line and column.
--- a/src/document/settings_check.cpp
+++ b/src/document/settings_check.cpp
@@ -241,6 +241,7 @@
         {"call.retry_window_ms", call.retry_window_ms, 100, no_limit},
         {"call.announcement_ttl_ms", call.announcement_ttl_ms, 1, no_limit},
         {"call.drain_gate_ms", call.drain_gate_ms, 0, call.drain_linger_ms},
+        {"allowance.window_ms", settings.allowance->window_ms, 100, no_limit},
     };
 }
 
@@ -251,6 +252,13 @@
     }
 }
 
+void check_allowance(settings_report& report, const msg::allowance_settings_msg& allowance) {
+    if (!(allowance.excess_share >= 0 && allowance.excess_share <= 1)) {
+        report.add("allowance.excess_share",
+                   std::to_string(allowance.excess_share) + " is out of range", "use 0 to 1");
+    }
+}
+
 /// Checks values that depend on each other.
 void check_pairs(settings_report& report, const msg::settings_msg& settings) {
     if (settings.membership->probe_timeout_ms >= settings.membership->probe_interval_ms) {
@@ -280,6 +288,7 @@
     check_ranges(report, list_control_rules(settings));
     check_ranges(report, list_call_rules(settings));
     check_grace(report, *settings.call);
+    check_allowance(report, *settings.allowance);
     check_pairs(report, settings);
     return std::move(report.problems);
 }
--- a/src/document/table_codec.cpp
+++ b/src/document/table_codec.cpp
@@ -2,6 +2,8 @@
 #include "document/suggestion.h"
 
 #include <array>
+#include <bit>
+#include <cmath>
 #include <limits>
 #include <optional>
 
@@ -97,6 +99,7 @@
     std::size_t index = 0;
     TypeCode code{};
     uoffset_t offset = 0;
+    /// The bits of a floating-point number.
     std::int64_t number = 0;
 };
 
@@ -155,6 +158,18 @@
         return *flag ? 1 : 0;
     }
 
+    /// The bits of a finite floating-point number; whole numbers are taken as well.
+    std::optional<std::int64_t> read_fraction(const document& source, const std::string& path) {
+        const auto* whole = std::get_if<std::int64_t>(&source.value);
+        const auto* fraction = std::get_if<double>(&source.value);
+        if (whole == nullptr && (fraction == nullptr || !std::isfinite(*fraction))) {
+            report_type(source, path, "a finite number");
+            return std::nullopt;
+        }
+        return std::bit_cast<std::int64_t>(whole != nullptr ? static_cast<double>(*whole)
+                                                            : *fraction);
+    }
+
     std::optional<std::int64_t> read_number(const TypeTable* enumeration, const TypeCode& code,
                                             const document& source, const std::string& path) {
         if (enumeration != nullptr) {
@@ -163,6 +178,9 @@
         if (code.base_type == flatbuffers::ET_BOOL) {
             return read_flag(source, path);
         }
+        if (code.base_type == flatbuffers::ET_DOUBLE) {
+            return read_fraction(source, path);
+        }
         const auto* number = std::get_if<std::int64_t>(&source.value);
         const auto range = range_of(static_cast<ElementaryType>(code.base_type));
         const auto allowed = std::to_string(range.lowest) + " to " + std::to_string(range.highest);
@@ -285,6 +303,9 @@
 
 document decode_number(const TypeTable* enumeration, const TypeCode& code,
                        const flatbuffers::Table& table, voffset_t offset) {
+    if (code.base_type == flatbuffers::ET_DOUBLE) {
+        return {table.GetField<double>(offset, 0)};
+    }
     const auto number = [&]() -> std::int64_t {
         switch (code.base_type) {
         case flatbuffers::ET_BOOL:
--- a/src/edge/header_names.h
+++ b/src/edge/header_names.h
@@ -29,6 +29,15 @@
     std::string rate_limit = "cyclamenhatch-upstream-limit";
     /// "1" in the answers of an upstream that leaves.
     std::string leaving = "cyclamenhatch-upstream-leaves";
+    /// Running calls, waiting calls and slots of the upstream and, as a fourth figure, how long
+    /// work takes there now in percent of the usual time; decimal numbers with commas between them.
+    std::string load;
+    /// Milliseconds that the upstream stays cold, in its health answers.
+    std::string cold;
+    /// The access key of a workspace, as "Bearer KEY". It is not passed on.
+    std::string access_key = "authorization";
+    /// The workspace of the caller, set by the entry.
+    std::string workspace = "cyclamenhatch-workspace";
     /// Whether Retry-After may hold fractions of a second.
     bool has_fractional_retry_after = false;
 };
--- a/src/feed/config_format.h
+++ b/src/feed/config_format.h
@@ -45,6 +45,7 @@
     std::uint64_t version = 0;
     /// The services with their routes, without moves.
     std::vector<section> sections;
+    std::vector<workspace> workspaces;
 };
 
 /// Keys and codecs of the operators' configuration. The functions read no clock and may be called
--- a/src/feed/operator_reader.cpp
+++ b/src/feed/operator_reader.cpp
@@ -63,7 +63,7 @@
 
 /// Returns the stored form of a section, reusing the previous one when the section is unchanged.
 section_ptr store_section(operator_reader& reader, section content) {
-    sort_routes(content); // Stored sections are sorted; needed for the comparison.
+    sort_resources(content); // Stored sections are sorted; needed for the comparison.
     auto& stored = reader.sections[content.service.name];
     if (!stored || stored->content != content) {
         stored = make_stored_section(std::move(content));
@@ -119,6 +119,15 @@
     }
 }
 
+/// Adds the section of what belongs to no service, if there is anything.
+void add_fleet_section(operators_document& parsed) {
+    section fleet{.service = {.name = fleet_section_name()},
+                  .workspaces = std::move(parsed.workspaces)};
+    if (!fleet.workspaces.empty() || !fleet.evacuated.empty()) {
+        parsed.sections.push_back(std::move(fleet));
+    }
+}
+
 /// Builds a snapshot of the current items, unless it was built or rejected already.
 void build(reader_run& run) {
     auto& reader = run.reader;
@@ -139,6 +148,7 @@
     auto& parsed_sections = parsed.sections;
     findings order_findings;
     add_orders(run, parsed_sections, order_findings);
+    add_fleet_section(parsed);
     std::vector<section_ptr> stored_sections;
     stored_sections.reserve(parsed_sections.size());
     for (auto& content : parsed_sections) {
--- a/src/messages/peer_message.h
+++ b/src/messages/peer_message.h
@@ -20,7 +20,8 @@
                  msg::in_force_report_msg, msg::in_force_summary_msg, msg::call_open_msg,
                  msg::call_data_msg, msg::call_credit_msg, msg::call_answer_msg,
                  msg::call_refused_msg, msg::call_cancel_msg, msg::move_evidence_msg,
-                 msg::move_state_msg, msg::quarantine_state_msg>;
+                 msg::move_state_msg, msg::quarantine_state_msg, msg::allowance_request_msg,
+                 msg::allowance_loan_msg>;
 
 /// Address on which a node accepts links.
 struct peer_address {
--- a/src/model/ids.h
+++ b/src/model/ids.h
@@ -15,6 +15,7 @@
 using version_id = strong_id<struct version_tag>;
 using move_id = strong_id<struct move_tag>;
 using owner_id = strong_id<struct owner_tag>;
+using workspace_id = strong_id<struct workspace_tag>;
 using operation_id = strong_id<struct operation_tag>;
 /// SHA-256 in lower-case hexadecimal.
 using digest_id = strong_id<struct digest_tag>;
--- a/src/model/resource_codec.cpp
+++ b/src/model/resource_codec.cpp
@@ -13,6 +13,9 @@
     message.operation = last_write.operation.value;
 }
 
+/// Stored value of a workspace that leaves the priority to the route.
+constexpr std::int32_t no_workspace_priority = -1;
+
 instant read_time(const std::string& text, const char* field, findings& problems) {
     const auto time = parse_rfc3339(text);
     if (!time) {
@@ -68,6 +71,8 @@
         message.limits->idle_timeout_ms =
             static_cast<std::uint32_t>(resource.limits->idle_timeout.count());
     }
+    message.warm_up_ms = static_cast<std::uint32_t>(resource.warm_up_time.count());
+    message.warm_up_calls_per_s = resource.warm_up_calls_per_s;
     write_provenance(resource.last_write, message);
     return message;
 }
@@ -89,6 +94,8 @@
         part_message->weight = part.weight;
         message.split.push_back(std::move(part_message));
     }
+    message.anonymous = resource.is_anonymous;
+    message.large_bodies = resource.has_large_bodies;
     write_provenance(resource.last_write, message);
     return message;
 }
@@ -125,6 +132,20 @@
     return message;
 }
 
+msg::workspace_resource_msg to_message(const workspace& resource) {
+    msg::workspace_resource_msg message;
+    message.name = resource.name.value;
+    for (const auto& digest : resource.key_digests) {
+        message.key_digest.push_back(digest.value);
+    }
+    message.priority =
+        resource.priority ? static_cast<std::int32_t>(*resource.priority) : no_workspace_priority;
+    message.calls_per_s = resource.calls_per_s;
+    message.burst = resource.burst;
+    write_provenance(resource.last_write, message);
+    return message;
+}
+
 service from_message(const msg::service_resource_msg& message) {
     service resource;
     resource.name = service_id{message.name};
@@ -140,6 +161,8 @@
                           .header_timeout = milliseconds{message.limits->header_timeout_ms},
                           .idle_timeout = milliseconds{message.limits->idle_timeout_ms}};
     }
+    resource.warm_up_time = milliseconds{message.warm_up_ms};
+    resource.warm_up_calls_per_s = message.warm_up_calls_per_s;
     read_provenance(message, resource.last_write);
     return resource;
 }
@@ -158,6 +181,8 @@
     for (const auto& part : message.split) {
         resource.split.push_back({.service = service_id{part->service}, .weight = part->weight});
     }
+    resource.is_anonymous = message.anonymous;
+    resource.has_large_bodies = message.large_bodies;
     read_provenance(message, resource.last_write);
     return resource;
 }
@@ -170,6 +195,21 @@
     return resource;
 }
 
+workspace from_message(const msg::workspace_resource_msg& message) {
+    workspace resource;
+    resource.name = workspace_id{message.name};
+    for (const auto& digest : message.key_digest) {
+        resource.key_digests.emplace_back(digest);
+    }
+    if (message.priority > no_workspace_priority) {
+        resource.priority = static_cast<std::uint32_t>(message.priority);
+    }
+    resource.calls_per_s = message.calls_per_s;
+    resource.burst = message.burst;
+    read_provenance(message, resource.last_write);
+    return resource;
+}
+
 result<move> from_message(const msg::move_resource_msg& message) {
     findings problems;
     move resource;
@@ -215,6 +255,13 @@
     for (const auto& resource : content.moves) {
         message.move.push_back(std::make_unique<msg::move_resource_msg>(to_message(resource)));
     }
+    for (const auto& resource : content.workspaces) {
+        message.workspace.push_back(
+            std::make_unique<msg::workspace_resource_msg>(to_message(resource)));
+    }
+    for (const auto& name : content.evacuated) {
+        message.evacuated.push_back(name.value);
+    }
     flatbuffers::FlatBufferBuilder builder;
     builder.Finish(msg::section::Pack(builder, &message));
     return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
@@ -240,6 +287,12 @@
     for (const auto& resource : message.upstream_version) {
         content.versions.push_back(from_message(*resource));
     }
+    for (const auto& resource : message.workspace) {
+        content.workspaces.push_back(from_message(*resource));
+    }
+    for (const auto& name : message.evacuated) {
+        content.evacuated.emplace_back(name);
+    }
     for (const auto& resource : message.move) {
         auto decoded = from_message(*resource);
         if (auto* move_problems = std::get_if<findings>(&decoded)) {
--- a/src/model/resource_codec.h
+++ b/src/model/resource_codec.h
@@ -14,10 +14,12 @@
 [[nodiscard]] msg::route_resource_msg to_message(const route& resource);
 [[nodiscard]] msg::upstream_version_resource_msg to_message(const upstream_version& resource);
 [[nodiscard]] msg::move_resource_msg to_message(const move& resource);
+[[nodiscard]] msg::workspace_resource_msg to_message(const workspace& resource);
 
 [[nodiscard]] service from_message(const msg::service_resource_msg& message);
 [[nodiscard]] route from_message(const msg::route_resource_msg& message);
 [[nodiscard]] upstream_version from_message(const msg::upstream_version_resource_msg& message);
+[[nodiscard]] workspace from_message(const msg::workspace_resource_msg& message);
 
 /// Returns findings, with paths relative to the move, when a time is not RFC 3339.
 [[nodiscard]] result<move> from_message(const msg::move_resource_msg& message);
--- a/src/model/resources.cpp
+++ b/src/model/resources.cpp
@@ -11,9 +11,20 @@
     return it == content.moves.end() ? nullptr : &*it;
 }
 
-void sort_routes(section& content) {
-    std::stable_sort(content.routes.begin(), content.routes.end(),
-                     [](const route& left, const route& right) { return left.name < right.name; });
+const service_id& fleet_section_name() {
+    static const service_id name{"*"};
+    return name;
+}
+
+bool is_fleet_section(const section& content) {
+    return content.service.name == fleet_section_name();
+}
+
+void sort_resources(section& content) {
+    const auto by_name = [](const auto& left, const auto& right) { return left.name < right.name; };
+    std::stable_sort(content.routes.begin(), content.routes.end(), by_name);
+    std::stable_sort(content.workspaces.begin(), content.workspaces.end(), by_name);
+    std::sort(content.evacuated.begin(), content.evacuated.end());
 }
 
 } // namespace cyclamenhatch
--- a/src/model/resources.h
+++ b/src/model/resources.h
@@ -47,6 +47,10 @@
     /// Path of an upstream's health check; empty when there is none.
     std::string health_path;
     std::optional<caller_limits> limits;
+    /// How long an upstream stays cold after its start; 0 if upstreams need no warm-up.
+    milliseconds warm_up_time{0};
+    /// Calls a second that a cold upstream takes from all nodes together; 0 means no limit.
+    double warm_up_calls_per_s = 0;
 
     friend bool operator==(const service&, const service&) = default;
 };
@@ -80,6 +84,10 @@
     /// Divides the calls among services by weight; the route's own service must be one of them.
     /// If empty, all calls go to the route's own service.
     std::vector<route_part> split;
+    /// Whether callers need no access key while workspaces are configured.
+    bool is_anonymous = false;
+    /// Whether requests carry large bodies, as uploads do.
+    bool has_large_bodies = false;
 
     friend bool operator==(const route&, const route&) = default;
 };
@@ -138,20 +146,48 @@
     friend bool operator==(const move&, const move&) = default;
 };
 
-/// A service with its routes, versions and moves: stored and put in force as one unit.
+/// A group of callers that share access keys and an allowance.
+struct workspace {
+    workspace_id name;
+    /// Digests of the access keys; the keys themselves are not kept.
+    std::vector<digest_id> key_digests;
+    /// Replaces the priority of the route.
+    std::optional<std::uint32_t> priority;
+    /// Calls a second that all nodes together admit; 0 means no limit.
+    double calls_per_s = 0;
+    /// Calls that may be admitted at once beyond that rate after a time with fewer.
+    double burst = 0;
+    provenance last_write;
+
+    friend bool operator==(const workspace&, const workspace&) = default;
+};
+
+/// A service with its routes, versions and moves, or the fleet section: stored and put in force as
+/// one unit.
 struct section {
     struct service service;
     std::vector<route> routes;
     std::vector<upstream_version> versions;
     std::vector<move> moves;
+    /// Only in the fleet section; sorted by name once stored.
+    std::vector<workspace> workspaces;
+    /// Data centres whose upstreams get no calls. Only in the fleet section; sorted once stored.
+    std::vector<data_centre_id> evacuated;
 
     friend bool operator==(const section&, const section&) = default;
 };
 
+/// Name of the section that belongs to no service. No service can have it.
+[[nodiscard]] const service_id& fleet_section_name();
+
+/// Whether the section holds what concerns the whole fleet instead of a service.
+[[nodiscard]] bool is_fleet_section(const section& content);
+
 /// The move of a section that has not ended, or null. A valid section has at most one.
 [[nodiscard]] const move* find_open_move(const section& content);
 
-/// Sorts the routes by name, so that equal sets of routes give equal sections.
-void sort_routes(section& content);
+/// Sorts the routes, workspaces and evacuated data centres by name, so that equal sets of them give
+/// equal sections.
+void sort_resources(section& content);
 
 } // namespace cyclamenhatch
--- a/src/model/snapshot.cpp
+++ b/src/model/snapshot.cpp
@@ -31,6 +31,16 @@
     return index;
 }
 
+key_index index_keys(const section& fleet) {
+    key_index index;
+    for (const auto& resource : fleet.workspaces) {
+        for (const auto& digest : resource.key_digests) {
+            index.emplace(digest, &resource);
+        }
+    }
+    return index;
+}
+
 route_match find_in_index(const route_index& index, std::string_view host, std::string_view path) {
     const auto host_routes = index.find(host);
     if (host_routes == index.end()) {
@@ -46,7 +56,7 @@
 } // namespace
 
 section_ptr make_stored_section(section content) {
-    sort_routes(content);
+    sort_resources(content);
     auto stored = std::make_shared<stored_section>();
     stored->encoded = encode_section(content);
     stored->digest = compute_digest(stored->encoded);
@@ -101,6 +111,11 @@
         built->sections.emplace(name, std::move(stored));
     }
     built->routes = index_routes(built->sections);
+    const auto fleet = built->sections.find(fleet_section_name());
+    if (fleet != built->sections.end()) {
+        built->fleet = fleet->second;
+        built->keys = index_keys(fleet->second->content);
+    }
     built->digest = compute_head_digest(version, built->sections);
     return snapshot_ptr{std::move(built)};
 }
@@ -111,6 +126,23 @@
                                                           : find_in_index(config.routes, "", path);
 }
 
+bool has_workspaces(const snapshot& config) {
+    return config.fleet && !config.fleet->content.workspaces.empty();
+}
+
+const workspace* find_workspace(const snapshot& config, std::string_view access_key) {
+    const auto it = config.keys.find(compute_digest(access_key));
+    return it == config.keys.end() ? nullptr : it->second;
+}
+
+bool is_evacuated(const snapshot& config, const data_centre_id& data_centre) {
+    if (!config.fleet) {
+        return false;
+    }
+    const auto& evacuated = config.fleet->content.evacuated;
+    return std::binary_search(evacuated.begin(), evacuated.end(), data_centre);
+}
+
 caller_limits compute_max_caller_limits(const snapshot& config) {
     std::optional<caller_limits> widest;
     for (const auto& [name, stored] : config.sections) {
--- a/src/model/snapshot.h
+++ b/src/model/snapshot.h
@@ -32,6 +32,9 @@
 /// match every host.
 using route_index = std::map<std::string, std::vector<route_match>, std::less<>>;
 
+/// Workspaces by the digest of an access key. The pointers are valid as long as the snapshot.
+using key_index = std::map<digest_id, const workspace*>;
+
 /// The whole configuration of one version. Immutable once built; shared between threads as
 /// snapshot_ptr and replaced as a whole, so a reader never sees a mix of two versions.
 struct snapshot {
@@ -42,11 +45,14 @@
     std::vector<operation_id> operations;
     std::map<service_id, section_ptr> sections;
     route_index routes;
+    /// The fleet section; null when there is none. It is in `sections` as well.
+    section_ptr fleet;
+    key_index keys;
 };
 
 using snapshot_ptr = std::shared_ptr<const snapshot>;
 
-/// Sorts the routes of a section by name, encodes the section and computes its digest.
+/// Sorts the resources of a section by name, encodes the section and computes its digest.
 [[nodiscard]] section_ptr make_stored_section(section content);
 
 /// Decodes a section received from the store or a peer. Returns findings when the bytes are not a
@@ -69,6 +75,16 @@
 [[nodiscard]] route_match find_route(const snapshot& config, std::string_view host,
                                      std::string_view path);
 
+/// Whether requests need an access key of a workspace, unless their route is anonymous.
+[[nodiscard]] bool has_workspaces(const snapshot& config);
+
+/// The workspace that holds the access key, or null. The comparison takes the same time for all
+/// keys of one length that no workspace holds.
+[[nodiscard]] const workspace* find_workspace(const snapshot& config, std::string_view access_key);
+
+/// Whether the upstreams of the data centre are to get no calls.
+[[nodiscard]] bool is_evacuated(const snapshot& config, const data_centre_id& data_centre);
+
 /// The largest value of each caller limit over all services, applied until a request's route is
 /// known; the defaults when no service states limits.
 [[nodiscard]] caller_limits compute_max_caller_limits(const snapshot& config);
--- a/src/model/validation.cpp
+++ b/src/model/validation.cpp
@@ -12,6 +12,9 @@
 constexpr std::uint32_t full_share_permille = 1000;
 constexpr milliseconds max_route_timeout{3'600'000};
 constexpr std::uint32_t max_reserved_slots = 100'000;
+constexpr milliseconds max_warm_up_time{3'600'000};
+constexpr double max_calls_per_s = 1e9;
+constexpr std::size_t digest_length = 64;
 
 /// Collects the findings of one section.
 struct section_report {
@@ -83,6 +86,12 @@
     }
 }
 
+void check_rate(section_report& report, const std::string& path, double rate) {
+    if (!(rate >= 0 && rate <= max_calls_per_s)) {
+        report.add(path, std::to_string(rate) + " is out of range", "use 0 to 1000000000");
+    }
+}
+
 void check_service(section_report& report, const section& content) {
     const auto& resource = content.service;
     check_name(report, "service.name", resource.name.value);
@@ -92,6 +101,53 @@
         report.add("service.reserved_slots",
                    std::to_string(resource.reserved_slots) + " is out of range", "use 1 to 100000");
     }
+    if (resource.warm_up_time > max_warm_up_time) {
+        report.add("service.warm_up_ms",
+                   std::to_string(resource.warm_up_time.count()) + " is out of range",
+                   "use 0 to 3600000");
+    }
+    check_rate(report, "service.warm_up_calls_per_s", resource.warm_up_calls_per_s);
+}
+
+bool is_digest(const digest_id& digest) {
+    return digest.value.size() == digest_length &&
+           std::all_of(digest.value.begin(), digest.value.end(), [](char character) {
+               return (character >= '0' && character <= '9') ||
+                      (character >= 'a' && character <= 'f');
+           });
+}
+
+/// The finding names the place of a digest only: it belongs to a secret.
+void check_keys(section_report& report, const section& content) {
+    std::map<digest_id, workspace_id> holders;
+    for (std::size_t i = 0; i < content.workspaces.size(); ++i) {
+        const auto& resource = content.workspaces[i];
+        for (const auto& digest : resource.key_digests) {
+            const auto [holder, is_new] = holders.emplace(digest, resource.name);
+            if (!is_digest(digest)) {
+                report.add(field_path("workspace", i, "key_digest"), "is not a SHA-256",
+                           "use 64 lower-case hexadecimal digits");
+            } else if (!is_new && holder->second != resource.name) {
+                report.add(field_path("workspace", i, "key_digest"),
+                           "workspace \"" + holder->second.value + "\" has the same key",
+                           "give each workspace keys of its own");
+            }
+        }
+    }
+}
+
+void check_fleet_section(section_report& report, const section& content) {
+    if (!content.routes.empty() || !content.versions.empty() || !content.moves.empty()) {
+        report.add("service.name", "the fleet section has routes, versions or moves",
+                   "put them in the section of a service");
+    }
+    check_unique(report, "workspace", content.workspaces);
+    check_keys(report, content);
+    for (std::size_t i = 0; i < content.workspaces.size(); ++i) {
+        check_rate(report, field_path("workspace", i, "calls_per_s"),
+                   content.workspaces[i].calls_per_s);
+        check_rate(report, field_path("workspace", i, "burst"), content.workspaces[i].burst);
+    }
 }
 
 void check_routes(section_report& report, const section& content) {
@@ -197,6 +253,14 @@
 
 findings validate_section(const section& content) {
     section_report report;
+    if (is_fleet_section(content)) {
+        check_fleet_section(report, content);
+        return report.problems;
+    }
+    if (!content.workspaces.empty() || !content.evacuated.empty()) {
+        report.add("service.name", "workspaces and evacuated data centres belong to no service",
+                   "put them in the fleet section");
+    }
     check_service(report, content);
     check_routes(report, content);
     for (std::size_t i = 0; i < content.routes.size(); ++i) {
--- a/tests/document/schema_reader_test.cpp
+++ b/tests/document/schema_reader_test.cpp
@@ -153,7 +153,30 @@
     EXPECT_EQ(write_json(write_resource(set.routes.at(0))),
               R"({"name":"browse","service":"catalogue","host":"","path_prefix":"/catalogue",)"
               R"("idempotent":false,"timeout_ms":1000,"max_attempts":0,"latency_objective_ms":0,)"
-              R"("priority":0,"split":[],"revision":0,"operation":""})");
+              R"("priority":0,"split":[],"revision":0,"operation":"",)"
+              R"("anonymous":false,"large_bodies":false})");
+}
+
+TEST(resources, take_whole_and_fractional_rates) {
+    for (const auto* rate : {"8.9", "9"}) {
+        const auto source =
+            parse(std::string("[[upstream_version]]\nname = \"v1\"\n") +
+                  "service = \"catalogue\"\n[[service]]\nname = \"catalogue\"\n" +
+                  "owner = \"shops\"\nversion = \"v1\"\nwarm_up_calls_per_s = " + rate + "\n");
+        EXPECT_EQ(to_text(check(source)), "");
+        const auto set = std::get<resource_set>(read_resources(source));
+        EXPECT_EQ(set.services.at(0).warm_up_calls_per_s, std::stod(rate));
+    }
+}
+
+TEST(resources, refuse_rates_that_are_no_numbers) {
+    for (const auto* rate : {"\"fast\"", "nan", "inf", "true"}) {
+        const auto source =
+            parse(std::string("[[upstream_version]]\nname = \"v1\"\n") +
+                  "service = \"catalogue\"\n[[service]]\nname = \"catalogue\"\n" +
+                  "owner = \"shops\"\nversion = \"v1\"\nwarm_up_calls_per_s = " + rate + "\n");
+        EXPECT_NE(to_text(check(source)), "") << rate;
+    }
 }
 
 struct resource_row {
