edge: serve callers by the access key of their workspace

Requests of workspaces were served whatever key they carried, and the key went on to the upstream.

Without a key that a workspace holds, a request gets 401 "not-run", unless its route is anonymous or no workspace is configured. The key goes no further; the workspace's name replaces what the caller sent, its priority that of the route, and call_open states it. Each request is checked, nothing is kept per connection. The log names what was wrong with a key, never the key.

--- a/src/edge/call_headers.cpp
+++ b/src/edge/call_headers.cpp
@@ -9,6 +9,8 @@
 using msg::call_outcome;
 using msg::refusal_reason;
 
+constexpr unsigned unauthorized_status = 401;
+
 std::optional<std::uint64_t> read_number(std::string_view text) {
     std::uint64_t number = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
@@ -21,8 +23,9 @@
 /// Whether the product sets this header itself. An upstream that forwards the outcome header of
 /// another call must not pass it off as the outcome of this call.
 bool is_own_header(const header_names& names, std::string_view name) {
-    for (const auto* own_name : {&names.outcome, &names.hops, &names.attempts, &names.deadline,
-                                 &names.expected_instance, &names.caller_service}) {
+    for (const auto* own_name :
+         {&names.outcome, &names.hops, &names.attempts, &names.deadline, &names.expected_instance,
+          &names.caller_service, &names.workspace}) {
         if (!own_name->empty() && equals_without_case(name, *own_name)) {
             return true;
         }
@@ -46,6 +49,9 @@
     if (refusal.reason == refusal_reason::no_route) {
         return 404;
     }
+    if (refusal.reason == refusal_reason::unauthorized) {
+        return unauthorized_status;
+    }
     const bool is_timeout = refusal.reason == refusal_reason::deadline && !refusal.retry_helps;
     if (is_timeout || refusal.outcome == call_outcome::unknown) {
         return 504;
@@ -81,6 +87,8 @@
         return "the answer is no longer kept";
     case refusal_reason::quarantined:
         return "upstreams have crashed under this request";
+    case refusal_reason::unauthorized:
+        return "the request has no access key of a workspace";
     case refusal_reason::delayed:
         return "the call waited too long on its way to the endpoint";
     default:
@@ -147,6 +155,22 @@
     return out;
 }
 
+void add_header(wire_headers& headers, const std::string& name, const std::string& value) {
+    if (name.empty() || value.empty()) {
+        return;
+    }
+    auto header = std::make_unique<msg::http_header_msg>();
+    header->name = name;
+    header->value = value;
+    headers.push_back(std::move(header));
+}
+
+void drop_access_keys(const header_names& names, header_fields& headers) {
+    std::erase_if(headers, [&](const header_field& header) {
+        return equals_without_case(header.name, names.access_key);
+    });
+}
+
 header_fields from_wire(const wire_headers& headers) {
     header_fields out;
     out.reserve(headers.size() + 3);
@@ -166,6 +190,9 @@
         answer.head.headers.push_back(
             {"Retry-After", retry_after_text(names, refusal.retry_after)});
     }
+    if (status == unauthorized_status) {
+        answer.head.headers.push_back({"WWW-Authenticate", "Bearer"});
+    }
     return answer;
 }
 
--- a/src/edge/call_headers.h
+++ b/src/edge/call_headers.h
@@ -39,6 +39,8 @@
 
 /// Moves headers into a message, except those that the product sets itself.
 [[nodiscard]] wire_headers to_wire(const header_names& names, header_fields headers);
+/// Adds a header, unless its name or value is empty.
+void add_header(wire_headers& headers, const std::string& name, const std::string& value);
 [[nodiscard]] header_fields from_wire(const wire_headers& headers);
 
 /// An answer that the call path generates itself.
@@ -49,9 +51,13 @@
     std::string reason;
 };
 
-/// The answer for a call that ended without an upstream's answer: 404, 503 or 504 with the outcome
-/// header and a problem+json body. Every refusal after which a retry may succeed has a Retry-After
-/// header.
+/// Removes the headers that carry access keys. Call when workspaces are configured: keys are for
+/// this product alone.
+void drop_access_keys(const header_names& names, header_fields& headers);
+
+/// The answer for a call that ended without an upstream's answer: 401, 404, 503 or 504 with the
+/// outcome header and a problem+json body. Every refusal after which a retry may succeed has a
+/// Retry-After header.
 [[nodiscard]] local_answer make_failure(const header_names& names, const call::refusal& refusal);
 
 /// The answer for a chain of calls that exceeds the hop limit.
--- a/src/edge/entry_side.cpp
+++ b/src/edge/entry_side.cpp
@@ -4,6 +4,7 @@
 #include "call/held_request.h"
 #include "clock/process_clock.h"
 #include "edge/call_headers.h"
+#include "edge/entry_access.h"
 #include "edge/entry_attempts.h"
 #include "edge/entry_quarantine.h"
 #include "edge/entry_steps.h"
@@ -60,11 +61,18 @@
     return is_known ? requested : matched_service.owner.value;
 }
 
-/// The matching route, or the answer that ends the request before any attempt.
-std::variant<local_answer, route_match> resolve_route(const entry_side& side,
-                                                      const call::routing_view& view,
-                                                      const request_head& head,
-                                                      const call_limits& limits) {
+/// The route of a call, and the workspace whose call it is; null when it is nobody's.
+struct call_match {
+    route_match route;
+    const workspace* caller = nullptr;
+};
+
+/// The matching route and the workspace, or the answer that ends the request before any attempt.
+/// Both come from the one snapshot in the view.
+std::variant<local_answer, call_match> resolve_route(const entry_side& side,
+                                                     const call::routing_view& view,
+                                                     const request_head& head,
+                                                     const call_limits& limits) {
     if (!view.is_ready || !view.config) {
         return make_local_refusal(side, msg::refusal_reason::no_endpoint, short_retry_delay);
     }
@@ -78,7 +86,11 @@
     if (match.matched_route == nullptr) {
         return make_local_refusal(side, msg::refusal_reason::no_route, milliseconds{0});
     }
-    return match;
+    auto caller = resolve_caller(side.names, *view.config, *match.matched_route, head.headers);
+    if (auto* refused = std::get_if<local_answer>(&caller)) {
+        return std::move(*refused);
+    }
+    return call_match{match, std::get<const workspace*>(caller)};
 }
 
 /// Sets the parts of the call's state that depend on the route and the caller's limits.
@@ -99,19 +111,21 @@
 }
 
 /// The headers to send to the upstream, including those that the node sets itself.
-wire_headers make_headers(const entry_side& side, header_fields headers) {
-    auto out = to_wire(side.names, std::move(headers));
-    if (!side.names.caller_service.empty() && !side.host_service.empty()) {
-        auto header = std::make_unique<msg::http_header_msg>();
-        header->name = side.names.caller_service;
-        header->value = side.host_service;
-        out.push_back(std::move(header));
+wire_headers make_headers(const entry_side& side, const snapshot& config, const workspace* caller,
+                          header_fields headers) {
+    if (has_workspaces(config)) {
+        drop_access_keys(side.names, headers);
     }
+    auto out = to_wire(side.names, std::move(headers));
+    add_header(out, side.names.caller_service, side.host_service);
+    add_header(out, side.names.workspace, caller == nullptr ? std::string() : caller->name.value);
     return out;
 }
 
-entry_flow_ptr make_flow(entry_side& side, const call::routing_view& view, const route_match& match,
-                         const call_limits& limits, request_head head, body_piece first) {
+entry_flow_ptr make_flow(entry_side& side, const call::routing_view& view,
+                         const call_match& resolved, const call_limits& limits, request_head head,
+                         body_piece first) {
+    const auto& match = resolved.route;
     auto flow = std::make_shared<entry_flow>();
     flow->received_at = head.read_at;
     flow->route = match.matched_route->name;
@@ -128,7 +142,11 @@
     request.target = std::move(head.target);
     request.hops = static_cast<std::uint8_t>(std::min(limits.hops + 1, 255U));
     request.attempt = static_cast<std::uint8_t>(std::min(limits.attempts, 255U));
-    request.headers = make_headers(side, std::move(head.headers));
+    request.headers = make_headers(side, *view.config, resolved.caller, std::move(head.headers));
+    if (resolved.caller != nullptr) {
+        request.workspace = resolved.caller->name.value;
+        request.priority = resolved.caller->priority.value_or(request.priority);
+    }
     request.last = first.is_last;
     flow->upload.offset = first.bytes.size();
     flow->upload.is_ended = first.is_last;
@@ -198,10 +216,11 @@
         refuse_request(side, exchange, id, std::move(*refused));
         return;
     }
-    const auto& match = std::get<route_match>(route_or_answer);
+    const auto& resolved = std::get<call_match>(route_or_answer);
+    const auto& match = resolved.route;
     const std::string key(find_header(head.headers, caller_key_header));
     const bool is_first = head.is_first_on_connection;
-    const auto flow = make_flow(side, *view, match, limits, std::move(head), std::move(first));
+    const auto flow = make_flow(side, *view, resolved, limits, std::move(head), std::move(first));
     flow->exchange = exchange;
     const auto now = current_time();
     const auto digest = call::from_request_key(flow->request.digest.get());
--- a/tests/edge/joined_paths.cpp
+++ b/tests/edge/joined_paths.cpp
@@ -52,7 +52,7 @@
     return result;
 }
 
-snapshot_ptr make_config() {
+snapshot_ptr make_config(const std::vector<workspace>& workspaces = {}) {
     section part;
     part.service.name = service_id("ledger");
     part.service.owner = owner_id("members");
@@ -60,9 +60,15 @@
     part.service.reserved_slots = 4;
     part.routes = {make_route("all", "/", true), make_route("once", "/hold-once", false),
                    make_route("break-once", "/break-once", false),
-                   make_route("plain-once", "/once", false)};
+                   make_route("plain-once", "/once", false), make_route("open", "/ok/open", true)};
+    part.routes.back().is_anonymous = true;
     part.versions = {{.name = version_id("v1"), .service = service_id("ledger"), .last_write = {}}};
-    auto built = build_snapshot(config_version{1}, {make_stored_section(part)}, {});
+    std::vector<section_ptr> sections{make_stored_section(part)};
+    if (!workspaces.empty()) {
+        sections.push_back(make_stored_section(
+            {.service = {.name = fleet_section_name()}, .workspaces = workspaces}));
+    }
+    auto built = build_snapshot(config_version{1}, std::move(sections), {});
     return std::get<snapshot_ptr>(built);
 }
 
@@ -244,6 +250,11 @@
     return found;
 }
 
+std::vector<log_event> joined_paths::all_events() {
+    const std::lock_guard guard(lock_);
+    return events_;
+}
+
 void joined_paths::announce(msg::upstream_state state, std::uint16_t port,
                             const std::string& instance) {
     set_upstream(*gate_, make_record(state, instance), port);
@@ -280,6 +291,13 @@
     return lost_count_;
 }
 
+void joined_paths::set_workspaces(const std::vector<workspace>& workspaces) {
+    const std::lock_guard guard(lock_);
+    auto view = std::make_shared<call::routing_view>(*view_);
+    view->config = make_config(workspaces);
+    view_ = std::move(view);
+}
+
 void joined_paths::forget_endpoint() {
     const std::lock_guard guard(lock_);
     view_ = make_view(false);
--- a/tests/edge/joined_paths.h
+++ b/tests/edge/joined_paths.h
@@ -13,7 +13,8 @@
 namespace cyclamenhatch::edge::testing {
 
 /// Two call paths, an entry and a gate with an upstream, that hand each other their messages
-/// directly. Calls to "/..." belong to one service with two routes: /once/... is not idempotent.
+/// directly. Calls to "/..." belong to one service: /once/... is not idempotent, and /ok/open/... is
+/// anonymous.
 class joined_paths {
 public:
     explicit joined_paths(std::uint16_t upstream_port, const header_names& names = {});
@@ -48,6 +49,8 @@
     [[nodiscard]] std::vector<std::string> ask_many(const std::string& requests, int answers);
     /// Sends bytes to the entry and returns all bytes that come back until the connection closes.
     [[nodiscard]] std::string ask_raw(const std::string& request);
+    /// Puts a configuration with these workspaces in force at both nodes.
+    void set_workspaces(const std::vector<workspace>& workspaces);
     /// Removes the service's only endpoint from the view, as after the failure of its node.
     void forget_endpoint();
     void announce(msg::upstream_state state, std::uint16_t port, const std::string& instance = {});
@@ -64,6 +67,7 @@
     [[nodiscard]] std::vector<request_digest> ran_well();
     /// Events logged so far, by any node.
     [[nodiscard]] std::vector<log_event> events(const std::string& name);
+    [[nodiscard]] std::vector<log_event> all_events();
 
 private:
     [[nodiscard]] call_path_callbacks make_callbacks(const std::string& self);
