--- a/src/control/feed_steps.cpp
+++ b/src/control/feed_steps.cpp
@@ -39,6 +39,24 @@
     }
 }
 
+/// Notices of one configuration that are logged; the rest are only counted.
+constexpr std::size_t max_logged_notices = 20;
+
+void log_notices(const feed::reader_actions& produced, actions& out) {
+    if (!produced.snapshot) {
+        return;
+    }
+    const auto version = std::to_string(produced.snapshot->version.value);
+    const auto logged = std::min(produced.notices.size(), max_logged_notices);
+    for (std::size_t i = 0; i < logged; ++i) {
+        out.logs.push_back({log_level::warning,
+                            "config_value_ignored",
+                            {{"version", version},
+                             {"notices", std::to_string(produced.notices.size())},
+                             {"finding", to_string(produced.notices[i])}}});
+    }
+}
+
 void apply_operator_actions(state& self, feed::reader_actions&& produced, instant now,
                             actions& out) {
     append(out.requests, std::move(produced.requests));
@@ -49,6 +67,7 @@
     if (!produced.rejection_reasons.empty()) {
         reject_config(self, produced.rejected_version, produced.rejection_reasons, now, out);
     }
+    log_notices(produced, out);
     // A read that confirms the held configuration also makes a node ready again after a pause.
     const bool is_confirmed = !produced.snapshot && produced.is_current;
     offer_config(self, is_confirmed ? self.operator_reader->built_snapshot : produced.snapshot, now,
--- a/src/feed/config_format.h
+++ b/src/feed/config_format.h
@@ -46,6 +46,8 @@
     /// The services with their routes, without moves.
     std::vector<section> sections;
     std::vector<workspace> workspaces;
+    /// Values that were ignored or read with care, without refusing the document.
+    findings notices;
 };
 
 /// Keys and codecs of the operators' configuration. The functions read no clock and may be called
--- a/src/feed/operator_reader.cpp
+++ b/src/feed/operator_reader.cpp
@@ -167,6 +167,7 @@
     reader.built_revision = revision;
     reader.document_version = parsed.version;
     run.actions.snapshot = reader.built_snapshot;
+    run.actions.notices = std::move(parsed.notices);
 }
 
 void close_watch(reader_run& run) {
--- a/src/feed/operator_reader.h
+++ b/src/feed/operator_reader.h
@@ -25,6 +25,8 @@
     snapshot_ptr snapshot;
     /// Set when a read confirmed that the last configuration built is current.
     bool is_current = false;
+    /// Values of this snapshot's document that were ignored or read with care.
+    findings notices;
     /// Version of a configuration that was read and rejected; set together with its findings.
     config_version rejected_version;
     findings rejection_reasons;
