model: find routes without a search of all of a host

find_route compared a path with each route of its host until one matched, so a request paid for hundreds of routes on one host.

Routes of a host are sorted by prefix and looked up by bisection.

--- a/src/model/snapshot.cpp
+++ b/src/model/snapshot.cpp
@@ -9,11 +9,18 @@
 namespace cyclamenhatch {
 namespace {
 
-bool is_path_match(std::string_view path, std::string_view prefix) {
-    if (path.substr(0, prefix.size()) != prefix) {
-        return false;
-    }
-    return path.size() == prefix.size() || prefix.back() == '/' || path[prefix.size()] == '/';
+std::string_view prefix_of(const route_match& candidate) {
+    return candidate.matched_route->path_prefix;
+}
+
+std::size_t common_length(std::string_view left, std::string_view right) {
+    const auto ends = std::mismatch(left.begin(), left.end(), right.begin(), right.end());
+    return static_cast<std::size_t>(ends.first - left.begin());
+}
+
+/// Whether a prefix of this length, above 0, ends at a path boundary.
+bool is_boundary(std::string_view path, std::size_t length) {
+    return length == path.size() || path[length - 1] == '/' || path[length] == '/';
 }
 
 route_index index_routes(const std::map<service_id, section_ptr>& sections) {
@@ -24,8 +31,8 @@
         }
     }
     for (auto& [host, routes] : index) {
-        std::stable_sort(routes.begin(), routes.end(), [](const auto& left, const auto& right) {
-            return left.matched_route->path_prefix.size() > right.matched_route->path_prefix.size();
+        std::sort(routes.begin(), routes.end(), [](const auto& left, const auto& right) {
+            return prefix_of(left) < prefix_of(right);
         });
     }
     return index;
@@ -46,11 +53,24 @@
     if (host_routes == index.end()) {
         return {};
     }
-    const auto it = std::find_if(
-        host_routes->second.begin(), host_routes->second.end(), [&](const route_match& candidate) {
-            return is_path_match(path, candidate.matched_route->path_prefix);
-        });
-    return it == host_routes->second.end() ? route_match{} : *it;
+    const auto& routes = host_routes->second;
+    // A prefix of `key` is not longer than what `key` has in common with the last route up to it.
+    for (auto key = path; !key.empty();) {
+        const auto after = std::upper_bound(
+            routes.begin(), routes.end(), key,
+            [](const auto& text, const auto& candidate) { return text < prefix_of(candidate); });
+        if (after == routes.begin()) {
+            return {};
+        }
+        const auto& candidate = *std::prev(after);
+        const auto prefix = prefix_of(candidate);
+        const auto common = common_length(prefix, key);
+        if (common == prefix.size() && is_boundary(path, common)) {
+            return candidate;
+        }
+        key = key.substr(0, common == prefix.size() ? common - 1 : common);
+    }
+    return {};
 }
 
 } // namespace
--- a/src/model/snapshot.h
+++ b/src/model/snapshot.h
@@ -28,8 +28,7 @@
     const stored_section* matched_section = nullptr;
 };
 
-/// Routes by host, those with the longest path prefix first; the empty host holds the routes that
-/// match every host.
+/// Routes by host, sorted by path prefix; the empty host holds the routes that match every host.
 using route_index = std::map<std::string, std::vector<route_match>, std::less<>>;
 
 /// Workspaces by the digest of an access key. The pointers are valid as long as the snapshot.
