--- a/tests/distribution/workspace_patch_test.cpp
+++ b/tests/distribution/workspace_patch_test.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <iostream>
+
 namespace cyclamenhatch::distribution {
 namespace {
 
@@ -38,5 +40,17 @@
     EXPECT_EQ(result->content, target->content);
 }
 
+/// Guards against keys that cost all workspaces when one comes or goes.
+TEST(workspace_patch, of_one_key_costs_its_workspace_only) {
+    constexpr std::size_t key_change_bytes = 512;
+    const auto base = make_stored_section(make_fleet());
+    auto changed = make_fleet();
+    changed.workspaces[7].key_digests.push_back(compute_digest("one more"));
+    const auto patch = make_patch(*base, *make_stored_section(changed));
+    ASSERT_NE(patch, nullptr);
+    std::cout << "bytes: " << patch->body.size() << " of " << base->encoded.size() << "\n";
+    EXPECT_LT(patch->body.size(), key_change_bytes);
+}
+
 } // namespace
 } // namespace cyclamenhatch::distribution
