--- a/tests/feed/feed_test.cpp
+++ b/tests/feed/feed_test.cpp
@@ -106,6 +106,8 @@
     instant now = start;
     snapshot_ptr snapshot;
     findings rejection_reasons;
+    /// Of all versions.
+    findings notices;
     config_version rejected_version;
     std::uint64_t watch = 0;
     std::int64_t watch_revision = 0;
@@ -116,6 +118,7 @@
             EXPECT_TRUE(!snapshot || actions.snapshot->version > snapshot->version);
             snapshot = actions.snapshot;
         }
+        notices.insert(notices.end(), actions.notices.begin(), actions.notices.end());
         if (!actions.rejection_reasons.empty()) {
             rejection_reasons = actions.rejection_reasons;
             rejected_version = actions.rejected_version;
@@ -244,6 +247,23 @@
     EXPECT_GT(fixture.rejected_version, fixture.snapshot->version);
 }
 
+/// Guards against a version that is refused for one odd value, or read oddly without a word.
+TEST(operator_reader, takes_a_document_with_notices_and_reports_them_once) {
+    reader_fixture fixture;
+    fixture.reader.format.read_document = [](std::string_view text) -> result<operators_document> {
+        return operators_document{.sections = {make_section("ledger", std::string(text))},
+                                  .notices = {{.path = "odd", .problem = "p", .remedy = "r"}}};
+    };
+    fixture.store.put("op/document", "/first/");
+    fixture.start_watching();
+    EXPECT_EQ(fixture.prefix(), "/first/");
+    ASSERT_EQ(fixture.notices.size(), 1U);
+    EXPECT_EQ(fixture.notices.front().path, "odd");
+    EXPECT_TRUE(fixture.rejection_reasons.empty());
+    fixture.tick(seconds{10});
+    EXPECT_EQ(fixture.notices.size(), 1U);
+}
+
 TEST(operator_reader, reads_again_when_the_history_is_compacted) {
     reader_fixture fixture;
     fixture.store.put("op/document", "/first/");
