call: limit the calls that start at a cold upstream

A service may state how many calls a second a cold upstream takes; no decision used it, and four upstreams crashed from calls while cold. The gate beside the upstream now keeps a bucket of starts at that rate, which also counts what started just before the upstream became cold. It holds while the upstream says that it is cold, and for at most the warm-up time when another run of it may have begun unseen (no connection, a crash, an evacuation withdrawn). The lower of this rate and the one that the upstream states binds. A call without room is refused as warming_up with a time of its own to come back, and entries leave the upstream out until then.

--- a/src/call/admission.cpp
+++ b/src/call/admission.cpp
@@ -31,9 +31,15 @@
 /// behind it: upstreams must not get a call half a second after its caller has left.
 constexpr microseconds max_link_delay{400'000};
 
-/// Whether a call that arrives now finds a slot and a start by the stated rate.
+/// Whether the upstream's own rate or that of a cold one limits the starts.
+bool has_rate(const gate_state& gate, instant now) {
+    return gate.rate.calls_per_s || is_cold(gate.warm, now);
+}
+
+/// Whether a call that arrives now finds a slot and a start by the rates.
 bool is_free(const gate_state& gate, instant now) {
-    return gate.running.size() < current_limit(gate.limit) && may_start(gate.rate, now);
+    return gate.running.size() < current_limit(gate.limit) &&
+           wait_for_rates(gate, 0, now).count() == 0;
 }
 
 /// Whether the call would miss its objective after this wait. A call that misses it even without a
@@ -72,14 +78,28 @@
 
 bool may_start_one(const gate_state& gate, instant now) {
     return gate.running.size() < effective_limit(gate) &&
-           (!gate.settings.has_limits || may_start(gate.rate, now));
+           (!gate.settings.has_limits || wait_for_rates(gate, 0, now).count() == 0);
 }
 
 bool is_rate_bound(const gate_state& gate, instant now) {
-    return gate.rate.calls_per_s && gate.running.size() < effective_limit(gate) &&
+    return has_rate(gate, now) && gate.running.size() < effective_limit(gate) &&
            (gate.queue.size > 0 || !may_start_one(gate, now));
 }
 
+microseconds wait_for_rates(const gate_state& gate, std::size_t calls_ahead, instant now) {
+    return std::max(wait_for_start(gate.rate, calls_ahead, now),
+                    wait_for_start(gate.warm, calls_ahead, now));
+}
+
+std::optional<refusal_reason> find_rate_reason(const gate_state& gate, instant now) {
+    if (!is_rate_bound(gate, now)) {
+        return std::nullopt;
+    }
+    const bool is_warm_up = is_cold(gate.warm, now) &&
+                            wait_for_start(gate.warm, 0, now) >= wait_for_start(gate.rate, 0, now);
+    return is_warm_up ? refusal_reason::warming_up : refusal_reason::rate_limited;
+}
+
 int rank_of(std::uint32_t priority, microseconds run_time, bool is_late) {
     const double octaves = std::log2(std::max(1.0, static_cast<double>(run_time.count())));
     return static_cast<int>(std::lround(octaves * ranks_per_octave)) +
@@ -96,8 +116,8 @@
 
 microseconds expected_wait(const gate_state& gate, const queue_position& position, instant now) {
     const auto ahead = sum_work_ahead(gate.queue, position);
-    const auto rate_wait = wait_for_start(gate.rate, ahead.calls, now);
-    if (gate.rate.calls_per_s && gate.running.size() < effective_limit(gate)) {
+    const auto rate_wait = wait_for_rates(gate, ahead.calls, now);
+    if (has_rate(gate, now) && gate.running.size() < effective_limit(gate)) {
         return rate_wait;
     }
     const double limit = std::max(1U, current_limit(gate.limit));
@@ -187,30 +207,27 @@
                        .retry_helps = true,
                        .retry_after = retry_elsewhere_after};
     }
-    const bool is_bound_by_rate = is_rate_bound(gate, now);
+    const auto rate_reason = find_rate_reason(gate, now);
     // An idle gate always tries: its measured latency may be out of date.
-    const bool is_idle = gate.running.empty() && !is_bound_by_rate;
+    const bool is_idle = gate.running.empty() && !rate_reason;
     if (is_idle || !gate.settings.has_limits) {
         return std::nullopt;
     }
     const bool must_wait = !may_start_one(gate, now) || gate.queue.size > 0;
     if (must_wait && request.no_wait) {
-        return refusal{.reason =
-                           is_bound_by_rate ? refusal_reason::rate_limited : refusal_reason::busy,
+        return refusal{.reason = rate_reason.value_or(refusal_reason::busy),
                        .retry_helps = true,
                        .retry_after = retry_delay(gate, request.route, now)};
     }
     const auto wait =
         must_wait ? expected_wait(gate, position_of(gate, request, now), now) : microseconds{0};
     if (now + wait + expected_run_time(gate, request.route) > request.deadline) {
-        return refusal{.reason = is_bound_by_rate ? refusal_reason::rate_limited
-                                                  : refusal_reason::deadline,
+        return refusal{.reason = rate_reason.value_or(refusal_reason::deadline),
                        .retry_helps = must_wait,
                        .retry_after = retry_delay(gate, request.route, now)};
     }
     if (must_wait && would_miss_objective(gate, request, wait, now)) {
-        return refusal{.reason = is_bound_by_rate ? refusal_reason::rate_limited
-                                                  : refusal_reason::queue_full,
+        return refusal{.reason = rate_reason.value_or(refusal_reason::queue_full),
                        .retry_helps = true,
                        .retry_after = retry_delay(gate, request.route, now)};
     }
--- a/src/call/admission.h
+++ b/src/call/admission.h
@@ -19,6 +19,7 @@
 /// - An upstream that states a rate: calls start at that rate, in the same order as for slots, and
 ///   those that it lets start too late are refused at once. Short overloads of some upstreams move
 ///   to others; a lasting overload of all is refused with the time of the next start.
+/// - A cold upstream: the same by the rate of its service (see warm_up.h); the lower rate binds.
 /// - Lasting overload: a share of the starts goes to the calls that have waited longest, so that no
 ///   route starves.
 namespace cyclamenhatch::call {
@@ -35,12 +36,20 @@
 /// Number of calls that may run at once.
 [[nodiscard]] std::uint32_t effective_limit(const gate_state& gate);
 
-/// Whether a slot is free and the stated rate allows a start.
+/// Whether a slot is free and the rates allow a start.
 [[nodiscard]] bool may_start_one(const gate_state& gate, instant now);
 
-/// Whether calls must wait for the stated rate although a slot is free.
+/// Whether calls must wait for a rate, stated or of a cold upstream, although a slot is free.
 [[nodiscard]] bool is_rate_bound(const gate_state& gate, instant now);
 
+/// Time until the rates let a call start that has `calls_ahead` others before it.
+[[nodiscard]] microseconds wait_for_rates(const gate_state& gate, std::size_t calls_ahead,
+                                          instant now);
+
+/// The reason to refuse a call that must wait for a rate; nothing while is_rate_bound() is false.
+[[nodiscard]] std::optional<msg::refusal_reason> find_rate_reason(const gate_state& gate,
+                                                                  instant now);
+
 /// Rank of a call in the queue; the lowest starts first.
 [[nodiscard]] int rank_of(std::uint32_t priority, microseconds run_time, bool is_late);
 
--- a/src/call/choose_endpoint.cpp
+++ b/src/call/choose_endpoint.cpp
@@ -91,17 +91,37 @@
     std::vector<candidate> near_with_room;
     std::vector<candidate> far;
     std::vector<candidate> with_room;
+    /// Cold ones whose turn hasn't come.
+    std::vector<candidate> cold;
     std::vector<candidate> ejected;
 };
 
-candidate_lists sort_candidates(const choice_input& input, load_table& loads, instant now) {
+/// Entries that learn of a cold upstream together don't ask it together: each draws its turn. One
+/// that knows none of the endpoints has itself just started, and can't tell when they became cold.
+void draw_first_turn(const choice_input& input, const endpoint& target, endpoint_load& load,
+                     bool knows_others, instant now, random_source& random) {
+    const auto cold_us = static_cast<std::uint64_t>(microseconds(target.warm_up_time).count());
+    if (knows_others && cold_us > 0 && input.warm_up_calls_per_s > 0) {
+        load.next_turn = now + microseconds(static_cast<std::int64_t>(random() % cold_us));
+    }
+}
+
+candidate_lists sort_candidates(const choice_input& input, load_table& loads, instant now,
+                                random_source& random) {
     candidate_lists lists;
+    const bool knows_others =
+        std::any_of(input.endpoints.begin(), input.endpoints.end(),
+                    [&](const endpoint& target) { return loads.contains(target.node); });
     for (const auto& target : input.endpoints) {
         if (!input.versions.allows(target.version) || target.state != msg::upstream_state::ready ||
             std::find(input.tried.begin(), input.tried.end(), target.node) != input.tried.end()) {
             continue;
         }
-        const candidate next{&target, &get_or_create_load(loads, target, now)};
+        auto& load = get_or_create_load(loads, target, now);
+        if (load.ready_since == now && load.is_unasked && load.next_turn == instant{}) {
+            draw_first_turn(input, target, load, knows_others, now, random);
+        }
+        const candidate next{&target, &load};
         if (is_leaving(*next.load, target)) {
             continue;
         }
@@ -109,6 +129,10 @@
             lists.ejected.push_back(next);
             continue;
         }
+        if (must_wait_for_turn(load, now)) {
+            lists.cold.push_back(next);
+            continue;
+        }
         const bool is_near = target.data_centre == input.data_centre && !target.is_suspect;
         (is_near ? lists.near : lists.far).push_back(next);
         if (must_wait_for_rate(next, input.route, now)) {
@@ -192,15 +216,15 @@
 
 const endpoint* choose_endpoint(const choice_input& input, load_table& loads, instant now,
                                 random_source& random) {
-    const auto lists = sort_candidates(input, loads, now);
+    const auto lists = sort_candidates(input, loads, now, random);
     // Only first attempts serve as probes: a retry should complete the call.
     if (input.tried.empty()) {
         if (const auto* probe = find_due_probe(lists)) {
             return probe;
         }
     }
-    for (const auto* list :
-         {&lists.near_with_room, &lists.with_room, &lists.near, &lists.far, &lists.ejected}) {
+    for (const auto* list : {&lists.near_with_room, &lists.with_room, &lists.near, &lists.far,
+                             &lists.cold, &lists.ejected}) {
         if (const auto* chosen = better_of_two(*list, now, random)) {
             return chosen;
         }
--- a/src/call/choose_endpoint.h
+++ b/src/call/choose_endpoint.h
@@ -19,6 +19,8 @@
     /// Nodes to which this call has already been sent.
     const std::vector<node_id>& tried;
     const route_id& route;
+    /// Calls a second that a cold upstream of the service takes; 0 for no limit.
+    double warm_up_calls_per_s = 0;
 };
 
 /// Chooses the versions for one call by the service's version share. Calls with the same key get
@@ -29,7 +31,8 @@
                                             random_source& random);
 
 /// Chooses the better of two random endpoints of the version, in the entry's data centre while one
-/// there has room. Considers only ready endpoints that are not ejected and were not tried; falls
+/// there has room. A cold endpoint is left out until the entry's turn comes, unless no other is
+/// left. Considers only ready endpoints that are not ejected and were not tried; falls
 /// back to ejected ones when no others are left. Null when there is none.
 [[nodiscard]] const endpoint* choose_endpoint(const choice_input& input, load_table& loads,
                                               instant now, random_source& random);
--- a/src/call/entry_call.cpp
+++ b/src/call/entry_call.cpp
@@ -215,7 +215,8 @@
 bool may_ask_again(msg::refusal_reason reason, const entry_call& state) {
     const bool was_no_wait = state.current->target.has_room && !state.may_wait;
     return reason == msg::refusal_reason::busy || reason == msg::refusal_reason::delayed ||
-           (reason == msg::refusal_reason::rate_limited && was_no_wait);
+           (was_no_wait && (reason == msg::refusal_reason::rate_limited ||
+                            reason == msg::refusal_reason::warming_up));
 }
 
 void on_event(entry_call& state, const refused_event& event, const entry_context& context,
--- a/src/call/gate.cpp
+++ b/src/call/gate.cpp
@@ -32,14 +32,18 @@
     refused.slots = load.slots;
     refused.wait_us = load.wait_us;
     refused.gate_instance = gate.instance;
-    refused.calls_per_s = gate.rate.calls_per_s.value_or(0);
+    refused.calls_per_s = rate_in_force(gate, now).value_or(0);
+    refused.cold_ms = static_cast<std::uint32_t>(cold_left(gate.warm, now).count());
     refused.upstream_leaves = gate.is_upstream_leaving;
     return refused;
 }
 
 /// Ends a call that did not run or has no answer, and refuses it to its waiter.
-void refuse(gate_state& gate, const call_id& call, const refusal& details, instant now,
+void refuse(gate_state& gate, const call_id& call, refusal details, instant now,
             gate_actions& out) {
+    if (details.reason == refusal_reason::warming_up) {
+        details.retry_after = take_turn(gate.warm, details.retry_after, now);
+    }
     ++gate.counters.refused[static_cast<std::size_t>(details.reason)];
     auto refused = make_refusal(gate, call, details, now);
     const auto waiter = gate.memory.calls[call].waiter;
@@ -54,6 +58,7 @@
     entry.state = memory_state::running;
     gate.running.emplace(call, running_call{owner, entry.route, now, deadline});
     note_start(gate.rate, now);
+    note_start(gate.warm, now);
     ++gate.shares.owners[owner].running;
     ++gate.counters.dispatched;
     out.emplace_back(run_action{call});
@@ -92,8 +97,7 @@
 }
 
 refusal make_queue_full_refusal(const gate_state& gate, const route_id& route, instant now) {
-    return {.reason = is_rate_bound(gate, now) ? refusal_reason::rate_limited
-                                               : refusal_reason::queue_full,
+    return {.reason = find_rate_reason(gate, now).value_or(refusal_reason::queue_full),
             .retry_helps = true,
             .retry_after = retry_delay(gate, route, now)};
 }
@@ -164,28 +168,38 @@
     }
 }
 
-/// Refuses the queued calls that the stated rate lets start only after their deadline.
+refusal_reason find_hopeless_reason(const gate_state& gate, instant now) {
+    return find_rate_reason(gate, now).value_or(refusal_reason::rate_limited);
+}
+
+/// Refuses the queued calls that the rates let start only after their deadline.
 void refuse_hopeless(gate_state& gate, instant now, gate_actions& out) {
-    if (!gate.rate.calls_per_s) {
+    if (!rate_in_force(gate, now)) {
         return;
     }
     std::size_t calls_ahead = 0;
     for (const auto& waiting : list_in_order(gate.queue)) {
         const auto& call = waiting.place->second;
-        const auto start_at = now + wait_for_start(gate.rate, calls_ahead, now);
+        const auto start_at = now + wait_for_rates(gate, calls_ahead, now);
         if (start_at + call.run_time <= call.deadline) {
             ++calls_ahead;
             continue;
         }
         const auto route = gate.memory.calls[call.call].route;
         refuse_queued(gate, waiting,
-                      {.reason = refusal_reason::rate_limited,
+                      {.reason = find_hopeless_reason(gate, now),
                        .retry_helps = true,
                        .retry_after = retry_delay(gate, route, now)},
                       now, out);
     }
 }
 
+/// Whether no connection to the upstream could be made.
+bool is_unreachable(const upstream_end& end) {
+    return end.is_not_run && !end.held_for &&
+           end.not_run_reason == refusal_reason::upstream_unreachable;
+}
+
 void stop_running(gate_state& gate, const call_id& call, instant now) {
     const auto it = gate.running.find(call);
     note_stop(gate.routes, it->second.route, now);
@@ -310,6 +324,9 @@
             out.emplace_back(send_answer_action{waiter, end.answer});
         }
     } else {
+        if (is_unreachable(end)) {
+            note_doubt(gate.warm, cold_reason::unreachable, now);
+        }
         refuse(gate, call, make_end_refusal(end), now, out);
     }
     out.emplace_back(release_action{call});
@@ -346,6 +363,7 @@
     gate.service = service_id(upstream.service);
     gate.version = version_id(upstream.version);
     gate.upstream = upstream.state;
+    note_stated(gate.warm, milliseconds{upstream.cold_ms}, now);
     gate.limit.is_adaptive = gate.settings.has_adaptive_limit;
     set_slots(gate.limit, upstream.slots);
     refuse_queued_when_closed(gate, now, out);
@@ -373,8 +391,17 @@
     return out;
 }
 
+gate_actions on_warm_up_terms(gate_state& gate, const std::optional<warm_up_terms>& terms,
+                              instant now) {
+    gate_actions out;
+    set_terms(gate.warm, terms, now);
+    fill_slots(gate, now, out);
+    return out;
+}
+
 void begin_upstream_run(gate_state& gate) {
     gate.rate = {};
+    begin_run(gate.warm);
     gate.is_upstream_leaving = false;
 }
 
--- a/src/call/gate.h
+++ b/src/call/gate.h
@@ -8,6 +8,7 @@
 #include "call/owner_shares.h"
 #include "call/rate_limit.h"
 #include "call/route_use.h"
+#include "call/warm_up.h"
 
 #include <array>
 #include <cstdint>
@@ -99,6 +100,7 @@
     std::uint32_t starts_in_order = 0;
     concurrency_limit limit;
     rate_limit rate;
+    warm_up warm;
     owner_shares shares;
     gate_queue queue;
     std::unordered_map<call_id, running_call> running;
@@ -178,6 +180,11 @@
 [[nodiscard]] gate_actions on_stated_rate(gate_state& gate, const call_id& call,
                                           std::optional<double> calls_per_s, instant now);
 
+/// Applies what the service states about cold upstreams; nothing while its configuration is
+/// unknown. Queued calls that may start are started.
+[[nodiscard]] gate_actions on_warm_up_terms(gate_state& gate,
+                                            const std::optional<warm_up_terms>& terms, instant now);
+
 /// Forgets what the upstream has said about itself in its answers: another run of it has begun.
 void begin_upstream_run(gate_state& gate);
 
@@ -197,6 +204,10 @@
 /// The node that waits for the call's end; empty when the call is not known.
 [[nodiscard]] node_id waiter_of(const gate_state& gate, const call_id& call);
 
+/// Calls a second that the upstream takes now: the lower one of the rate that it states and, while
+/// it is cold, that of its service. Nothing for no limit.
+[[nodiscard]] std::optional<double> rate_in_force(const gate_state& gate, instant now);
+
 /// The load to report with the answer or the refusal of a call; the wait is that of its route.
 [[nodiscard]] load_report current_load(const gate_state& gate, const call_id& call, instant now);
 
--- a/src/call/gate_state.cpp
+++ b/src/call/gate_state.cpp
@@ -1,6 +1,8 @@
 #include "call/admission.h"
 #include "call/gate.h"
 
+#include <algorithm>
+
 /// What a gate tells of its calls and its load.
 namespace cyclamenhatch::call {
 
@@ -15,6 +17,14 @@
     return it == gate.memory.calls.end() ? node_id{} : it->second.waiter;
 }
 
+std::optional<double> rate_in_force(const gate_state& gate, instant now) {
+    const auto warm_up_rate = calls_per_s(gate.warm, now);
+    if (warm_up_rate && gate.rate.calls_per_s) {
+        return std::min(*warm_up_rate, *gate.rate.calls_per_s);
+    }
+    return warm_up_rate ? warm_up_rate : gate.rate.calls_per_s;
+}
+
 load_report current_load(const gate_state& gate, const call_id& call, instant now) {
     const auto it = gate.memory.calls.find(call);
     const auto wait = it == gate.memory.calls.end()
--- a/src/call/load_table.cpp
+++ b/src/call/load_table.cpp
@@ -42,6 +42,8 @@
 void follow_run(endpoint_load& load, const endpoint& target) {
     if (!is_same_run(load, target.instance, target.started_ms)) {
         load.notice = {};
+        load.cold_until = {};
+        load.next_turn = {};
         load.instance = target.instance;
         load.started_ms = target.started_ms;
     }
@@ -59,6 +61,8 @@
         const auto started_ms = load.started_ms;
         const auto notice = load.notice;
         const auto noted_at = load.noted_at;
+        const auto cold_until = load.cold_until;
+        const auto next_turn = load.next_turn;
         load = {};
         load.in_flight = in_flight;
         load.gate_instance = gate_instance;
@@ -66,6 +70,8 @@
         load.started_ms = started_ms;
         load.notice = notice;
         load.noted_at = noted_at;
+        load.cold_until = cold_until;
+        load.next_turn = next_turn;
         load.incarnation = target.incarnation;
         load.ready_since = now;
         load.used_at = now;
@@ -105,8 +111,11 @@
     // Without an instance id a new run could not be told from the one that left; then the gate
     // alone refuses.
     const bool is_leaving = load.notice.is_leaving || (notice.is_leaving && !instance.empty());
-    load.notice = {.calls_per_s = notice.calls_per_s, .is_leaving = is_leaving};
+    load.notice = {
+        .calls_per_s = notice.calls_per_s, .is_leaving = is_leaving, .cold_left = notice.cold_left};
     load.noted_at = now;
+    load.cold_until = now + notice.cold_left;
+    load.is_unasked = false;
 }
 
 bool is_leaving(const endpoint_load& load, const endpoint& target) {
@@ -115,7 +124,10 @@
 
 double usable_slots(const endpoint& target, const endpoint_load& load, instant now) {
     const auto slots = std::max(1.0, static_cast<double>(target.slots));
-    const bool is_limited = load.notice.calls_per_s > 0 && now - load.noted_at <= rate_lifetime;
+    // The rate of a cold upstream ends with its warm-up.
+    const bool is_over = load.notice.cold_left.count() > 0 && !is_cold(load, now);
+    const bool is_limited =
+        load.notice.calls_per_s > 0 && now - load.noted_at <= rate_lifetime && !is_over;
     if (!is_limited || load.latency.count() == 0) {
         return slots;
     }
@@ -133,6 +145,18 @@
     }
 }
 
+void note_turn(endpoint_load& load, milliseconds wait, instant now) {
+    load.next_turn = now + wait;
+}
+
+bool must_wait_for_turn(const endpoint_load& load, instant now) {
+    return now < load.next_turn && (load.is_unasked || is_cold(load, now));
+}
+
+bool is_cold(const endpoint_load& load, instant now) {
+    return now < load.cold_until;
+}
+
 void note_ended(endpoint_load& load, attempt_end end, microseconds latency, bool may_eject,
                 microseconds ejection, instant now) {
     load.in_flight -= load.in_flight > 0 ? 1 : 0;
--- a/src/call/load_table.h
+++ b/src/call/load_table.h
@@ -44,6 +44,8 @@
     /// Calls a second that it takes from all nodes together; 0 for no limit.
     double calls_per_s = 0;
     bool is_leaving = false;
+    /// How long it stays cold; while it does, `calls_per_s` may be the rate of its service.
+    milliseconds cold_left{0};
 };
 
 /// How one attempt ended, as the entry saw it.
@@ -82,6 +84,12 @@
     std::uint64_t started_ms = 0;
     upstream_notice notice;
     instant noted_at{};
+    /// Until when the upstream is cold, by its notice.
+    instant cold_until{};
+    /// When a cold upstream may be asked again; its turn among all entries.
+    instant next_turn{};
+    /// Nothing is known of this record of the endpoint but the record itself.
+    bool is_unasked = true;
     instant ready_since{};
     instant used_at{};
     /// End of the ejection. After it, one call at a time is sent as a probe, and the field is reset
@@ -121,6 +129,15 @@
 /// that refuses at once would otherwise look idle and attract all calls.
 void note_refusal(endpoint_load& load, msg::refusal_reason reason, instant now);
 
+/// Records that a cold upstream has no start before the end of this time.
+void note_turn(endpoint_load& load, milliseconds wait, instant now);
+
+/// Whether the endpoint is cold and this entry's turn hasn't come.
+[[nodiscard]] bool must_wait_for_turn(const endpoint_load& load, instant now);
+
+/// Whether the upstream is cold, by its notice.
+[[nodiscard]] bool is_cold(const endpoint_load& load, instant now);
+
 /// Records the end of an attempt. Ejects the endpoint when it failed too often and `may_eject`
 /// allows it.
 void note_ended(endpoint_load& load, attempt_end end, microseconds latency, bool may_eject,
