edge: connect the limit of cold upstreams to calls, log and metrics

The gate reads the warm-up terms of its upstream's service from the configuration, takes each announcement's cold time, and states rate and cold time with each answer and refusal. Entries leave a cold upstream out until their turn and draw the first one at random. An upstream that became cold or warm is logged with the reason; gate_cold_ms shows the time left. No health check is sent: a gate lets no call start before the first announcement, which states the cold time.

--- a/src/edge/call_headers.cpp
+++ b/src/edge/call_headers.cpp
@@ -73,6 +73,8 @@
         return "no slot is free";
     case refusal_reason::rate_limited:
         return "the upstream takes no more calls now";
+    case refusal_reason::warming_up:
+        return "the upstream is cold and takes no more calls now";
     case refusal_reason::upstream_refused:
         return "the upstream did not take the call";
     case refusal_reason::wrong_instance:
--- a/src/edge/call_path.cpp
+++ b/src/edge/call_path.cpp
@@ -245,6 +245,7 @@
                                      .send_to_gate = {},
                                      .histograms = histograms},
       gate{.self = self,
+           .data_centre = data_centre_id(all_settings.identity->data_centre),
            .link_window = link_window_from(*all_settings.listen),
            .client = make_upstream_client(io),
            .send_to_entry = {},
--- a/src/edge/call_report.cpp
+++ b/src/edge/call_report.cpp
@@ -31,6 +31,7 @@
                            {"reported_in_flight", std::int64_t{load.reported.in_flight}},
                            {"calls_per_s", load.notice.calls_per_s},
                            {"is_leaving", load.notice.is_leaving},
+                           {"is_cold", call::is_cold(load, now)},
                            {"reported_queue", std::int64_t{load.reported.queue}},
                            {"reported_slots", std::int64_t{load.reported.slots}}};
 }
@@ -103,6 +104,7 @@
 document dump_gate(const gate_side& side) {
     const std::lock_guard guard(side.lock);
     const auto& gate = side.gate;
+    const auto now = current_time();
     const auto& counters = gate.counters;
     return document::table{{"service", gate.service.value},
                            {"version", gate.version.value},
@@ -110,6 +112,8 @@
                            {"is_draining", gate.is_draining},
                            {"is_upstream_leaving", gate.is_upstream_leaving},
                            {"calls_per_s", gate.rate.calls_per_s.value_or(0)},
+                           {"cold_ms", std::int64_t{cold_left(gate.warm, now).count()}},
+                           {"cold_reason", std::string(call::name_of(gate.warm.reason))},
                            {"slots", std::int64_t{gate.limit.slots}},
                            {"limit", std::int64_t{call::current_limit(gate.limit)}},
                            {"running", to_number(gate.running.size())},
@@ -128,7 +132,7 @@
                            {"reattached", to_number(counters.reattached)},
                            {"cancelled", to_number(counters.cancelled)},
                            {"refused", dump_refusals(counters)},
-                           {"calls", dump_flows(side, current_time())}};
+                           {"calls", dump_flows(side, now)}};
 }
 
 double slot_seconds(std::uint64_t slot_us) {
@@ -203,6 +207,8 @@
     add_gauge(out, "gate_running", gate.running.size());
     out += "# TYPE cyclamenhatch_gate_rate_limit gauge\n";
     add_line(out, "gate_rate_limit", {}, std::to_string(gate.rate.calls_per_s.value_or(0)));
+    add_gauge(out, "gate_cold_ms",
+              static_cast<std::uint64_t>(cold_left(gate.warm, current_time()).count()));
     add_gauge(out, "gate_queued", gate.queue.size);
     add_gauge(out, "gate_remembered_bytes", gate.memory.answer_bytes);
     add_counter(out, "gate_dispatched_total", gate.counters.dispatched);
--- a/src/edge/entry_side.cpp
+++ b/src/edge/entry_side.cpp
@@ -274,7 +274,9 @@
     const auto now = current_time();
     const call::load_report load{message.in_flight, message.queue, message.slots, message.wait_us};
     call::note_report(side.loads[sender], flow->route, load, message.gate_instance, now);
-    note_upstream(side, *flow, {message.calls_per_s, message.upstream_leaves}, now);
+    note_upstream(side, *flow,
+                  {message.calls_per_s, message.upstream_leaves, milliseconds(message.cold_ms)},
+                  now);
     record_segments(side, *flow, message, now);
     call::note(side.answer_times[flow->route], now - flow->received_at, now);
     flow->length = find_answer_length(message.status, flow->request.method, message.headers);
@@ -307,7 +309,12 @@
     const call::load_report load{message.in_flight, message.queue, message.slots, message.wait_us};
     const auto now = current_time();
     call::note_report(side.loads[sender], flow->route, load, message.gate_instance, now);
-    note_upstream(side, *flow, {message.calls_per_s, message.upstream_leaves}, now);
+    note_upstream(side, *flow,
+                  {message.calls_per_s, message.upstream_leaves, milliseconds(message.cold_ms)},
+                  now);
+    if (message.reason == msg::refusal_reason::warming_up) {
+        call::note_turn(side.loads[sender], milliseconds(message.retry_after_ms), now);
+    }
     call::note_refusal(side.loads[sender], message.reason, now);
     const call::refusal refusal{.outcome = message.outcome,
                                 .reason = message.reason,
--- a/src/edge/entry_steps.cpp
+++ b/src/edge/entry_steps.cpp
@@ -24,6 +24,15 @@
     return it == view.endpoints.end() ? none : it->second;
 }
 
+/// Calls a second that a cold upstream of the service takes; 0 for no limit.
+double find_warm_up_rate(const call::routing_view& view, const service_id& service) {
+    if (!view.config) {
+        return 0;
+    }
+    const auto it = view.config->sections.find(service);
+    return it == view.config->sections.end() ? 0 : it->second->content.service.warm_up_calls_per_s;
+}
+
 /// The refusal of a call that is not worth sending: by recent reports of all gates that may take
 /// it, it would queue past its latency objective or, after that, its deadline.
 std::optional<call::refusal> find_wait_refusal(const entry_side& side, const entry_flow& flow,
@@ -52,7 +61,8 @@
                                    .versions = flow.versions,
                                    .data_centre = side.data_centre,
                                    .tried = tried,
-                                   .route = flow.route};
+                                   .route = flow.route,
+                                   .warm_up_calls_per_s = find_warm_up_rate(*view, flow.service)};
     flow.state.no_endpoint_reason = find_wait_refusal(side, flow, input, now);
     if (flow.state.no_endpoint_reason) {
         return std::nullopt;
@@ -64,16 +74,18 @@
     auto& load = call::get_or_create_load(side.loads, *chosen, now);
     const bool has_room = call::has_room(*chosen, load, now);
     call::note_opened(load, now);
-    return call::attempt_target{.call = {side.random(), side.random()},
-                                .node = chosen->node,
-                                .address = chosen->link,
-                                .data_centre = chosen->data_centre,
-                                .version = chosen->version,
-                                .has_room = has_room,
-                                .gate_instance = load.gate_instance,
-                                .instance = load.instance,
-                                .started_ms = load.started_ms,
-                                .calls_per_s = load.notice.calls_per_s};
+    return call::attempt_target{
+        .call = {side.random(), side.random()},
+        .node = chosen->node,
+        .address = chosen->link,
+        .data_centre = chosen->data_centre,
+        .version = chosen->version,
+        .has_room = has_room,
+        .gate_instance = load.gate_instance,
+        .instance = load.instance,
+        .started_ms = load.started_ms,
+        // A restarted gate knows itself how fast a cold upstream is called.
+        .calls_per_s = load.notice.cold_left.count() > 0 ? 0 : load.notice.calls_per_s};
 }
 
 call::sample_kind kind_of(call::attempt_end end) {
--- a/src/edge/gate_crashes.cpp
+++ b/src/edge/gate_crashes.cpp
@@ -43,6 +43,7 @@
     call::note_probe(side.crashes, is_refused, now);
     if (side.crashes.phase == call::crash_phase::collecting) {
         side.crashed = {side.gate.service, side.gate.version, side.instance, {}};
+        call::note_doubt(side.gate.warm, call::cold_reason::crashed, now);
     }
     step.crash = take_crash(side, now);
     guard.unlock();
--- a/src/edge/gate_side.cpp
+++ b/src/edge/gate_side.cpp
@@ -8,6 +8,7 @@
 #include "edge/gate_crashes.h"
 #include "edge/gate_log.h"
 #include "edge/gate_request.h"
+#include "edge/gate_warm_up.h"
 #include "edge/upstream_connection.h"
 #include "edge/upstream_headers.h"
 #include "model/handler_guard.h"
@@ -38,9 +39,14 @@
 
 void perform(gate_side& side, call::gate_actions actions);
 
+void append(call::gate_actions& actions, call::gate_actions&& more) {
+    std::move(more.begin(), more.end(), std::back_inserter(actions));
+}
+
 std::shared_ptr<msg::call_answer_msg> make_answer(const gate_side& side, const gate_flow& flow,
                                                   answer_head head, body_piece piece) {
-    const auto load = call::current_load(side.gate, flow.call, current_time());
+    const auto now = current_time();
+    const auto load = call::current_load(side.gate, flow.call, now);
     auto answer = std::make_shared<msg::call_answer_msg>();
     answer->call = call::make_key(flow.call);
     answer->status = static_cast<std::uint16_t>(head.status);
@@ -54,7 +60,8 @@
     answer->gate_us = static_cast<std::uint32_t>(flow.queue_time.count());
     answer->upstream_us = static_cast<std::uint32_t>(flow.upstream_time.count());
     answer->gate_instance = side.gate.instance;
-    answer->calls_per_s = side.gate.rate.calls_per_s.value_or(0);
+    answer->calls_per_s = call::rate_in_force(side.gate, now).value_or(0);
+    answer->cold_ms = static_cast<std::uint32_t>(call::cold_left(side.gate.warm, now).count());
     answer->upstream_leaves = side.gate.is_upstream_leaving;
     return answer;
 }
@@ -91,9 +98,8 @@
     const auto rate = side.gate.rate.calls_per_s;
     const bool begins_to_leave = statement.is_leaving && !side.gate.is_upstream_leaving;
     if (begins_to_leave) {
-        auto refusals = call::on_upstream_leaving(side.gate, now);
+        append(actions, call::on_upstream_leaving(side.gate, now));
         watch_state(side);
-        std::move(refusals.begin(), refusals.end(), std::back_inserter(actions));
     }
     const auto instance = side.instance;
     guard.unlock();
@@ -357,9 +363,13 @@
 void on_upstream(gate_side& side, const msg::upstream_record_msg& upstream) {
     lock_type guard(side.lock);
     follow_run(side, upstream);
-    auto actions = call::on_upstream_change(side.gate, upstream, current_time());
+    const auto now = current_time();
+    auto actions = call::on_upstream_change(side.gate, upstream, now);
+    append(actions, apply_warm_up_terms(side, now));
     watch_state(side);
+    const auto event = watch_cold(side, now);
     guard.unlock();
+    log_cold(side, event);
     perform(side, std::move(actions));
 }
 
@@ -374,16 +384,21 @@
 void on_timer(gate_side& side, const snapshot_ptr& config) {
     lock_type guard(side.lock);
     const auto now = current_time();
-    if (config && config != side.reservations_config) {
-        side.reservations_config = config;
+    call::gate_actions actions;
+    if (config && config != side.applied_config) {
+        side.applied_config = config;
         call::on_reservations(side.gate, call::collect_reservations(*config), now);
+        actions = apply_warm_up_terms(side, now);
+        watch_evacuation(side, now);
     }
-    auto actions = call::on_gate_timer(side.gate, now);
+    append(actions, call::on_gate_timer(side.gate, now));
+    const auto event = watch_cold(side, now);
     const auto overdue = find_overdue(side, now);
     const auto dropped = trim_undelivered(side, now);
     auto watched = watch_time(side, now);
     guard.unlock();
     carry_out(side, std::move(watched));
+    log_cold(side, event);
     for (const auto& answer : dropped) {
         log_dropped(side, answer);
     }
--- a/src/edge/gate_side.h
+++ b/src/edge/gate_side.h
@@ -71,6 +71,7 @@
 /// upstream client's lock may be taken under it, nothing else.
 struct gate_side {
     const node_id self;
+    const data_centre_id data_centre;
     /// Limit for the bytes in flight to other nodes, over all answers.
     const std::uint64_t link_window;
     std::shared_ptr<upstream_client> client;
@@ -105,7 +106,14 @@
     std::unordered_map<call_id, gate_flow_ptr> undelivered;
     /// Calls whose next piece waits for room on the link, first come first served.
     std::deque<gate_flow_ptr> held_back;
-    snapshot_ptr reservations_config;
+    /// The configuration by which the gate last set reservations and warm-up terms; may be null.
+    snapshot_ptr applied_config;
+    /// Whether the log shows the upstream as cold.
+    bool is_cold_logged = false;
+    /// Calls refused for the warm-up before the upstream became cold.
+    std::uint64_t refused_before_cold = 0;
+    /// Whether the data centre was evacuated by the last configuration.
+    bool was_evacuated = false;
     call::crash_watch crashes;
     /// The run of the upstream that has crashed, while its calls are collected.
     call::upstream_crash crashed;
--- /dev/null
+++ b/src/edge/gate_warm_up.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "edge/gate_side.h"
+
+#include <optional>
+
+/// Connects the gate's warm-up limit to the configuration and the log.
+namespace cyclamenhatch::edge {
+
+/// Applies what the configuration states about cold upstreams of the announced service.
+/// Precondition: the lock is held.
+[[nodiscard]] call::gate_actions apply_warm_up_terms(gate_side& side, instant now);
+
+/// Follows the evacuation of this data centre by the last configuration: upstreams may be cold when
+/// it is withdrawn. Precondition: the lock is held.
+void watch_evacuation(gate_side& side, instant now);
+
+/// The event to log when the upstream has become cold or warm. Precondition: the lock is held.
+[[nodiscard]] std::optional<log_event> watch_cold(gate_side& side, instant now);
+
+/// Precondition: the lock is not held.
+void log_cold(const gate_side& side, const std::optional<log_event>& event);
+
+} // namespace cyclamenhatch::edge
--- a/tests/call/choice_test.cpp
+++ b/tests/call/choice_test.cpp
@@ -44,7 +44,8 @@
         const data_centre_id data_centre("milan");
         const route_id route("browse");
         const auto* chosen =
-            choose_endpoint({endpoints, version, data_centre, tried, route}, loads, now, random);
+            choose_endpoint({endpoints, version, data_centre, tried, route, warm_up_calls_per_s},
+                            loads, now, random);
         return chosen == nullptr ? "none" : chosen->node.value;
     }
 
@@ -64,6 +65,7 @@
                                     make_endpoint("c", "turin")};
     load_table loads;
     std::vector<node_id> tried;
+    double warm_up_calls_per_s = 0;
     random_source random{1};
     instant now{};
 };
@@ -190,6 +192,39 @@
          fixture.load("c").in_flight = 4;
      },
      100, 100},
+    {"warming_up_before_its_turn",
+     [](choice_fixture& fixture) {
+         note_upstream(fixture.load("a"), "run-a", 7,
+                       {.calls_per_s = 200, .cold_left = milliseconds{2'000}}, fixture.now);
+         note_turn(fixture.load("a"), milliseconds{500}, fixture.now);
+         fixture.load("b").in_flight = 3;
+     },
+     0, 0},
+    {"warming_up_at_its_turn",
+     [](choice_fixture& fixture) {
+         const auto before = fixture.now - microseconds(600'000);
+         note_upstream(fixture.load("a"), "run-a", 7,
+                       {.calls_per_s = 200, .cold_left = milliseconds{2'000}}, before);
+         note_turn(fixture.load("a"), milliseconds{500}, before);
+         fixture.load("b").in_flight = 3;
+     },
+     100, 100},
+    {"warming_up_is_better_than_none",
+     [](choice_fixture& fixture) {
+         note_upstream(fixture.load("a"), "run-a", 7,
+                       {.calls_per_s = 200, .cold_left = milliseconds{2'000}}, fixture.now);
+         note_turn(fixture.load("a"), milliseconds{500}, fixture.now);
+         fixture.endpoints.resize(1);
+     },
+     100, 100},
+    {"warm_again",
+     [](choice_fixture& fixture) {
+         const auto before = fixture.now - microseconds(200'000);
+         note_upstream(fixture.load("a"), "run-a", 7,
+                       {.calls_per_s = 20, .cold_left = milliseconds{100}}, before);
+         note_turn(fixture.load("a"), milliseconds{500}, before);
+     },
+     45, 55},
     {"says_that_it_leaves",
      [](choice_fixture& fixture) {
          note_upstream(fixture.load("a"), "run-a", 7, {.is_leaving = true}, fixture.now);
@@ -214,6 +249,30 @@
 INSTANTIATE_TEST_SUITE_P(rows, choice, ::testing::ValuesIn(choice_rows),
                          [](const auto& row) { return std::string(row.param.name); });
 
+/// Guards against entries that learn of a cold upstream together and ask it together, and against a
+/// part in this for services that state no rate.
+TEST(entries, ask_a_cold_endpoint_first_at_different_times) {
+    for (const double calls_per_s : {8.9, 0.0}) {
+        int asked_at_once = 0;
+        for (std::uint64_t entry = 0; entry < 200; ++entry) {
+            choice_fixture fixture;
+            fixture.random = random_source{entry};
+            fixture.load("b").in_flight = 4;
+            fixture.endpoints[0].incarnation = 2;
+            fixture.endpoints[0].started_ms = 8;
+            fixture.endpoints[0].warm_up_time = milliseconds{3'000};
+            fixture.warm_up_calls_per_s = calls_per_s;
+            fixture.now += microseconds(300'000);
+            asked_at_once += fixture.pick_one() == "a" ? 1 : 0;
+        }
+        if (calls_per_s > 0) {
+            EXPECT_LT(asked_at_once, 10);
+        } else {
+            EXPECT_EQ(asked_at_once, 200);
+        }
+    }
+}
+
 /// Guards against calls to an upstream that has said that it leaves, after the node beside it has
 /// restarted and announces it as ready (DRAIN).
 TEST(leaving_endpoint, is_remembered_for_its_run_only) {
--- a/tests/edge/joined_paths.cpp
+++ b/tests/edge/joined_paths.cpp
@@ -52,8 +52,10 @@
     return result;
 }
 
-snapshot_ptr make_config() {
+snapshot_ptr make_config(double warm_up_calls_per_s = 0, milliseconds warm_up_time = {}) {
     section part;
+    part.service.warm_up_calls_per_s = warm_up_calls_per_s;
+    part.service.warm_up_time = warm_up_time;
     part.service.name = service_id("ledger");
     part.service.owner = owner_id("members");
     part.service.version = version_id("v1");
@@ -245,8 +247,22 @@
 }
 
 void joined_paths::announce(msg::upstream_state state, std::uint16_t port,
-                            const std::string& instance) {
-    set_upstream(*gate_, make_record(state, instance), port);
+                            const std::string& instance, milliseconds cold_for) {
+    auto record = make_record(state, instance);
+    record.cold_ms = static_cast<std::uint32_t>(cold_for.count());
+    set_upstream(*gate_, record, port);
+}
+
+void joined_paths::set_warm_up(double calls_per_s, milliseconds warm_up_time) {
+    const std::lock_guard guard(lock_);
+    auto view = std::make_shared<call::routing_view>(*view_);
+    view->config = make_config(calls_per_s, warm_up_time);
+    view_ = std::move(view);
+}
+
+void joined_paths::restart_gate() {
+    (void)stop(*gate_);
+    gate_ = start("gate", gate_port_, make_callbacks("gate"), names_);
 }
 
 void joined_paths::cut_link() {
--- a/tests/edge/joined_paths.h
+++ b/tests/edge/joined_paths.h
@@ -50,7 +50,13 @@
     [[nodiscard]] std::string ask_raw(const std::string& request);
     /// Removes the service's only endpoint from the view, as after the failure of its node.
     void forget_endpoint();
-    void announce(msg::upstream_state state, std::uint16_t port, const std::string& instance = {});
+    void announce(msg::upstream_state state, std::uint16_t port, const std::string& instance = {},
+                  milliseconds cold_for = milliseconds{0});
+    /// From now on, the service states how its cold upstreams may be called.
+    void set_warm_up(double calls_per_s, milliseconds warm_up_time);
+    /// The gate's process ends and another begins, which knows nothing of its upstream.
+    /// Precondition: no call is in flight.
+    void restart_gate();
     /// Adds the entry's node as an endpoint whose upstream listens on this port. Calls try one in
     /// another data centre second. No message to it passes through lose and alter.
     void add_endpoint_at_entry(std::uint16_t port, const std::string& data_centre = {});
