node: tell members that an upstream has become cold again

A changed cold time of the same run was dropped for good, so that members took an upstream that had become cold again for a warm one. It is sent when it comes after the last one has run out; a heartbeat that only counts down still sends nothing.

cold_upstream.is_told_to_members_once_each_time fails without the change (3000 in place of 2900).

--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -83,6 +83,9 @@
     return node.control.members.has_joined && distribution::is_ready(node.control.distribution);
 }
 
+/// An announcement that is this late doesn't say that its upstream has become cold again.
+constexpr milliseconds cold_tolerance{500};
+
 /// Updates the member table with the upstream beside this node. A ready upstream is held back while
 /// the node is not serving, so other nodes see it as starting.
 void set_own_upstream(node_runtime& node, const msg::upstream_record_msg& upstream, instant now,
@@ -93,14 +96,17 @@
         return;
     }
     const auto& current = node.control.members.self.upstream;
-    // A new sequence number or less remaining cold time alone is not sent to other nodes.
+    // A new sequence number or less remaining cold time alone is not sent to other nodes, but that
+    // the upstream has become cold again is.
     auto record = upstream;
     record.sequence = 0;
     record.leaves = membership::has_announced_leave(node.upstream_run);
-    if (current && current->instance == record.instance &&
-        current->started_ms == record.started_ms) {
+    const bool is_same_run =
+        current && current->instance == record.instance && current->started_ms == record.started_ms;
+    if (is_same_run && (record.cold_ms == 0 || now < node.cold_until)) {
         record.cold_ms = current->cold_ms;
     }
+    node.cold_until = now + milliseconds{upstream.cold_ms} + cold_tolerance;
     if (!current || *current != record) {
         control::set_upstream(node.control, record, now, actions);
     }
--- a/src/node/node_runtime.h
+++ b/src/node/node_runtime.h
@@ -45,6 +45,8 @@
     std::multimap<operation_id, write_callback> waiting_writes;
     /// The run of the upstream beside this node that announced itself last.
     membership::upstream_run upstream_run;
+    /// Until when the upstream is cold, by its last announcement.
+    instant cold_until{};
     /// The announced upstream, held back until this node can serve the calls that the upstream
     /// makes itself.
     std::optional<msg::upstream_record_msg> pending_upstream;
--- a/tests/node/node_runtime_test.cpp
+++ b/tests/node/node_runtime_test.cpp
@@ -119,6 +119,32 @@
     EXPECT_FALSE(node.runtime->upstream_run.has_left);
 }
 
+/// Guards against members that take an upstream that has become cold again for a warm one, and
+/// against a message to them for each heartbeat.
+TEST(cold_upstream, is_told_to_members_once_each_time) {
+    started_node node;
+    auto& runtime = *node.runtime;
+    runtime.control.members.has_joined = true;
+    auto heartbeat = make_heartbeat(run_start_ms);
+    const auto announce_cold = [&](std::uint32_t cold_ms) {
+        ++heartbeat.upstream.sequence;
+        heartbeat.upstream.cold_ms = cold_ms;
+        (void)announce(runtime, heartbeat);
+        // What is held back until the node serves is what it will tell.
+        const auto& upstream = runtime.control.members.self.upstream;
+        return upstream ? upstream->cold_ms : 0;
+    };
+    heartbeat.upstream.state = msg::upstream_state::starting;
+    EXPECT_EQ(announce_cold(3'000), 3'000U);
+    const auto incarnation = runtime.control.members.self.incarnation;
+    EXPECT_EQ(announce_cold(2'000), 3'000U);
+    EXPECT_EQ(announce_cold(0), 3'000U);
+    EXPECT_EQ(runtime.control.members.self.incarnation, incarnation);
+    runtime.cold_until = {};
+    EXPECT_EQ(announce_cold(2'900), 2'900U);
+    EXPECT_GT(runtime.control.members.self.incarnation, incarnation);
+}
+
 /// Guards against a leave that other members cannot keep, since its record does not say that it is
 /// final.
 TEST(leaving_upstream, is_announced_as_final) {
