--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -160,6 +160,51 @@
         std::holds_alternative<snapshot_ptr>(build_snapshot(config_version{1}, stored, {})));
 }
 
+struct warm_up_row {
+    const char* name;
+    const char* fields;
+    milliseconds time;
+    double calls_per_s;
+
+    friend std::ostream& operator<<(std::ostream& out, const warm_up_row& row) {
+        return out << row.name;
+    }
+};
+
+class warm_up_fields : public ::testing::TestWithParam<warm_up_row> {};
+
+/// Guards against a bad value that takes more than its own field away.
+TEST_P(warm_up_fields, are_read_or_ignored_one_by_one) {
+    std::string text = good_document;
+    const std::string place = R"("protocol":"h1")";
+    text.replace(text.find(place), place.size(), GetParam().fields);
+    const auto read = read_document(text);
+    ASSERT_TRUE(std::holds_alternative<feed::operators_document>(read));
+    const auto& parsed = std::get<feed::operators_document>(read).sections.at(0).service;
+    EXPECT_EQ(parsed.warm_up_time, GetParam().time);
+    EXPECT_EQ(parsed.warm_up_calls_per_s, GetParam().calls_per_s);
+    EXPECT_EQ(parsed.max_connections, 130U);
+}
+
+const warm_up_row warm_up_rows[] = {
+    {"seconds", R"("cold":3.0,"coldPerS":8.9)", milliseconds{3'000}, 8.9},
+    {"whole", R"("cold":3,"coldPerS":9)", milliseconds{3'000}, 9},
+    {"text_in_seconds", R"("cold":"1.5s","coldPerS":1)", milliseconds{1'500}, 1},
+    {"text_in_ms", R"("cold":"300ms","coldPerS":1)", milliseconds{300}, 1},
+    {"absent", R"("protocol":"h1")", milliseconds{0}, 0},
+    {"null", R"("cold":null,"coldPerS":null)", milliseconds{0}, 0},
+    {"negative", R"("cold":-3,"coldPerS":-1)", milliseconds{0}, 0},
+    {"huge", R"("cold":1e300,"coldPerS":1e300)", milliseconds{0}, 0},
+    {"one_is_bad", R"("cold":"long","coldPerS":8)", milliseconds{0}, 8},
+    {"other_is_bad", R"("cold":2,"coldPerS":"8")", milliseconds{2'000}, 0},
+    {"no_unit", R"("cold":"3","coldPerS":[])", milliseconds{0}, 0},
+    {"not_finite", R"("cold":"infs","coldPerS":1)", milliseconds{0}, 1},
+    {"text_below_zero", R"("cold":"-1s","coldPerS":1)", milliseconds{0}, 1},
+};
+
+INSTANTIATE_TEST_SUITE_P(rows, warm_up_fields, ::testing::ValuesIn(warm_up_rows),
+                         [](const auto& row) { return std::string(row.param.name); });
+
 struct document_row {
     const char* name;
     /// Text in the valid input and its replacement.
@@ -314,9 +359,9 @@
                                          "kv-range",         "kv-watch",          "kv-lease",
                                          "op/config",        "op/rollout",        "status/rollout",
                                          "heartbeatAddr",    "weightedServices",  "coldLeft",
-                                         "X-Request-Id",     "X-Deadline-Ms",     "targetVersion",
-                                         "rolled_back",      "v1/instances",      "v1/readiness",
-                                         "Server-Limit",     "Server-Leaving"};
+                                         "coldPerS",         "X-Request-Id",      "X-Deadline-Ms",
+                                         "targetVersion",    "rolled_back",       "v1/instances",
+                                         "v1/readiness",     "Server-Limit",      "Server-Leaving"};
     const std::filesystem::path root(SOURCE_ROOT);
     for (const auto* folder : {"src", "bench", "schema"}) {
         for (const auto& entry : std::filesystem::recursive_directory_iterator(root / folder)) {
