feed: put evacuations of data centres in force

Operators ask by a key that a data centre's upstreams get no calls. Nothing read it.

- The operators' items below the prefix of evacuations give the fleet section's data centres.
A withdrawal is a newer version: its position is the deletion's, or that of the read that first shows other evacuations than are built or held.
A node whose held configuration has others reads again.
After an older copy of the store, those held stay until the operators may have written them again.
Names that no data centre can have are ignored one by one and logged.
- Items of unknown kinds below the watched prefix raise no version any more.
- Entries leave such endpoints out; gates refuse new and waiting calls as evacuated, not run; calls that run end.
Such endpoints don't count as ready for a move.
- Log lines evacuation_begun and evacuation_withdrawn, a metric, and the list in dump and fleet.

--- a/src/call/admission.cpp
+++ b/src/call/admission.cpp
@@ -137,6 +137,11 @@
                        .retry_helps = true,
                        .retry_after = retry_elsewhere_after};
     }
+    if (gate.is_evacuated) {
+        return refusal{.reason = refusal_reason::evacuated,
+                       .retry_helps = true,
+                       .retry_after = retry_elsewhere_after};
+    }
     if (gate.upstream != msg::upstream_state::ready || gate.limit.slots == 0) {
         return refusal{.reason = refusal_reason::no_endpoint,
                        .retry_helps = true,
--- a/src/call/choose_endpoint.cpp
+++ b/src/call/choose_endpoint.cpp
@@ -35,7 +35,7 @@
     const auto it = view.endpoints.find(service);
     return it != view.endpoints.end() &&
            std::any_of(it->second.begin(), it->second.end(), [&](const endpoint& target) {
-               return versions.allows(target.version) && target.state == msg::upstream_state::ready;
+               return versions.allows(target.version) && takes_calls(target);
            });
 }
 
@@ -97,7 +97,7 @@
 candidate_lists sort_candidates(const choice_input& input, load_table& loads, instant now) {
     candidate_lists lists;
     for (const auto& target : input.endpoints) {
-        if (!input.versions.allows(target.version) || target.state != msg::upstream_state::ready ||
+        if (!input.versions.allows(target.version) || !takes_calls(target) ||
             std::find(input.tried.begin(), input.tried.end(), target.node) != input.tried.end()) {
             continue;
         }
@@ -146,7 +146,7 @@
                                        instant now) {
     std::optional<microseconds> least;
     for (const auto& target : input.endpoints) {
-        if (!input.versions.allows(target.version) || target.state != msg::upstream_state::ready) {
+        if (!input.versions.allows(target.version) || !takes_calls(target)) {
             continue;
         }
         const auto load = loads.find(target.node);
--- a/src/call/choose_endpoint.h
+++ b/src/call/choose_endpoint.h
@@ -29,7 +29,7 @@
                                             random_source& random);
 
 /// Chooses the better of two random endpoints of the version, in the entry's data centre while one
-/// there has room. Considers only ready endpoints that are not ejected and were not tried; falls
+/// there has room. Considers only ready endpoints that are not ejected, evacuated or tried; falls
 /// back to ejected ones when no others are left. Null when there is none.
 [[nodiscard]] const endpoint* choose_endpoint(const choice_input& input, load_table& loads,
                                               instant now, random_source& random);
--- a/src/call/gate.cpp
+++ b/src/call/gate.cpp
@@ -217,6 +217,14 @@
     }
 }
 
+/// Applies one reason for taking no new calls.
+gate_actions close(gate_state& gate, bool& reason, bool is_closed, instant now) {
+    gate_actions out;
+    reason = is_closed;
+    refuse_queued_when_closed(gate, now, out);
+    return out;
+}
+
 } // namespace
 
 gate_actions on_open(gate_state& gate, const gate_request& request, instant now) {
@@ -379,17 +387,15 @@
 }
 
 gate_actions on_upstream_leaving(gate_state& gate, instant now) {
-    gate_actions out;
-    gate.is_upstream_leaving = true;
-    refuse_queued_when_closed(gate, now, out);
-    return out;
+    return close(gate, gate.is_upstream_leaving, true, now);
 }
 
 gate_actions on_drain(gate_state& gate, instant now) {
-    gate_actions out;
-    gate.is_draining = true;
-    refuse_queued_when_closed(gate, now, out);
-    return out;
+    return close(gate, gate.is_draining, true, now);
+}
+
+gate_actions on_evacuation(gate_state& gate, bool is_evacuated, instant now) {
+    return close(gate, gate.is_evacuated, is_evacuated, now);
 }
 
 void on_reservations(gate_state& gate, const std::map<owner_id, std::uint32_t>& reserved,
--- a/src/call/gate.h
+++ b/src/call/gate.h
@@ -92,6 +92,8 @@
     version_id version;
     msg::upstream_state upstream = msg::upstream_state::none;
     bool is_draining = false;
+    /// Operators have evacuated the data centre.
+    bool is_evacuated = false;
     /// This run of the upstream has said in an answer that it leaves; final.
     bool is_upstream_leaving = false;
     route_uses routes;
@@ -187,6 +189,10 @@
 /// Stops taking new calls and refuses queued ones; running calls continue.
 [[nodiscard]] gate_actions on_drain(gate_state& gate, instant now);
 
+/// Stops taking new calls while the data centre is evacuated and refuses queued ones; running calls
+/// continue.
+[[nodiscard]] gate_actions on_evacuation(gate_state& gate, bool is_evacuated, instant now);
+
 /// Applies the owners' reservations.
 void on_reservations(gate_state& gate, const std::map<owner_id, std::uint32_t>& reserved,
                      instant now);
--- a/src/call/load_table.cpp
+++ b/src/call/load_table.cpp
@@ -127,7 +127,8 @@
     using msg::refusal_reason;
     const bool is_closed =
         reason == refusal_reason::draining || reason == refusal_reason::no_endpoint ||
-        reason == refusal_reason::wrong_version || reason == refusal_reason::upstream_unreachable;
+        reason == refusal_reason::wrong_version || reason == refusal_reason::upstream_unreachable ||
+        reason == refusal_reason::evacuated;
     if (is_closed) {
         load.closed_until = now + closed_time;
     }
@@ -170,7 +171,7 @@
     std::size_t all = 0;
     std::size_t ejected = 0;
     for (const auto& target : endpoints) {
-        if (target.version != version || target.state != msg::upstream_state::ready) {
+        if (target.version != version || !takes_calls(target)) {
             continue;
         }
         ++all;
--- a/src/call/routing_view.h
+++ b/src/call/routing_view.h
@@ -30,8 +30,15 @@
     /// When that run started, milliseconds since the Unix epoch by its own clock; 0 if unknown.
     std::uint64_t started_ms = 0;
     bool is_suspect = false;
+    /// Operators have evacuated its data centre.
+    bool is_evacuated = false;
 };
 
+/// Whether the endpoint's state allows new calls. One that doesn't may still run earlier ones.
+[[nodiscard]] inline bool takes_calls(const endpoint& candidate) {
+    return candidate.state == msg::upstream_state::ready && !candidate.is_evacuated;
+}
+
 /// The versions that one call may go to.
 struct version_filter {
     /// The only version allowed; empty for all.
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -219,7 +219,7 @@
     forget_old_proposals(self, now);
 }
 
-call::endpoint make_endpoint(const msg::member_record_msg& record) {
+call::endpoint make_endpoint(const msg::member_record_msg& record, const snapshot& config) {
     return {.node = node_id{record.node},
             .link = membership::link_address(record),
             .region = region_id{record.region},
@@ -231,7 +231,8 @@
             .incarnation = record.incarnation,
             .instance = record.upstream->instance,
             .started_ms = record.upstream->started_ms,
-            .is_suspect = record.state == msg::liveness::suspect};
+            .is_suspect = record.state == msg::liveness::suspect,
+            .is_evacuated = is_evacuated(config, data_centre_id{record.data_centre})};
 }
 
 snapshot_ptr empty_configuration() {
@@ -387,7 +388,8 @@
                                   record->upstream->state != msg::upstream_state::none &&
                                   record->upstream->state != msg::upstream_state::gone;
         if (has_upstream) {
-            view.endpoints[service_id{record->upstream->service}].push_back(make_endpoint(*record));
+            view.endpoints[service_id{record->upstream->service}].push_back(
+                make_endpoint(*record, *view.config));
         }
     }
     view.shares = moves::version_shares(self.moves, now);
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -69,6 +69,10 @@
     std::optional<instant> last_fallback_read;
     /// The configuration last passed to the other libraries.
     snapshot_ptr applied_config;
+    /// The evacuated data centres, and since when this node knows of it.
+    std::map<data_centre_id, instant> evacuated_since;
+    /// The conflicting configuration of another node that the operator reader knows of.
+    digest_id known_conflict;
     /// When a move's ending was last proposed, so that it is not proposed on every tick.
     std::map<moves::attempt_key, instant> close_proposed;
 };
--- a/src/control/feed_steps.cpp
+++ b/src/control/feed_steps.cpp
@@ -42,6 +42,7 @@
 void apply_operator_actions(state& self, feed::reader_actions&& produced, instant now,
                             actions& out) {
     append(out.requests, std::move(produced.requests));
+    append(out.logs, std::move(produced.logs));
     adopt_records(self, produced.records, now, out);
     if (produced.has_read_records) {
         moves::note_records_read(self.moves);
@@ -106,6 +107,10 @@
 }
 
 void tick_feed(state& self, bool is_watcher, instant now, actions& out) {
+    if (self.known_conflict != self.distribution.logged_conflict) {
+        self.known_conflict = self.distribution.logged_conflict;
+        self.operator_reader->has_conflict = true;
+    }
     feed::reader_actions reader_output;
     feed::set_watching(*self.operator_reader, is_watcher, now, reader_output);
     if (is_fallback_read_due(self, now)) {
--- a/src/control/steps.cpp
+++ b/src/control/steps.cpp
@@ -21,6 +21,7 @@
     if (self.applied_config == self.distribution.config || !self.distribution.config) {
         return;
     }
+    note_evacuations(self, now, out);
     self.applied_config = self.distribution.config;
     store::update_local_snapshot(self.writer, self.applied_config);
     store::set_local_snapshot(self.reader, self.applied_config);
@@ -28,6 +29,7 @@
     moves::on_config(self.moves, self.members, self.applied_config, now, move_actions);
     apply_move_actions(self, std::move(move_actions), now, out);
     if (self.operator_reader) {
+        feed::note_held(*self.operator_reader, self.applied_config, now);
         // Most nodes do not read the store; they learn of a new era with the configuration.
         note_store_era(self, feed::raise_era(self.store_era, self.applied_config->version), now,
                        out);
--- a/src/control/steps.h
+++ b/src/control/steps.h
@@ -33,6 +33,10 @@
 void tick_quarantine(state& self, instant now, actions& out);
 void pass_to_quarantine(state& self, const incoming& received, instant now, actions& out);
 
+/// Logs the data centres that a newly held configuration evacuates or takes back. Call it before
+/// the configuration counts as applied.
+void note_evacuations(state& self, instant now, actions& out);
+
 /// Proposes the ending of a move.
 void submit_close(state& self, const store::move_close& close, instant now, actions& out);
 
--- a/src/edge/call_headers.cpp
+++ b/src/edge/call_headers.cpp
@@ -83,6 +83,8 @@
         return "upstreams have crashed under this request";
     case refusal_reason::delayed:
         return "the call waited too long on its way to the endpoint";
+    case refusal_reason::evacuated:
+        return "the data centre of the endpoint is evacuated";
     default:
         return "the call was not answered";
     }
--- a/src/edge/call_path.cpp
+++ b/src/edge/call_path.cpp
@@ -254,7 +254,8 @@
            .on_upstream_crash = callbacks.on_upstream_crash,
            .on_suspect_ran_well = callbacks.on_suspect_ran_well,
            .histograms = histograms,
-           .names = names},
+           .names = names,
+           .data_centre = entry.data_centre},
       timer(io) {
     entry.random.seed(draw_seed());
     gate.gate.settings = gate_settings_from(settings);
--- a/src/edge/gate_side.cpp
+++ b/src/edge/gate_side.cpp
@@ -5,6 +5,7 @@
 #include "clock/process_clock.h"
 #include "edge/call_headers.h"
 #include "edge/gate_bodies.h"
+#include "edge/gate_config.h"
 #include "edge/gate_crashes.h"
 #include "edge/gate_log.h"
 #include "edge/gate_request.h"
@@ -374,10 +375,7 @@
 void on_timer(gate_side& side, const snapshot_ptr& config) {
     lock_type guard(side.lock);
     const auto now = current_time();
-    if (config && config != side.reservations_config) {
-        side.reservations_config = config;
-        call::on_reservations(side.gate, call::collect_reservations(*config), now);
-    }
+    auto closed = apply_config(side, config, now);
     auto actions = call::on_gate_timer(side.gate, now);
     const auto overdue = find_overdue(side, now);
     const auto dropped = trim_undelivered(side, now);
@@ -388,6 +386,7 @@
         log_dropped(side, answer);
     }
     read_held_back(side);
+    perform(side, std::move(closed));
     perform(side, std::move(actions));
     for (const auto& call : overdue) {
         release(side, call, true);
--- a/src/edge/gate_side.h
+++ b/src/edge/gate_side.h
@@ -89,6 +89,7 @@
     std::function<void(const request_digest&)> on_suspect_ran_well;
     latency_histograms& histograms;
     const header_names& names;
+    const data_centre_id data_centre;
     /// Answers whose body had another length than the upstream stated.
     std::atomic<std::uint64_t> length_mismatches{0};
     mutable std::mutex lock;
@@ -105,7 +106,8 @@
     std::unordered_map<call_id, gate_flow_ptr> undelivered;
     /// Calls whose next piece waits for room on the link, first come first served.
     std::deque<gate_flow_ptr> held_back;
-    snapshot_ptr reservations_config;
+    /// The configuration last applied to the gate.
+    snapshot_ptr applied_config;
     call::crash_watch crashes;
     /// The run of the upstream that has crashed, while its calls are collected.
     call::upstream_crash crashed;
--- a/src/feed/config_format.h
+++ b/src/feed/config_format.h
@@ -46,6 +46,7 @@
     /// The services with their routes, without moves.
     std::vector<section> sections;
     std::vector<workspace> workspaces;
+    std::vector<data_centre_id> evacuated;
 };
 
 /// Keys and codecs of the operators' configuration. The functions read no clock and may be called
@@ -55,7 +56,10 @@
     std::string document_key;
     /// The key of an order is this prefix followed by the service's name.
     std::string orders_prefix;
-    /// Common prefix of the document's key and the keys of all orders.
+    /// The key of a data centre's evacuation is this prefix followed by the data centre's name; its
+    /// value is not read. Empty when operators can't write evacuations.
+    std::string evacuations_prefix;
+    /// Common prefix of the document's key and the keys of all orders and evacuations.
     std::string watched_prefix;
     /// The key of a record is this prefix followed by the service's name.
     std::string records_prefix;
--- a/src/feed/operator_reader.cpp
+++ b/src/feed/operator_reader.cpp
@@ -1,5 +1,7 @@
 #include "feed/operator_reader.h"
 
+#include "feed/evacuations.h"
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -16,12 +18,6 @@
 /// an error.
 constexpr milliseconds check_interval{5000};
 constexpr store::backoff_limits failure_backoff{milliseconds{100}, milliseconds{1000}};
-/// Parts of a configuration's version.
-constexpr unsigned era_bits = 8;
-constexpr unsigned revision_bits = 30;
-constexpr std::uint64_t max_era = (1ULL << era_bits) - 1;
-constexpr std::uint64_t max_revision = (1ULL << revision_bits) - 1;
-
 /// Context of one call into the reader.
 struct reader_run {
     operator_reader& reader;
@@ -39,28 +35,6 @@
     return key.starts_with(reader.format.watched_prefix);
 }
 
-/// Adds the move requested by an order to the section of its service.
-void add_move(std::vector<section>& sections, const move_order& order, const move_id& name,
-              findings& problems) {
-    const auto it = std::find_if(sections.begin(), sections.end(), [&](const section& candidate) {
-        return candidate.service.name == order.service;
-    });
-    if (it == sections.end()) {
-        problems.push_back({.path = "order",
-                            .problem = "no service \"" + order.service.value + "\"",
-                            .remedy = "order a move of a service that is configured"});
-        return;
-    }
-    it->versions.push_back(
-        {.name = order.target_version, .service = order.service, .last_write = {}});
-    move new_move;
-    new_move.name = name;
-    new_move.service = order.service;
-    new_move.new_version = order.target_version;
-    new_move.duration = order.duration;
-    it->moves.push_back(std::move(new_move));
-}
-
 /// Returns the stored form of a section, reusing the previous one when the section is unchanged.
 section_ptr store_section(operator_reader& reader, section content) {
     sort_resources(content); // Stored sections are sorted; needed for the comparison.
@@ -83,10 +57,24 @@
     run.actions.rejection_reasons = std::move(problems);
 }
 
-std::int64_t newest_revision(const operator_reader& reader) {
-    std::int64_t newest = 0;
+/// Whether the configuration is built from the item. Others raise no version.
+bool is_used(const config_format& format, const std::string& key) {
+    return key == format.document_key || key.starts_with(format.orders_prefix) ||
+           find_evacuated_name(format, key).has_value();
+}
+
+/// Revision of the newest change that is included; `read_revision` is that of the read that has
+/// just replaced the items, or 0. What was stored at one revision has one content, so a read that
+/// shows other evacuations than are known takes its own.
+std::int64_t newest_revision(const operator_reader& reader, std::int64_t read_revision,
+                             const std::vector<data_centre_id>& evacuated) {
+    if (read_revision > 0 && (reader.has_conflict || differs(reader.built_snapshot, evacuated) ||
+                              differs(reader.held, evacuated))) {
+        return read_revision;
+    }
+    auto newest = reader.withdrawn_revision;
     for (const auto& [key, entry] : reader.items) {
-        newest = std::max(newest, entry.mod_revision);
+        newest = is_used(reader.format, key) ? std::max(newest, entry.mod_revision) : newest;
     }
     return newest;
 }
@@ -122,16 +110,20 @@
 /// Adds the section of what belongs to no service, if there is anything.
 void add_fleet_section(operators_document& parsed) {
     section fleet{.service = {.name = fleet_section_name()},
-                  .workspaces = std::move(parsed.workspaces)};
+                  .workspaces = std::move(parsed.workspaces),
+                  .evacuated = std::move(parsed.evacuated)};
     if (!fleet.workspaces.empty() || !fleet.evacuated.empty()) {
         parsed.sections.push_back(std::move(fleet));
     }
 }
 
-/// Builds a snapshot of the current items, unless it was built or rejected already.
-void build(reader_run& run) {
+/// Builds a snapshot of the current items, unless it was built or rejected already. `read_revision`
+/// is that of the read that has just replaced the items, or 0.
+void build(reader_run& run, std::int64_t read_revision) {
     auto& reader = run.reader;
-    const auto revision = newest_revision(reader);
+    auto evacuated =
+        list_evacuated(reader.format, reader.items, reader.orders, reader.held, run.now);
+    const auto revision = newest_revision(reader, read_revision, evacuated);
     if (revision <= reader.built_revision || revision == reader.rejected_revision) {
         return;
     }
@@ -148,6 +140,7 @@
     auto& parsed_sections = parsed.sections;
     findings order_findings;
     add_orders(run, parsed_sections, order_findings);
+    parsed.evacuated = std::move(evacuated);
     add_fleet_section(parsed);
     std::vector<section_ptr> stored_sections;
     stored_sections.reserve(parsed_sections.size());
@@ -190,7 +183,11 @@
     }
     reader.seen_revision = read.revision;
     note_read(reader.orders, read.revision);
-    build(run);
+    log_ignored(reader.format, reader.items, reader.ignored, run.actions.logs);
+    build(run, read.revision);
+    if (!run.actions.snapshot && is_later_copy(reader.held, reader.built_snapshot)) {
+        reader.built_snapshot = reader.held;
+    }
     run.actions.is_current = !run.actions.snapshot && reader.built_snapshot != nullptr;
 }
 
@@ -218,6 +215,9 @@
         seen = std::max(seen, change.entry.mod_revision);
         if (change.is_delete) {
             reader.items.erase(change.entry.key);
+            if (find_evacuated_name(reader.format, change.entry.key)) {
+                reader.withdrawn_revision = change.entry.mod_revision;
+            }
         } else {
             reader.items[change.entry.key] = change.entry;
         }
@@ -225,7 +225,8 @@
     // The revision stated in the answer is not used: it may be later than changes that the watch
     // has not reported yet.
     reader.seen_revision = seen;
-    build(run);
+    log_ignored(reader.format, reader.items, reader.ignored, run.actions.logs);
+    build(run, 0);
 }
 
 void on_failure(reader_run& run, std::uint64_t id, const kv_failure& failure,
@@ -281,19 +282,6 @@
 
 } // namespace
 
-config_version make_version(std::uint64_t document_version, const store::store_position& latest) {
-    const auto position = ((latest.era & max_era) << revision_bits) +
-                          (static_cast<std::uint64_t>(latest.revision) & max_revision);
-    return config_version{(document_version << (era_bits + revision_bits)) + position};
-}
-
-std::uint64_t raise_era(std::uint64_t known, config_version version) {
-    const auto stated = (version.value >> revision_bits) & max_era;
-    const auto rise = (stated - known) & max_era;
-    // More than half of the range ahead is an earlier era.
-    return rise <= max_era / 2 ? known + rise : known;
-}
-
 void on_new_era(operator_reader& reader, std::uint64_t era, const snapshot_ptr& held, instant now,
                 reader_actions& actions) {
     reader_run run{reader, now, actions};
@@ -307,7 +295,9 @@
     reader.items.clear();
     reader.seen_revision = 0;
     reader.built_revision = 0;
+    reader.withdrawn_revision = 0;
     reader.rejected_revision = 0;
+    reader.ignored.clear();
     reader.wants_read = reader.wants_watch;
     send_due_requests(run);
 }
@@ -341,6 +331,16 @@
     send_due_requests(run);
 }
 
+void note_held(operator_reader& reader, const snapshot_ptr& held, instant now) {
+    reader.held = held;
+    reader.has_conflict = false;
+    const bool is_watching = reader.wants_watch && reader.seen_revision > 0;
+    if (is_watching && differs(held, list_evacuated(reader.format, reader.items, reader.orders,
+                                                    reader.held, now))) {
+        reader.wants_read = true;
+    }
+}
+
 void request_records(operator_reader& reader) {
     reader.wants_records = true;
 }
--- a/src/feed/operator_reader.h
+++ b/src/feed/operator_reader.h
@@ -2,6 +2,8 @@
 
 #include "feed/config_format.h"
 #include "feed/order_history.h"
+#include "feed/version_parts.h"
+#include "model/log_event.h"
 #include "model/random.h"
 #include "model/snapshot.h"
 #include "store/kv.h"
@@ -16,7 +18,8 @@
 /// Reads and watches the operators' configuration and orders, and builds snapshots from them. A
 /// snapshot's version follows from the document's version and the key-value service's position of
 /// the latest change in it, so nodes that have seen the same changes build the same snapshot with
-/// the same version.
+/// the same version. A withdrawn evacuation leaves no item behind: its position is that of the
+/// deletion, or that of the read that first lacks it.
 namespace cyclamenhatch::feed {
 
 struct reader_actions {
@@ -31,6 +34,7 @@
     /// Set when the records of moves were read; they are in `records`.
     bool has_read_records = false;
     std::vector<move_record> records;
+    std::vector<log_event> logs;
 };
 
 /// Plain data; one per node; the caller serialises access.
@@ -51,6 +55,15 @@
     /// The last snapshot built, and the newest revision among the items that it was built from.
     snapshot_ptr built_snapshot;
     std::int64_t built_revision = 0;
+    /// The configuration in force here; null before there is one.
+    snapshot_ptr held;
+    /// Revision of the last withdrawal that the watch has reported in this era.
+    std::int64_t withdrawn_revision = 0;
+    /// Whether another node holds other content under the version in force here. Set by the caller
+    /// and cleared by note_held(); a read meanwhile gives what is stored a version of its own.
+    bool has_conflict = false;
+    /// Revisions of the evacuations whose names were ignored and logged, by key.
+    std::map<std::string, std::int64_t> ignored;
     std::int64_t rejected_revision = 0;
     /// Version of the operators' document last built.
     std::uint64_t document_version = 0;
@@ -71,6 +84,10 @@
 /// Reads all items once, as at start or after a pause of the process.
 void refresh(operator_reader& reader, instant now, reader_actions& actions);
 
+/// Notes the configuration that is now in force here. A node that watches reads again when it has
+/// other evacuations than the items: it may be a change that is withdrawn since.
+void note_held(operator_reader& reader, const snapshot_ptr& held, instant now);
+
 /// Reads the records of all moves once.
 void request_records(operator_reader& reader);
 
@@ -88,14 +105,4 @@
 void on_new_era(operator_reader& reader, std::uint64_t era, const snapshot_ptr& held, instant now,
                 reader_actions& actions);
 
-/// Version of the configuration made from the operators' document of this version, whose latest
-/// change has this position. The document's version orders first: while the service lacks the
-/// newest document, what it holds is no newer version. Holds 26 bits of the document's version, 8
-/// of the era and 30 of the revision.
-[[nodiscard]] config_version make_version(std::uint64_t document_version,
-                                          const store::store_position& latest);
-
-/// The lowest era from `known` on that a version made by make_version may belong to.
-[[nodiscard]] std::uint64_t raise_era(std::uint64_t known, config_version version);
-
 } // namespace cyclamenhatch::feed
--- a/src/feed/order_history.cpp
+++ b/src/feed/order_history.cpp
@@ -1,15 +1,14 @@
 #include "feed/order_history.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace cyclamenhatch::feed {
 namespace {
 
 /// Time in which the operators have written again what the service has lost.
 constexpr seconds rewrite_time{10};
 
-bool awaits_rewrites(const order_history& history, instant now) {
-    return history.era_began && now < *history.era_began + rewrite_time;
-}
-
 /// Null when the service had no move.
 const move* find_earlier_move(const order_history& history, const service_id& service) {
     const auto it = history.earlier_moves.find(service);
@@ -22,6 +21,10 @@
 
 } // namespace
 
+bool awaits_rewrites(const order_history& history, instant now) {
+    return history.era_began && now < *history.era_began + rewrite_time;
+}
+
 void begin_era(order_history& history, std::uint64_t era, const snapshot_ptr& held, instant now) {
     history = {.era = era, .era_began = now};
     if (!held) {
@@ -70,6 +73,27 @@
     return unwritten;
 }
 
+void add_move(std::vector<section>& sections, const move_order& order, const move_id& name,
+              findings& problems) {
+    const auto it = std::find_if(sections.begin(), sections.end(), [&](const section& candidate) {
+        return candidate.service.name == order.service;
+    });
+    if (it == sections.end()) {
+        problems.push_back({.path = "order",
+                            .problem = "no service \"" + order.service.value + "\"",
+                            .remedy = "order a move of a service that is configured"});
+        return;
+    }
+    it->versions.push_back(
+        {.name = order.target_version, .service = order.service, .last_write = {}});
+    move new_move;
+    new_move.name = name;
+    new_move.service = order.service;
+    new_move.new_version = order.target_version;
+    new_move.duration = order.duration;
+    it->moves.push_back(std::move(new_move));
+}
+
 move_id name_move(const store::store_position& order) {
     const auto era = order.era == 0 ? std::string() : std::to_string(order.era) + "-";
     return move_id{"order-" + era + std::to_string(order.revision)};
--- a/src/feed/order_history.h
+++ b/src/feed/order_history.h
@@ -30,6 +30,9 @@
     std::map<std::pair<service_id, std::int64_t>, move_id> kept_names;
 };
 
+/// Whether the operators may not yet have written again what the service has lost.
+[[nodiscard]] bool awaits_rewrites(const order_history& history, instant now);
+
 /// Begins an era with the moves of the configuration in force here, which may be null.
 void begin_era(order_history& history, std::uint64_t era, const snapshot_ptr& held, instant now);
 
@@ -51,6 +54,11 @@
                                                      const std::set<service_id>& ordered,
                                                      instant now);
 
+/// Adds the move requested by an order to the section of its service, or a finding when there is no
+/// such service.
+void add_move(std::vector<section>& sections, const move_order& order, const move_id& name,
+              findings& problems);
+
 /// Name of the move for the order written at this position of the key-value service.
 [[nodiscard]] move_id name_move(const store::store_position& order);
 
--- a/src/model/validation.cpp
+++ b/src/model/validation.cpp
@@ -36,11 +36,6 @@
            character == '.';
 }
 
-bool is_name(std::string_view text) {
-    return !text.empty() && text.size() <= max_name_length &&
-           std::all_of(text.begin(), text.end(), is_name_char);
-}
-
 void check_name(section_report& report, const std::string& path, const std::string& name) {
     if (!is_name(name)) {
         report.add(path, "\"" + name + "\" is not a name",
@@ -251,6 +246,11 @@
 
 } // namespace
 
+bool is_name(std::string_view text) {
+    return !text.empty() && text.size() <= max_name_length &&
+           std::all_of(text.begin(), text.end(), is_name_char);
+}
+
 findings validate_section(const section& content) {
     section_report report;
     if (is_fleet_section(content)) {
--- a/src/model/validation.h
+++ b/src/model/validation.h
@@ -3,10 +3,14 @@
 #include "model/finding.h"
 #include "model/resources.h"
 
+#include <string_view>
 #include <vector>
 
 namespace cyclamenhatch {
 
+/// Whether the text can name a resource: 1 to 128 letters, digits, '-', '_' or '.'.
+[[nodiscard]] bool is_name(std::string_view text);
+
 /// Checks one section: names, references, values and impossible moves. Paths, such as
 /// route[2].service, count within the section.
 [[nodiscard]] findings validate_section(const section& content);
--- a/src/move/on_config.cpp
+++ b/src/move/on_config.cpp
@@ -35,7 +35,7 @@
     open.evidence.begun = from_unix_ms(to_unix_ms(now));
     open.control.collected.begun = open.evidence.begun;
     open.control.last_step = now;
-    open.current_topology = make_topology(members, key, planned);
+    open.current_topology = make_topology(members, self.config, key, planned);
     self.records[key].one_raiser_suffices = is_brief(planned);
     open.is_resumed = is_resumed;
     if (!is_resumed) {
--- a/src/move/on_tick.cpp
+++ b/src/move/on_tick.cpp
@@ -216,8 +216,9 @@
              actions& out) {
     self.self = node_id(members.self.node);
     for (auto& [key, open] : self.open) {
-        if (open.current_topology.generation != members.generation) {
-            open.current_topology = make_topology(members, key, open.planned);
+        if (open.current_topology.generation != members.generation ||
+            open.current_topology.config != self.config) {
+            open.current_topology = make_topology(members, self.config, key, open.planned);
         }
         if (now >= open.evidence.begun + learning_time) {
             set_begin(self, key, open.evidence.begun);
--- a/src/move/topology.cpp
+++ b/src/move/topology.cpp
@@ -36,15 +36,17 @@
 
 } // namespace
 
-topology make_topology(const membership::table& members, const attempt_key& key,
-                       const move& planned) {
-    topology topo{.generation = members.generation};
+topology make_topology(const membership::table& members, const snapshot_ptr& config,
+                       const attempt_key& key, const move& planned) {
+    topology topo{.generation = members.generation, .config = config};
     topo.controllers = membership::duty_holders(
         members, "move/" + key.service.value + "/" + key.name.value, report_controllers);
     const auto live = membership::live_records(members);
     std::map<std::string, std::size_t> per_data_centre;
     for (const auto* record : live) {
-        count_slots(topo, *record, planned);
+        if (!config || !is_evacuated(*config, data_centre_id(record->data_centre))) {
+            count_slots(topo, *record, planned);
+        }
         ++per_data_centre[record->data_centre];
     }
     topo.live_members = live.size();
--- a/src/move/topology.h
+++ b/src/move/topology.h
@@ -4,6 +4,7 @@
 #include "model/finding.h"
 #include "model/ids.h"
 #include "model/resources.h"
+#include "model/snapshot.h"
 #include "move/attempt_key.h"
 #include "move/controller.h"
 
@@ -12,12 +13,13 @@
 #include <vector>
 
 /// The nodes that control a move, the receivers of reports and the ready endpoints, derived from
-/// the member table.
+/// the member table and the configuration.
 namespace cyclamenhatch::moves {
 
-/// Derived from one generation of the member table.
+/// Derived from one generation of the member table and one configuration.
 struct topology {
     std::uint64_t generation = 0;
+    snapshot_ptr config;
     /// By rank. The first decides; the others receive the same reports, second its vetoes and are
     /// ready to replace it.
     std::vector<node_id> controllers;
@@ -37,8 +39,9 @@
 /// Number of controllers that receive reports.
 inline constexpr std::size_t report_controllers = 3;
 
-[[nodiscard]] topology make_topology(const membership::table& members, const attempt_key& key,
-                                     const move& planned);
+/// Endpoints of evacuated data centres don't count as ready.
+[[nodiscard]] topology make_topology(const membership::table& members, const snapshot_ptr& config,
+                                     const attempt_key& key, const move& planned);
 
 /// The group of a reporting node within a data centre of `members_there` members.
 [[nodiscard]] std::string group_name(const data_centre_id& data_centre, const node_id& reporter,
--- a/src/node/state_document.cpp
+++ b/src/node/state_document.cpp
@@ -66,6 +66,15 @@
     return items;
 }
 
+document describe_evacuated(const control::state& state) {
+    document::array evacuated;
+    for (const auto& [name, since] : state.evacuated_since) {
+        evacuated.push_back(
+            document::table{{"data_centre", name.value}, {"since", format_rfc3339(since)}});
+    }
+    return evacuated;
+}
+
 document describe_configuration(const control::state& state) {
     const auto& config = state.distribution.config;
     document::array services;
@@ -79,6 +88,7 @@
     return document::table{{"version", number(config ? config->version.value : 0)},
                            {"digest", config ? config->digest.value : ""},
                            {"is_ready", distribution::is_ready(state.distribution)},
+                           {"evacuated", describe_evacuated(state)},
                            {"sections", std::move(services)}};
 }
 
@@ -323,6 +333,7 @@
         {"version",
          number(state.distribution.config ? state.distribution.config->version.value : 0)},
         {"is_ready", control::is_ready(state)},
+        {"evacuated", describe_evacuated(state)},
         {"live_nodes", number(live.size())},
         {"suspect_nodes", static_cast<std::int64_t>(suspects)},
         {"data_centres", describe_data_centres(state.distribution)},
@@ -338,6 +349,7 @@
         const auto& state = node.control;
         add_line(text, "config_version",
                  state.distribution.config ? state.distribution.config->version.value : 0);
+        add_line(text, "evacuated_data_centres", state.evacuated_since.size());
         add_line(text, "is_ready", control::is_ready(state) ? 1 : 0);
         add_line(text, "live_nodes", membership::live_records(state.members).size());
         add_line(text, "store_is_down", is_store_down(state) ? 1 : 0);
--- a/tests/control/feed_fleet.cpp
+++ b/tests/control/feed_fleet.cpp
@@ -54,6 +54,7 @@
     feed::config_format format;
     format.document_key = document_key;
     format.orders_prefix = "op/orders/";
+    format.evacuations_prefix = "op/evacuate/";
     format.watched_prefix = "op/";
     format.records_prefix = "records/";
     format.read_document = [](std::string_view text) -> result<feed::operators_document> {
@@ -181,6 +182,12 @@
     fakes::send(store, "operator", {1, std::move(transaction)}, now);
 }
 
+void feed_fleet::erase(std::string_view key) {
+    store::kv_transaction transaction;
+    transaction.deletes.emplace_back(key);
+    fakes::send(store, "operator", {1, std::move(transaction)}, now);
+}
+
 std::size_t feed_fleet::count_ready() const {
     return static_cast<std::size_t>(std::count_if(nodes.begin(), nodes.end(), [](const auto& node) {
         return node != nullptr && is_ready(*node);
@@ -195,8 +202,13 @@
 std::string feed_fleet::prefix_at(std::size_t node) const {
     const auto& config = nodes[node]->distribution.config;
     return config && !config->sections.empty()
-               ? config->sections.begin()->second->content.routes.front().path_prefix
+               ? config->sections.at(service_id("ledger"))->content.routes.front().path_prefix
                : "none";
 }
 
+bool feed_fleet::is_evacuated_at(std::size_t node, std::string_view data_centre) const {
+    const auto& config = nodes[node]->distribution.config;
+    return config && is_evacuated(*config, data_centre_id(std::string(data_centre)));
+}
+
 } // namespace cyclamenhatch::control::testing
--- a/tests/control/feed_fleet.h
+++ b/tests/control/feed_fleet.h
@@ -36,6 +36,9 @@
     [[nodiscard]] std::size_t count_holding(const request_digest& digest) const;
     /// Writes a key as the operators do.
     void write(std::string_view key, const std::string& value);
+    /// Deletes a key as the operators do.
+    void erase(std::string_view key);
+    [[nodiscard]] bool is_evacuated_at(std::size_t node, std::string_view data_centre) const;
     [[nodiscard]] std::size_t count_ready() const;
     [[nodiscard]] std::string stored(std::string_view key) const;
     /// The path prefix that a node routes by; "none" without a configuration.
