move: let a recorded success win over every veto

A recorded success is final now, for the share of a node too, unless the record says taken back.

fleet.a_recorded_ending_wins_over_the_veto_of_a_node_that_was_cut_off and permits.a_recorded_success_wins_over_vetoes_unless_the_record_says_taken_back fail without the change; move_test passes.

--- a/src/move/node_share.cpp
+++ b/src/move/node_share.cpp
@@ -14,7 +14,7 @@
 std::uint32_t current_share(const state& self, const attempt_key& key, const open_move& open,
                             instant now) {
     const attempt_record& record = find_record(self, key);
-    const bool has_own_veto = record.vetoes.contains(self.self);
+    const bool has_own_veto = record.vetoes.contains(self.self) && !is_recorded_done(record);
     if (has_own_veto || find_veto(record) != nullptr || !record.granted) {
         return 0;
     }
--- a/src/move/permits.cpp
+++ b/src/move/permits.cpp
@@ -12,6 +12,16 @@
     return std::tie(raised.at, raised.raised_by, raised.reason, raised.route, raised.detail);
 }
 
+bool has_recorded_success(const attempt_record& self) {
+    return self.granted && self.granted->stage >= recorded_stage;
+}
+
+bool is_recorded_taken_back(const attempt_record& self) {
+    return std::any_of(self.vetoes.begin(), self.vetoes.end(), [](const auto& entry) {
+        return entry.second.reason == msg::veto_reason::recorded;
+    });
+}
+
 } // namespace
 
 bool supersedes(const permit& left, const permit& right) {
@@ -54,6 +64,9 @@
 }
 
 const veto* find_veto(const attempt_record& self) {
+    if (is_recorded_done(self)) {
+        return nullptr;
+    }
     const veto* earliest = nullptr;
     const veto* confirmed = nullptr;
     for (const auto& [raiser, raised] : self.vetoes) {
@@ -72,11 +85,12 @@
     return self.vetoes.size() >= needed_raisers ? earliest : nullptr;
 }
 
+bool is_recorded_done(const attempt_record& self) {
+    return has_recorded_success(self) && !is_recorded_taken_back(self);
+}
+
 bool has_recorded_ending(const attempt_record& self) {
-    return (self.granted && self.granted->stage >= recorded_stage) ||
-           std::any_of(self.vetoes.begin(), self.vetoes.end(), [](const auto& entry) {
-               return entry.second.reason == msg::veto_reason::recorded;
-           });
+    return has_recorded_success(self) || is_recorded_taken_back(self);
 }
 
 msg::move_permit_msg to_message(const attempt_key& key, const permit& granted) {
--- a/src/move/permits.h
+++ b/src/move/permits.h
@@ -66,9 +66,12 @@
 inline constexpr std::size_t max_raisers = 8;
 
 /// The veto that takes the move back, or null: the earliest confirmed one, else the earliest once
-/// enough nodes have raised one. It overrides every permit.
+/// enough nodes have raised one. It overrides every permit but that of a recorded success.
 [[nodiscard]] const veto* find_veto(const attempt_record& self);
 
+/// Whether the move is known to be recorded as done: final, whatever vetoes are raised.
+[[nodiscard]] bool is_recorded_done(const attempt_record& self);
+
 /// Whether the ending is known to be recorded, so that nothing about the move can change any more.
 [[nodiscard]] bool has_recorded_ending(const attempt_record& self);
 
--- a/tests/move/fleet_test.cpp
+++ b/tests/move/fleet_test.cpp
@@ -1,4 +1,5 @@
 #include "move/fixture.h"
+#include "move/node_share.h"
 #include "move/plan.h"
 
 #include <gtest/gtest.h>
@@ -252,6 +253,33 @@
     EXPECT_EQ(fleet.share(5), 0U);
 }
 
+/// Guards against a node that was cut off, takes itself for the first controller and takes back
+/// what the others have recorded as done; the endpoints of the old version have stopped by then.
+TEST(fleet, a_recorded_ending_wins_over_the_veto_of_a_node_that_was_cut_off) {
+    small_fleet fleet(6, make_timed_move());
+    fleet.run(seconds(2));
+    fleet.isolated = 5;
+    actions ignored;
+    raise_veto(fleet.nodes[5], make_key(),
+               {.reason = msg::veto_reason::no_endpoints,
+                .raised_by = node_id(fleet.tables[5].self.node),
+                .at = fleet.now,
+                .is_confirmed = true},
+               ignored);
+    fleet.run(seconds(1));
+    ASSERT_EQ(fleet.share(5), 0U);
+    adopt_record(fleet.nodes[0], make_key(), {.outcome = move_outcome::done}, fleet.now, ignored);
+    fleet.run(seconds(2));
+    fleet.isolated = SIZE_MAX;
+    for (int step = 0; step < 10; ++step) {
+        fleet.run(seconds(1));
+        EXPECT_EQ(fleet.share(0), full_share_permille) << step;
+    }
+    for (std::size_t node = 0; node < fleet.nodes.size(); ++node) {
+        EXPECT_EQ(fleet.share(node), full_share_permille) << node;
+    }
+}
+
 TEST(fleet, nodes_report_no_evidence_on_an_ended_move) {
     small_fleet fleet(6, make_timed_move());
     fleet.run(seconds(2));
--- a/tests/move/permits_test.cpp
+++ b/tests/move/permits_test.cpp
@@ -63,6 +63,18 @@
     EXPECT_NE(find_veto(cancelled), nullptr);
 }
 
+TEST(permits, a_recorded_success_wins_over_vetoes_unless_the_record_says_taken_back) {
+    attempt_record record;
+    merge(record, veto{.raised_by = node_id("n1"), .at = start_time, .is_confirmed = true});
+    merge(record, permit{.stage = recorded_stage, .permille = 1000, .at = start_time});
+    EXPECT_EQ(find_veto(record), nullptr);
+    merge(record, veto{.reason = msg::veto_reason::recorded,
+                       .raised_by = node_id("n2"),
+                       .at = start_time + seconds(1),
+                       .is_confirmed = true});
+    ASSERT_NE(find_veto(record), nullptr);
+}
+
 } // namespace
 
 } // namespace cyclamenhatch::moves
