--- a/src/call/choose_endpoint.h
+++ b/src/call/choose_endpoint.h
@@ -32,7 +32,7 @@
 
 /// Chooses the better of two random endpoints of the version, in the entry's data centre while one
 /// there has room. A cold endpoint is left out until the entry's turn comes, unless no other is
-/// left. Considers only ready endpoints that are not ejected and were not tried; falls
+/// left. Considers only ready endpoints that are not ejected, evacuated or tried; falls
 /// back to ejected ones when no others are left. Null when there is none.
 [[nodiscard]] const endpoint* choose_endpoint(const choice_input& input, load_table& loads,
                                               instant now, random_source& random);
--- a/src/control/feed_steps.cpp
+++ b/src/control/feed_steps.cpp
@@ -60,6 +60,7 @@
 void apply_operator_actions(state& self, feed::reader_actions&& produced, instant now,
                             actions& out) {
     append(out.requests, std::move(produced.requests));
+    append(out.logs, std::move(produced.logs));
     adopt_records(self, produced.records, now, out);
     if (produced.has_read_records) {
         moves::note_records_read(self.moves);
@@ -125,6 +126,10 @@
 }
 
 void tick_feed(state& self, bool is_watcher, instant now, actions& out) {
+    if (self.known_conflict != self.distribution.logged_conflict) {
+        self.known_conflict = self.distribution.logged_conflict;
+        self.operator_reader->has_conflict = true;
+    }
     feed::reader_actions reader_output;
     feed::set_watching(*self.operator_reader, is_watcher, now, reader_output);
     if (is_fallback_read_due(self, now)) {
--- a/src/edge/gate_side.h
+++ b/src/edge/gate_side.h
@@ -90,6 +90,7 @@
     std::function<void(const request_digest&)> on_suspect_ran_well;
     latency_histograms& histograms;
     const header_names& names;
+    const data_centre_id data_centre;
     /// Answers whose body had another length than the upstream stated.
     std::atomic<std::uint64_t> length_mismatches{0};
     mutable std::mutex lock;
@@ -106,14 +107,12 @@
     std::unordered_map<call_id, gate_flow_ptr> undelivered;
     /// Calls whose next piece waits for room on the link, first come first served.
     std::deque<gate_flow_ptr> held_back;
-    /// The configuration by which the gate last set reservations and warm-up terms; may be null.
+    /// The configuration last applied to the gate; may be null.
     snapshot_ptr applied_config;
     /// Whether the log shows the upstream as cold.
     bool is_cold_logged = false;
     /// Calls refused for the warm-up before the upstream became cold.
     std::uint64_t refused_before_cold = 0;
-    /// Whether the data centre was evacuated by the last configuration.
-    bool was_evacuated = false;
     call::crash_watch crashes;
     /// The run of the upstream that has crashed, while its calls are collected.
     call::upstream_crash crashed;
--- a/src/edge/gate_warm_up.cpp
+++ b/src/edge/gate_warm_up.cpp
@@ -35,11 +35,8 @@
     return call::on_warm_up_terms(side.gate, find_terms(side), now);
 }
 
-void watch_evacuation(gate_side& side, instant now) {
-    const bool is_now = is_evacuated(*side.applied_config, side.data_centre);
-    if (std::exchange(side.was_evacuated, is_now) && !is_now) {
-        call::note_doubt(side.gate.warm, call::cold_reason::evacuation_withdrawn, now);
-    }
+void note_withdrawn_evacuation(gate_side& side, instant now) {
+    call::note_doubt(side.gate.warm, call::cold_reason::evacuation_withdrawn, now);
 }
 
 std::optional<log_event> watch_cold(gate_side& side, instant now) {
--- a/src/edge/gate_warm_up.h
+++ b/src/edge/gate_warm_up.h
@@ -11,9 +11,9 @@
 /// Precondition: the lock is held.
 [[nodiscard]] call::gate_actions apply_warm_up_terms(gate_side& side, instant now);
 
-/// Follows the evacuation of this data centre by the last configuration: upstreams may be cold when
-/// it is withdrawn. Precondition: the lock is held.
-void watch_evacuation(gate_side& side, instant now);
+/// Operators have withdrawn the evacuation of this data centre, so that the upstream may be cold.
+/// Precondition: the lock is held.
+void note_withdrawn_evacuation(gate_side& side, instant now);
 
 /// The event to log when the upstream has become cold or warm. Precondition: the lock is held.
 [[nodiscard]] std::optional<log_event> watch_cold(gate_side& side, instant now);
