--- a/src/call/routing_view.h
+++ b/src/call/routing_view.h
@@ -32,6 +32,12 @@
     bool is_suspect = false;
 };
 
+/// A live node.
+struct peer {
+    node_id node;
+    peer_address link;
+};
+
 /// The versions that one call may go to.
 struct version_filter {
     /// The only version allowed; empty for all.
@@ -67,6 +73,8 @@
     quarantine_view_ptr quarantine;
     /// Nodes that are alive, this one included.
     std::size_t live_nodes = 1;
+    /// The live nodes; empty while no workspace is configured.
+    std::vector<peer> peers;
     /// This node has the configuration and may take calls.
     bool is_ready = false;
     /// This node is leaving: new calls are refused.
