edge: admit calls of a workspace within its allowance

A workspace's calls beyond its allowance ran or were refused like all others, after they had crossed a link. Another attempt of a call that may have run is paid from the next loan. The keeper's side runs as a step of the control state.

--- a/src/allowance/keeper.cpp
+++ b/src/allowance/keeper.cpp
@@ -288,7 +288,12 @@
 
 std::optional<peer_message> on_message(keeper_state& self, const incoming& received, instant now,
                                        keeper_actions& out) {
-    if (const auto* request = std::get_if<msg::allowance_request_msg>(&received.message)) {
+    const auto* request = std::get_if<msg::allowance_request_msg>(&received.message);
+    if (request != nullptr && received.delay >= loan_lifetime(self.stated)) {
+        // What it would be lent has ended before it arrives.
+        return std::nullopt;
+    }
+    if (request != nullptr) {
         return answer_request(self, *request, now, out);
     }
     if (const auto* loan = std::get_if<msg::allowance_loan_msg>(&received.message)) {
--- a/src/allowance/stock.cpp
+++ b/src/allowance/stock.cpp
@@ -138,7 +138,11 @@
 }
 
 void note_repeat(entry_state& self, const workspace_id& name, instant now) {
-    auto& held = self.stocks[name];
+    const auto found = self.stocks.find(name);
+    if (found == self.stocks.end()) {
+        return;
+    }
+    auto& held = found->second;
     drop_ended(held, now);
     if (!held.loans.empty()) {
         --held.loans.front().calls;
--- a/src/allowance/stock.h
+++ b/src/allowance/stock.h
@@ -57,6 +57,8 @@
     /// Until then the keeper is not asked again.
     instant next_ask;
     instant heard_at;
+    /// The silence of the keeper was logged.
+    instant silence_noted;
     instant fixed_window;
     std::size_t fixed_used = 0;
     instant used_at;
@@ -98,8 +100,8 @@
 void note_waiting(entry_state& self, const workspace_id& name);
 void note_wait_ended(entry_state& self, const workspace_id& name);
 
-/// Another run of a call that was admitted before, for whose first run an upstream has answered or
-/// may have run it.
+/// Another attempt of a call that was admitted before and may have run. Ignored for a workspace
+/// without an allowance.
 void note_repeat(entry_state& self, const workspace_id& name, instant now);
 
 /// The requests to send now, one for each keeper.
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -273,6 +273,8 @@
                                                settings.store->contact_lease_s, now),
         .moves = moves::make_state(*settings.move, now),
         .quarantine = {.self = node_id{settings.identity->node}},
+        .allowances = {.self = node_id{settings.identity->node},
+                       .stated = allowance::read_rules(settings)},
     };
     self.contacts.first_read_spread = milliseconds{settings.store->start_spread_ms};
     self.start_ms = static_cast<std::uint64_t>(to_unix_ms(now));
@@ -297,6 +299,7 @@
     apply_held_config(self, now, out);
     tick_moves(self, now, out);
     tick_quarantine(self, now, out);
+    tick_allowances(self, now, out);
 }
 
 void on_message(state& self, const incoming& received, instant now, actions& out) {
@@ -310,6 +313,7 @@
     moves::on_message(self.moves, self.members, received, now, self.random, move_actions);
     apply_move_actions(self, std::move(move_actions), now, out);
     pass_to_quarantine(self, received, now, out);
+    pass_to_allowances(self, received, now, out);
 }
 
 void on_store_response(state& self, const store::kv_response& received, instant now, actions& out) {
@@ -392,6 +396,9 @@
     }
     view.shares = moves::version_shares(self.moves, now);
     view.quarantine = self.quarantine.view;
+    if (has_workspaces(*view.config)) {
+        view.peers = list_peers(self);
+    }
     return view;
 }
 
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "allowance/keeper.h"
 #include "call/call_sample.h"
 #include "call/routing_view.h"
 #include "call/upstream_crash.h"
@@ -58,6 +59,7 @@
     std::optional<feed::record_keeper> record_keeper;
     moves::state moves;
     quarantine::state quarantine;
+    allowance::keeper_state allowances;
     /// Milliseconds since the Unix epoch at which this process started; its first incarnation.
     std::uint64_t start_ms = 0;
     bool is_leaving = false;
--- a/src/control/steps.h
+++ b/src/control/steps.h
@@ -33,6 +33,11 @@
 void tick_quarantine(state& self, instant now, actions& out);
 void pass_to_quarantine(state& self, const incoming& received, instant now, actions& out);
 
+void tick_allowances(state& self, instant now, actions& out);
+void pass_to_allowances(state& self, const incoming& received, instant now, actions& out);
+/// The live nodes, this one included.
+[[nodiscard]] std::vector<call::peer> list_peers(const state& self);
+
 /// Proposes the ending of a move.
 void submit_close(state& self, const store::move_close& close, instant now, actions& out);
 
--- a/src/edge/call_headers.cpp
+++ b/src/edge/call_headers.cpp
@@ -46,6 +46,9 @@
     if (refusal.reason == refusal_reason::no_route) {
         return 404;
     }
+    if (refusal.reason == refusal_reason::allowance_exceeded) {
+        return 429;
+    }
     const bool is_timeout = refusal.reason == refusal_reason::deadline && !refusal.retry_helps;
     if (is_timeout || refusal.outcome == call_outcome::unknown) {
         return 504;
@@ -83,6 +86,8 @@
         return "upstreams have crashed under this request";
     case refusal_reason::delayed:
         return "the call waited too long on its way to the endpoint";
+    case refusal_reason::allowance_exceeded:
+        return "the workspace has used up its allowance";
     default:
         return "the call was not answered";
     }
--- a/src/edge/call_headers.h
+++ b/src/edge/call_headers.h
@@ -49,9 +49,9 @@
     std::string reason;
 };
 
-/// The answer for a call that ended without an upstream's answer: 404, 503 or 504 with the outcome
-/// header and a problem+json body. Every refusal after which a retry may succeed has a Retry-After
-/// header.
+/// The answer for a call that ended without an upstream's answer: 404, 429, 503 or 504 with the
+/// outcome header and a problem+json body. Every refusal after which a retry may succeed has a
+/// Retry-After header.
 [[nodiscard]] local_answer make_failure(const header_names& names, const call::refusal& refusal);
 
 /// The answer for a chain of calls that exceeds the hop limit.
--- a/src/edge/call_path.cpp
+++ b/src/edge/call_path.cpp
@@ -3,6 +3,7 @@
 #include "call/call_key.h"
 #include "clock/process_clock.h"
 #include "edge/call_path_state.h"
+#include "edge/entry_allowance.h"
 #include "messages/address_text.h"
 #include "model/byte_rate.h"
 #include "model/handler_guard.h"
@@ -90,6 +91,10 @@
     }
 }
 
+void handle(call_path& path, const incoming& envelope, msg::allowance_loan_msg& message) {
+    on_allowance_loan(path.entry, envelope.from, message);
+}
+
 template <class Message>
 void handle(call_path& /*path*/, const incoming& /*envelope*/, Message& /*message*/) {}
 
@@ -124,6 +129,14 @@
         }
         path.callbacks.send({node, address, std::move(message)});
     };
+    path.entry.send_to_keeper = [&path](const node_id& node, const peer_address& address,
+                                        peer_message message) {
+        if (node != path.self) {
+            path.callbacks.send({node, address, std::move(message)});
+        } else if (path.callbacks.ask_own_keeper) {
+            path.callbacks.ask_own_keeper(std::move(std::get<msg::allowance_request_msg>(message)));
+        }
+    };
     path.gate.send_to_entry = [&path](const node_id& node, peer_message message) {
         if (node == path.self) {
             handle_at_entry(path, std::move(message));
@@ -243,6 +256,7 @@
                                      .host_service = all_settings.identity->upstream_service,
                                      .callbacks = callbacks,
                                      .send_to_gate = {},
+                                     .send_to_keeper = {},
                                      .histograms = histograms},
       gate{.self = self,
            .link_window = link_window_from(*all_settings.listen),
@@ -257,6 +271,8 @@
            .names = names},
       timer(io) {
     entry.random.seed(draw_seed());
+    entry.allowances.self = self;
+    entry.allowances.stated = allowance::read_rules(all_settings);
     gate.gate.settings = gate_settings_from(settings);
     gate.gate.instance = std::max<std::uint64_t>(1, draw_seed());
 }
--- a/src/edge/call_path.h
+++ b/src/edge/call_path.h
@@ -37,6 +37,9 @@
     std::function<void(const std::string&)> on_upstream_leaving;
     /// Receives each crash of this node's upstream with the calls that it ran; may be empty.
     std::function<void(call::upstream_crash)> on_upstream_crash;
+    /// Receives the requests for allowances that this node itself keeps; may be empty. The answers
+    /// come back by on_message.
+    std::function<void(msg::allowance_request_msg)> ask_own_keeper;
     /// Receives the digest of a suspect that has run well here; may be empty.
     std::function<void(const request_digest&)> on_suspect_ran_well;
 };
@@ -52,7 +55,8 @@
                                                          const header_names& names = {},
                                                          boost::asio::io_context* shared = nullptr);
 
-/// Handles a call_* message from another node; other kinds are ignored. Thread safe, never blocks.
+/// Handles a call_* message or an allowance_loan from another node; other kinds are ignored. Thread
+/// safe, never blocks.
 void on_message(call_path& path, const incoming& envelope);
 void on_message(call_path& path, incoming&& envelope);
 
--- a/src/edge/entry_side.cpp
+++ b/src/edge/entry_side.cpp
@@ -4,6 +4,7 @@
 #include "call/held_request.h"
 #include "clock/process_clock.h"
 #include "edge/call_headers.h"
+#include "edge/entry_allowance.h"
 #include "edge/entry_attempts.h"
 #include "edge/entry_quarantine.h"
 #include "edge/entry_steps.h"
@@ -225,11 +226,10 @@
     choose_destination(side, *view, match, caller_key, *flow);
     side.flows.emplace(exchange.get(), flow);
     side.retry_rules = budget_rules_of(side, *view);
-    call::note_first_attempt(side.budgets[flow->service], side.retry_rules, now);
-    auto result = step(side, flow, call::request_event{});
+    auto work = admit(side, *view, flow, now);
     guard.unlock();
     side.histograms.record(segment::entry, current_time() - flow->received_at);
-    perform(side, flow, std::move(result), nullptr);
+    carry_out(side, std::move(work));
 }
 
 bool may_overlap(const entry_side& side, const request_head& head) {
@@ -363,7 +363,9 @@
         call::forget_idle(side.loads, idle_load_time, now);
         call::forget_idle(side.stated_times, now);
         call::forget_idle(side.answer_times, now);
+        allowance::forget_idle(side.allowances, now);
     }
+    auto work = end_waits(side, *view, now);
     const auto lost_cancels = call::take_due(side.cancels, now);
     guard.unlock();
     for (const auto& cancel : lost_cancels) {
@@ -372,6 +374,7 @@
     for (auto& [flow, result] : results) {
         perform(side, flow, std::move(result), nullptr);
     }
+    carry_out(side, std::move(work));
 }
 
 } // namespace cyclamenhatch::edge
--- a/src/edge/entry_side.h
+++ b/src/edge/entry_side.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "allowance/stock.h"
 #include "call/body_stream.h"
 #include "call/choose_endpoint.h"
 #include "call/entry_call.h"
@@ -67,6 +68,12 @@
 
 using entry_flow_ptr = std::shared_ptr<entry_flow>;
 
+/// A call that waits for the allowance of its workspace.
+struct allowance_waiter {
+    entry_flow_ptr flow;
+    instant until;
+};
+
 struct entry_counters {
     std::atomic<std::uint64_t> requests{0};
     std::atomic<std::uint64_t> answered{0};
@@ -107,6 +114,8 @@
     const call_path_callbacks& callbacks;
     /// Sends to a gate; may be called from any thread.
     std::function<void(const node_id&, const peer_address&, peer_message)> send_to_gate;
+    /// Asks a keeper of allowances; may be called from any thread.
+    std::function<void(const node_id&, const peer_address&, peer_message)> send_to_keeper;
     latency_histograms& histograms;
     entry_counters counters;
     std::atomic<bool> is_draining{false};
@@ -128,6 +137,8 @@
     std::unordered_map<const caller_exchange*, entry_flow_ptr> flows;
     entry_timers timers;
     call::sent_cancels cancels;
+    allowance::entry_state allowances;
+    std::map<workspace_id, std::deque<allowance_waiter>> allowance_waiters;
     instant cleaned_at{};
 };
 
--- a/src/edge/entry_steps.cpp
+++ b/src/edge/entry_steps.cpp
@@ -124,6 +124,7 @@
             {{"request", flow.request_id},
              {"route", flow.route.value},
              {"service", flow.service.value},
+             {"workspace", flow.request.workspace},
              {"status", std::to_string(status)},
              {"outcome", msg::EnumNamecall_outcome(refusal.outcome)},
              {"reason", msg::EnumNamerefusal_reason(refusal.reason)},
@@ -280,6 +281,9 @@
     }
     if (after && (!before || after->target.call != before->target.call)) {
         side.attempts.emplace(after->target.call, flow);
+        if (flow->state.arrivals > 0) {
+            allowance::note_repeat(side.allowances, workspace_id{flow->request.workspace}, now);
+        }
     }
     set_timer(side, flow);
     return out;
--- a/src/edge/entry_stop.cpp
+++ b/src/edge/entry_stop.cpp
@@ -44,6 +44,7 @@
     const auto flows = std::exchange(side.flows, {});
     side.attempts.clear();
     side.timers.clear();
+    side.allowance_waiters.clear();
     guard.unlock();
     for (const auto& [key, flow] : flows) {
         log_call(side, describe_cut(*flow, "call_broken_off", "node_stops"));
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -62,6 +62,11 @@
 void carry_out(node_runtime& node, control::actions&& actions,
                std::vector<matched_reply>&& replies) {
     for (auto& message : actions.sends) {
+        if (message.to == node.control.allowances.self) {
+            // The answer to a request of this node's own entry.
+            edge::on_message(*node.calls, incoming{message.to, std::move(message.message)});
+            continue;
+        }
         wire::send(*node.links, std::move(message));
     }
     for (const auto& request : actions.requests) {
@@ -77,6 +82,13 @@
     }
 }
 
+/// Whether the entry has asked for this loan; without a number it is a bucket that a keeper hands
+/// over.
+bool is_answer_to_entry(const peer_message& message) {
+    const auto* loan = std::get_if<msg::allowance_loan_msg>(&message);
+    return loan != nullptr && loan->sequence != 0;
+}
+
 /// Whether this node knows the configuration and the other members, so that it can route the calls
 /// that its upstream makes.
 bool is_serving(const node_runtime& node) {
@@ -199,7 +211,7 @@
 }
 
 void dispatch(node_runtime& node, incoming message) {
-    if (is_call_message(message.message)) {
+    if (is_call_message(message.message) || is_answer_to_entry(message.message)) {
         edge::on_message(*node.calls, message);
         return;
     }
--- a/src/node/node_runtime.h
+++ b/src/node/node_runtime.h
@@ -40,6 +40,7 @@
     msg::settings_msg settings;
 
     std::mutex control_lock;
+    /// Its own node id does not change and needs no lock.
     control::state control;
     /// Callbacks of the writes in progress, by operation id.
     std::multimap<operation_id, write_callback> waiting_writes;
--- a/src/node/parts.cpp
+++ b/src/node/parts.cpp
@@ -27,6 +27,10 @@
                 [node](const std::string& instance) { announce_draining(*node, instance); },
             .on_upstream_crash =
                 [node](const call::upstream_crash& crash) { record_crash(*node, crash); },
+            .ask_own_keeper =
+                [node](msg::allowance_request_msg request) {
+                    dispatch(*node, {node->control.allowances.self, std::move(request)});
+                },
             .on_suspect_ran_well =
                 [node](const request_digest& digest) { record_good_run(*node, digest); }};
 }
--- a/src/wire/link_counters.cpp
+++ b/src/wire/link_counters.cpp
@@ -41,6 +41,11 @@
         std::holds_alternative<msg::move_state_msg>(message)) {
         return traffic_kind::move;
     }
+    // They follow the calls in number.
+    if (std::holds_alternative<msg::allowance_request_msg>(message) ||
+        std::holds_alternative<msg::allowance_loan_msg>(message)) {
+        return traffic_kind::call;
+    }
     return traffic_kind::config;
 }
 
--- a/tests/allowance/decision_test.cpp
+++ b/tests/allowance/decision_test.cpp
@@ -281,9 +281,9 @@
 }
 
 TEST_F(entry_stock, pays_repeats_from_later_loans) {
+    wait_for_call();
     note_repeat(entry, shop, now);
     note_repeat(entry, shop, now);
-    wait_for_call();
     EXPECT_EQ(ask(), 3U);
     lend(3);
     EXPECT_TRUE(take(entry, shop, now));
