--- a/src/edge/call_headers.cpp
+++ b/src/edge/call_headers.cpp
@@ -52,6 +52,9 @@
     if (refusal.reason == refusal_reason::unauthorized) {
         return unauthorized_status;
     }
+    if (refusal.reason == refusal_reason::allowance_exceeded) {
+        return 429;
+    }
     const bool is_timeout = refusal.reason == refusal_reason::deadline && !refusal.retry_helps;
     if (is_timeout || refusal.outcome == call_outcome::unknown) {
         return 504;
@@ -95,6 +98,8 @@
         return "the call waited too long on its way to the endpoint";
     case refusal_reason::evacuated:
         return "the data centre of the endpoint is evacuated";
+    case refusal_reason::allowance_exceeded:
+        return "the workspace has used up its allowance";
     default:
         return "the call was not answered";
     }
--- a/src/edge/gate_side.h
+++ b/src/edge/gate_side.h
@@ -90,7 +90,6 @@
     std::function<void(const request_digest&)> on_suspect_ran_well;
     latency_histograms& histograms;
     const header_names& names;
-    const data_centre_id data_centre;
     /// Answers whose body had another length than the upstream stated.
     std::atomic<std::uint64_t> length_mismatches{0};
     mutable std::mutex lock;
