edge: answer 503 to each call that is proven not run

Change: the status follows the outcome alone, and each refusal of a call that did not run names a time: the gate's expected wait, or 100 ms where no gate named one.

--- a/src/call/admission.cpp
+++ b/src/call/admission.cpp
@@ -151,6 +151,10 @@
     return now + patience / patience_divisor;
 }
 
+refusal make_deadline_refusal(const gate_state& gate, const route_id& route, instant now) {
+    return {.reason = refusal_reason::deadline, .retry_after = retry_delay(gate, route, now)};
+}
+
 refusal make_held_refusal(milliseconds held_for) {
     // Another gate would refuse it too, or let one more upstream crash.
     return {.reason = refusal_reason::quarantined, .retry_helps = false, .retry_after = held_for};
@@ -180,7 +184,7 @@
                        .retry_after = retry_elsewhere_after};
     }
     if (request.deadline <= now) {
-        return refusal{.reason = refusal_reason::deadline};
+        return make_deadline_refusal(gate, request.route, now);
     }
     if (request.link_delay > max_link_delay) {
         return refusal{.reason = refusal_reason::delayed,
--- a/src/call/admission.h
+++ b/src/call/admission.h
@@ -69,6 +69,10 @@
 [[nodiscard]] instant overdue_time(const gate_state& gate, const gate_request& request,
                                    instant now);
 
+/// The refusal of a call of this route that did not run before its deadline.
+[[nodiscard]] refusal make_deadline_refusal(const gate_state& gate, const route_id& route,
+                                            instant now);
+
 /// The refusal of a request under which upstreams have crashed.
 [[nodiscard]] refusal make_held_refusal(milliseconds held_for);
 
--- a/src/call/gate.cpp
+++ b/src/call/gate.cpp
@@ -82,7 +82,8 @@
         const auto next = choose_next(gate, now);
         const auto deadline = next.place->second.deadline;
         if (deadline <= now) {
-            refuse_queued(gate, next, {.reason = refusal_reason::deadline}, now, out);
+            const auto route = gate.memory.calls[next.place->second.call].route;
+            refuse_queued(gate, next, make_deadline_refusal(gate, route, now), now, out);
             continue;
         }
         const auto call = next.place->second.call;
@@ -323,7 +324,8 @@
     const auto least =
         microseconds(static_cast<std::int64_t>(std::min(gate.limit.baseline_us, 50'000.0)));
     for (const auto& expired : find_expired(gate.queue, now + least)) {
-        refuse_queued(gate, expired, {.reason = refusal_reason::deadline}, now, out);
+        const auto route = gate.memory.calls[expired.place->second.call].route;
+        refuse_queued(gate, expired, make_deadline_refusal(gate, route, now), now, out);
     }
     refuse_hopeless(gate, now, out);
     fill_slots(gate, now, out);
--- a/src/edge/call_headers.cpp
+++ b/src/edge/call_headers.cpp
@@ -46,11 +46,8 @@
     if (refusal.reason == refusal_reason::no_route) {
         return 404;
     }
-    const bool is_timeout = refusal.reason == refusal_reason::deadline && !refusal.retry_helps;
-    if (is_timeout || refusal.outcome == call_outcome::unknown) {
-        return 504;
-    }
-    return 503;
+    // 503 promises that the call did not run: its caller may send it again, whatever its kind.
+    return refusal.outcome == call_outcome::not_run ? 503 : 504;
 }
 
 std::string_view explain(refusal_reason reason) {
