call: expect run times by the pace that upstreams state

Load: upstreams share their hosts and take 2.5 times as long for half a second; the fourth figure of their load header says so with each answer.

Change: the gate reads the header (figures that cannot be read are ignored, logged once for a run of the upstream), takes the pace to last for 400 ms and the usual time after that, and uses it for the run time and the wait of calls. Measured times are kept at the usual pace, so that a slow spell changes neither the usual time nor the limit on running calls. Answers and refusals report it.

--- a/src/call/admission.cpp
+++ b/src/call/admission.cpp
@@ -44,7 +44,7 @@
     if (!request.objective) {
         return false;
     }
-    const auto run_time = expected_run_time(gate, request.route);
+    const auto run_time = run_time_now(gate, request.route, now);
     if (now + run_time > *request.objective) {
         return sum_work_ahead(gate.queue, position_of(gate, request, now)).calls >=
                max_ahead_of_late_call;
@@ -64,6 +64,10 @@
     return is_measured ? use->second.run_time : typical_latency(gate);
 }
 
+microseconds run_time_now(const gate_state& gate, const route_id& route, instant now) {
+    return stretch(gate.pace, expected_run_time(gate, route), now);
+}
+
 std::uint32_t effective_limit(const gate_state& gate) {
     // With limits off, the baseline of measurements dispatches every call.
     return gate.settings.has_limits ? current_limit(gate.limit)
@@ -88,10 +92,12 @@
 }
 
 queue_position position_of(const gate_state& gate, const gate_request& request, instant now) {
-    const auto run_time = expected_run_time(gate, request.route);
+    // The order among calls does not change with the pace: it is the same for all of them.
+    const auto usual_time = expected_run_time(gate, request.route);
+    const auto run_time = stretch(gate.pace, usual_time, now);
     const bool is_late = request.objective && now + run_time > *request.objective;
     const auto until = request.objective && !is_late ? *request.objective : request.deadline;
-    return {.rank = rank_of(request.priority, run_time, is_late), .due = until - run_time};
+    return {.rank = rank_of(request.priority, usual_time, is_late), .due = until - run_time};
 }
 
 microseconds expected_wait(const gate_state& gate, const queue_position& position, instant now) {
@@ -105,7 +111,7 @@
     const auto work = ahead.run_time + typical_latency(gate);
     const auto slot_wait = microseconds(static_cast<std::int64_t>(
         static_cast<double>(work.count()) / std::max(left, limit * min_slot_share)));
-    return std::max(slot_wait, rate_wait);
+    return std::max(stretch(gate.pace, slot_wait, now), rate_wait);
 }
 
 microseconds expected_route_wait(const gate_state& gate, const route_id& route, instant now) {
@@ -146,7 +152,7 @@
 }
 
 instant overdue_time(const gate_state& gate, const gate_request& request, instant now) {
-    const auto run_time = expected_run_time(gate, request.route);
+    const auto run_time = run_time_now(gate, request.route, now);
     const auto patience = std::max(request.deadline - run_time - now, microseconds{0});
     return now + patience / patience_divisor;
 }
@@ -206,7 +212,7 @@
     }
     const auto wait =
         must_wait ? expected_wait(gate, position_of(gate, request, now), now) : microseconds{0};
-    if (now + wait + expected_run_time(gate, request.route) > request.deadline) {
+    if (now + wait + run_time_now(gate, request.route, now) > request.deadline) {
         return refusal{.reason = is_bound_by_rate ? refusal_reason::rate_limited
                                                   : refusal_reason::deadline,
                        .retry_helps = must_wait,
--- a/src/call/admission.h
+++ b/src/call/admission.h
@@ -26,12 +26,16 @@
 /// Retry delay advised when this gate takes no calls at all; other gates may take them.
 inline constexpr milliseconds retry_elsewhere_after{100};
 
-/// Smoothed latency of all calls at the upstream; zero before the first answer.
+/// Smoothed latency of all calls at the upstream at its usual pace; zero before the first answer.
 [[nodiscard]] microseconds typical_latency(const gate_state& gate);
 
-/// Expected run time of the route's calls at the upstream; typical_latency() until it is measured.
+/// Run time of the route's calls at the upstream at its usual pace; typical_latency() until it is
+/// measured.
 [[nodiscard]] microseconds expected_run_time(const gate_state& gate, const route_id& route);
 
+/// Expected run time of a call of the route that starts now, by the pace that the upstream states.
+[[nodiscard]] microseconds run_time_now(const gate_state& gate, const route_id& route, instant now);
+
 /// Number of calls that may run at once.
 [[nodiscard]] std::uint32_t effective_limit(const gate_state& gate);
 
--- a/src/call/gate.cpp
+++ b/src/call/gate.cpp
@@ -31,6 +31,7 @@
     refused.queue = load.queue;
     refused.slots = load.slots;
     refused.wait_us = load.wait_us;
+    refused.pace_percent = load.pace_percent;
     refused.gate_instance = gate.instance;
     refused.calls_per_s = gate.rate.calls_per_s.value_or(0);
     refused.upstream_leaves = gate.is_upstream_leaving;
@@ -52,7 +53,8 @@
     auto& entry = gate.memory.calls[call];
     note_start(gate.routes, entry.route, now);
     entry.state = memory_state::running;
-    gate.running.emplace(call, running_call{owner, entry.route, now, deadline});
+    gate.running.emplace(
+        call, running_call{owner, entry.route, now, deadline, pace_percent_at(gate.pace, now)});
     note_start(gate.rate, now);
     ++gate.shares.owners[owner].running;
     ++gate.counters.dispatched;
@@ -296,11 +298,14 @@
         return out;
     }
     const auto in_flight = static_cast<std::uint32_t>(gate.running.size());
+    // A slow spell of the host is no sign of too many calls, and passes.
+    const auto usual_time =
+        to_usual_time(end.latency, it->second.pace_percent, pace_percent_at(gate.pace, now));
     if (end.is_answered) {
-        note_run(gate.routes, it->second.route, end.latency);
+        note_run(gate.routes, it->second.route, usual_time);
     }
     if (end.is_answered || end.is_overload) {
-        note_sample(gate.limit, end.latency, end.is_overload, in_flight);
+        note_sample(gate.limit, usual_time, end.is_overload, in_flight);
     }
     stop_running(gate, call, now);
     if (end.is_answered) {
@@ -375,8 +380,15 @@
     return out;
 }
 
+void on_stated_pace(gate_state& gate, const call_id& call, std::uint64_t percent, instant now) {
+    if (gate.running.contains(call)) {
+        gate.pace = make_pace(percent, now);
+    }
+}
+
 void begin_upstream_run(gate_state& gate) {
     gate.rate = {};
+    gate.pace = {};
     gate.is_upstream_leaving = false;
 }
 
--- a/src/call/gate.h
+++ b/src/call/gate.h
@@ -8,6 +8,7 @@
 #include "call/owner_shares.h"
 #include "call/rate_limit.h"
 #include "call/route_use.h"
+#include "call/upstream_pace.h"
 
 #include <array>
 #include <cstdint>
@@ -67,6 +68,8 @@
     route_id route;
     instant started_at{};
     instant deadline{};
+    /// The upstream's pace when the call started.
+    std::uint32_t pace_percent = usual_pace_percent;
 };
 
 struct gate_counters {
@@ -99,6 +102,7 @@
     std::uint32_t starts_in_order = 0;
     concurrency_limit limit;
     rate_limit rate;
+    upstream_pace pace;
     owner_shares shares;
     gate_queue queue;
     std::unordered_map<call_id, running_call> running;
@@ -178,6 +182,10 @@
 [[nodiscard]] gate_actions on_stated_rate(gate_state& gate, const call_id& call,
                                           std::optional<double> calls_per_s, instant now);
 
+/// Applies the pace that an answer to a running call states. Answers that state none change
+/// nothing.
+void on_stated_pace(gate_state& gate, const call_id& call, std::uint64_t percent, instant now);
+
 /// Forgets what the upstream has said about itself in its answers: another run of it has begun.
 void begin_upstream_run(gate_state& gate);
 
--- a/src/call/gate_state.cpp
+++ b/src/call/gate_state.cpp
@@ -23,7 +23,8 @@
     return {.in_flight = static_cast<std::uint32_t>(gate.running.size()),
             .queue = static_cast<std::uint32_t>(gate.queue.size),
             .slots = current_limit(gate.limit),
-            .wait_us = static_cast<std::uint32_t>(wait.count())};
+            .wait_us = static_cast<std::uint32_t>(wait.count()),
+            .pace_percent = pace_percent_at(gate.pace, now)};
 }
 
 } // namespace cyclamenhatch::call
--- a/src/call/load_table.h
+++ b/src/call/load_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "call/routing_view.h"
+#include "call/upstream_pace.h"
 #include "model/time.h"
 
 #include <cstdint>
@@ -37,6 +38,8 @@
     std::uint32_t slots = 0;
     /// Expected wait for a slot of another call of the same route.
     std::uint32_t wait_us = 0;
+    /// How long work takes there now, in percent of the usual time.
+    std::uint32_t pace_percent = usual_pace_percent;
 };
 
 /// What an upstream says about itself in its answers.
--- a/src/edge/entry_side.cpp
+++ b/src/edge/entry_side.cpp
@@ -272,7 +272,8 @@
         return;
     }
     const auto now = current_time();
-    const call::load_report load{message.in_flight, message.queue, message.slots, message.wait_us};
+    const call::load_report load{message.in_flight, message.queue, message.slots, message.wait_us,
+                                 message.pace_percent};
     call::note_report(side.loads[sender], flow->route, load, message.gate_instance, now);
     note_upstream(side, *flow, {message.calls_per_s, message.upstream_leaves}, now);
     record_segments(side, *flow, message, now);
@@ -304,7 +305,8 @@
     if (!flow) {
         return;
     }
-    const call::load_report load{message.in_flight, message.queue, message.slots, message.wait_us};
+    const call::load_report load{message.in_flight, message.queue, message.slots, message.wait_us,
+                                 message.pace_percent};
     const auto now = current_time();
     call::note_report(side.loads[sender], flow->route, load, message.gate_instance, now);
     note_upstream(side, *flow, {message.calls_per_s, message.upstream_leaves}, now);
--- a/src/edge/gate_log.cpp
+++ b/src/edge/gate_log.cpp
@@ -42,6 +42,15 @@
     }
 }
 
+void log_invalid_load(const gate_side& side, const std::string& instance,
+                      const std::string& request) {
+    if (side.log) {
+        side.log({log_level::warning,
+                  "upstream_load_invalid",
+                  {{"instance", instance}, {"request", request}}});
+    }
+}
+
 void log_leaving(const gate_side& side, const std::string& instance, const std::string& request) {
     if (side.log) {
         side.log(
--- a/src/edge/gate_side.cpp
+++ b/src/edge/gate_side.cpp
@@ -51,6 +51,7 @@
     answer->queue = load.queue;
     answer->slots = load.slots;
     answer->wait_us = load.wait_us;
+    answer->pace_percent = load.pace_percent;
     answer->gate_us = static_cast<std::uint32_t>(flow.queue_time.count());
     answer->upstream_us = static_cast<std::uint32_t>(flow.upstream_time.count());
     answer->gate_instance = side.gate.instance;
@@ -83,6 +84,11 @@
         return;
     }
     const auto now = current_time();
+    if (statement.pace_percent) {
+        call::on_stated_pace(side.gate, flow.call, *statement.pace_percent, now);
+    }
+    const bool is_new_fault = statement.is_load_invalid && !side.has_invalid_load;
+    side.has_invalid_load = side.has_invalid_load || statement.is_load_invalid;
     const auto rate_before = side.gate.rate.calls_per_s;
     call::gate_actions actions;
     if (!statement.is_limit_invalid) {
@@ -97,6 +103,9 @@
     }
     const auto instance = side.instance;
     guard.unlock();
+    if (is_new_fault) {
+        log_invalid_load(side, instance, flow.request_id);
+    }
     if (rate != rate_before) {
         log_rate(side, instance, rate_before, rate, flow.request_id);
     }
@@ -258,6 +267,7 @@
         side.started_ms > 0 && upstream.started_ms > 0 && side.started_ms != upstream.started_ms;
     if (side.instance != upstream.instance || is_restarted) {
         ++side.upstream_run;
+        side.has_invalid_load = false;
         call::note_other_run(side.crashes);
         call::begin_upstream_run(side.gate);
     } else if (upstream.instance.empty() && upstream.state == msg::upstream_state::ready) {
--- a/src/edge/gate_side.h
+++ b/src/edge/gate_side.h
@@ -100,6 +100,8 @@
     std::uint64_t started_ms = 0;
     /// Counts the runs of the upstream.
     std::uint64_t upstream_run = 0;
+    /// That run has stated a load that cannot be read.
+    bool has_invalid_load = false;
     std::unordered_map<call_id, gate_flow_ptr> flows;
     /// Calls that have ended here, but whose entry has not confirmed the whole answer.
     std::unordered_map<call_id, gate_flow_ptr> undelivered;
--- a/src/edge/upstream_headers.cpp
+++ b/src/edge/upstream_headers.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace cyclamenhatch::edge {
 namespace {
@@ -19,6 +20,48 @@
     }
 }
 
+/// Running calls, waiting calls, slots and, if stated, the pace.
+constexpr std::size_t least_load_figures = 3;
+constexpr std::size_t most_load_figures = 4;
+
+/// The figures of "1,2,3", or nothing if there is anything else in the text.
+std::optional<std::vector<std::uint64_t>> read_figures(std::string_view text) {
+    std::vector<std::uint64_t> figures;
+    const auto* place = text.data();
+    const auto* const end = text.data() + text.size();
+    while (figures.size() < most_load_figures) {
+        std::uint64_t figure = 0;
+        const auto parsed = std::from_chars(place, end, figure);
+        if (parsed.ec != std::errc{}) {
+            return std::nullopt;
+        }
+        figures.push_back(figure);
+        if (parsed.ptr == end) {
+            return figures;
+        }
+        if (*parsed.ptr != ',') {
+            return std::nullopt;
+        }
+        place = parsed.ptr + 1;
+    }
+    return std::nullopt;
+}
+
+void read_load(const header_names& names, const answer_head& head, upstream_statement& statement) {
+    const auto text =
+        names.load.empty() ? std::string_view{} : find_header(head.headers, names.load);
+    if (text.empty()) {
+        return;
+    }
+    const auto figures = read_figures(text);
+    const bool has_pace = figures && figures->size() == most_load_figures;
+    if (!figures || figures->size() < least_load_figures || (has_pace && figures->back() == 0)) {
+        statement.is_load_invalid = true;
+    } else if (has_pace) {
+        statement.pace_percent = figures->back();
+    }
+}
+
 } // namespace
 
 std::optional<msg::refusal_reason> find_not_run_reason(const header_names& names,
@@ -36,6 +79,7 @@
     if (!names.leaving.empty()) {
         statement.is_leaving = find_header(head.headers, names.leaving) == "1";
     }
+    read_load(names, head, statement);
     const auto text =
         names.rate_limit.empty() ? std::string_view{} : find_header(head.headers, names.rate_limit);
     if (text.empty()) {
--- a/src/edge/upstream_headers.h
+++ b/src/edge/upstream_headers.h
@@ -6,6 +6,7 @@
 #include "messages_generated.h"
 #include "model/time.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -24,6 +25,10 @@
     /// There is a limit in the head, but it is not a number of zero or more.
     bool is_limit_invalid = false;
     bool is_leaving = false;
+    /// How long work takes there now, in percent of the usual time; nothing when it states none.
+    std::optional<std::uint64_t> pace_percent;
+    /// There is a load in the head, but it cannot be read.
+    bool is_load_invalid = false;
 };
 
 [[nodiscard]] upstream_statement read_statement(const header_names& names, const answer_head& head);
--- a/tests/edge/upstream_statement_test.cpp
+++ b/tests/edge/upstream_statement_test.cpp
@@ -47,6 +47,51 @@
 INSTANTIATE_TEST_SUITE_P(rows, stated_limit, ::testing::ValuesIn(limit_rows),
                          [](const auto& row) { return std::string(row.param.name); });
 
+struct load_row {
+    const char* name;
+    const char* text;
+    std::optional<std::uint64_t> pace_percent;
+    bool is_invalid;
+
+    friend std::ostream& operator<<(std::ostream& out, const load_row& row) {
+        return out << row.name;
+    }
+};
+
+class stated_load : public ::testing::TestWithParam<load_row> {};
+
+/// Guards against a load that is misread, and against a broken one that ends calls.
+TEST_P(stated_load, is_read_as_figures) {
+    const auto& row = GetParam();
+    header_names names;
+    names.load = "x-load";
+    const auto statement = read_statement(names, {200, {{names.load, row.text}}});
+    EXPECT_EQ(statement.pace_percent, row.pace_percent);
+    EXPECT_EQ(statement.is_load_invalid, row.is_invalid);
+}
+
+const load_row load_rows[] = {
+    {"usual", "3,0,8,100", 100, false},
+    {"slow", "3,0,8,250", 250, false},
+    {"without_pace", "3,0,8", std::nullopt, false},
+    {"largest", "3,0,8,18446744073709551615", UINT64_MAX, false},
+    {"too_large", "3,0,8,18446744073709551616", std::nullopt, true},
+    {"too_large_elsewhere", "18446744073709551616,0,8,100", std::nullopt, true},
+    {"zero_percent", "3,0,8,0", std::nullopt, true},
+    {"negative", "3,0,8,-100", std::nullopt, true},
+    {"letters", "3,0,8,slow", std::nullopt, true},
+    {"unit", "3,0,8,100%", std::nullopt, true},
+    {"decimal", "3,0,8,1.5", std::nullopt, true},
+    {"two_figures", "3,0", std::nullopt, true},
+    {"missing_figure", "3,,8,100", std::nullopt, true},
+    {"missing_pace", "3,0,8,", std::nullopt, true},
+    {"five_figures", "3,0,8,100,5", std::nullopt, true},
+    {"empty", "", std::nullopt, false},
+};
+
+INSTANTIATE_TEST_SUITE_P(rows, stated_load, ::testing::ValuesIn(load_rows),
+                         [](const auto& row) { return std::string(row.param.name); });
+
 TEST(leaving, is_read_from_its_header) {
     const header_names names;
     EXPECT_TRUE(read_statement(names, {200, {{names.leaving, "1"}}}).is_leaving);
