call: choose endpoints by the expected end where upstreams state their pace

Load: upstreams of 0.55 to 1.6 of the usual speed, slow half seconds, and demand that moves through the data centres in waves. Latency over all routes says little about speed, and a share of slots says nothing about when a call ends.

Change: entries learn each endpoint's speed apart from the routes that it is called on, and the way there. Where upstreams here have stated another pace than the usual one, a call goes to another data centre only when it may be late here (more than 0.7 of its time) and ends there clearly sooner (less than 0.8). The choice stays the better of two random ones. Other upstreams keep today's choice.

--- a/src/call/choose_endpoint.cpp
+++ b/src/call/choose_endpoint.cpp
@@ -16,6 +16,13 @@
 /// Latencies below this count as equal: their differences are noise.
 constexpr double min_latency_us = 500;
 
+/// Share of a call's time within which it is expected to end here for it to stay here; run times of
+/// a route vary.
+constexpr double safe_share = 0.7;
+/// A call that may be late here goes to another data centre when it is expected to end there in
+/// less than this share of the time.
+constexpr double clearly_sooner = 0.8;
+
 struct candidate {
     const endpoint* target = nullptr;
     const endpoint_load* load = nullptr;
@@ -50,10 +57,19 @@
     return std::clamp(share, first_ramp_share, 1.0);
 }
 
+/// Time that a call takes at the endpoint once it runs.
+microseconds run_time_at(const candidate& option, const choice_input& input, instant now) {
+    const auto& load = *option.load;
+    return input.times != nullptr && states_pace(load, now)
+               ? load.way + expected_run(load, *input.times, input.route, now)
+               : load.latency;
+}
+
 /// Cost of sending a call to the endpoint, by its load and latency; lower is better.
-double score(const candidate& option, instant now) {
+double score(const candidate& option, const choice_input& input, instant now) {
     const auto& load = *option.load;
-    const auto latency = std::max(min_latency_us, static_cast<double>(load.latency.count()));
+    const auto latency =
+        std::max(min_latency_us, static_cast<double>(run_time_at(option, input, now).count()));
     const auto slots = usable_slots(*option.target, load, now);
     const auto busy = (estimate_in_flight(load, now) + 1) / (slots * ramp_share(load, now));
     return busy * (latency + failure_cost_us * load.failure_share);
@@ -71,25 +87,26 @@
            estimate_wait(*option.load, route, now).count() > 0;
 }
 
-const endpoint* better_of_two(const std::vector<candidate>& candidates, instant now,
-                              random_source& random) {
+const candidate* better_of_two(const std::vector<candidate>& candidates, const choice_input& input,
+                               instant now, random_source& random) {
     if (candidates.empty()) {
         return nullptr;
     }
     if (candidates.size() == 1) {
-        return candidates.front().target;
+        return &candidates.front();
     }
     const auto first = random() % candidates.size();
     const auto second = (first + 1 + random() % (candidates.size() - 1)) % candidates.size();
-    return score(candidates[second], now) < score(candidates[first], now)
-               ? candidates[second].target
-               : candidates[first].target;
+    const bool is_second =
+        score(candidates[second], input, now) < score(candidates[first], input, now);
+    return &candidates[is_second ? second : first];
 }
 
 struct candidate_lists {
     std::vector<candidate> near;
     std::vector<candidate> near_with_room;
     std::vector<candidate> far;
+    std::vector<candidate> far_with_room;
     std::vector<candidate> with_room;
     std::vector<candidate> ejected;
 };
@@ -119,6 +136,9 @@
         }
         if (has_room(target, *next.load, now)) {
             lists.with_room.push_back(next);
+            if (!is_near) {
+                lists.far_with_room.push_back(next);
+            }
         }
     }
     return lists;
@@ -136,6 +156,32 @@
     return nullptr;
 }
 
+bool is_uneven(const candidate_lists& lists, instant now) {
+    return std::any_of(lists.near.begin(), lists.near.end(),
+                       [now](const candidate& option) { return states_pace(*option.load, now); });
+}
+
+/// The choice among endpoints that state their pace; null when none here has room.
+const endpoint* choose_by_end(const candidate_lists& lists, const choice_input& input, instant now,
+                              random_source& random) {
+    const auto* near = better_of_two(lists.near_with_room, input, now, random);
+    near = near == nullptr ? better_of_two(lists.near, input, now, random) : near;
+    const auto* far = better_of_two(lists.far_with_room, input, now, random);
+    if (near == nullptr || far == nullptr) {
+        return near == nullptr ? nullptr : near->target;
+    }
+    const auto end_of = [&](const candidate& option) {
+        return expected_end(*option.target, *option.load, *input.times, input.route, now);
+    };
+    const auto near_end = static_cast<double>(end_of(*near).count());
+    const bool may_be_late =
+        input.useful_until &&
+        near_end > safe_share * static_cast<double>((*input.useful_until - now).count());
+    const bool is_sooner_there =
+        static_cast<double>(end_of(*far).count()) < clearly_sooner * near_end;
+    return may_be_late && is_sooner_there ? far->target : near->target;
+}
+
 } // namespace
 
 bool has_room(const endpoint& candidate, const endpoint_load& load, instant now) {
@@ -199,10 +245,15 @@
             return probe;
         }
     }
+    if (input.times != nullptr && is_uneven(lists, now)) {
+        if (const auto* chosen = choose_by_end(lists, input, now, random)) {
+            return chosen;
+        }
+    }
     for (const auto* list :
          {&lists.near_with_room, &lists.with_room, &lists.near, &lists.far, &lists.ejected}) {
-        if (const auto* chosen = better_of_two(*list, now, random)) {
-            return chosen;
+        if (const auto* chosen = better_of_two(*list, input, now, random)) {
+            return chosen->target;
         }
     }
     return nullptr;
--- a/src/call/choose_endpoint.h
+++ b/src/call/choose_endpoint.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "call/endpoint_speed.h"
 #include "call/load_table.h"
 #include "call/routing_view.h"
 #include "model/random.h"
@@ -19,6 +20,11 @@
     /// Nodes to which this call has already been sent.
     const std::vector<node_id>& tried;
     const route_id& route;
+    /// Measured run times of the routes; null for none.
+    const route_times* times = nullptr;
+    /// When the answer loses most of its worth to the caller: its objective or, if it has none or
+    /// has missed it, its deadline.
+    std::optional<instant> useful_until;
 };
 
 /// Chooses the versions for one call by the service's version share. Calls with the same key get
@@ -29,8 +35,10 @@
                                             random_source& random);
 
 /// Chooses the better of two random endpoints of the version, in the entry's data centre while one
-/// there has room. Considers only ready endpoints that are not ejected and were not tried; falls
-/// back to ejected ones when no others are left. Null when there is none.
+/// there has room. Where upstreams state their pace, a call goes to another data centre only when
+/// it may be late here and is expected to end there clearly sooner. Considers only ready
+/// endpoints that are not ejected and were not tried; falls back to ejected ones when no others are
+/// left. Null when there is none.
 [[nodiscard]] const endpoint* choose_endpoint(const choice_input& input, load_table& loads,
                                               instant now, random_source& random);
 
--- a/src/call/load_table.cpp
+++ b/src/call/load_table.cpp
@@ -92,6 +92,10 @@
     } else {
         load.waits.erase(route);
     }
+    load.pace = make_pace(report.pace_percent, now);
+    if (load.pace.percent != usual_pace_percent) {
+        load.uneven_at = now;
+    }
     load.reported = report;
     load.reported_at = now;
     load.gate_instance = gate_instance;
--- a/src/call/load_table.h
+++ b/src/call/load_table.h
@@ -77,6 +77,14 @@
     load_report reported;
     instant reported_at{};
     std::map<route_id, reported_wait> waits;
+    /// The upstream's pace, by the gate's last report.
+    upstream_pace pace;
+    /// When a pace other than the usual one was last reported.
+    std::optional<instant> uneven_at;
+    /// Run times here at the usual pace, as a multiple of those at all endpoints; smoothed.
+    double slowness = 1;
+    /// Smoothed time that calls spend outside of the upstream; zero before the first answer.
+    microseconds way{0};
     /// Instance id of the gate's process, from its last report; 0 before the first one.
     std::uint64_t gate_instance = 0;
     std::uint64_t incarnation = 0;
--- a/src/edge/entry_side.cpp
+++ b/src/edge/entry_side.cpp
@@ -176,12 +176,18 @@
     return now + longest < *side.runs_end;
 }
 
-void record_segments(entry_side& side, const entry_flow& flow, const msg::call_answer_msg& message,
-                     instant now) {
+/// Precondition: the lock is held and there is an attempt.
+void record_times(entry_side& side, const entry_flow& flow, const msg::call_answer_msg& message,
+                  instant now) {
     const auto time_at_gate = microseconds(message.gate_us) + microseconds(message.upstream_us);
-    const auto opened_at = flow.state.current->opened_at;
-    side.histograms.record(segment::link,
-                           std::max(microseconds{0}, now - opened_at - time_at_gate));
+    const auto& current = *flow.state.current;
+    const auto way = std::max(microseconds{0}, now - current.opened_at - time_at_gate);
+    constexpr unsigned first_error = 400;
+    if (message.status < first_error) {
+        call::note_answer_time(side.run_times, side.loads[current.target.node], flow.route,
+                               {.run_time = microseconds(message.upstream_us), .way = way}, now);
+    }
+    side.histograms.record(segment::link, way);
     side.histograms.record(segment::whole, now - flow.received_at);
 }
 
@@ -276,7 +282,7 @@
                                  message.pace_percent};
     call::note_report(side.loads[sender], flow->route, load, message.gate_instance, now);
     note_upstream(side, *flow, {message.calls_per_s, message.upstream_leaves}, now);
-    record_segments(side, *flow, message, now);
+    record_times(side, *flow, message, now);
     call::note(side.answer_times[flow->route], now - flow->received_at, now);
     flow->length = find_answer_length(message.status, flow->request.method, message.headers);
     if (is_mismatch(fit_body(flow->length, message.body.size(), message.last))) {
@@ -365,6 +371,9 @@
         call::forget_idle(side.loads, idle_load_time, now);
         call::forget_idle(side.stated_times, now);
         call::forget_idle(side.answer_times, now);
+        std::erase_if(side.run_times, [&side](const auto& entry) {
+            return !side.answer_times.contains(entry.first);
+        });
     }
     const auto lost_cancels = call::take_due(side.cancels, now);
     guard.unlock();
--- a/src/edge/entry_side.h
+++ b/src/edge/entry_side.h
@@ -114,6 +114,7 @@
     // Guarded by lock.
     random_source random;
     call::load_table loads;
+    call::route_times run_times;
     call::stated_times_table stated_times;
     /// Longest times that recent calls took to their answers.
     std::map<route_id, call::recent_longest> answer_times;
--- a/src/edge/entry_steps.cpp
+++ b/src/edge/entry_steps.cpp
@@ -26,15 +26,13 @@
 
 /// The refusal of a call that is not worth sending: by recent reports of all gates that may take
 /// it, it would queue past its latency objective or, after that, its deadline.
-std::optional<call::refusal> find_wait_refusal(const entry_side& side, const entry_flow& flow,
+std::optional<call::refusal> find_wait_refusal(const entry_side& side,
                                                const call::choice_input& input, instant now) {
     const auto wait = call::least_wait(input, side.loads, now);
     if (!wait || wait->count() == 0) {
         return std::nullopt;
     }
-    const bool has_objective = flow.objective && now < *flow.objective;
-    const auto useful_until = has_objective ? *flow.objective : flow.state.deadline;
-    if (now + *wait < useful_until) {
+    if (now + *wait < *input.useful_until) {
         return std::nullopt;
     }
     return call::refusal{.outcome = msg::call_outcome::not_run,
@@ -48,12 +46,16 @@
                                                           instant now) {
     const auto view = side.callbacks.view();
     const auto& endpoints = endpoints_of(*view, flow.service);
+    const bool has_objective = flow.objective && now < *flow.objective;
     const call::choice_input input{.endpoints = endpoints,
                                    .versions = flow.versions,
                                    .data_centre = side.data_centre,
                                    .tried = tried,
-                                   .route = flow.route};
-    flow.state.no_endpoint_reason = find_wait_refusal(side, flow, input, now);
+                                   .route = flow.route,
+                                   .times = &side.run_times,
+                                   .useful_until =
+                                       has_objective ? *flow.objective : flow.state.deadline};
+    flow.state.no_endpoint_reason = find_wait_refusal(side, input, now);
     if (flow.state.no_endpoint_reason) {
         return std::nullopt;
     }
