--- a/src/call/admission.h
+++ b/src/call/admission.h
@@ -27,12 +27,16 @@
 /// Retry delay advised when this gate takes no calls at all; other gates may take them.
 inline constexpr milliseconds retry_elsewhere_after{100};
 
-/// Smoothed latency of all calls at the upstream; zero before the first answer.
+/// Smoothed latency of all calls at the upstream at its usual pace; zero before the first answer.
 [[nodiscard]] microseconds typical_latency(const gate_state& gate);
 
-/// Expected run time of the route's calls at the upstream; typical_latency() until it is measured.
+/// Run time of the route's calls at the upstream at its usual pace; typical_latency() until it is
+/// measured.
 [[nodiscard]] microseconds expected_run_time(const gate_state& gate, const route_id& route);
 
+/// Expected run time of a call of the route that starts now, by the pace that the upstream states.
+[[nodiscard]] microseconds run_time_now(const gate_state& gate, const route_id& route, instant now);
+
 /// Number of calls that may run at once.
 [[nodiscard]] std::uint32_t effective_limit(const gate_state& gate);
 
@@ -78,6 +82,10 @@
 [[nodiscard]] instant overdue_time(const gate_state& gate, const gate_request& request,
                                    instant now);
 
+/// The refusal of a call of this route that did not run before its deadline.
+[[nodiscard]] refusal make_deadline_refusal(const gate_state& gate, const route_id& route,
+                                            instant now);
+
 /// The refusal of a request under which upstreams have crashed.
 [[nodiscard]] refusal make_held_refusal(milliseconds held_for);
 
--- a/src/call/gate.cpp
+++ b/src/call/gate.cpp
@@ -31,6 +31,7 @@
     refused.queue = load.queue;
     refused.slots = load.slots;
     refused.wait_us = load.wait_us;
+    refused.pace_percent = load.pace_percent;
     refused.gate_instance = gate.instance;
     refused.calls_per_s = rate_in_force(gate, now).value_or(0);
     refused.cold_ms = static_cast<std::uint32_t>(cold_left(gate.warm, now).count());
@@ -56,7 +57,8 @@
     auto& entry = gate.memory.calls[call];
     note_start(gate.routes, entry.route, now);
     entry.state = memory_state::running;
-    gate.running.emplace(call, running_call{owner, entry.route, now, deadline});
+    gate.running.emplace(
+        call, running_call{owner, entry.route, now, deadline, pace_percent_at(gate.pace, now)});
     note_start(gate.rate, now);
     note_start(gate.warm, now);
     ++gate.shares.owners[owner].running;
@@ -87,7 +89,8 @@
         const auto next = choose_next(gate, now);
         const auto deadline = next.place->second.deadline;
         if (deadline <= now) {
-            refuse_queued(gate, next, {.reason = refusal_reason::deadline}, now, out);
+            const auto route = gate.memory.calls[next.place->second.call].route;
+            refuse_queued(gate, next, make_deadline_refusal(gate, route, now), now, out);
             continue;
         }
         const auto call = next.place->second.call;
@@ -317,11 +320,14 @@
         return out;
     }
     const auto in_flight = static_cast<std::uint32_t>(gate.running.size());
+    // A slow spell of the host is no sign of too many calls, and passes.
+    const auto usual_time =
+        to_usual_time(end.latency, it->second.pace_percent, pace_percent_at(gate.pace, now));
     if (end.is_answered) {
-        note_run(gate.routes, it->second.route, end.latency);
+        note_run(gate.routes, it->second.route, usual_time);
     }
     if (end.is_answered || end.is_overload) {
-        note_sample(gate.limit, end.latency, end.is_overload, in_flight);
+        note_sample(gate.limit, usual_time, end.is_overload, in_flight);
     }
     stop_running(gate, call, now);
     if (end.is_answered) {
@@ -348,7 +354,8 @@
     const auto least =
         microseconds(static_cast<std::int64_t>(std::min(gate.limit.baseline_us, 50'000.0)));
     for (const auto& expired : find_expired(gate.queue, now + least)) {
-        refuse_queued(gate, expired, {.reason = refusal_reason::deadline}, now, out);
+        const auto route = gate.memory.calls[expired.place->second.call].route;
+        refuse_queued(gate, expired, make_deadline_refusal(gate, route, now), now, out);
     }
     refuse_hopeless(gate, now, out);
     fill_slots(gate, now, out);
@@ -407,9 +414,16 @@
     return out;
 }
 
+void on_stated_pace(gate_state& gate, const call_id& call, std::uint64_t percent, instant now) {
+    if (gate.running.contains(call)) {
+        gate.pace = make_pace(percent, now);
+    }
+}
+
 void begin_upstream_run(gate_state& gate) {
     gate.rate = {};
     begin_run(gate.warm);
+    gate.pace = {};
     gate.is_upstream_leaving = false;
 }
 
--- a/src/call/gate.h
+++ b/src/call/gate.h
@@ -8,6 +8,7 @@
 #include "call/owner_shares.h"
 #include "call/rate_limit.h"
 #include "call/route_use.h"
+#include "call/upstream_pace.h"
 #include "call/warm_up.h"
 
 #include <array>
@@ -68,6 +69,8 @@
     route_id route;
     instant started_at{};
     instant deadline{};
+    /// The upstream's pace when the call started.
+    std::uint32_t pace_percent = usual_pace_percent;
 };
 
 struct gate_counters {
@@ -103,6 +106,7 @@
     concurrency_limit limit;
     rate_limit rate;
     warm_up warm;
+    upstream_pace pace;
     owner_shares shares;
     gate_queue queue;
     std::unordered_map<call_id, running_call> running;
@@ -187,6 +191,10 @@
 [[nodiscard]] gate_actions on_warm_up_terms(gate_state& gate,
                                             const std::optional<warm_up_terms>& terms, instant now);
 
+/// Applies the pace that an answer to a running call states. Answers that state none change
+/// nothing.
+void on_stated_pace(gate_state& gate, const call_id& call, std::uint64_t percent, instant now);
+
 /// Forgets what the upstream has said about itself in its answers: another run of it has begun.
 void begin_upstream_run(gate_state& gate);
 
--- a/src/call/load_table.h
+++ b/src/call/load_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "call/routing_view.h"
+#include "call/upstream_pace.h"
 #include "model/time.h"
 
 #include <cstdint>
@@ -37,6 +38,8 @@
     std::uint32_t slots = 0;
     /// Expected wait for a slot of another call of the same route.
     std::uint32_t wait_us = 0;
+    /// How long work takes there now, in percent of the usual time.
+    std::uint32_t pace_percent = usual_pace_percent;
 };
 
 /// What an upstream says about itself in its answers.
@@ -76,6 +79,14 @@
     load_report reported;
     instant reported_at{};
     std::map<route_id, reported_wait> waits;
+    /// The upstream's pace, by the gate's last report.
+    upstream_pace pace;
+    /// When a pace other than the usual one was last reported.
+    std::optional<instant> uneven_at;
+    /// Run times here at the usual pace, as a multiple of those at all endpoints; smoothed.
+    double slowness = 1;
+    /// Smoothed time that calls spend outside of the upstream; zero before the first answer.
+    microseconds way{0};
     /// Instance id of the gate's process, from its last report; 0 before the first one.
     std::uint64_t gate_instance = 0;
     std::uint64_t incarnation = 0;
