api: write workspaces in files and through the API

Workspaces came from the platform's document only.

[[workspace]] tables are read and checked with their locations; they are written, listed, shown and deleted at /v1/workspaces/NAME and by /v1/apply, with revisions as conditions, and listed by the command line. They are kept in the fleet section, which exists while something is in it and is no service to write or delete.

--- a/src/admin/api.cpp
+++ b/src/admin/api.cpp
@@ -142,13 +142,18 @@
     return std::nullopt;
 }
 
-/// The resource key in a path such as v1/routes/SERVICE/NAME.
+/// The resource key in a path such as v1/routes/SERVICE/NAME or v1/workspaces/NAME.
 std::optional<store::resource_key> read_key(const path_view& path, store::resource_kind kind) {
     if (kind == store::resource_kind::service) {
         return path.size() == 3
                    ? std::optional(store::resource_key{kind, service_id{path[2]}, path[2]})
                    : std::nullopt;
     }
+    if (kind == store::resource_kind::workspace) {
+        return path.size() == 3
+                   ? std::optional(store::resource_key{kind, fleet_section_name(), path[2]})
+                   : std::nullopt;
+    }
     return path.size() == 4 ? std::optional(store::resource_key{kind, service_id{path[2]}, path[3]})
                             : std::nullopt;
 }
--- a/src/admin/resource_lookup.cpp
+++ b/src/admin/resource_lookup.cpp
@@ -13,11 +13,12 @@
     std::string_view singular;
 };
 
-constexpr std::array<kind_names, 4> all_kinds{{
+constexpr std::array<kind_names, 5> all_kinds{{
     {store::resource_kind::service, "services", "service"},
     {store::resource_kind::route, "routes", "route"},
     {store::resource_kind::upstream_version, "upstream-versions", "upstream_version"},
     {store::resource_kind::move, "moves", "move"},
+    {store::resource_kind::workspace, "workspaces", "workspace"},
 }};
 
 /// Calls `visit` with each resource of one kind.
@@ -38,6 +39,9 @@
     case store::resource_kind::move:
         std::for_each(part.moves.begin(), part.moves.end(), visit);
         return;
+    case store::resource_kind::workspace:
+        std::for_each(part.workspaces.begin(), part.workspaces.end(), visit);
+        return;
     }
 }
 
--- a/src/admin/resource_write.cpp
+++ b/src/admin/resource_write.cpp
@@ -151,7 +151,8 @@
     findings problems;
     if (std::holds_alternative<document::table>(body.value)) {
         set_or_check_field(body, "name", key.name, problems);
-        if (key.kind != store::resource_kind::service) {
+        if (key.kind != store::resource_kind::service &&
+            key.kind != store::resource_kind::workspace) {
             set_or_check_field(body, "service", key.service.value, problems);
         }
     }
--- a/src/admin/shown_write.cpp
+++ b/src/admin/shown_write.cpp
@@ -66,6 +66,11 @@
     add_preconditions(write, resource_kind::route, resources.routes);
     add_preconditions(write, resource_kind::upstream_version, resources.versions);
     add_preconditions(write, resource_kind::move, resources.moves);
+    for (const auto& workspace : resources.workspaces) {
+        add_precondition(write,
+                         {resource_kind::workspace, fleet_section_name(), workspace.name.value},
+                         workspace.last_write);
+    }
     for (std::size_t i = 0; i < resources.moves.size(); ++i) {
         auto& requested = resources.moves[i];
         const auto* current = find_current_move(config, requested);
@@ -90,6 +95,7 @@
     write.services = std::move(resources.services);
     write.routes = std::move(resources.routes);
     write.versions = std::move(resources.versions);
+    write.workspaces = std::move(resources.workspaces);
     return write;
 }
 
--- a/src/cli/resource_verbs.cpp
+++ b/src/cli/resource_verbs.cpp
@@ -28,6 +28,7 @@
          "moves",
          {"service", "name", "from", "to", "deadline", "attempt", "cancel", "ending.outcome",
           "revision"}},
+        {"workspace", "workspaces", {"name", "priority", "calls_per_s", "burst", "revision"}},
     };
     return kinds;
 }
@@ -44,13 +45,16 @@
 }
 
 exit_code refuse_kind(const environment& env, const std::string& kind) {
-    env.err << "\"" << kind << "\" is no kind; use service, route, upstream_version or move\n";
+    env.err << "\"" << kind
+            << "\" is no kind; use service, route, upstream_version, move or "
+               "workspace\n";
     return exit_code::usage;
 }
 
 /// The API path of the resource; nothing when there are too few or too many names.
 std::optional<std::string> make_path(const kind_view& kind, const std::vector<std::string>& names) {
-    const std::size_t needed = kind.singular == "service" ? 1 : 2;
+    const bool is_alone = kind.singular == "service" || kind.singular == "workspace";
+    const std::size_t needed = is_alone ? 1 : 2;
     if (names.size() != needed) {
         return std::nullopt;
     }
--- a/src/document/resource_check.cpp
+++ b/src/document/resource_check.cpp
@@ -59,6 +59,19 @@
     }
 }
 
+/// The workspaces belong to no service.
+void add_workspaces(draft_set& set, const std::vector<workspace>& workspaces) {
+    if (workspaces.empty()) {
+        return;
+    }
+    auto& draft = set.drafts[fleet_section_name()];
+    draft.content.service.name = fleet_section_name();
+    draft.content.workspaces = workspaces;
+    for (std::size_t i = 0; i < workspaces.size(); ++i) {
+        draft.positions["workspace"].push_back(i);
+    }
+}
+
 draft_set make_drafts(const document& source, const resource_set& resources) {
     draft_set set;
     for (std::size_t i = 0; i < resources.services.size(); ++i) {
@@ -76,13 +89,16 @@
     add_resources(set, source, "route", resources.routes, &section::routes);
     add_resources(set, source, "upstream_version", resources.versions, &section::versions);
     add_resources(set, source, "move", resources.moves, &section::moves);
+    // Last: the drafts so far tell whether the resources include any service.
+    add_workspaces(set, resources.workspaces);
     return set;
 }
 
 /// Service names may contain dots, so a matching prefix alone does not identify the section.
 bool is_section_path(std::string_view path) {
     return path.starts_with("service.") || path.starts_with("route[") ||
-           path.starts_with("upstream_version[") || path.starts_with("move[");
+           path.starts_with("upstream_version[") || path.starts_with("move[") ||
+           path.starts_with("workspace[");
 }
 
 /// Converts a path within a section, such as route[1].service, to one within the document.
--- a/src/document/schema_reader.cpp
+++ b/src/document/schema_reader.cpp
@@ -217,6 +217,8 @@
     read_kind<msg::upstream_version_resource_msg>(source, "upstream_version", {"name", "service"},
                                                   resources.versions, problems);
     read_moves(source, resources, problems);
+    read_kind<msg::workspace_resource_msg>(source, "workspace", {"name"}, resources.workspaces,
+                                           problems);
     if (!problems.empty()) {
         sort_by_location(problems);
         return problems;
@@ -269,6 +271,9 @@
 document write_resource(const move& resource) {
     return write_message(to_message(resource));
 }
+document write_resource(const workspace& resource) {
+    return write_message(to_message(resource));
+}
 
 document write_findings(const findings& problems) {
     document::array items;
--- a/src/document/schema_reader.h
+++ b/src/document/schema_reader.h
@@ -21,6 +21,7 @@
     std::vector<route> routes;
     std::vector<upstream_version> versions;
     std::vector<move> moves;
+    std::vector<workspace> workspaces;
     /// Findings, by position in `moves`, about fields of a move that only the system sets. They
     /// hold unless the move equals the stored one, which only a holder of the configuration can
     /// check.
@@ -31,11 +32,11 @@
 /// result, with defaults where the document has none.
 [[nodiscard]] result<msg::settings_msg> read_settings(const document& source);
 
-/// Reads resources as an operator writes them: [[service]], [[route]], [[upstream_version]] and
-/// [[move]] tables, or as the API returns them. `operation` is dropped; a `revision` above 0 is
-/// kept in the resource as a precondition; the top-level `version` of a listing is ignored. The
-/// attempt and the ending of a move give findings; for a move with a revision, these are put in
-/// `system_field_findings` instead of being returned.
+/// Reads resources as an operator writes them: [[service]], [[route]], [[upstream_version]],
+/// [[move]] and [[workspace]] tables, or as the API returns them. `operation` is dropped; a
+/// `revision` above 0 is kept in the resource as a precondition; the top-level `version` of a
+/// listing is ignored. The attempt and the ending of a move give findings; for a move with a
+/// revision, these are put in `system_field_findings` instead of being returned.
 [[nodiscard]] result<resource_set> read_resources(const document& source);
 
 /// Checks resources together by model/validation.h and gives findings their locations in `source`,
@@ -55,6 +56,7 @@
 [[nodiscard]] document write_resource(const route& resource);
 [[nodiscard]] document write_resource(const upstream_version& resource);
 [[nodiscard]] document write_resource(const move& resource);
+[[nodiscard]] document write_resource(const workspace& resource);
 
 /// A JSON array of findings: file, line, column, path, problem, remedy.
 [[nodiscard]] document write_findings(const findings& problems);
--- a/src/store/change.cpp
+++ b/src/store/change.cpp
@@ -1,6 +1,7 @@
 #include "store/change.h"
 
 #include "model/validation.h"
+#include "store/change_context.h"
 #include "store/resource_key.h"
 
 #include <algorithm>
@@ -10,49 +11,6 @@
 namespace cyclamenhatch::store {
 namespace {
 
-std::string indexed(std::string_view kind, std::size_t index, std::string_view field) {
-    return std::string(kind) + "[" + std::to_string(index) + "]." + std::string(field);
-}
-
-template <class Resource>
-auto find_named(std::vector<Resource>& resources, const std::string& name) {
-    return std::find_if(resources.begin(), resources.end(),
-                        [&](const Resource& resource) { return resource.name.value == name; });
-}
-
-/// The state of one change while it is applied. A section is copied when it is first changed.
-struct change_context {
-    const section_map& current;
-    provenance stamp;
-    std::map<service_id, section> changed_sections;
-    std::set<service_id> removed_services;
-    std::set<resource_key> named_keys;
-    findings invalid_findings;
-    findings conflict_findings;
-
-    void add_invalid(std::string path, std::string problem, std::string remedy) {
-        invalid_findings.push_back(
-            {.path = std::move(path), .problem = std::move(problem), .remedy = std::move(remedy)});
-    }
-    void add_conflict(std::string path, std::string problem, std::string remedy) {
-        conflict_findings.push_back(
-            {.path = std::move(path), .problem = std::move(problem), .remedy = std::move(remedy)});
-    }
-};
-
-/// The working copy of a section, or null when the service does not exist.
-section* open_section(change_context& context, const service_id& name) {
-    const auto copied = context.changed_sections.find(name);
-    if (copied != context.changed_sections.end()) {
-        return &copied->second;
-    }
-    const auto stored = context.current.find(name);
-    if (stored == context.current.end()) {
-        return nullptr;
-    }
-    return &context.changed_sections.emplace(name, stored->second->content).first->second;
-}
-
 std::string revision_text(const std::optional<config_version>& revision) {
     return revision ? "at revision " + std::to_string(revision->value) : "absent";
 }
@@ -72,38 +30,6 @@
     }
 }
 
-/// Records that the write names a resource. False, with a finding, when it has named it before.
-bool add_key(change_context& context, const resource_key& key, const std::string& path) {
-    if (context.named_keys.insert(key).second) {
-        return true;
-    }
-    context.add_invalid(path, describe(key) + " is named twice in this write",
-                        "name each resource once");
-    return false;
-}
-
-/// Replaces `existing` when the content differs; equal content keeps its revision.
-template <class Resource>
-void replace_if_changed(Resource& existing, Resource replacement, const provenance& stamp) {
-    replacement.last_write = existing.last_write;
-    if (replacement != existing) {
-        replacement.last_write = stamp;
-        existing = std::move(replacement);
-    }
-}
-
-template <class Resource>
-void put_resource(std::vector<Resource>& resources, const Resource& resource,
-                  const provenance& stamp) {
-    const auto existing = find_named(resources, resource.name.value);
-    if (existing != resources.end()) {
-        replace_if_changed(*existing, resource, stamp);
-        return;
-    }
-    resources.push_back(resource);
-    resources.back().last_write = stamp;
-}
-
 /// Only a move may change the version of a service. A plain write would shift all its traffic at
 /// once, for instance when an operator reapplies a file that was written before a move.
 void put_existing_service(change_context& context, service& existing, const service& replacement,
@@ -121,6 +47,12 @@
 void put_services(change_context& context, const std::vector<service>& services) {
     for (std::size_t i = 0; i < services.size(); ++i) {
         const auto& new_service = services[i];
+        if (new_service.name == fleet_section_name()) {
+            context.add_invalid(indexed("service", i, "name"),
+                                "\"" + new_service.name.value + "\" is no name of a service",
+                                "use 1 to 128 letters, digits, '-', '_' or '.'");
+            continue;
+        }
         if (!add_key(context, {resource_kind::service, new_service.name, new_service.name.value},
                      indexed("service", i, "name"))) {
             continue;
@@ -259,6 +191,9 @@
                      const std::string& path) {
     switch (key.kind) {
     case resource_kind::service:
+        if (is_fleet_section(working_copy)) {
+            return false;
+        }
         context.removed_services.insert(key.service);
         return true;
     case resource_kind::route:
@@ -267,6 +202,8 @@
         return erase_named(working_copy.versions, key.name);
     case resource_kind::move:
         return delete_move(context, working_copy, key, path);
+    case resource_kind::workspace:
+        return erase_named(working_copy.workspaces, key.name);
     }
     return false;
 }
@@ -338,6 +275,7 @@
     put_resources(context, resource_kind::route, write.routes, &section::routes);
     put_resources(context, resource_kind::upstream_version, write.versions, &section::versions);
     put_moves(context, write.moves);
+    put_workspaces(context, write.workspaces);
     delete_resources(context, write.deletes);
     check_removed_services(context);
 }
@@ -351,7 +289,9 @@
     section_map updated = context.current;
     for (auto& [name, content] : context.changed_sections) {
         const auto existing = updated.find(name);
-        if (context.removed_services.count(name) > 0) {
+        const bool is_empty_fleet =
+            is_fleet_section(content) && content.workspaces.empty() && content.evacuated.empty();
+        if (is_empty_fleet || context.removed_services.count(name) > 0) {
             updated.erase(name);
         } else if (existing == updated.end() || existing->second->content != content) {
             updated[name] = make_stored_section(std::move(content));
--- a/src/store/change.h
+++ b/src/store/change.h
@@ -28,6 +28,7 @@
     std::vector<route> routes;
     std::vector<upstream_version> versions;
     std::vector<move> moves;
+    std::vector<workspace> workspaces;
     std::vector<resource_key> deletes;
     std::vector<precondition> preconditions;
 };
--- a/src/store/resource_key.cpp
+++ b/src/store/resource_key.cpp
@@ -12,13 +12,15 @@
         return "upstream_version";
     case resource_kind::move:
         return "move";
+    case resource_kind::workspace:
+        return "workspace";
     }
     return "resource";
 }
 
 std::string describe(const resource_key& key) {
     std::string text = std::string(kind_text(key.kind)) + " \"" + key.name + "\"";
-    if (key.kind != resource_kind::service) {
+    if (key.kind != resource_kind::service && key.kind != resource_kind::workspace) {
         text += " of service \"" + key.service.value + "\"";
     }
     return text;
@@ -40,13 +42,16 @@
     };
     switch (key.kind) {
     case resource_kind::service:
-        return content.service.last_write.revision;
+        return is_fleet_section(content) ? std::nullopt
+                                         : std::optional(content.service.last_write.revision);
     case resource_kind::route:
         return revision_in(content.routes);
     case resource_kind::upstream_version:
         return revision_in(content.versions);
     case resource_kind::move:
         return revision_in(content.moves);
+    case resource_kind::workspace:
+        return revision_in(content.workspaces);
     }
     return std::nullopt;
 }
--- a/src/store/resource_key.h
+++ b/src/store/resource_key.h
@@ -13,10 +13,11 @@
 
 using section_map = std::map<service_id, section_ptr>;
 
-enum class resource_kind { service, route, upstream_version, move };
+enum class resource_kind { service, route, upstream_version, move, workspace };
 
 struct resource_key {
     resource_kind kind = resource_kind::service;
+    /// The fleet section's for a workspace.
     service_id service;
     /// The resource's own name; the service's name for a service.
     std::string name;
--- a/tests/admin/api_test.cpp
+++ b/tests/admin/api_test.cpp
@@ -85,6 +85,9 @@
     {"route", "GET", "/v1/routes/catalogue/browse", {}, "", 200, R"("path_prefix":"/catalogue")"},
     {"version", "GET", "/v1/upstream-versions/catalogue/v2", {}, "", 200, R"("name":"v2")"},
     {"move", "GET", "/v1/moves/catalogue/old", {}, "", 200, R"("outcome":"taken_back")"},
+    {"workspaces", "GET", "/v1/workspaces", {}, "", 200, R"("workspace":[])"},
+    {"no_workspace", "GET", "/v1/workspaces/x", {}, "", 404, "no such resource"},
+    {"no_fleet_service", "GET", "/v1/services/*", {}, "", 404, "no such resource"},
     {"too_deep", "GET", "/v1/routes/a/b/c", {}, "", 404, "no such path"},
     {"unknown", "GET", "/v1/things", {}, "", 404, "no such path"},
     {"root", "GET", "/", {}, "", 404, "no such path"},
@@ -136,6 +139,20 @@
      R"({"path_prefix":"/x"})",
      200,
      "accepted"},
+    {"put_workspace",
+     "PUT",
+     "/v1/workspaces/pulo",
+     {},
+     R"({"key_digest":["00"],"calls_per_s":5})",
+     200,
+     "accepted"},
+    {"key_instead_of_its_digest",
+     "PUT",
+     "/v1/workspaces/pulo",
+     {},
+     R"({"key":["secret"]})",
+     422,
+     R"("path":"key")"},
     {"bad_tag", "PUT", "/v1/routes/catalogue/x", {{"if-match", "7"}}, "{}", 400, "If-Match"},
     {"bad_none_tag",
      "DELETE",
@@ -287,6 +304,26 @@
     EXPECT_TRUE(cancelled.moves.at(0).cancel);
 }
 
+TEST_F(api, shows_and_deletes_a_workspace) {
+    section fleet{.service = {.name = fleet_section_name()}};
+    fleet.workspaces = {{.name = workspace_id{"pulo"},
+                         .priority = 2,
+                         .last_write = {config_version{6}, operation_id{"op-6"}}}};
+    node.config = std::get<snapshot_ptr>(
+        build_snapshot(config_version{7},
+                       {make_stored_section(make_catalogue()), make_stored_section(fleet)}, {}));
+    const auto shown = ask(make_request("GET", "/v1/workspaces/pulo"));
+    EXPECT_EQ(shown.status, 200);
+    EXPECT_EQ(shown.headers.at("ETag"), "\"6\"");
+    EXPECT_NE(shown.body.find(R"("priority":2)"), std::string::npos) << shown.body;
+    EXPECT_EQ(ask(make_request("GET", "/v1/services")).body.find("\"*\""), std::string::npos);
+    EXPECT_EQ(ask(make_request("DELETE", "/v1/workspaces/pulo")).status, 200);
+    ASSERT_EQ(node.written.size(), 1U);
+    const auto& write = std::get<store::resource_write>(node.written[0].requested_change);
+    EXPECT_EQ(write.deletes, (std::vector<store::resource_key>{
+                                 {store::resource_kind::workspace, fleet_section_name(), "pulo"}}));
+}
+
 TEST_F(api, whole_service_is_deleted_in_one_write) {
     auto request = make_request("DELETE", "/v1/services/catalogue");
     request.query["whole"] = "1";
--- a/tests/document/schema_reader_test.cpp
+++ b/tests/document/schema_reader_test.cpp
@@ -271,6 +271,37 @@
     EXPECT_EQ(problems[0].location, (source_location{"b", 12, 13}));
 }
 
+const std::string good_workspace = R"([[workspace]]
+name = "pulo"
+key_digest = ["ffffffffffffffffffffffffffffffffffffffffffffffffffffffffffffffff"]
+priority = 1
+calls_per_s = 20
+)";
+
+TEST(workspaces, are_read_with_and_without_services) {
+    for (const auto& text : {good_workspace, good_resources + good_workspace}) {
+        EXPECT_TRUE(check(parse(text)).empty()) << to_text(check(parse(text)));
+    }
+    const auto set = std::get<resource_set>(read_resources(parse(good_workspace)));
+    ASSERT_EQ(set.workspaces.size(), 1U);
+    EXPECT_EQ(set.workspaces[0].priority, 1U);
+    EXPECT_EQ(set.workspaces[0].calls_per_s, 20);
+    EXPECT_EQ(set.workspaces[0].key_digests.size(), 1U);
+    const document shown(
+        document::table{{"workspace", document::array{write_resource(set.workspaces[0])}}});
+    EXPECT_EQ(std::get<resource_set>(read_resources(shown)).workspaces, set.workspaces);
+}
+
+TEST(workspaces, with_one_key_are_a_finding_at_its_place) {
+    auto second = good_workspace;
+    second.replace(second.find("pulo"), 4, "other");
+    const auto problems = check(parse(good_workspace + second));
+    ASSERT_EQ(problems.size(), 1U) << to_text(problems);
+    EXPECT_EQ(problems[0].path, "workspace[1].key_digest");
+    EXPECT_EQ(problems[0].location.line, 8);
+    EXPECT_EQ(to_text(problems).find("ffff"), std::string::npos);
+}
+
 /// Lines "table.key default" of all settings.
 std::string list_defaults() {
     auto settings = std::get<msg::settings_msg>(read_settings(parse(good_settings)));
