--- a/src/edge/call_report.cpp
+++ b/src/edge/call_report.cpp
@@ -42,6 +42,27 @@
                            {"refused_retries", to_number(budget.refused_retries)}};
 }
 
+/// Workspaces listed in the dump and the metrics.
+constexpr std::size_t max_listed_workspaces = 1000;
+
+document dump_allowances(const allowance::entry_state& entry, instant now) {
+    document::array items;
+    for (const auto& [name, held] : entry.stocks) {
+        if (items.size() == max_listed_workspaces) {
+            break;
+        }
+        items.push_back(document::table{{"workspace", name.value},
+                                        {"lent", std::int64_t{allowance::count_lent(held, now)}},
+                                        {"waiting", std::int64_t{held.waiting}},
+                                        {"admitted", to_number(held.counts.admitted)},
+                                        {"waited", to_number(held.counts.waited)},
+                                        {"fixed", to_number(held.counts.fixed)},
+                                        {"refused", to_number(held.counts.refused)},
+                                        {"refused_silent", to_number(held.counts.refused_silent)}});
+    }
+    return items;
+}
+
 document dump_counters(const entry_counters& counters) {
     return document::table{{"requests", to_number(counters.requests)},
                            {"answered", to_number(counters.answered)},
@@ -72,6 +93,7 @@
                            {"known_endpoints", to_number(side.loads.size())},
                            {"counters", dump_counters(side.counters)},
                            {"endpoints", std::move(endpoints)},
+                           {"allowances", dump_allowances(side.allowances, now)},
                            {"retry_budgets", std::move(budgets)}};
 }
 
@@ -180,6 +202,28 @@
     }
 }
 
+void add_allowance_metrics(std::string& out, const entry_side& side) {
+    const std::lock_guard guard(side.lock);
+    out += "# TYPE cyclamenhatch_allowance_calls_total counter\n";
+    std::size_t listed = 0;
+    for (const auto& [name, held] : side.allowances.stocks) {
+        if (++listed > max_listed_workspaces) {
+            break;
+        }
+        const auto& counts = held.counts;
+        const std::array<std::pair<std::string_view, std::uint64_t>, 4> outcomes{
+            {{"admitted", counts.admitted - counts.fixed},
+             {"admitted_fixed", counts.fixed},
+             {"refused", counts.refused - counts.refused_silent},
+             {"refused_silent", counts.refused_silent}}};
+        for (const auto& [outcome, value] : outcomes) {
+            add_line(out, "allowance_calls_total",
+                     "workspace=\"" + name.value + "\",outcome=\"" + std::string(outcome) + "\"",
+                     std::to_string(value));
+        }
+    }
+}
+
 void add_usage_metrics(std::string& out, const call::gate_state& gate) {
     out += "# TYPE cyclamenhatch_owner_slot_seconds_total counter\n";
     for (const auto& [owner, share] : gate.shares.owners) {
@@ -262,6 +306,7 @@
 std::string metrics_text(const call_path& path) {
     std::string out;
     add_entry_metrics(out, path.entry);
+    add_allowance_metrics(out, path.entry);
     add_gate_metrics(out, path.gate);
     add_counter(out, "requests_broken_total", path.request_faults[0]);
     add_counter(out, "requests_header_too_large_total", path.request_faults[1]);
