--- a/src/edge/call_headers.h
+++ b/src/edge/call_headers.h
@@ -55,8 +55,8 @@
 /// this product alone.
 void drop_access_keys(const header_names& names, header_fields& headers);
 
-/// The answer for a call that ended without an upstream's answer: 401, 404, 429, 503 or 504 with the
-/// outcome header and a problem+json body. Every refusal after which a retry may succeed has a
+/// The answer for a call that ended without an upstream's answer: 401, 404, 429, 503 or 504 with
+/// the outcome header and a problem+json body. Every refusal after which a retry may succeed has a
 /// Retry-After header.
 [[nodiscard]] local_answer make_failure(const header_names& names, const call::refusal& refusal);
 
--- a/src/node/state_document.cpp
+++ b/src/node/state_document.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t max_links = 200;
 constexpr std::size_t max_versions = 20;
 constexpr std::size_t max_suspects = 100;
+constexpr std::size_t max_workspaces = 1000;
 
 document number(std::uint64_t value) {
     return static_cast<std::int64_t>(value);
@@ -229,6 +230,27 @@
                            {"deltas_missed", number(counts.deltas_missed)}};
 }
 
+/// The allowances that this node keeps. `left` is what it can lend now.
+document describe_allowances(const allowance::keeper_state& keeper, instant now) {
+    document::array items;
+    for (const auto& [name, item] : keeper.kept) {
+        if (items.size() == max_workspaces) {
+            break;
+        }
+        items.push_back(document::table{{"workspace", name.value},
+                                        {"kept_by", keeper.self.value},
+                                        {"calls_per_s", item.stated.calls_per_s},
+                                        {"burst", item.stated.burst},
+                                        {"left", item.tokens},
+                                        {"backlog", item.backlog},
+                                        {"asked", number(item.asked)},
+                                        {"lent", number(item.lent)},
+                                        {"is_taking_over", now < item.full_rate_at},
+                                        {"reachable_share", keeper.reachable_share}});
+    }
+    return items;
+}
+
 document describe_duties(const control::state& state) {
     const data_centre_id own{state.settings.identity->data_centre};
     document::array duties;
@@ -308,6 +330,7 @@
                     {"transfers", describe_transfers(state.distribution.counts)},
                     {"moves", describe_moves(state, now)},
                     {"quarantine", describe_quarantine(state.quarantine, now, max_suspects)},
+                    {"kept_allowances", describe_allowances(state.allowances, now)},
                     {"duties", describe_duties(state)},
                     {"store", describe_store(node)},
                     {"members", describe_members(state.members)}};
--- a/tests/edge/joined_paths.cpp
+++ b/tests/edge/joined_paths.cpp
@@ -312,6 +312,7 @@
     const std::lock_guard guard(lock_);
     auto view = std::make_shared<call::routing_view>(*view_);
     view->config = make_config(workspaces);
+    view->peers = {{node_id("gate"), {}}};
     view_ = std::move(view);
 }
 
--- a/tests/edge/joined_paths.h
+++ b/tests/edge/joined_paths.h
@@ -13,8 +13,8 @@
 namespace cyclamenhatch::edge::testing {
 
 /// Two call paths, an entry and a gate with an upstream, that hand each other their messages
-/// directly. Calls to "/..." belong to one service: /once/... is not idempotent, and /ok/open/... is
-/// anonymous.
+/// directly. Calls to "/..." belong to one service: /once/... is not idempotent, and /ok/open/...
+/// is anonymous.
 class joined_paths {
 public:
     explicit joined_paths(std::uint16_t upstream_port, const header_names& names = {});
@@ -49,7 +49,8 @@
     [[nodiscard]] std::vector<std::string> ask_many(const std::string& requests, int answers);
     /// Sends bytes to the entry and returns all bytes that come back until the connection closes.
     [[nodiscard]] std::string ask_raw(const std::string& request);
-    /// Puts a configuration with these workspaces in force at both nodes.
+    /// Puts a configuration with these workspaces in force at both nodes. The gate is the only
+    /// keeper of allowances.
     void set_workspaces(const std::vector<workspace>& workspaces);
     /// Removes the service's only endpoint from the view, as after the failure of its node.
     void forget_endpoint();
