--- a/src/call/gate.cpp
+++ b/src/call/gate.cpp
@@ -363,7 +363,10 @@
     gate.service = service_id(upstream.service);
     gate.version = version_id(upstream.version);
     gate.upstream = upstream.state;
-    note_stated(gate.warm, milliseconds{upstream.cold_ms}, now);
+    if (upstream.state == msg::upstream_state::ready) {
+        // The record of one that leaves may repeat an old cold time.
+        note_stated(gate.warm, milliseconds{upstream.cold_ms}, now);
+    }
     gate.limit.is_adaptive = gate.settings.has_adaptive_limit;
     set_slots(gate.limit, upstream.slots);
     refuse_queued_when_closed(gate, now, out);
--- a/tests/call/warm_up_test.cpp
+++ b/tests/call/warm_up_test.cpp
@@ -302,6 +302,16 @@
     EXPECT_EQ(cold_left(fixture.gate.warm, fixture.now), milliseconds{0});
 }
 
+/// Guards against a leave, whose record repeats what the last announcement said, that is taken for
+/// a cold upstream.
+TEST(leaving_upstream, is_not_cold_by_its_last_record) {
+    warmed_gate fixture(8.9);
+    auto record = make_upstream(warm_up_time);
+    record.state = msg::upstream_state::gone;
+    (void)on_upstream_change(fixture.gate, record, fixture.now);
+    EXPECT_FALSE(is_cold(fixture.gate.warm, fixture.now));
+}
+
 /// Guards against a cold upstream that gets more than the rate that it states itself.
 TEST(lower_rate, binds) {
     warmed_gate fixture(8.9);
