edge: refuse answers whose status is above 599

A status of 600 or 999 was passed on to the caller as an answer. It is refused like one below 200 ("status out of place"): the outcome is unknown, and the bytes are logged as upstream_bytes_refused. 000, 099, two or four digits and letters were refused already.

--- a/src/edge/upstream_answer.cpp
+++ b/src/edge/upstream_answer.cpp
@@ -33,6 +33,7 @@
 constexpr unsigned first_status = 100;
 constexpr unsigned switching_protocols = 101;
 constexpr unsigned first_final_status = 200;
+constexpr unsigned last_status = 599;
 /// Maximum size of one read.
 constexpr std::size_t read_bytes = 65'536;
 
@@ -219,9 +220,9 @@
             continue;
         }
         const auto owner = find_owner(*self);
-        if (status < first_final_status || owner == answer_owner::unknown) {
-            give_up(self, status < first_final_status ? "status out of place"
-                                                      : "answer to an unknown request");
+        const bool is_out_of_place = status < first_final_status || status > last_status;
+        if (is_out_of_place || owner == answer_owner::unknown) {
+            give_up(self, is_out_of_place ? "status out of place" : "answer to an unknown request");
             return;
         }
         self->is_skipping = owner == answer_owner::earlier_request;
--- a/tests/edge/late_refusal_test.cpp
+++ b/tests/edge/late_refusal_test.cpp
@@ -2,12 +2,10 @@
 #include "scripted_upstream.h"
 #include "single_exchange.h"
 
-#include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
 
 #include <ostream>
 #include <string>
-#include <thread>
 
 /// Refusals that an upstream writes once more on a kept connection.
 namespace cyclamenhatch::edge::testing {
@@ -33,22 +31,6 @@
     return names;
 }
 
-/// The loop of an upstream on a thread of its own, for callers that block.
-struct running_upstream {
-    explicit running_upstream(scripted_upstream::script script)
-        : upstream(io, std::move(script)), runner([this] { io.run(); }) {}
-    running_upstream(const running_upstream&) = delete;
-    running_upstream& operator=(const running_upstream&) = delete;
-    ~running_upstream() {
-        io.stop();
-        runner.join();
-    }
-
-    boost::asio::io_context io;
-    scripted_upstream upstream;
-    std::thread runner;
-};
-
 struct refusal_row {
     const char* name;
     int status;
--- a/tests/edge/scripted_upstream.h
+++ b/tests/edge/scripted_upstream.h
@@ -6,6 +6,8 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <thread>
+#include <utility>
 
 namespace cyclamenhatch::edge::testing {
 
@@ -46,4 +48,20 @@
     std::string ids_;
 };
 
+/// The loop of an upstream on a thread of its own, for callers that block.
+struct running_upstream {
+    explicit running_upstream(scripted_upstream::script script)
+        : upstream(io, std::move(script)), runner([this] { io.run(); }) {}
+    running_upstream(const running_upstream&) = delete;
+    running_upstream& operator=(const running_upstream&) = delete;
+    ~running_upstream() {
+        io.stop();
+        runner.join();
+    }
+
+    boost::asio::io_context io;
+    scripted_upstream upstream;
+    std::thread runner;
+};
+
 } // namespace cyclamenhatch::edge::testing
