feed: write what the nodes do, and keep a move's id over a drill

- A success that could not be written, since the store was down, was written after the nodes had taken the version back: the keeper ignored a later ending of the same move.
- A move's id held the store's era, so after a drill a node that started took the order for another one and its move began anew.

--- a/src/control/feed_steps.cpp
+++ b/src/control/feed_steps.cpp
@@ -87,6 +87,26 @@
     }
 }
 
+/// Replaces the success that is still to be written of each move that was taken back meanwhile:
+/// what is written is what the nodes do.
+void replace_stale_successes(state& self, instant now) {
+    for (const auto& status : moves::list_status(self.moves, now)) {
+        const bool is_stale =
+            !status.veto_reason.empty() &&
+            feed::has_unwritten_success(*self.record_keeper, status.key.service, status.key.name);
+        if (is_stale) {
+            feed::request_record(*self.record_keeper,
+                                 {.service = status.key.service,
+                                  .target_version = status.new_version,
+                                  .move = status.key.name,
+                                  .state = feed::record_state::taken_back,
+                                  .started_ms = to_unix_ms(status.begun),
+                                  .reason = status.veto_reason},
+                                 now);
+        }
+    }
+}
+
 /// Whether this node, which is not ready, reads the operators' documents itself.
 bool is_fallback_read_due(const state& self, instant now) {
     if (distribution::is_ready(self.distribution) || now < self.next_fallback_read) {
@@ -125,6 +145,7 @@
     apply_operator_actions(self, std::move(reader_output), now, out);
 
     request_running_records(self, now);
+    replace_stale_successes(self, now);
     feed::keeper_actions keeper_output;
     feed::on_tick(*self.record_keeper, now, self.random, keeper_output);
     apply_record_actions(self, std::move(keeper_output), now, out);
@@ -136,6 +157,7 @@
         apply_operator_actions(self, std::move(reader_output), now, out);
         return true;
     }
+    replace_stale_successes(self, now);
     feed::keeper_actions keeper_output;
     if (feed::on_response(*self.record_keeper, response, now, self.random, keeper_output)) {
         apply_record_actions(self, std::move(keeper_output), now, out);
--- a/src/feed/operator_reader.cpp
+++ b/src/feed/operator_reader.cpp
@@ -98,7 +98,8 @@
         }
         ordered.insert(valid_order.service);
         add_move(sections, valid_order,
-                 resolve_name(run.reader.orders, valid_order, entry.mod_revision, run.now),
+                 resolve_name(run.reader.orders, valid_order, entry.mod_revision, run.reader.held,
+                              run.now),
                  problems);
     }
     for (const auto& earlier : list_unwritten_moves(run.reader.orders, ordered, run.now)) {
--- a/src/feed/order_history.cpp
+++ b/src/feed/order_history.cpp
@@ -1,5 +1,7 @@
 #include "feed/order_history.h"
 
+#include "feed/version_parts.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -19,6 +21,23 @@
     return ordered.new_version == order.target_version && ordered.duration == order.duration;
 }
 
+/// The move of `held` that this write of the order has led to; null when it is not within `held`.
+const move* find_held_move(const order_history& history, const move_order& order,
+                           std::int64_t revision, const snapshot_ptr& held) {
+    if (!held || !includes(held->version, {history.era, revision})) {
+        return nullptr;
+    }
+    const auto stored = held->sections.find(order.service);
+    if (stored == held->sections.end()) {
+        return nullptr;
+    }
+    const auto& moves = stored->second->content.moves;
+    const auto it = std::find_if(moves.begin(), moves.end(), [&](const move& candidate) {
+        return is_order_of(candidate, order);
+    });
+    return it == moves.end() ? nullptr : &*it;
+}
+
 } // namespace
 
 bool awaits_rewrites(const order_history& history, instant now) {
@@ -44,14 +63,18 @@
 }
 
 move_id resolve_name(order_history& history, const move_order& order, std::int64_t revision,
-                     instant now) {
+                     const snapshot_ptr& held, instant now) {
     const auto* earlier = find_earlier_move(history, order.service);
     const bool may_repeat = awaits_rewrites(history, now) || revision <= history.era_revision;
     if (may_repeat && earlier != nullptr && is_order_of(*earlier, order)) {
         history.kept_names[{order.service, revision}] = earlier->name;
     }
     const auto kept = history.kept_names.find({order.service, revision});
-    return kept != history.kept_names.end() ? kept->second : name_move({history.era, revision});
+    if (kept != history.kept_names.end()) {
+        return kept->second;
+    }
+    const auto* in_force = find_held_move(history, order, revision, held);
+    return in_force != nullptr ? in_force->name : name_move(revision);
 }
 
 bool is_replaced(const order_history& history, const move_order& order, std::int64_t revision) {
@@ -94,9 +117,8 @@
     it->moves.push_back(std::move(new_move));
 }
 
-move_id name_move(const store::store_position& order) {
-    const auto era = order.era == 0 ? std::string() : std::to_string(order.era) + "-";
-    return move_id{"order-" + era + std::to_string(order.revision)};
+move_id name_move(std::int64_t revision) {
+    return move_id{"order-" + std::to_string(revision)};
 }
 
 } // namespace cyclamenhatch::feed
--- a/src/feed/order_history.h
+++ b/src/feed/order_history.h
@@ -39,9 +39,11 @@
 /// Notes the revision of a read; only the first one of an era counts.
 void note_read(order_history& history, std::int64_t revision);
 
-/// The name of an order's move. An order that the operators write again keeps the move that it had.
+/// The name of an order's move. An order that the operators write again keeps the move that it had,
+/// and one that is within `held`, the configuration in force here, the name that it has there;
+/// `held` may be null.
 [[nodiscard]] move_id resolve_name(order_history& history, const move_order& order,
-                                   std::int64_t revision, instant now);
+                                   std::int64_t revision, const snapshot_ptr& held, instant now);
 
 /// Whether an order was in the older copy already and another one had followed it, which the copy
 /// lacks.
@@ -59,7 +61,8 @@
 void add_move(std::vector<section>& sections, const move_order& order, const move_id& name,
               findings& problems);
 
-/// Name of the move for the order written at this position of the key-value service.
-[[nodiscard]] move_id name_move(const store::store_position& order);
+/// Name of the move for the order written at this revision of the key-value service.
+/// Eras are no part of it: an order that outlives a return to an older copy keeps its revision.
+[[nodiscard]] move_id name_move(std::int64_t revision);
 
 } // namespace cyclamenhatch::feed
--- a/src/feed/record_keeper.cpp
+++ b/src/feed/record_keeper.cpp
@@ -94,7 +94,11 @@
 void request_record(record_keeper& keeper, const move_record& desired, instant now) {
     auto& progress = keeper.records[desired.service];
     const bool is_same_move = progress.desired.move == desired.move;
-    if (is_same_move && (is_ending(progress.desired) || progress.desired.state == desired.state)) {
+    const bool is_taken_back_first = !progress.is_settled &&
+                                     progress.desired.state == record_state::done &&
+                                     desired.state == record_state::taken_back;
+    const bool is_kept = is_ending(progress.desired) || progress.desired.state == desired.state;
+    if (is_same_move && is_kept && !is_taken_back_first) {
         return;
     }
     if (is_same_move && !desired.started_ms) {
@@ -108,6 +112,13 @@
     progress.next_attempt = now;
 }
 
+bool has_unwritten_success(const record_keeper& keeper, const service_id& service,
+                           const move_id& move) {
+    const auto it = keeper.records.find(service);
+    return it != keeper.records.end() && !it->second.is_settled &&
+           it->second.desired.move == move && it->second.desired.state == record_state::done;
+}
+
 void on_new_era(record_keeper& keeper, instant now, random_source& random) {
     std::uniform_int_distribution<milliseconds::rep> delay_ms(0, rewrite_spread.count());
     for (auto& [service, progress] : keeper.records) {
@@ -148,7 +159,11 @@
             progress.request = 0;
             progress.revision = done->succeeded ? done->revision : unknown_revision;
             progress.failures = 0;
-            if (done->succeeded && progress.last_sent == progress.desired) {
+            // An ending that was written is final, whatever is wished since.
+            const bool is_final =
+                is_ending(progress.last_sent) && progress.last_sent.move == progress.desired.move;
+            if (done->succeeded && (is_final || progress.last_sent == progress.desired)) {
+                progress.desired = progress.last_sent;
                 mark_settled(progress, progress.desired, actions);
             }
         } else if (const auto* entries = std::get_if<store::kv_entries>(&response.outcome)) {
--- a/src/feed/record_keeper.h
+++ b/src/feed/record_keeper.h
@@ -47,9 +47,15 @@
 [[nodiscard]] record_keeper make_record_keeper(config_format format);
 
 /// Requests that a record be written. An ending replaces "running" of the same move and is never
-/// replaced by it; a record of another move replaces both.
+/// replaced by it; a record of another move replaces both. While no ending was written, "taken
+/// back" replaces "done"; one that may have been written is read first, and final when it is
+/// stored.
 void request_record(record_keeper& keeper, const move_record& desired, instant now);
 
+/// Whether the success of the move is to be written and is not known to be stored.
+[[nodiscard]] bool has_unwritten_success(const record_keeper& keeper, const service_id& service,
+                                         const move_id& move);
+
 /// Call when the key-value service has come back from an older copy of itself: all records are
 /// written again, at random times within a second, unless they are still stored.
 void on_new_era(record_keeper& keeper, instant now, random_source& random);
--- a/src/feed/version_parts.cpp
+++ b/src/feed/version_parts.cpp
@@ -17,6 +17,12 @@
     return config_version{(document_version << (era_bits + revision_bits)) + position};
 }
 
+bool includes(config_version version, const store::store_position& position) {
+    return ((version.value >> revision_bits) & max_era) == (position.era & max_era) &&
+           (version.value & max_revision) >=
+               (static_cast<std::uint64_t>(position.revision) & max_revision);
+}
+
 std::uint64_t raise_era(std::uint64_t known, config_version version) {
     const auto stated = (version.value >> revision_bits) & max_era;
     const auto rise = (stated - known) & max_era;
--- a/src/feed/version_parts.h
+++ b/src/feed/version_parts.h
@@ -15,6 +15,10 @@
 [[nodiscard]] config_version make_version(std::uint64_t document_version,
                                           const store::store_position& latest);
 
+/// Whether a configuration of this version was made from what the service held at the position or
+/// later in the same era.
+[[nodiscard]] bool includes(config_version version, const store::store_position& position);
+
 /// The lowest era from `known` on that a version made by make_version may belong to.
 [[nodiscard]] std::uint64_t raise_era(std::uint64_t known, config_version version);
 
--- a/tests/feed/feed_test.cpp
+++ b/tests/feed/feed_test.cpp
@@ -31,13 +31,52 @@
     ASSERT_EQ(moves.size(), 1U);
     EXPECT_EQ(moves.front().new_version, version_id("v2"));
     EXPECT_TRUE(moves.front().old_version.empty());
-    EXPECT_EQ(moves.front().name, name_move({0, 12}));
+    EXPECT_EQ(moves.front().name, name_move(12));
     EXPECT_EQ(moves.front().duration, seconds{10});
     // Writing the same order again requests another move.
     fixture.store.put("op/orders/ledger", "v2");
     fixture.deliver_change("op/orders/ledger");
     EXPECT_EQ(fixture.snapshot->sections.begin()->second->content.moves.front().name,
-              name_move({0, 13}));
+              name_move(13));
+}
+
+/// Guards against an order that a node which starts after a drill of the service takes for another
+/// one than the nodes which saw the drill.
+TEST(operator_reader, an_order_keeps_the_name_of_its_move_in_later_eras) {
+    const auto name_in_era = [](std::uint64_t era) {
+        reader_fixture fixture;
+        fixture.reader.orders.era = era;
+        fixture.store.put("op/document", "/first/");
+        fixture.store.put("op/orders/ledger", "v2");
+        fixture.start_watching();
+        return fixture.snapshot->sections.at(service_id("ledger"))->content.moves.front().name;
+    };
+    EXPECT_EQ(name_in_era(1), name_in_era(2));
+}
+
+/// A node starts after the operators have written again an order that the older copy lacked.
+TEST(operator_reader, an_order_within_the_configuration_in_force_keeps_the_name_it_has_there) {
+    reader_fixture earlier;
+    earlier.store.put("op/document", "/first/");
+    earlier.store.put("op/orders/ledger", "v2");
+    earlier.start_watching();
+    const auto copy_of_held = earlier.snapshot;
+    reader_fixture fixture;
+    fixture.store.put("op/document", "/first/");
+    auto renamed = copy_of_held->sections.at(service_id("ledger"))->content;
+    renamed.moves.front().name = move_id("order-7");
+    fixture.store.put("op/orders/ledger", "v2");
+    const auto held = build_snapshot(copy_of_held->version, {make_stored_section(renamed)}, {});
+    note_held(fixture.reader, std::get<snapshot_ptr>(held), fixture.now);
+    fixture.start_watching();
+    const auto name = [&] {
+        return fixture.snapshot->sections.at(service_id("ledger"))->content.moves.front().name;
+    };
+    EXPECT_EQ(name(), move_id("order-7"));
+    // The same order written once more is another one.
+    fixture.store.put("op/orders/ledger", "v2");
+    fixture.deliver_change("op/orders/ledger");
+    EXPECT_EQ(name(), name_move(13));
 }
 
 TEST(operator_reader, versions_order_by_document_then_era_then_revision) {
@@ -232,6 +271,49 @@
     EXPECT_EQ(fixture.confirmed_endings.front().state, record_state::taken_back);
 }
 
+/// Guards against a stale success, written once the service is back after the nodes have taken the
+/// version back.
+TEST(record_keeper, a_taking_back_replaces_a_success_that_was_never_written) {
+    keeper_fixture fixture;
+    request_record(fixture.keeper, make_record("m1", record_state::done), fixture.now);
+    request_record(fixture.keeper, make_record("m1", record_state::taken_back), fixture.now);
+    request_record(fixture.keeper, make_record("m1", record_state::done), fixture.now);
+    fixture.run(seconds{1});
+    EXPECT_EQ(fixture.stored_record(), "back m1");
+    ASSERT_EQ(fixture.confirmed_endings.size(), 1U);
+}
+
+/// The answer to a write may be lost: it may have taken effect, and then it is final.
+TEST(record_keeper, a_success_that_was_written_without_an_answer_is_not_replaced) {
+    keeper_fixture fixture;
+    request_record(fixture.keeper, make_record("m1", record_state::running), fixture.now);
+    fixture.run(seconds{1});
+    fixture.answers_to_lose = 1;
+    request_record(fixture.keeper, make_record("m1", record_state::done), fixture.now);
+    fixture.run(milliseconds{200});
+    request_record(fixture.keeper, make_record("m1", record_state::taken_back), fixture.now);
+    fixture.run(seconds{10});
+    EXPECT_EQ(fixture.stored_record(), "done m1");
+    ASSERT_EQ(fixture.confirmed_endings.size(), 1U);
+    EXPECT_EQ(fixture.confirmed_endings.front().state, record_state::done);
+}
+
+/// The wish changes while the write of the success is on its way.
+TEST(record_keeper, a_success_whose_write_was_under_way_is_not_replaced) {
+    keeper_fixture fixture;
+    request_record(fixture.keeper, make_record("m1", record_state::running), fixture.now);
+    fixture.run(seconds{1});
+    request_record(fixture.keeper, make_record("m1", record_state::done), fixture.now);
+    keeper_actions written;
+    on_tick(fixture.keeper, fixture.now, fixture.random, written);
+    request_record(fixture.keeper, make_record("m1", record_state::taken_back), fixture.now);
+    fixture.handle(written);
+    fixture.run(seconds{2});
+    EXPECT_EQ(fixture.stored_record(), "done m1");
+    ASSERT_EQ(fixture.confirmed_endings.size(), 1U);
+    EXPECT_EQ(fixture.confirmed_endings.front().state, record_state::done);
+}
+
 TEST(record_keeper, replaces_the_record_of_an_earlier_move) {
     keeper_fixture fixture;
     fixture.store.put("records/ledger", "done m1");
