call: tell inner calls by their deadline and keep a part of the retry budget for them

Change: an inner call ends at its parent's deadline. A route nearly all of whose calls have the deadline of a call that the upstream beside the entry runs is one of inner calls. Such calls go before others at the gates, are not taken for the return of an earlier attempt because they have less time left, and 30% of the retry budget of their service is kept for them. The whole budget stays as it was.

Tests: call inner_calls_test; its functions are new, so they do not build without the change.

--- a/src/edge/call_path.cpp
+++ b/src/edge/call_path.cpp
@@ -116,6 +116,10 @@
 }
 
 void connect_sides(call_path& path) {
+    path.entry.runs_parent = [&path](instant deadline) {
+        const std::lock_guard guard(path.gate.lock);
+        return call::runs_parent(path.gate.gate, deadline);
+    };
     path.entry.send_to_gate = [&path](const node_id& node, const peer_address& address,
                                       peer_message message) {
         if (node == path.self) {
--- a/src/edge/entry_side.cpp
+++ b/src/edge/entry_side.cpp
@@ -210,6 +210,8 @@
     const auto flow = make_flow(side, *view, match, limits, std::move(head), std::move(first));
     flow->exchange = exchange;
     const auto now = current_time();
+    const bool has_parent = limits.time_left && side.runs_parent &&
+                            side.runs_parent(flow->received_at + *limits.time_left);
     const auto digest = call::from_request_key(flow->request.digest.get());
     if (auto held = find_hold_answer(side.names, *view, digest, now)) {
         ++side.counters.held;
@@ -223,12 +225,18 @@
                        make_local_refusal(side, msg::refusal_reason::draining, short_retry_delay));
         return;
     }
-    if (flow->objective && limits.time_left) {
+    const bool is_inner = call::is_inner(side.origins, flow->route);
+    if (is_inner) {
+        flow->request.priority = 0;
+    }
+    // The time left of an inner call is its parent's, and tells nothing about earlier attempts.
+    if (flow->objective && limits.time_left && !is_inner) {
         *flow->objective -= call::estimate_time_spent(side.stated_times, flow->route,
                                                       *limits.time_left, is_first, now);
     }
     const auto caller_key = key.empty() ? std::nullopt : std::optional<std::string_view>(key);
     choose_destination(side, *view, match, caller_key, *flow);
+    call::note_origin(side.origins, flow->route, flow->service, has_parent, now);
     side.flows.emplace(exchange.get(), flow);
     side.retry_rules = budget_rules_of(side, *view);
     call::note_first_attempt(side.budgets[flow->service], side.retry_rules, now);
@@ -371,6 +379,7 @@
         call::forget_idle(side.loads, idle_load_time, now);
         call::forget_idle(side.stated_times, now);
         call::forget_idle(side.answer_times, now);
+        call::forget_idle(side.origins, now);
         std::erase_if(side.run_times, [&side](const auto& entry) {
             return !side.answer_times.contains(entry.first);
         });
--- a/src/edge/entry_side.h
+++ b/src/edge/entry_side.h
@@ -3,6 +3,7 @@
 #include "call/body_stream.h"
 #include "call/choose_endpoint.h"
 #include "call/entry_call.h"
+#include "call/inner_calls.h"
 #include "call/returning_caller.h"
 #include "call/sent_cancels.h"
 #include "edge/answer_length.h"
@@ -108,6 +109,8 @@
     /// Sends to a gate; may be called from any thread.
     std::function<void(const node_id&, const peer_address&, peer_message)> send_to_gate;
     latency_histograms& histograms;
+    /// Whether the upstream on this host runs a call with this deadline. Called without the lock.
+    std::function<bool(instant)> runs_parent;
     entry_counters counters;
     std::atomic<bool> is_draining{false};
     mutable std::mutex lock;
@@ -121,6 +124,7 @@
     /// Set while the node drains: when calls must end at their upstreams.
     std::optional<instant> runs_end;
     std::map<service_id, call::retry_budget> budgets;
+    call::route_origins origins;
     /// Retry rules for the current number of live nodes.
     call::budget_rules retry_rules;
     /// Calls by the id of their current attempt.
--- a/src/edge/entry_steps.cpp
+++ b/src/edge/entry_steps.cpp
@@ -264,8 +264,9 @@
         choose_next = [&](const std::vector<node_id>& tried) {
             return choose_attempt_target(side, *flow, tried, now);
         };
-    const call::entry_context context{side.budgets[flow->service], choose_next, now,
-                                      side.retry_rules};
+    const call::entry_context context{
+        side.budgets[flow->service], choose_next, now,
+        call::rules_for(side.retry_rules, side.origins, flow->route, flow->service)};
     step_result out;
     out.actions = call::advance(flow->state, event, context);
     for (const auto& action : out.actions) {
