call: prefer upstreams that turned away no calls lately

Load: an upstream that sheds 55% of its calls though its gate has slots for them.

Change: each such call adds to a smoothed share that loses its weight over half a second; the cost of an endpoint is divided by the share that it is expected to take.

Tests: rows shed_* of call choice_test; shed_some_calls and shed_some_calls_but_the_other_is_busy name it (not run without the change).

--- a/src/call/choose_endpoint.cpp
+++ b/src/call/choose_endpoint.cpp
@@ -13,6 +13,8 @@
 /// Share of an endpoint's slots that is used before calls go to other data centres: a call within
 /// the data centre is faster and cheaper, but full upstreams slow down.
 constexpr double spillover_share = 0.7;
+/// Bound of the share of calls that an endpoint is taken to shed, so that its cost stays finite.
+constexpr double max_shed_share = 0.9;
 /// Latencies below this count as equal: their differences are noise.
 constexpr double min_latency_us = 500;
 
@@ -72,7 +74,8 @@
         std::max(min_latency_us, static_cast<double>(run_time_at(option, input, now).count()));
     const auto slots = usable_slots(*option.target, load, now);
     const auto busy = (estimate_in_flight(load, now) + 1) / (slots * ramp_share(load, now));
-    return busy * (latency + failure_cost_us * load.failure_share);
+    const auto taken_share = 1 - max_shed_share * estimate_shed_share(load, now);
+    return busy * (latency + failure_cost_us * load.failure_share) / taken_share;
 }
 
 /// Whether the endpoint is busy enough for calls to go to other data centres as well.
--- a/src/call/load_table.cpp
+++ b/src/call/load_table.cpp
@@ -1,12 +1,15 @@
 #include "call/load_table.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace cyclamenhatch::call {
 namespace {
 
 constexpr double smoothing = 0.2;
+/// Part of one call that was turned away in the share of them.
+constexpr double shed_smoothing = 0.4;
 constexpr std::uint32_t max_backoff_doublings = 5;
 constexpr double us_per_s = 1e6;
 /// Lower bound for an upstream that states a rate, so that its cost stays finite.
@@ -135,6 +138,11 @@
     if (is_closed) {
         load.closed_until = now + closed_time;
     }
+    if (reason == refusal_reason::upstream_refused) {
+        const auto share = estimate_shed_share(load, now);
+        load.shed_share = share + (1 - share) * shed_smoothing;
+        load.shed_at = now;
+    }
 }
 
 void note_ended(endpoint_load& load, attempt_end end, microseconds latency, bool may_eject,
@@ -201,6 +209,14 @@
     return std::max(load.in_flight, load.reported.in_flight + load.reported.queue);
 }
 
+double estimate_shed_share(const endpoint_load& load, instant now) {
+    if (load.shed_share == 0) {
+        return 0;
+    }
+    const auto age = static_cast<double>((now - load.shed_at).count());
+    return load.shed_share * std::exp(-age / static_cast<double>(shed_lifetime.count()));
+}
+
 void forget_idle(load_table& table, microseconds after, instant now) {
     std::erase_if(table, [&](const auto& entry) {
         return entry.second.in_flight == 0 && now - entry.second.used_at > after;
--- a/src/call/load_table.h
+++ b/src/call/load_table.h
@@ -17,6 +17,8 @@
 /// Time for which a gate's reported wait is used. It is short, since queues change with each
 /// answer; using the report prevents a series of calls that would all be refused.
 inline constexpr microseconds wait_lifetime{60'000};
+/// Time over which what an upstream sheds loses most of its weight, so that it is tried again.
+inline constexpr microseconds shed_lifetime{500'000};
 /// Time for which a stated rate counts in the choice of an endpoint. After it the endpoint gets
 /// calls as if it had none, so that the entry learns whether it still states one; the gate keeps to
 /// it.
@@ -73,6 +75,10 @@
     microseconds latency{0};
     /// Smoothed share of failed attempts, 0 to 1.
     double failure_share = 0;
+    /// Smoothed share of calls that the upstream turned away though its gate had a slot for them;
+    /// as of `shed_at`.
+    double shed_share = 0;
+    instant shed_at{};
     std::uint32_t failures_in_row = 0;
     load_report reported;
     instant reported_at{};
@@ -154,6 +160,9 @@
 /// Calls in flight at the endpoint: the entry's own, or more when a recent report says so.
 [[nodiscard]] std::uint32_t estimate_in_flight(const endpoint_load& load, instant now);
 
+/// Share of calls that the upstream is expected to turn away now, 0 to 1.
+[[nodiscard]] double estimate_shed_share(const endpoint_load& load, instant now);
+
 /// Forgets nodes that have no call in flight and were last used more than `after` ago.
 void forget_idle(load_table& table, microseconds after, instant now);
 
--- a/tests/call/choice_test.cpp
+++ b/tests/call/choice_test.cpp
@@ -165,6 +165,30 @@
          note_refusal(fixture.load("a"), msg::refusal_reason::queue_full, fixture.now);
      },
      45, 55},
+    // Load: an upstream that sheds 55% of its calls though slots are free.
+    {"shed_some_calls",
+     [](choice_fixture& fixture) {
+         for (int i = 0; i < 3; ++i) {
+             note_refusal(fixture.load("a"), msg::refusal_reason::upstream_refused, fixture.now);
+         }
+     },
+     0, 0},
+    {"shed_some_calls_but_the_other_is_busy",
+     [](choice_fixture& fixture) {
+         note_refusal(fixture.load("a"), msg::refusal_reason::upstream_refused, fixture.now);
+         fixture.load("b").in_flight = 2;
+     },
+     100, 100},
+    {"shed_calls_a_while_ago",
+     [](choice_fixture& fixture) {
+         for (int i = 0; i < 3; ++i) {
+             note_refusal(fixture.load("a"), msg::refusal_reason::upstream_refused,
+                          fixture.now - shed_lifetime * 8);
+         }
+         // Any slower one would never be chosen.
+         fixture.load("b").latency += microseconds(10);
+     },
+     45, 100},
     {"states_a_rate",
      [](choice_fixture& fixture) {
          note_upstream(fixture.load("a"), "run-a", 7, {.calls_per_s = 20}, fixture.now);
