--- a/tests/platform/workspace_config_test.cpp
+++ b/tests/platform/workspace_config_test.cpp
@@ -132,6 +132,28 @@
     }
 }
 
+/// Guards against a parser that quotes what it could not read.
+TEST(damaged_document, shows_no_key_in_its_findings) {
+    const auto text = with_tenants(R"([{"name":"a","apiKeys":["secret-key","secret-key-2"]}])");
+    std::vector<std::string> damaged;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        damaged.push_back(text.substr(0, i));
+        for (const char character : {'"', '\\', '{', ']', ',', '\n', '\x01', '\xff'}) {
+            damaged.push_back(text);
+            damaged.back()[i] = character;
+        }
+    }
+    for (const auto& document : damaged) {
+        const auto read = read_document(document);
+        const auto* problems = std::get_if<findings>(&read);
+        const auto& shown =
+            problems != nullptr ? *problems : std::get<feed::operators_document>(read).notices;
+        for (const auto& problem : shown) {
+            ASSERT_EQ(to_string(problem).find("secret-k"), std::string::npos) << document;
+        }
+    }
+}
+
 TEST(kinds_of_route, say_what_may_be_repeated) {
     const auto read_kind = [](const std::string& type) {
         auto read = read_good(with_route(R"("timeout":5)" + type));
