--- a/tests/edge/workspace_test.cpp
+++ b/tests/edge/workspace_test.cpp
@@ -90,7 +90,7 @@
     const auto ask = [&] {
         asio::write(socket, asio::buffer(request("GET /ok", key_header)));
         const auto bytes = asio::read_until(socket, asio::dynamic_buffer(received), "\r\n\r\n");
-        const auto status = received.substr(9, 3);
+        auto status = received.substr(9, 3);
         const auto stated = received.find("ontent-") == std::string::npos ? 0U : bytes;
         EXPECT_GT(stated, 0U);
         received.clear();
