feed: leave a conflict alone that may come from the names of moves

A read during a conflict gives what is stored a version of its own. With moves the content can depend on what a process has seen, and a node that started late would have spread its names.

--- a/src/feed/operator_reader.cpp
+++ b/src/feed/operator_reader.cpp
@@ -63,13 +63,21 @@
            find_evacuated_name(format, key).has_value();
 }
 
+/// Whether the content may depend on what this process has seen: nodes can name moves differently.
+bool has_moves(const snapshot_ptr& config) {
+    return config &&
+           std::any_of(config->sections.begin(), config->sections.end(),
+                       [](const auto& stored) { return !stored.second->content.moves.empty(); });
+}
+
 /// Revision of the newest change that is included; `read_revision` is that of the read that has
 /// just replaced the items, or 0. What was stored at one revision has one content, so a read that
 /// shows other evacuations than are known takes its own.
 std::int64_t newest_revision(const operator_reader& reader, std::int64_t read_revision,
                              const std::vector<data_centre_id>& evacuated) {
-    if (read_revision > 0 && (reader.has_conflict || differs(reader.built_snapshot, evacuated) ||
-                              differs(reader.held, evacuated))) {
+    if (read_revision > 0 &&
+        ((reader.has_conflict && !has_moves(reader.built_snapshot)) ||
+         differs(reader.built_snapshot, evacuated) || differs(reader.held, evacuated))) {
         return read_revision;
     }
     auto newest = reader.withdrawn_revision;
