edge: name a call that may have run before the reason of its refusal

The joined parts disagreed: a refusal for a missing key or a used-up allowance got 401 or 429 whatever its outcome, and those statuses promise that the call did not run.

--- a/src/edge/call_headers.cpp
+++ b/src/edge/call_headers.cpp
@@ -49,14 +49,15 @@
     if (refusal.reason == refusal_reason::no_route) {
         return 404;
     }
+    // All others promise that the call did not run: its caller may send it again, whatever its
+    // kind.
+    if (refusal.outcome != call_outcome::not_run) {
+        return 504;
+    }
     if (refusal.reason == refusal_reason::unauthorized) {
         return unauthorized_status;
     }
-    if (refusal.reason == refusal_reason::allowance_exceeded) {
-        return 429;
-    }
-    // 503 promises that the call did not run: its caller may send it again, whatever its kind.
-    return refusal.outcome == call_outcome::not_run ? 503 : 504;
+    return refusal.reason == refusal_reason::allowance_exceeded ? 429 : 503;
 }
 
 std::string_view explain(refusal_reason reason) {
