--- a/tests/allowance/decision_test.cpp
+++ b/tests/allowance/decision_test.cpp
@@ -22,6 +22,7 @@
 
 std::vector<call::peer> make_live(const std::vector<std::string>& names) {
     std::vector<call::peer> live;
+    live.reserve(names.size());
     for (const auto& name : names) {
         live.push_back({node_id{name}, {"10.0.0.1", 4100}});
     }
