--- a/tests/edge/truthful_refusal_test.cpp
+++ b/tests/edge/truthful_refusal_test.cpp
@@ -70,7 +70,7 @@
 class ended : public ::testing::TestWithParam<end_row> {};
 
 /// Guards against a caller that is told "may have run" about a call that no upstream got: one that
-/// may not be repeated is lost by it (dastkari trouble-1: 1,500 and more a day).
+/// may not be repeated is lost by it.
 TEST_P(ended, call_is_answered_truthfully) {
     const auto& row = GetParam();
     ended_call ending;
