--- a/review/common-2/kit.py
+++ b/review/common-2/kit.py
@@ -632,9 +632,15 @@
     if not PROGRAM.exists():
         record("no program in target/: run the build of the deploy file")
         return NOT_RUN
+
+    async def play():
+        # A stop from outside ends the case in order, with all processes that it started.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        return await asyncio.wait_for(case(record, has_trouble), seconds)
+
     try:
-        is_broken = asyncio.run(asyncio.wait_for(case(record, has_trouble), seconds))
-    except (CaseError, asyncio.TimeoutError, OSError) as failure:
+        is_broken = asyncio.run(play())
+    except (CaseError, asyncio.CancelledError, asyncio.TimeoutError, OSError) as failure:
         record(f"could not run: {type(failure).__name__} {failure}")
         print(f"could not run: {type(failure).__name__} {failure}", file=sys.stderr)
         return NOT_RUN
