--- a/review/common-2/kit.py
+++ b/review/common-2/kit.py
@@ -10,6 +10,7 @@
 import pathlib
 import random
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -529,7 +530,10 @@
 
 
 class Deployment:
-    """A store and a few nodes with their endpoints, on loopback addresses and free ports."""
+    """A store and a few nodes with their endpoints, on loopback addresses and free ports.
+
+    The nodes' settings and logs lie in a temporary folder, which KEEP_LOGS in the environment keeps.
+    """
 
     def __init__(self, record, bounds=None):
         self.record = record
@@ -568,6 +572,8 @@
                 node.process.kill()
                 node.process.wait()
         await self.store.stop()
+        if "KEEP_LOGS" not in os.environ:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def find_watchers(deployment):
