edge: a reset that a write meets first cuts an answer without a length

What callers saw: an upstream answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection.

Cause: a socket reports an error once. When a write of the upload met the reset, it took the error and was ignored, since an answer may follow a failed write. The read after it saw an end of file, which ends a body without a length.

Where the upstream ended its side in order before the reset, the write has EPIPE instead.

Change: the exchange keeps that a write was reset and takes a later end of file for the reset. A broken pipe changes nothing, nor does an answer with a length or chunks, whose end its framing tells. With several workers, the read's handler may run before that of the write that took the error; an end of file during a write therefore closes the connection and waits for the write's outcome.

--- a/src/edge/upstream_answer.cpp
+++ b/src/edge/upstream_answer.cpp
@@ -127,6 +127,16 @@
     }
     self->connection->buffer.commit(bytes);
     self->bytes_read += bytes;
+    if (error == asio::error::eof && self->is_writing) {
+        // Only the end of the write tells whether the upstream has reset the connection. Nothing
+        // more can come on it; closing it ends a write that the upstream does not read.
+        close_connection(*self->connection);
+        self->after_write = next;
+        return;
+    }
+    if (error == asio::error::eof && self->is_reset) {
+        error = asio::error::connection_reset;
+    }
     if (error == asio::error::eof && self->parser->got_some()) {
         error = {};
         self->parser->put_eof(error);
@@ -312,6 +322,12 @@
     read_heads(self);
 }
 
+void continue_at_end(const upstream_exchange_ptr& self) {
+    if (auto* const next = std::exchange(self->after_write, nullptr)) {
+        on_received(self, asio::error::eof, 0, next);
+    }
+}
+
 void read_piece(const upstream_exchange_ptr& self) {
     if (self->parser->is_done()) {
         deliver(self);
--- a/src/edge/upstream_client.cpp
+++ b/src/edge/upstream_client.cpp
@@ -50,11 +50,23 @@
            (match.value.empty() || has_carried(*exchange.connection, match.value));
 }
 
+bool has_failed(error_code error) {
+    return error && error != http::error::need_buffer;
+}
+
+/// Whether a write shows that the connection was lost. A broken pipe does not: the upstream had
+/// ended its side in order before it closed the connection.
+bool is_loss(error_code error) {
+    const bool is_closed_here =
+        error == asio::error::operation_aborted || error == asio::error::bad_descriptor;
+    return has_failed(error) && !is_closed_here && error != asio::error::broken_pipe;
+}
+
 void on_written(const exchange_ptr& self, bool is_whole, error_code error, std::size_t bytes) {
     if (self->is_done) {
         return;
     }
-    const bool is_failed = error && error != http::error::need_buffer;
+    const bool is_failed = has_failed(error);
     if (is_failed && bytes == 0 && self->is_reused) {
         reconnect(self, is_whole);
         return;
@@ -65,6 +77,7 @@
     }
     // An answer may follow a failed write: the upstream may have refused the body early.
     self->is_sent = is_whole && !is_failed;
+    self->is_reset = is_loss(error);
     read_answer(self);
     if (!is_whole && !is_failed) {
         self->events.on_taken();
@@ -131,17 +144,30 @@
     }
 }
 
+void on_piece_written(const exchange_ptr& self, bool is_last, error_code error,
+                      const std::function<void()>& on_done) {
+    if (self->is_done) {
+        return;
+    }
+    self->is_writing = false;
+    self->is_reset = is_loss(error);
+    self->is_sent = is_last && !has_failed(error);
+    if (self->after_write != nullptr) {
+        continue_at_end(self);
+    } else if (!has_failed(error)) {
+        on_done();
+    }
+}
+
 void write_piece(const exchange_ptr& self, body_piece piece, std::function<void()> on_done) {
     const bool is_last = piece.is_last;
     self->outgoing = std::move(piece.bytes);
+    self->is_writing = true;
     set_body(*self, is_last);
     http::async_write(self->connection->socket, *self->serializer,
                       [self, is_last, on_done = std::move(on_done)](error_code error, std::size_t) {
-                          if (self->is_done || (error && error != http::error::need_buffer)) {
-                              return;
-                          }
-                          self->is_sent = is_last;
-                          run_handler(self, on_done);
+                          run_handler(self,
+                                      [&] { on_piece_written(self, is_last, error, on_done); });
                       });
 }
 
--- a/src/edge/upstream_exchange.h
+++ b/src/edge/upstream_exchange.h
@@ -42,6 +42,13 @@
     bool is_reused = false;
     bool is_connecting = false;
     bool is_sent = false;
+    /// Whether a later piece of the request's body is being written.
+    bool is_writing = false;
+    /// Whether a write has found the connection reset. A socket reports an error once, so that
+    /// reads see an end of file after that.
+    bool is_reset = false;
+    /// Continues at an end of file that was read during a write; null if there was none.
+    void (*after_write)(const std::shared_ptr<upstream_exchange>&) = nullptr;
     /// Whether the answer being read belongs to an earlier request.
     bool is_skipping = false;
     /// Whether the head of the answer to this request was read.
@@ -86,4 +93,8 @@
 /// Reads the next piece of the answer's body.
 void read_piece(const upstream_exchange_ptr& self);
 
+/// Continues with the end of file that was read during a write, if one was. Precondition: no write
+/// is in flight.
+void continue_at_end(const upstream_exchange_ptr& self);
+
 } // namespace cyclamenhatch::edge
--- a/tests/edge/scripted_upstream.cpp
+++ b/tests/edge/scripted_upstream.cpp
@@ -57,10 +57,29 @@
             read_next();
             return;
         }
-        if (scripted.end == upstream_end::reset) {
+        const bool ends_in_order = scripted.end == upstream_end::shut_down ||
+                                   scripted.end == upstream_end::shut_down_and_reset;
+        const bool is_reset = scripted.end == upstream_end::reset ||
+                              scripted.end == upstream_end::shut_down_and_reset;
+        if (ends_in_order) {
+            socket.shutdown(tcp::socket::shutdown_send, ignored);
+        }
+        if (is_reset) {
             socket.set_option(asio::socket_base::linger(true, 0), ignored);
         }
-        socket.close(ignored);
+        if (scripted.end == upstream_end::shut_down) {
+            wait_for_close();
+        } else {
+            socket.close(ignored);
+        }
+        if (scripted.on_end) {
+            scripted.on_end();
+        }
+    }
+
+    void wait_for_close() {
+        socket.async_wait(tcp::socket::wait_error,
+                          [self = shared_from_this()](error_code /*error*/) {});
     }
 
     tcp::socket socket;
--- a/tests/edge/scripted_upstream.h
+++ b/tests/edge/scripted_upstream.h
@@ -11,12 +11,16 @@
 
 namespace cyclamenhatch::edge::testing {
 
-enum class upstream_end { keep, close, reset };
+/// What happens to a connection after an answer. `shut_down` ends the upstream's side in order and
+/// leaves the rest of the request unread.
+enum class upstream_end { keep, close, reset, shut_down, shut_down_and_reset };
 
 /// What an upstream writes for one request, and what it does with the connection then.
 struct upstream_script {
     std::string bytes;
     upstream_end end = upstream_end::keep;
+    /// Called once the connection has ended that way; may be empty.
+    std::function<void()> on_end;
 };
 
 /// Counted from 1: the connection, and the request on it.
@@ -26,8 +30,8 @@
     std::string id;
 };
 
-/// An upstream on the loop of the test that writes these bytes for each request. It takes requests
-/// without a body.
+/// An upstream on the loop of the test that writes these bytes for each request, once it has read
+/// the head. A connection that is kept takes requests without a body only.
 class scripted_upstream {
 public:
     using script = std::function<upstream_script(const request_place&)>;
--- a/tests/edge/single_exchange.cpp
+++ b/tests/edge/single_exchange.cpp
@@ -20,6 +20,20 @@
                                  const std::shared_ptr<upstream_client>& client,
                                  const std::string& path, answer_match match)
     : context(io), exchange(prepare_exchange(client, any_idle)) {
+    start({.method = "GET", .target = path, .headers = {{"x-id", "mine"}}}, {{}, true},
+          std::move(match));
+}
+
+single_exchange::single_exchange(boost::asio::io_context& io,
+                                 const std::shared_ptr<upstream_client>& client,
+                                 const std::string& path, body_piece first,
+                                 const std::string& method)
+    : context(io), exchange(prepare_exchange(client, any_idle)) {
+    start({.method = method, .target = path, .headers = {{"x-id", "mine"}}}, std::move(first),
+          {"x-id", "mine"});
+}
+
+void single_exchange::start(request_head request, body_piece first, answer_match match) {
     upstream_events events;
     events.on_answer = [this](const answer_head& head, const body_piece& piece) {
         end.status = head.status;
@@ -30,8 +44,12 @@
         end.is_not_run = is_not_run;
     };
     events.on_taken = [] {};
-    send_request(exchange, {.method = "GET", .target = path, .headers = {{"x-id", "mine"}}},
-                 {{}, true}, std::move(match), std::move(events));
+    send_request(exchange, std::move(request), std::move(first), std::move(match),
+                 std::move(events));
+}
+
+void single_exchange::write_last(body_bytes bytes) {
+    write_body(exchange, {std::move(bytes), true}, [] {});
 }
 
 const exchange_result& single_exchange::wait() {
--- a/tests/edge/single_exchange.h
+++ b/tests/edge/single_exchange.h
@@ -29,11 +29,18 @@
 struct single_exchange {
     single_exchange(boost::asio::io_context& io, const std::shared_ptr<upstream_client>& client,
                     const std::string& path, answer_match match = {"x-id", "mine"});
+    /// A request whose body begins with this piece.
+    single_exchange(boost::asio::io_context& io, const std::shared_ptr<upstream_client>& client,
+                    const std::string& path, body_piece first, const std::string& method = "POST");
+
+    /// Writes the rest of the body. Precondition: called once, after the first piece was taken.
+    void write_last(body_bytes bytes);
 
     /// Runs the loop until the exchange has ended.
     const exchange_result& wait();
 
     void take(const body_piece& piece);
+    void start(request_head request, body_piece first, answer_match match);
 
     boost::asio::io_context& context;
     upstream_exchange_ptr exchange;
