net, edge: refuse answers with continuation lines

What callers saw: an upstream sent a line in the head that begins with a blank or a tab, such as " X-Bad: 1". The caller got a 200 with that line's text in the value of the field before it.

Cause: Beast takes such a line for a continuation of the one before it (obsolete line folding) and joins the two. Names of fields with a blank, a tab, a control byte or none, and lines without a colon, are refused by it already.

Change: answer_parser, used by the upstream client and by the client of the store, refuses continuation lines in heads, informational heads and trailers. RFC 9112, 5.2, lets a gateway do so. Beast hands over a field's value as bytes behind its name unless the value goes on in a further line; the parser compares the two.

--- a/src/edge/upstream_exchange.h
+++ b/src/edge/upstream_exchange.h
@@ -2,6 +2,7 @@
 
 #include "edge/upstream_connection.h"
 #include "model/handler_guard.h"
+#include "net/answer_parser.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http.hpp>
@@ -36,7 +37,7 @@
     boost::beast::http::request<boost::beast::http::buffer_body> request;
     std::optional<boost::beast::http::request_serializer<boost::beast::http::buffer_body>>
         serializer;
-    std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> parser;
+    std::optional<net::answer_parser<boost::beast::http::buffer_body>> parser;
     body_bytes incoming;
     std::function<void(body_piece)> on_piece;
     bool is_reused = false;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,5 +1,7 @@
 #include "net/http_client.h"
 
+#include "net/answer_parser.h"
+
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -47,7 +49,7 @@
 struct exchange {
     connection_ptr conn;
     http::request<http::string_body> request;
-    std::optional<http::response_parser<http::string_body>> parser;
+    std::optional<answer_parser<http::string_body>> parser;
     std::chrono::steady_clock::time_point deadline;
     std::size_t informational_bytes = 0;
     std::function<void(http_outcome)> done;
--- a/tests/net/client_bytes_test.cpp
+++ b/tests/net/client_bytes_test.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <optional>
 #include <ostream>
+#include <string>
 
 /// Tests against servers that send malformed or endless answers.
 namespace cyclamenhatch::net {
@@ -134,5 +135,49 @@
     }
 }
 
+struct answer_row {
+    const char* name;
+    std::string answer;
+
+    friend std::ostream& operator<<(std::ostream& out, const answer_row& row) {
+        return out << row.name;
+    }
+};
+
+class malformed_answer : public ::testing::TestWithParam<answer_row> {};
+
+/// Guards against an answer whose body, or whose header that is passed on, is not the server's.
+TEST_P(malformed_answer, is_refused_at_once) {
+    endless_server server([](const std::string&, const std::string&) {
+        return cyclamenhatch::testing::scripted_answer{GetParam().answer, ""};
+    });
+    client_run run(server.port());
+    const auto result = run.send_and_wait("/any");
+    ASSERT_TRUE(std::holds_alternative<no_answer>(result));
+    EXPECT_EQ(std::get<no_answer>(result).reason.find("timeout"), std::string::npos);
+    server.wait_for_closed(1);
+    ASSERT_EQ(run.lines.size(), 1U);
+    EXPECT_EQ(run.lines.front().rfind("event=server_bytes_refused server=127.0.0.1:", 0), 0U);
+}
+
+const std::string start = "HTTP/1.1 200 OK\r\nX-Ok: 1\r\n";
+const std::string length = "Content-Length: 5\r\n";
+const std::string hello = "\r\nhello";
+
+const answer_row malformed_answers[] = {
+    {"blank_in_a_name", start + "X Bad: 1\r\n" + length + hello},
+    {"blank_before_a_colon", start + "X-Bad : 1\r\n" + length + hello},
+    {"control_byte_in_a_name", start + "X-\x01-Bad: 1\r\n" + length + hello},
+    {"blank_after_the_length", start + "Content-Length : 5\r\n" + hello},
+    {"line_that_begins_with_a_blank", start + " X-Bad: 1\r\n" + length + hello},
+    {"line_that_begins_with_a_tab", start + "\tX-Bad: 1\r\n" + length + hello},
+    {"length_that_begins_with_a_blank", start + " " + length + hello},
+    {"length_in_a_second_line", start + "Content-Length:\r\n 5\r\n" + hello},
+    {"trailer_that_begins_with_a_blank",
+     start + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX-Ok: 1\r\n X-Bad: 1\r\n\r\n"}};
+
+INSTANTIATE_TEST_SUITE_P(fields, malformed_answer, ::testing::ValuesIn(malformed_answers),
+                         [](const auto& row) { return std::string(row.param.name); });
+
 } // namespace
 } // namespace cyclamenhatch::net
