net: test answers with odd statuses and without a length at the store's client

Change: tests only; all three held on. A status of 000 or of two digits is no answer. An answer without a length whose connection is reset is none either, whether the request was short or still being written: this client reads only after the whole request was written, so that no write can take the error of the reset first.

--- a/tests/net/client_bytes_test.cpp
+++ b/tests/net/client_bytes_test.cpp
@@ -1,9 +1,12 @@
 #include "net/http_client.h"
 #include "support/endless_server.h"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <memory>
 #include <optional>
 #include <ostream>
 #include <string>
@@ -165,6 +168,8 @@
 const std::string hello = "\r\nhello";
 
 const answer_row malformed_answers[] = {
+    {"status_000", "HTTP/1.1 000 X\r\n" + length + hello},
+    {"status_of_two_digits", "HTTP/1.1 20 X\r\n" + length + hello},
     {"blank_in_a_name", start + "X Bad: 1\r\n" + length + hello},
     {"blank_before_a_colon", start + "X-Bad : 1\r\n" + length + hello},
     {"control_byte_in_a_name", start + "X-\x01-Bad: 1\r\n" + length + hello},
@@ -179,5 +184,44 @@
 INSTANTIATE_TEST_SUITE_P(fields, malformed_answer, ::testing::ValuesIn(malformed_answers),
                          [](const auto& row) { return std::string(row.param.name); });
 
+/// A server that answers the first bytes of a request and resets the connection.
+void reset_after(boost::asio::ip::tcp::acceptor& acceptor, const std::string& answer) {
+    using boost::asio::ip::tcp;
+    acceptor.async_accept([answer](boost::system::error_code failed, tcp::socket accepted) {
+        const auto socket = std::make_shared<tcp::socket>(std::move(accepted));
+        if (failed) {
+            return;
+        }
+        socket->async_wait(tcp::socket::wait_read,
+                           [socket, answer](boost::system::error_code error) {
+                               boost::asio::write(*socket, boost::asio::buffer(answer), error);
+                               socket->set_option(boost::asio::socket_base::linger(true, 0), error);
+                               socket->close(error);
+                           });
+    });
+}
+
+/// Guards against a part of an answer without a length that counts as whole.
+TEST(client_bytes, an_answer_without_a_length_that_is_reset_is_no_answer) {
+    constexpr std::size_t large_body_bytes = 33'554'432;
+    for (const auto body_bytes : {std::size_t{0}, large_body_bytes}) {
+        boost::asio::io_context io;
+        boost::asio::ip::tcp::acceptor acceptor(io,
+                                                {boost::asio::ip::make_address("127.0.0.1"), 0});
+        reset_after(acceptor, start + hello);
+        const auto client =
+            make_http_client(io, {.ip = "127.0.0.1", .port = acceptor.local_endpoint().port()});
+        std::optional<http_outcome> result;
+        send(*client, {"POST", "/any", std::string(body_bytes, 'u')}, test_timeout,
+             [&](const http_outcome& outcome) { result = outcome; });
+        while (!result) {
+            io.restart();
+            io.run_one();
+        }
+        EXPECT_TRUE(std::holds_alternative<no_answer>(*result)) << body_bytes;
+        close(*client);
+    }
+}
+
 } // namespace
 } // namespace cyclamenhatch::net
