--- a/tests/edge/early_answer_test.cpp
+++ b/tests/edge/early_answer_test.cpp
@@ -35,11 +35,6 @@
     }
 };
 
-/// The first request on the connection, if the second one is meant.
-upstream_script answer_first() {
-    return {sized_head + "first"};
-}
-
 void expect_end(const exchange_result& result, const answer_row& row) {
     EXPECT_EQ(result.is_whole, row.is_whole);
     EXPECT_EQ(result.is_failed, !row.is_whole);
@@ -61,7 +56,7 @@
         const int last = is_kept ? 2 : 1;
         scripted_upstream upstream(io, [&](const request_place& place) -> upstream_script {
             if (place.request < last) {
-                return answer_first();
+                return {sized_head + "first"};
             }
             return {row.bytes, row.end, [&] { call->write_last(body_bytes(last_bytes, 'u')); }};
         });
