model, feed: an empty list of workspaces admits no access key

Cause: no list of tenants and an empty one were the same, a fleet section without workspaces, which is not even stored. has_workspaces() took both for a deployment without access control. Deleting the last workspace by the API or a file had the same effect.

Change: the fleet section says whether requests need a key (requires_access_key). The reader of the operators' document sets it where there is a list, and deleting a workspace sets it for good; patches carry it. The checks at the entry, the headers that it sends on and the keepers of allowances ask for that fact.

With requires_access_key() reading the workspaces alone, as before, access.is_not_free_after_the_last_workspace, workspace_change.that_deletes_the_last_one_leaves_access_closed, operator_reader.requires_keys_while_the_document_lists_workspaces and removed_key.of_the_last_workspace_is_refused_and_stays_at_the_entry fail.

A check in workspace_change.creates_replaces_and_deletes_one_by_one asked that no section is left once all workspaces are deleted: that is the fault. It now asks that exactly the section is left which says that keys are needed.

--- a/src/call/caller_access.cpp
+++ b/src/call/caller_access.cpp
@@ -53,7 +53,7 @@
 
 caller_access decide_access(const snapshot& config, const route& matched,
                             const std::vector<std::string_view>& credentials) {
-    if (!has_workspaces(config)) {
+    if (!requires_access_key(config)) {
         return {};
     }
     auto access = find_caller(config, credentials);
--- a/src/control/allowance_steps.cpp
+++ b/src/control/allowance_steps.cpp
@@ -46,7 +46,7 @@
 
 void tick_allowances(state& self, instant now, actions& out) {
     const auto& config = self.distribution.config;
-    if (self.allowances.kept.empty() && (!config || !has_workspaces(*config))) {
+    if (self.allowances.kept.empty() && (!config || !requires_access_key(*config))) {
         return;
     }
     allowance::keeper_actions produced;
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -398,7 +398,7 @@
     }
     view.shares = moves::version_shares(self.moves, now);
     view.quarantine = self.quarantine.view;
-    if (has_workspaces(*view.config)) {
+    if (requires_access_key(*view.config)) {
         view.peers = list_peers(self);
     }
     return view;
--- a/src/distribution/patch.cpp
+++ b/src/distribution/patch.cpp
@@ -72,7 +72,8 @@
             .moves = target.moves,
             .workspaces =
                 pick_changed(base.workspaces, target.workspaces, patch.removed_workspaces),
-            .evacuated = target.evacuated};
+            .evacuated = target.evacuated,
+            .requires_access_key = target.requires_access_key};
 }
 
 section merge(const section& base, section changes, const msg::section_patch_msg& patch) {
--- a/src/edge/entry_side.cpp
+++ b/src/edge/entry_side.cpp
@@ -114,7 +114,7 @@
 /// The headers to send to the upstream, including those that the node sets itself.
 wire_headers make_headers(const entry_side& side, const snapshot& config, const workspace* caller,
                           header_fields headers) {
-    if (has_workspaces(config)) {
+    if (requires_access_key(config)) {
         drop_access_keys(side.names, headers);
     }
     auto out = to_wire(side.names, std::move(headers));
--- a/src/feed/config_format.h
+++ b/src/feed/config_format.h
@@ -46,6 +46,8 @@
     /// The services with their routes, without moves.
     std::vector<section> sections;
     std::vector<workspace> workspaces;
+    /// Whether the document lists workspaces, be the list empty.
+    bool requires_access_key = false;
     /// Values that were ignored or read with care, without refusing the document.
     findings notices;
     /// Not part of the document: the reader adds them from the items beside it.
--- a/src/feed/operator_reader.cpp
+++ b/src/feed/operator_reader.cpp
@@ -120,8 +120,9 @@
 void add_fleet_section(operators_document& parsed) {
     section fleet{.service = {.name = fleet_section_name()},
                   .workspaces = std::move(parsed.workspaces),
-                  .evacuated = std::move(parsed.evacuated)};
-    if (!fleet.workspaces.empty() || !fleet.evacuated.empty()) {
+                  .evacuated = std::move(parsed.evacuated),
+                  .requires_access_key = parsed.requires_access_key};
+    if (!is_empty_fleet_section(fleet)) {
         parsed.sections.push_back(std::move(fleet));
     }
 }
--- a/src/model/resource_codec.cpp
+++ b/src/model/resource_codec.cpp
@@ -262,6 +262,7 @@
     for (const auto& name : content.evacuated) {
         message.evacuated.push_back(name.value);
     }
+    message.requires_access_key = content.requires_access_key;
     flatbuffers::FlatBufferBuilder builder;
     builder.Finish(msg::section::Pack(builder, &message));
     return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
@@ -293,6 +294,7 @@
     for (const auto& name : message.evacuated) {
         content.evacuated.emplace_back(name);
     }
+    content.requires_access_key = message.requires_access_key;
     for (const auto& resource : message.move) {
         auto decoded = from_message(*resource);
         if (auto* move_problems = std::get_if<findings>(&decoded)) {
--- a/src/model/resources.cpp
+++ b/src/model/resources.cpp
@@ -20,6 +20,11 @@
     return content.service.name == fleet_section_name();
 }
 
+bool is_empty_fleet_section(const section& content) {
+    return is_fleet_section(content) && content.workspaces.empty() && content.evacuated.empty() &&
+           !content.requires_access_key;
+}
+
 void sort_resources(section& content) {
     const auto by_name = [](const auto& left, const auto& right) { return left.name < right.name; };
     std::stable_sort(content.routes.begin(), content.routes.end(), by_name);
--- a/src/model/resources.h
+++ b/src/model/resources.h
@@ -173,6 +173,9 @@
     std::vector<workspace> workspaces;
     /// Data centres whose upstreams get no calls. Only in the fleet section; sorted once stored.
     std::vector<data_centre_id> evacuated;
+    /// Whether requests need an access key, also while no workspace is left that holds one. Only in
+    /// the fleet section, where any workspace implies it.
+    bool requires_access_key = false;
 
     friend bool operator==(const section&, const section&) = default;
 };
@@ -183,6 +186,9 @@
 /// Whether the section holds what concerns the whole fleet instead of a service.
 [[nodiscard]] bool is_fleet_section(const section& content);
 
+/// Whether the section is a fleet section that states nothing.
+[[nodiscard]] bool is_empty_fleet_section(const section& content);
+
 /// The move of a section that has not ended, or null. A valid section has at most one.
 [[nodiscard]] const move* find_open_move(const section& content);
 
--- a/src/model/snapshot.cpp
+++ b/src/model/snapshot.cpp
@@ -146,8 +146,9 @@
                                                           : find_in_index(config.routes, "", path);
 }
 
-bool has_workspaces(const snapshot& config) {
-    return config.fleet && !config.fleet->content.workspaces.empty();
+bool requires_access_key(const snapshot& config) {
+    return config.fleet && (config.fleet->content.requires_access_key ||
+                            !config.fleet->content.workspaces.empty());
 }
 
 const workspace* find_workspace(const snapshot& config, std::string_view access_key) {
--- a/src/model/snapshot.h
+++ b/src/model/snapshot.h
@@ -74,8 +74,9 @@
 [[nodiscard]] route_match find_route(const snapshot& config, std::string_view host,
                                      std::string_view path);
 
-/// Whether requests need an access key of a workspace, unless their route is anonymous.
-[[nodiscard]] bool has_workspaces(const snapshot& config);
+/// Whether requests need an access key of a workspace, unless their route is anonymous. Still true
+/// when the last workspace has been removed.
+[[nodiscard]] bool requires_access_key(const snapshot& config);
 
 /// The workspace that holds the access key, or null. The comparison takes the same time for all
 /// keys of one length that no workspace holds.
--- a/src/model/validation.cpp
+++ b/src/model/validation.cpp
@@ -257,8 +257,9 @@
         check_fleet_section(report, content);
         return report.problems;
     }
-    if (!content.workspaces.empty() || !content.evacuated.empty()) {
-        report.add("service.name", "workspaces and evacuated data centres belong to no service",
+    if (!content.workspaces.empty() || !content.evacuated.empty() || content.requires_access_key) {
+        report.add("service.name",
+                   "workspaces, access and evacuated data centres belong to no service",
                    "put them in the fleet section");
     }
     check_service(report, content);
--- a/src/store/change.cpp
+++ b/src/store/change.cpp
@@ -187,6 +187,13 @@
     return true;
 }
 
+/// Requests need a key also after the last workspace is gone: otherwise every key would be accepted
+/// once the last one is withdrawn.
+bool delete_workspace(section& fleet, const std::string& name) {
+    fleet.requires_access_key = true;
+    return erase_named(fleet.workspaces, name);
+}
+
 bool delete_resource(change_context& context, section& working_copy, const resource_key& key,
                      const std::string& path) {
     switch (key.kind) {
@@ -203,7 +210,7 @@
     case resource_kind::move:
         return delete_move(context, working_copy, key, path);
     case resource_kind::workspace:
-        return erase_named(working_copy.workspaces, key.name);
+        return delete_workspace(working_copy, key.name);
     }
     return false;
 }
@@ -289,9 +296,7 @@
     section_map updated = context.current;
     for (auto& [name, content] : context.changed_sections) {
         const auto existing = updated.find(name);
-        const bool is_empty_fleet =
-            is_fleet_section(content) && content.workspaces.empty() && content.evacuated.empty();
-        if (is_empty_fleet || context.removed_services.count(name) > 0) {
+        if (is_empty_fleet_section(content) || context.removed_services.count(name) > 0) {
             updated.erase(name);
         } else if (existing == updated.end() || existing->second->content != content) {
             updated[name] = make_stored_section(std::move(content));
--- a/tests/call/caller_access_test.cpp
+++ b/tests/call/caller_access_test.cpp
@@ -84,6 +84,20 @@
     EXPECT_EQ(decide_access(*config, {}, {"Bearer "}).verdict, access_verdict::missing_key);
 }
 
+/// Guards against routes that are open to all once the last workspace has been removed.
+TEST(access, is_not_free_after_the_last_workspace) {
+    const auto built =
+        build_snapshot(config_version{1},
+                       {make_stored_section({.service = {.name = fleet_section_name()},
+                                             .requires_access_key = true})},
+                       {});
+    const auto& config = *std::get<snapshot_ptr>(built);
+    EXPECT_EQ(decide_access(config, {}, {"Bearer k1"}).verdict, access_verdict::unknown_key);
+    EXPECT_EQ(decide_access(config, {}, {}).verdict, access_verdict::missing_key);
+    EXPECT_EQ(decide_access(config, {.is_anonymous = true}, {"Bearer k1"}).verdict,
+              access_verdict::granted);
+}
+
 RC_GTEST_PROP(access, of_any_bytes_is_granted_to_the_holder_only, (const std::string& key)) {
     const auto config = make_pulo();
     const auto credential = "Bearer " + key;
--- a/tests/distribution/workspace_patch_test.cpp
+++ b/tests/distribution/workspace_patch_test.cpp
@@ -31,6 +31,7 @@
     changed.workspaces[7].key_digests.clear();
     changed.workspaces.pop_back();
     changed.evacuated = {data_centre_id{"north"}};
+    changed.requires_access_key = true;
     const auto target = make_stored_section(changed);
     const auto patch = make_patch(*base, *target);
     ASSERT_NE(patch, nullptr);
--- a/tests/edge/joined_paths.cpp
+++ b/tests/edge/joined_paths.cpp
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <iterator>
 #include <limits>
+#include <optional>
 #include <stdexcept>
 
 namespace cyclamenhatch::edge::testing {
@@ -52,7 +53,7 @@
     return result;
 }
 
-snapshot_ptr make_config(const std::vector<workspace>& workspaces = {},
+snapshot_ptr make_config(const std::optional<std::vector<workspace>>& workspaces = {},
                          double warm_up_calls_per_s = 0, milliseconds warm_up_time = {}) {
     section part;
     part.service.warm_up_calls_per_s = warm_up_calls_per_s;
@@ -67,9 +68,10 @@
     part.routes.back().is_anonymous = true;
     part.versions = {{.name = version_id("v1"), .service = service_id("ledger"), .last_write = {}}};
     std::vector<section_ptr> sections{make_stored_section(part)};
-    if (!workspaces.empty()) {
-        sections.push_back(make_stored_section(
-            {.service = {.name = fleet_section_name()}, .workspaces = workspaces}));
+    if (workspaces) {
+        sections.push_back(make_stored_section({.service = {.name = fleet_section_name()},
+                                                .workspaces = *workspaces,
+                                                .requires_access_key = true}));
     }
     auto built = build_snapshot(config_version{1}, std::move(sections), {});
     return std::get<snapshot_ptr>(built);
--- a/tests/edge/joined_paths.h
+++ b/tests/edge/joined_paths.h
@@ -49,8 +49,8 @@
     [[nodiscard]] std::vector<std::string> ask_many(const std::string& requests, int answers);
     /// Sends bytes to the entry and returns all bytes that come back until the connection closes.
     [[nodiscard]] std::string ask_raw(const std::string& request);
-    /// Puts a configuration with these workspaces in force at both nodes. The gate is the only
-    /// keeper of allowances.
+    /// Puts a configuration with these workspaces, or with an empty list of them, in force at both
+    /// nodes. The gate is the only keeper of allowances.
     void set_workspaces(const std::vector<workspace>& workspaces);
     /// Removes the service's only endpoint from the view, as after the failure of its node.
     void forget_endpoint();
--- a/tests/edge/workspace_test.cpp
+++ b/tests/edge/workspace_test.cpp
@@ -103,6 +103,17 @@
     EXPECT_EQ(run.upstream.runs("/ok"), 1);
 }
 
+/// Guards against a deployment that is open to all, and hands keys to upstreams, once the last
+/// workspace has been removed.
+TEST(removed_key, of_the_last_workspace_is_refused_and_stays_at_the_entry) {
+    keyed_paths run;
+    run.paths.set_workspaces({});
+    EXPECT_EQ(run.paths.get("/ok", key_header).substr(0, 11), "401 not-run");
+    EXPECT_EQ(run.upstream.runs("/ok"), 0);
+    EXPECT_EQ(run.paths.get("/ok/open", key_header), "200 upstream ok");
+    EXPECT_FALSE(has_text(run.upstream.last_head(), "uthorization"));
+}
+
 /// Guards against pipelined requests of which only the first is checked.
 TEST(pipelined_requests, are_each_checked) {
     keyed_paths run;
--- a/tests/feed/feed_test.cpp
+++ b/tests/feed/feed_test.cpp
@@ -108,6 +108,23 @@
     EXPECT_EQ(fixture.prefix(), "/third/");
 }
 
+/// Guards against routes that are open to all once the last workspace is taken from the document.
+TEST(operator_reader, requires_keys_while_the_document_lists_workspaces) {
+    reader_fixture fixture;
+    fixture.reader.format.read_document = [](std::string_view text) -> result<operators_document> {
+        return operators_document{.sections = {make_section("ledger", "/first/")},
+                                  .requires_access_key = text == "listed"};
+    };
+    for (const auto* text : {"absent", "listed", "absent"}) {
+        fixture.store.put("op/document", text);
+        fixture.start_watching();
+        if (fixture.snapshot->version.value < static_cast<std::uint64_t>(fixture.store.revision)) {
+            fixture.deliver_change("op/document");
+        }
+        EXPECT_EQ(requires_access_key(*fixture.snapshot), text == std::string("listed")) << text;
+    }
+}
+
 /// Guards against a rejection that counts as older than the configuration in force, and so is
 /// dropped with the next change.
 TEST(operator_reader, a_rejected_document_has_a_higher_version_than_the_one_in_force) {
--- a/tests/model/fleet_section_test.cpp
+++ b/tests/model/fleet_section_test.cpp
@@ -20,6 +20,7 @@
     fleet.workspaces.push_back(
         {.name = workspace_id{"potters"}, .key_digests = {compute_digest("key-c")}});
     fleet.evacuated = {data_centre_id{"south"}, data_centre_id{"north"}};
+    fleet.requires_access_key = true;
     return fleet;
 }
 
@@ -41,7 +42,7 @@
     EXPECT_EQ(find_workspace(*config, "key-c")->name, workspace_id{"potters"});
     EXPECT_EQ(find_workspace(*config, "key-d"), nullptr);
     EXPECT_EQ(find_workspace(*config, ""), nullptr);
-    EXPECT_TRUE(has_workspaces(*config));
+    EXPECT_TRUE(requires_access_key(*config));
 }
 
 TEST(fleet_section, names_the_evacuated_data_centres) {
@@ -54,7 +55,7 @@
 TEST(fleet_section, may_be_absent) {
     const auto built = build_snapshot(config_version{3}, {}, {});
     const auto& config = *std::get<snapshot_ptr>(built);
-    EXPECT_FALSE(has_workspaces(config));
+    EXPECT_FALSE(requires_access_key(config));
     EXPECT_EQ(find_workspace(config, "key-a"), nullptr);
     EXPECT_FALSE(is_evacuated(config, data_centre_id{"north"}));
 }
@@ -117,6 +118,10 @@
     content.service = {.name = service_id{"listings"}, .owner = owner_id{"shops"}};
     content.evacuated = {data_centre_id{"north"}};
     EXPECT_EQ(validate_section(content).size(), 1U);
+    content.evacuated.clear();
+    EXPECT_TRUE(validate_section(content).empty());
+    content.requires_access_key = true;
+    EXPECT_EQ(validate_section(content).size(), 1U);
 }
 
 } // namespace
--- a/tests/platform/workspace_config_test.cpp
+++ b/tests/platform/workspace_config_test.cpp
@@ -60,6 +60,14 @@
     EXPECT_TRUE(read_good(with_tenants("null")).workspaces.empty());
 }
 
+/// Guards against an empty list, from which the last workspace was taken, that is read like none.
+TEST(tenants, require_a_key_also_if_the_list_is_empty) {
+    EXPECT_TRUE(read_good(with_tenants("[]")).requires_access_key);
+    EXPECT_TRUE(read_good(with_tenants(R"([{"name":"pulo"}])")).requires_access_key);
+    EXPECT_FALSE(read_good(with_tenants("null")).requires_access_key);
+    EXPECT_FALSE(read_good(R"({"version":7,"routes":[],"services":[]})").requires_access_key);
+}
+
 struct odd_tenant {
     const char* name;
     const char* fields;
--- a/tests/store/workspace_change_test.cpp
+++ b/tests/store/workspace_change_test.cpp
@@ -47,7 +47,25 @@
     EXPECT_EQ(find_revision(sections, key_of("a")), config_version{2});
     EXPECT_EQ(find_revision(sections, key_of("b")), config_version{1});
     sections = accept(sections, {.deletes = {key_of("a"), key_of("b")}}, 3);
-    EXPECT_TRUE(sections.empty());
+    EXPECT_EQ(find_revision(sections, key_of("a")), std::nullopt);
+    EXPECT_EQ(find_revision(sections, key_of("b")), std::nullopt);
+    ASSERT_EQ(sections.size(), 1U);
+    EXPECT_EQ(sections.at(fleet_section_name())->content,
+              (section{.service = {.name = fleet_section_name()}, .requires_access_key = true}));
+}
+
+/// Guards against a deployment that is open to all once its last workspace is deleted.
+TEST(workspace_change, that_deletes_the_last_one_leaves_access_closed) {
+    auto sections = accept({}, {.workspaces = {make_workspace("a", "k1")}}, 1);
+    sections = accept(sections, {.deletes = {key_of("a")}}, 2);
+    std::vector<section_ptr> stored;
+    for (const auto& [name, part] : sections) {
+        stored.push_back(part);
+    }
+    const auto built = build_snapshot(config_version{2}, std::move(stored), {});
+    const auto& config = *std::get<snapshot_ptr>(built);
+    EXPECT_TRUE(requires_access_key(config));
+    EXPECT_EQ(find_workspace(config, "k1"), nullptr);
 }
 
 TEST(workspace_change, with_a_key_of_another_workspace_is_a_finding_without_the_key) {
