membership, distribution: members stand by for the watchers of the store

The bound is 2 s.

Cause: one member of each data centre watches the store. Another one took over only once membership had declared it dead: its turn to be probed, 0.6 s until the probe fails, 1.5 s of suspicion; in the first 10 s of a process a duty must be shown for 1 s more.

Change: the three members that rank next for the duty probe those above them in every interval. Suspects no longer count for a duty that needs the store, and a duty that is taken over from a suspect counts at once. No request to the store is added.

--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -111,6 +111,11 @@
 }
 
 void tick_members(state& self, instant now, actions& out) {
+    if (self.attended_generation != self.members.generation) {
+        self.attended_generation = self.members.generation;
+        membership::set_attended(
+            self.members, distribution::list_watchers_ahead(self.distribution, self.members));
+    }
     append(out.sends, membership::on_tick(self.members, now, self.random));
     if (self.members.pauses == self.handled_pauses) {
         return;
@@ -184,10 +189,17 @@
     return now - self.started >= settling_time || now - *since >= settled_duty_time;
 }
 
+/// Whether this node watches the store. One that stands by for a watcher that has failed knows its
+/// data centre and does not wait until the duty has settled.
+bool is_watching_due(state& self, instant now) {
+    const bool is_shown = distribution::is_store_watcher(self.distribution, self.members);
+    const bool is_settled = is_duty_settled(self, is_shown, self.watcher_since, now);
+    return is_settled || (self.watcher_since &&
+                          membership::has_suspect(self.members, self.members.attended));
+}
+
 void tick_store(state& self, instant now, actions& out) {
-    const bool is_watcher =
-        is_duty_settled(self, distribution::is_store_watcher(self.distribution, self.members),
-                        self.watcher_since, now);
+    const bool is_watcher = is_watching_due(self, now);
     if (self.operator_reader) {
         tick_feed(self, is_watcher, now, out);
     } else {
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -53,6 +53,8 @@
     std::optional<instant> watcher_since;
     std::optional<instant> contact_since;
     std::optional<instant> first_contact_since;
+    /// Generation of the member table from which the attended members were chosen.
+    std::uint64_t attended_generation = 0;
     /// Set when operators keep the configuration in their own format. It is then read from there,
     /// and the head reader and the writer are unused.
     std::optional<feed::operator_reader> operator_reader;
--- a/src/distribution/distribution.cpp
+++ b/src/distribution/distribution.cpp
@@ -9,6 +9,11 @@
 namespace cyclamenhatch::distribution {
 namespace {
 
+constexpr std::string_view watch_duty = "store-watch";
+/// Members of each data centre that stand by for its watchers: that many may fail together with
+/// them and a change still arrives in time.
+constexpr std::size_t watch_standbys = 3;
+
 /// Logs, once per head version, that the head of the store is lower than the held version, as after
 /// restoring a backup.
 void log_lower_head(state& self, config_version store_version, actions& out) {
@@ -90,9 +95,14 @@
 }
 
 bool is_store_watcher(const state& self, const membership::table& members) {
-    return membership::has_store_duty(members, "store-watch",
-                                      self.settings.watchers_per_data_centre,
+    return membership::has_store_duty(members, watch_duty, self.settings.watchers_per_data_centre,
                                       data_centre_id{members.self.data_centre});
 }
 
+std::vector<node_id> list_watchers_ahead(const state& self, const membership::table& members) {
+    return membership::list_predecessors(members, watch_duty,
+                                         self.settings.watchers_per_data_centre, watch_standbys,
+                                         data_centre_id{members.self.data_centre});
+}
+
 } // namespace cyclamenhatch::distribution
--- a/src/distribution/distribution.h
+++ b/src/distribution/distribution.h
@@ -195,4 +195,9 @@
 /// Whether this node is one of those that watch the head of the store.
 [[nodiscard]] bool is_store_watcher(const state& self, const membership::table& members);
 
+/// The members that this node, standing by to watch the store, would take over from, best first.
+/// Empty for all but a few members of each data centre.
+[[nodiscard]] std::vector<node_id> list_watchers_ahead(const state& self,
+                                                       const membership::table& members);
+
 } // namespace cyclamenhatch::distribution
--- a/src/membership/duty.cpp
+++ b/src/membership/duty.cpp
@@ -60,9 +60,29 @@
 bool has_store_duty(const table& state, std::string_view duty, std::size_t count,
                     const data_centre_id& data_centre) {
     const auto all = live_candidates(state, data_centre);
-    auto with_store = all;
-    std::erase_if(with_store, [](const auto* record) { return record->store_away; });
-    return is_among(rank(with_store.empty() ? all : with_store, duty, count), state);
+    auto able = all;
+    std::erase_if(able, [](const auto* record) {
+        return record->store_away || record->state == msg::liveness::suspect;
+    });
+    return is_among(rank(able.empty() ? all : able, duty, count), state);
+}
+
+std::vector<node_id> list_predecessors(const table& state, std::string_view duty, std::size_t count,
+                                       std::size_t standbys, const data_centre_id& data_centre) {
+    auto ranked = duty_holders(state, duty, count + standbys, data_centre);
+    const auto own = std::find(ranked.begin(), ranked.end(), node_id{state.self.node});
+    if (own == ranked.end()) {
+        return {};
+    }
+    ranked.erase(own, ranked.end());
+    return ranked;
+}
+
+bool has_suspect(const table& state, const std::vector<node_id>& members) {
+    return std::any_of(members.begin(), members.end(), [&](const node_id& node) {
+        const auto* record = find_record(state, node);
+        return record != nullptr && record->state == msg::liveness::suspect;
+    });
 }
 
 } // namespace cyclamenhatch::membership
--- a/src/membership/duty.h
+++ b/src/membership/duty.h
@@ -20,9 +20,19 @@
 [[nodiscard]] bool has_duty(const table& state, std::string_view duty, std::size_t count,
                             const data_centre_id& data_centre = {});
 
-/// Whether this node holds a duty that needs the store. Members that cannot reach the store are
-/// considered only if no member can.
+/// Whether this node holds a duty that needs the store. Suspects and members that cannot reach the
+/// store are considered only if there is no other member: the next in rank takes the duty over
+/// before a suspicion has ended.
 [[nodiscard]] bool has_store_duty(const table& state, std::string_view duty, std::size_t count,
                                   const data_centre_id& data_centre);
 
+/// The live members that rank above this node for a duty, best first, if it is one of the `count`
+/// that would hold it or of the next `standbys`; else nothing.
+[[nodiscard]] std::vector<node_id> list_predecessors(const table& state, std::string_view duty,
+                                                     std::size_t count, std::size_t standbys,
+                                                     const data_centre_id& data_centre);
+
+/// Whether any of these members is suspected to have failed.
+[[nodiscard]] bool has_suspect(const table& state, const std::vector<node_id>& members);
+
 } // namespace cyclamenhatch::membership
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -129,6 +129,10 @@
     return is_lasting_leave(&upstream) ? push_self(state, random) : std::vector<outgoing>{};
 }
 
+void set_attended(table& state, std::vector<node_id> members) {
+    state.attended = std::move(members);
+}
+
 void set_store_unreachable(table& state, bool is_unreachable) {
     if (state.self.store_away != is_unreachable) {
         state.self.store_away = is_unreachable;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -86,6 +86,8 @@
     std::vector<peer_address> contacts;
     std::vector<node_id> probe_order;
     std::size_t probe_position = 0;
+    /// Members that are probed in every interval, so that their failure is noticed soon.
+    std::vector<node_id> attended;
     std::uint64_t next_sequence = 1;
     std::vector<probe_in_flight> probes;
     std::vector<relayed_probe> relayed_probes;
@@ -134,6 +136,10 @@
                                                  const msg::upstream_record_msg& upstream,
                                                  instant now, random_source& random);
 
+/// Sets the members that this node probes in every interval, beside the one whose turn it is. One
+/// that fails is suspected within about `probe_interval_ms` and the time in which a probe fails.
+void set_attended(table& state, std::vector<node_id> members);
+
 /// Announces whether this node reaches the store; a no-op when nothing changes.
 void set_store_unreachable(table& state, bool is_unreachable);
 
--- a/src/membership/prober.cpp
+++ b/src/membership/prober.cpp
@@ -135,18 +135,28 @@
     return {};
 }
 
-void start_probe(table& state, instant now, random_source& random, std::vector<outgoing>& sends) {
+void start_probe(table& state, const node_id& target, instant now, std::vector<outgoing>& sends) {
+    auto probe = make_probe(state, target);
+    state.probes.push_back({.sequence = probe.sequence, .target = target, .sent = now});
+    sends.push_back(make_outgoing(state, target, std::move(probe)));
+}
+
+/// Probes the member whose turn it is and those that are attended.
+void start_probes(table& state, instant now, random_source& random, std::vector<outgoing>& sends) {
     if (now < state.next_probe) {
         return;
     }
     state.next_probe = now + milliseconds{state.settings.probe_interval_ms};
     const auto target = next_target(state, random);
-    if (target.empty()) {
-        return;
+    if (!target.empty()) {
+        start_probe(state, target, now, sends);
+    }
+    for (const auto& attended : state.attended) {
+        const auto it = state.members.find(attended);
+        if (attended != target && it != state.members.end() && is_live(it->second.record)) {
+            start_probe(state, attended, now, sends);
+        }
     }
-    auto probe = make_probe(state, target);
-    state.probes.push_back({.sequence = probe.sequence, .target = target, .sent = now});
-    sends.push_back(make_outgoing(state, target, std::move(probe)));
 }
 
 } // namespace
@@ -155,7 +165,7 @@
     time_out_probes(state, now, random, sends);
     end_suspicions(state, now);
     forget_tombstones(state, now);
-    start_probe(state, now, random, sends);
+    start_probes(state, now, random, sends);
 }
 
 void answer_probe(table& state, const node_id& sender, const msg::probe_msg& probe, instant now,
--- a/tests/control/feed_fleet.cpp
+++ b/tests/control/feed_fleet.cpp
@@ -72,7 +72,6 @@
 
 feed_fleet::feed_fleet(std::size_t count) {
     settings.identity = std::make_unique<msg::identity_settings_msg>();
-    settings.identity->data_centre = "milan";
     settings.listen = std::make_unique<msg::listen_settings_msg>();
     settings.cluster = std::make_unique<msg::cluster_settings_msg>();
     settings.store = std::make_unique<msg::store_settings_msg>();
@@ -92,6 +91,7 @@
 void feed_fleet::start(std::size_t node) {
     auto own = settings;
     own.identity->node = name_of(node);
+    own.identity->data_centre = data_centres[node % data_centres.size()];
     own.listen->ip = ip_of(node);
     own.listen->link_port = link_port;
     nodes[node] = std::make_unique<state>(make_state(own, random(), now, make_format()));
--- a/tests/control/feed_fleet.h
+++ b/tests/control/feed_fleet.h
@@ -19,8 +19,8 @@
 /// order is its target version; a record is "STATE MOVE STARTED_MS".
 [[nodiscard]] feed::config_format make_format();
 
-/// Nodes with an operators' configuration, in virtual time: one data centre, a shared store, and
-/// messages that arrive within the step in which they are sent.
+/// Nodes with an operators' configuration, in virtual time: a shared store, and messages that
+/// arrive within the step in which they are sent.
 struct feed_fleet {
     explicit feed_fleet(std::size_t count);
 
@@ -47,6 +47,8 @@
     [[nodiscard]] double store_cost() const { return store_cost_; }
 
     msg::settings_msg settings;
+    /// The data centres of the nodes, in turn.
+    std::vector<std::string> data_centres{"milan"};
     instant now = start_time;
     random_source random{7};
     fakes::fake_store store;
