store, control: keep an announced leave in the key-value service

Cause: a confirmed leave lived in the members' records alone, and no copy outlived a kill of all nodes. A late heartbeat of a run that left can't be told from the first one of a run that is there. A confirmed `draining` was undone in the same way until the next heartbeat.

Change: the record of a run that drains or leaves is written to the service before it is confirmed, for which the HTTP service of a node may answer later; after 0.7 s it is confirmed without. A node that starts finds it with the read of the contacts, reads it by itself if it joined without that read, or takes it from members that ran before it, and offers no upstream before. The key is deleted when the next run comes. A start costs no further request, a leave two writes.

--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -3,6 +3,7 @@
 #include "control/feed_steps.h"
 #include "control/steps.h"
 
+#include "membership/announced_leave.h"
 #include "membership/duty.h"
 #include "membership/joiner.h"
 #include "messages/address_text.h"
@@ -24,6 +25,8 @@
 constexpr std::uint32_t handover_failures = 2;
 /// How long others keep the duty before this node tries the store again.
 constexpr seconds store_handover_time{5};
+/// Members that seem to have started earlier by less than this may have started together.
+constexpr milliseconds max_clock_difference{10'000};
 constexpr seconds close_retry{2};
 constexpr seconds close_deadline{10};
 constexpr milliseconds max_read_jitter{500};
@@ -95,6 +98,28 @@
     }
 }
 
+/// Applies the leave that an earlier process of this node has stored, as if a member remembered it.
+void apply_leave_actions(state& self, store::leave_actions&& produced, actions& out) {
+    append(out.requests, std::move(produced.requests));
+    append(out.logs, std::move(produced.logs));
+    if (produced.recovered) {
+        membership::recover_own_leave(self.members, *produced.recovered);
+    }
+}
+
+/// Whether this node has joined a member that ran before this process began, and so remembers what
+/// the upstream has announced to the process before.
+bool is_remembered_by_others(const state& self) {
+    if (!self.members.has_joined) {
+        return false;
+    }
+    const auto live = membership::live_records(self.members);
+    return std::any_of(live.begin(), live.end(), [&](const auto* record) {
+        return record->incarnation + static_cast<std::uint64_t>(max_clock_difference.count()) <
+               self.start_ms;
+    });
+}
+
 /// The id is the same for each proposal of the same ending, so that a repeated proposal is
 /// idempotent.
 operation_id close_operation(const store::move_close& close) {
@@ -194,8 +219,8 @@
 bool is_watching_due(state& self, instant now) {
     const bool is_shown = distribution::is_store_watcher(self.distribution, self.members);
     const bool is_settled = is_duty_settled(self, is_shown, self.watcher_since, now);
-    return is_settled || (self.watcher_since &&
-                          membership::has_suspect(self.members, self.members.attended));
+    return is_settled ||
+           (self.watcher_since && membership::has_suspect(self.members, self.members.attended));
 }
 
 void tick_store(state& self, instant now, actions& out) {
@@ -206,6 +231,12 @@
         tick_head(self, is_watcher, now, out);
     }
     update_store_duty(self, is_watcher, now, out);
+    if (!self.leaves.has_read && is_remembered_by_others(self)) {
+        store::note_remembered(self.leaves);
+    }
+    store::leave_actions leave_output;
+    store::on_tick(self.leaves, self.members.has_joined, now, self.random, leave_output);
+    apply_leave_actions(self, std::move(leave_output), out);
 
     if (self.is_leaving) {
         return;
@@ -293,6 +324,7 @@
     self.start_ms = static_cast<std::uint64_t>(to_unix_ms(now));
     self.started = now;
     self.next_fallback_read = now;
+    self.leaves = store::make_leave_keeper(prefix, settings.identity->node, now);
     if (config_format) {
         self.operator_reader = feed::make_operator_reader(*config_format, now);
         self.record_keeper = feed::make_record_keeper(*config_format);
@@ -352,9 +384,16 @@
         return;
     }
     store::contact_actions contact_output;
+    store::leave_actions leave_output;
     if (store::on_response(self.contacts, response, now, self.random, contact_output)) {
         apply_contact_actions(self, std::move(contact_output), now, out);
+        if (const auto* read = std::get_if<store::kv_entries>(&response.outcome)) {
+            store::on_contacts(self.leaves, *read, now, leave_output);
+        }
+    } else if (!store::on_response(self.leaves, response, now, self.random, leave_output)) {
+        return;
     }
+    apply_leave_actions(self, std::move(leave_output), out);
 }
 
 void submit_write(state& self, store::write_request request, instant now, actions& out) {
@@ -366,6 +405,13 @@
 void set_upstream(state& self, const msg::upstream_record_msg& upstream, instant now,
                   actions& out) {
     append(out.sends, membership::set_upstream(self.members, upstream, now, self.random));
+    store::leave_actions leave_output;
+    if (membership::is_lasting_leave(&upstream)) {
+        store::keep_leave(self.leaves, upstream, now, leave_output);
+    } else if (upstream.state == msg::upstream_state::ready) {
+        store::forget_leave(self.leaves, now, leave_output);
+    }
+    apply_leave_actions(self, std::move(leave_output), out);
     out.logs.push_back({log_level::info,
                         "upstream_announced",
                         {{"service", upstream.service},
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -15,6 +15,7 @@
 #include "store/config_writer.h"
 #include "store/contacts.h"
 #include "store/head_reader.h"
+#include "store/leave_keeper.h"
 
 #include <map>
 #include <optional>
@@ -44,6 +45,7 @@
     store::config_writer writer;
     store::head_reader reader;
     store::contact_keeper contacts;
+    store::leave_keeper leaves;
     /// Highest era of the store that a response or a held configuration has stated.
     std::uint64_t store_era = 0;
     /// Until this time other nodes hold this node's store duties.
--- a/src/control/steps.cpp
+++ b/src/control/steps.cpp
@@ -53,6 +53,7 @@
         feed::on_new_era(*self.record_keeper, now, self.random);
     }
     store::on_new_era(self.contacts, now, self.random);
+    store::on_new_era(self.leaves);
     out.logs.push_back({log_level::warning,
                         "store_era_changed",
                         {{"era", std::to_string(era)}, {"previous", std::to_string(previous)}}});
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -129,6 +129,12 @@
     return is_lasting_leave(&upstream) ? push_self(state, random) : std::vector<outgoing>{};
 }
 
+void recover_own_leave(table& state, const msg::upstream_record_msg& leave) {
+    if (keep_leave(state.self, &leave) != leave_fit::consistent) {
+        renew_self(state, 0);
+    }
+}
+
 void set_attended(table& state, std::vector<node_id> members) {
     state.attended = std::move(members);
 }
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -136,6 +136,10 @@
                                                  const msg::upstream_record_msg& upstream,
                                                  instant now, random_source& random);
 
+/// Applies a leave of the upstream beside this node that an earlier process has confirmed; a no-op
+/// when this node announces another run.
+void recover_own_leave(table& state, const msg::upstream_record_msg& leave);
+
 /// Sets the members that this node probes in every interval, beside the one whose turn it is. One
 /// that fails is suspected within about `probe_interval_ms` and the time in which a probe fails.
 void set_attended(table& state, std::vector<node_id> members);
--- a/src/net/http_service.cpp
+++ b/src/net/http_service.cpp
@@ -34,11 +34,11 @@
 } // namespace
 
 struct http_service : std::enable_shared_from_this<http_service> {
-    http_service(asio::io_context& io, service_handler request_handler, service_log log_writer)
+    http_service(asio::io_context& io, deferred_handler request_handler, service_log log_writer)
         : acceptor(io), handler(std::move(request_handler)), log(std::move(log_writer)) {}
 
     tcp::acceptor acceptor;
-    service_handler handler;
+    deferred_handler handler;
     service_log log;
     std::set<session_ptr> sessions;
     bool is_stopped = false;
@@ -119,7 +119,13 @@
     const service_request request{.method = std::string(message.method_string()),
                                   .target = std::string(message.target()),
                                   .body = std::move(message.body())};
-    reply(service, self, service->handler(request), message.keep_alive());
+    const bool keeps_alive = message.keep_alive();
+    service->handler(request, [service, self, keeps_alive](service_answer answer) {
+        if (!service->is_stopped && service->sessions.contains(self)) {
+            run_handler(service, self,
+                        [&] { reply(service, self, std::move(answer), keeps_alive); });
+        }
+    });
 }
 
 void read_next(const service_ptr& service, const session_ptr& self) {
@@ -153,6 +159,18 @@
 std::shared_ptr<http_service> start_http_service(asio::io_context& io, const std::string& ip,
                                                  std::uint16_t port, service_handler handler,
                                                  service_log log) {
+    return start_http_service(
+        io, ip, port,
+        deferred_handler([handler = std::move(handler)](const service_request& request,
+                                                        const service_reply& reply) {
+            reply(handler(request));
+        }),
+        std::move(log));
+}
+
+std::shared_ptr<http_service> start_http_service(asio::io_context& io, const std::string& ip,
+                                                 std::uint16_t port, deferred_handler handler,
+                                                 service_log log) {
     auto service = std::make_shared<http_service>(io, std::move(handler), std::move(log));
     try {
         const tcp::endpoint endpoint(asio::ip::make_address(ip), port);
--- a/src/net/http_service.h
+++ b/src/net/http_service.h
@@ -30,6 +30,13 @@
 /// Answers one request; called from the io_context's thread and must not block. An exception closes
 /// the connection without an answer, unless it has left a shared_state_scope.
 using service_handler = std::function<service_answer(const service_request&)>;
+
+/// Sends the answer to one request; call it once, from the io_context's thread. It does nothing
+/// once the connection or the service has ended.
+using service_reply = std::function<void(service_answer)>;
+
+/// Like service_handler, for answers that come later.
+using deferred_handler = std::function<void(const service_request&, service_reply)>;
 using service_log = std::function<void(const log_event&)>;
 
 /// Opaque; made by start_http_service.
@@ -40,6 +47,9 @@
 [[nodiscard]] std::shared_ptr<http_service>
 start_http_service(boost::asio::io_context& io, const std::string& ip, std::uint16_t port,
                    service_handler handler, service_log log = {});
+[[nodiscard]] std::shared_ptr<http_service>
+start_http_service(boost::asio::io_context& io, const std::string& ip, std::uint16_t port,
+                   deferred_handler handler, service_log log = {});
 
 /// The port that the service listens on; needed when it was started on port 0.
 [[nodiscard]] std::uint16_t service_port(const http_service& service);
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -90,9 +90,10 @@
 }
 
 /// Whether this node knows the configuration and the other members, so that it can route the calls
-/// that its upstream makes.
-bool is_serving(const node_runtime& node) {
-    return node.control.members.has_joined && distribution::is_ready(node.control.distribution);
+/// that its upstream makes, and whether that upstream has announced its leave to an earlier process.
+bool is_serving(const node_runtime& node, instant now) {
+    return node.control.members.has_joined && distribution::is_ready(node.control.distribution) &&
+           store::has_read_leave(node.control.leaves, now);
 }
 
 /// An announcement that is this late doesn't say that its upstream has become cold again.
@@ -103,7 +104,7 @@
 void set_own_upstream(node_runtime& node, const msg::upstream_record_msg& upstream, instant now,
                       control::actions& actions) {
     node.pending_upstream.reset();
-    if (upstream.state == msg::upstream_state::ready && !is_serving(node)) {
+    if (upstream.state == msg::upstream_state::ready && !is_serving(node, now)) {
         node.pending_upstream = upstream;
         return;
     }
@@ -182,14 +183,21 @@
     const shared_state_scope scope;
     control::actions actions;
     std::vector<matched_reply> replies;
+    std::vector<std::function<void()>> confirmations;
     {
         const std::lock_guard<std::mutex> guard(node.control_lock);
         const auto now = current_time();
         event(now, actions);
         refresh_view(node, now);
         replies = match_replies(node, std::exchange(actions.replies, {}));
+        if (store::is_confirmable(node.control.leaves, now)) {
+            confirmations = std::exchange(node.waiting_confirmations, {});
+        }
     }
     carry_out(node, std::move(actions), std::move(replies));
+    for (const auto& confirm : confirmations) {
+        confirm();
+    }
 }
 
 void tick(node_runtime& node) {
@@ -202,7 +210,7 @@
     step(node, [&](instant now, control::actions& actions) {
         control::record_samples(node.control, samples, now);
         recovered = recover_leave(node, now, actions);
-        if (node.pending_upstream && is_serving(node)) {
+        if (node.pending_upstream && is_serving(node, now)) {
             set_own_upstream(node, msg::upstream_record_msg(*node.pending_upstream), now, actions);
         }
         expire_announcement(node, now, actions);
@@ -277,6 +285,12 @@
     }
 }
 
+void when_confirmable(node_runtime& node, std::function<void()> confirm) {
+    step(node, [&](instant /*now*/, control::actions& /*actions*/) {
+        node.waiting_confirmations.push_back(std::move(confirm));
+    });
+}
+
 void record_crash(node_runtime& node, const call::upstream_crash& crash) {
     step(node, [&](instant now, control::actions& actions) {
         control::record_crash(node.control, crash, now, actions);
--- a/src/node/node_runtime.h
+++ b/src/node/node_runtime.h
@@ -44,6 +44,8 @@
     control::state control;
     /// Callbacks of the writes in progress, by operation id.
     std::multimap<operation_id, write_callback> waiting_writes;
+    /// Confirmations to the upstream that wait until its leave is stored.
+    std::vector<std::function<void()>> waiting_confirmations;
     /// The run of the upstream beside this node that announced itself last.
     membership::upstream_run upstream_run;
     /// Until when the upstream is cold, by its last announcement.
@@ -100,6 +102,11 @@
 /// safe.
 void announce_leave(node_runtime& node, const std::string& instance);
 
+/// Calls `confirm` once what the upstream has announced so far may be confirmed to it: a leave is
+/// stored first, unless that takes too long. It is called by this call or by a later step of the
+/// node, on the thread of that step. Thread safe.
+void when_confirmable(node_runtime& node, std::function<void()> confirm);
+
 /// Handles a crash of the upstream beside this node. Thread safe.
 void record_crash(node_runtime& node, const call::upstream_crash& crash);
 
--- a/src/node/run_on_loop.cpp
+++ b/src/node/run_on_loop.cpp
@@ -89,7 +89,8 @@
     return {.status = 404};
 }
 
-void serve(platform_node& self, const std::string& address, net::service_handler handler) {
+template <class Handler>
+void serve(platform_node& self, const std::string& address, Handler handler) {
     if (address.empty()) {
         return;
     }
@@ -115,9 +116,13 @@
             },
         .on_refused = platform::make_refusal_log(write_log)};
     const auto& listen = *node->settings.listen;
-    serve(self, listen.announcement_address, [handlers](const net::service_request& request) {
-        return platform::answer_announcement(handlers, request);
-    });
+    serve(self, listen.announcement_address,
+          [handlers, node](const net::service_request& request, net::service_reply reply) {
+              when_confirmable(*node, [reply = std::move(reply),
+                                       answer = platform::answer_announcement(handlers, request)] {
+                  reply(answer);
+              });
+          });
     serve(self, listen.readiness_address, [&self](const net::service_request& request) {
         return platform::answer_readiness(is_ready_for_callers(self), request);
     });
@@ -307,6 +312,7 @@
                "node_stopped",
                {{"calls_cut_off", std::to_string(cut_off)}}});
     // These refer to the loop, which is destroyed last.
+    self.node->waiting_confirmations.clear();
     self.services.clear();
     self.node->calls.reset();
     self.node->links.reset();
--- a/src/store/contacts.cpp
+++ b/src/store/contacts.cpp
@@ -167,6 +167,9 @@
     keeper.read_failures = 0;
     std::vector<const kv_entry*> odd_entries;
     for (const auto& entry : read.entries) {
+        if (is_leave_key(keeper.prefix, entry.key)) {
+            continue;
+        }
         auto address = parse_address(entry.value);
         if (!address) {
             odd_entries.push_back(&entry);
--- a/src/store/head_codec.cpp
+++ b/src/store/head_codec.cpp
@@ -90,4 +90,12 @@
     return contact_prefix(prefix) + node;
 }
 
+std::string leave_key(const std::string& prefix, const std::string& node) {
+    return contact_prefix(prefix) + "leave/" + node;
+}
+
+bool is_leave_key(const std::string& prefix, std::string_view key) {
+    return key.starts_with(leave_key(prefix, {}));
+}
+
 } // namespace cyclamenhatch::store
--- a/src/store/head_codec.h
+++ b/src/store/head_codec.h
@@ -51,7 +51,11 @@
 /// The common prefix of all section keys.
 [[nodiscard]] std::string section_prefix(const std::string& prefix);
 [[nodiscard]] std::string contact_key(const std::string& prefix, const std::string& node);
-/// The common prefix of all contact keys.
+/// The key of the last leave that the upstream beside a node has announced. It has the prefix of
+/// the contacts, so that a node which starts finds it with the read that it needs anyway.
+[[nodiscard]] std::string leave_key(const std::string& prefix, const std::string& node);
+[[nodiscard]] bool is_leave_key(const std::string& prefix, std::string_view key);
+/// The common prefix of all contact keys and leave keys.
 [[nodiscard]] std::string contact_prefix(const std::string& prefix);
 
 } // namespace cyclamenhatch::store
--- a/src/store/kv.h
+++ b/src/store/kv.h
@@ -80,6 +80,7 @@
 constexpr std::uint64_t contact_request_base = 3ULL << 56U;
 constexpr std::uint64_t feed_request_base = 4ULL << 56U;
 constexpr std::uint64_t record_request_base = 5ULL << 56U;
+constexpr std::uint64_t leave_request_base = 6ULL << 56U;
 
 /// Whether a request id was issued from this base.
 [[nodiscard]] constexpr bool is_issued_from(std::uint64_t base, std::uint64_t id) {
--- a/tests/net/net_test.cpp
+++ b/tests/net/net_test.cpp
@@ -54,6 +54,54 @@
     stop(*service);
 }
 
+/// A service that keeps the replies until the test sends them.
+struct deferring_service {
+    asio::io_context io;
+    std::vector<service_reply> replies;
+    std::shared_ptr<http_service> service =
+        start_http_service(io, "127.0.0.1", 0, [this](const service_request&, service_reply reply) {
+            replies.push_back(std::move(reply));
+        });
+    std::shared_ptr<http_client> client = connect_to(io, service_port(*service));
+
+    ~deferring_service() {
+        replies.clear();
+        close(*client);
+        stop(*service);
+        io.poll();
+    }
+
+    void wait_for_request() {
+        while (replies.empty()) {
+            io.run_one();
+        }
+    }
+};
+
+TEST(http, an_answer_may_come_later) {
+    deferring_service deferring;
+    std::optional<http_outcome> result;
+    send(*deferring.client, {"PUT", "/", ""}, test_timeout,
+         [&](const http_outcome& outcome) { result = outcome; });
+    deferring.wait_for_request();
+    EXPECT_FALSE(result);
+    deferring.replies.front()({.status = 202});
+    while (!result) {
+        deferring.io.run_one();
+    }
+    ASSERT_TRUE(std::holds_alternative<http_response>(*result));
+    EXPECT_EQ(std::get<http_response>(*result).status, 202U);
+}
+
+TEST(http, an_answer_after_the_end_of_the_service_goes_nowhere) {
+    deferring_service deferring;
+    send(*deferring.client, {"PUT", "/", ""}, test_timeout, [](const http_outcome&) {});
+    deferring.wait_for_request();
+    stop(*deferring.service);
+    deferring.replies.front()({.status = 202});
+    deferring.io.poll();
+}
+
 TEST(http, a_body_above_the_limit_is_refused) {
     asio::io_context io;
     int calls = 0;
