--- a/src/feed/operator_reader.cpp
+++ b/src/feed/operator_reader.cpp
@@ -1,6 +1,7 @@
 #include "feed/operator_reader.h"
 
 #include "feed/evacuations.h"
+#include "feed/usable_rows.h"
 
 #include <algorithm>
 #include <set>
@@ -127,6 +128,31 @@
     }
 }
 
+/// Builds a snapshot of the sections. If some of their rows can't be used, it is built of the
+/// others and `problems` names these.
+result<snapshot_ptr> build_of_usable(operator_reader& reader, config_version version,
+                                     std::vector<section>&& sections, findings& problems) {
+    std::vector<section_ptr> stored;
+    const auto store_sections = [&] {
+        stored.clear();
+        for (auto& content : sections) {
+            stored.push_back(store_section(reader, std::move(content)));
+        }
+        return stored;
+    };
+    auto built = build_snapshot(version, store_sections(), {});
+    if (!std::holds_alternative<findings>(built)) {
+        return built;
+    }
+    sections.clear();
+    for (const auto& part : stored) {
+        sections.push_back(part->content);
+    }
+    auto unusable = remove_unusable(sections);
+    std::move(unusable.begin(), unusable.end(), std::back_inserter(problems));
+    return build_snapshot(version, store_sections(), {});
+}
+
 /// Builds a snapshot of the current items, unless it was built or rejected already. `read_revision`
 /// is that of the read that has just replaced the items, or 0.
 void build(reader_run& run, std::int64_t read_revision) {
@@ -147,24 +173,19 @@
         return;
     }
     auto& parsed = std::get<operators_document>(read);
-    auto& parsed_sections = parsed.sections;
-    findings order_findings;
-    add_orders(run, parsed_sections, order_findings);
+    auto row_findings = remove_reserved(parsed.sections);
+    add_orders(run, parsed.sections, row_findings);
     parsed.evacuated = std::move(evacuated);
     add_fleet_section(parsed);
-    std::vector<section_ptr> stored_sections;
-    stored_sections.reserve(parsed_sections.size());
-    for (auto& content : parsed_sections) {
-        stored_sections.push_back(store_section(reader, std::move(content)));
-    }
-    auto built = build_snapshot(make_version(parsed.version, {reader.orders.era, revision}),
-                                std::move(stored_sections), {});
+    auto built =
+        build_of_usable(reader, make_version(parsed.version, {reader.orders.era, revision}),
+                        std::move(parsed.sections), row_findings);
     if (auto* problems = std::get_if<findings>(&built)) {
         reject(run, parsed.version, revision, std::move(*problems));
         return;
     }
-    if (!order_findings.empty()) {
-        reject(run, parsed.version, revision, std::move(order_findings));
+    if (!row_findings.empty()) {
+        reject(run, parsed.version, revision, std::move(row_findings));
     }
     reader.built_snapshot = std::get<snapshot_ptr>(std::move(built));
     reader.built_revision = revision;
--- a/src/model/snapshot.h
+++ b/src/model/snapshot.h
@@ -59,8 +59,8 @@
 [[nodiscard]] result<section_ptr> decode_stored_section(std::string encoded,
                                                         const digest_id& expected);
 
-/// Checks all sections (references, duplicates and values) and builds a snapshot. Returns findings
-/// when any resource is invalid, never a partial snapshot.
+/// Checks all sections (references, duplicates and values, and names by name_rule::opaque) and
+/// builds a snapshot. Returns findings when any resource is invalid, never a partial snapshot.
 [[nodiscard]] result<snapshot_ptr> build_snapshot(config_version version,
                                                   std::vector<section_ptr> sections,
                                                   std::vector<operation_id> operations);
--- a/tests/platform/odd_configuration_test.cpp
+++ b/tests/platform/odd_configuration_test.cpp
@@ -1,3 +1,4 @@
+#include "model/snapshot.h"
 #include "odd_entry.h"
 #include "platform/operator_config.h"
 
@@ -87,5 +88,31 @@
         {"nested", ":1500", ":" + repeat("[", 100'000) + repeat("]", 100'000)}}),
     test_name);
 
+/// Guards against a name or a timeout that keeps the whole configuration from taking effect
+/// (CONFIG).
+TEST(documents, with_rows_that_are_odd_to_this_product_take_effect) {
+    for (const auto& row :
+         std::vector<odd_row>{{"route_with_a_slash", R"("name":"r1")", R"("name":"shop/r1")"},
+                              {"route_with_a_space", R"("name":"r1")", R"("name":"shop r1")"},
+                              {"two_hours", ":1500", ":7200000"},
+                              {"service_with_a_plus", "s1", "s1+b"}}) {
+        auto text = std::string(document_text);
+        for (auto at = text.find(row.original); at != std::string::npos;
+             at = text.find(row.original, at + row.replacement.size())) {
+            text.replace(at, row.original.size(), row.replacement);
+        }
+        auto read = read_document(text);
+        ASSERT_TRUE(std::holds_alternative<feed::operators_document>(read)) << row.name;
+        std::vector<section_ptr> stored;
+        for (auto& content : std::get<feed::operators_document>(read).sections) {
+            stored.push_back(make_stored_section(std::move(content)));
+        }
+        const auto built = build_snapshot(config_version{7}, std::move(stored), {});
+        ASSERT_TRUE(std::holds_alternative<snapshot_ptr>(built)) << row.name;
+        EXPECT_NE(find_route(*std::get<snapshot_ptr>(built), "a.example", "/x/1").matched_route,
+                  nullptr);
+    }
+}
+
 } // namespace
 } // namespace cyclamenhatch::platform
