membership, node: an odd announcement displaces no sound upstream

Cause: a heartbeat was judged by its form alone, so any other run took the place of the known one, and a run that had started before it counted as outdated whatever its instance.

Change: a run of a service that is not configured does not replace one whose service is, is refused, and gives way to it. A run that was replaced without having announced its leave returns when it announces itself twice while the other one is silent for half of the announcements' time to live; so a report that is odd by its address heals too.

Without the rule on services two tests of upstream_run and announcement.of_no_configured_service_is_refused_beside_an_upstream fail, without the return replaced_run.returns_when_only_it_announces_itself.

--- a/src/membership/announced_leave.cpp
+++ b/src/membership/announced_leave.cpp
@@ -49,6 +49,7 @@
         run.sequence = 0;
     }
     run.instance = own_record->instance;
+    run.service = own_record->service;
     run.started_ms = own_record->started_ms;
     run.state = own_record->state;
     run.has_left = own_record->state == msg::upstream_state::gone;
--- a/src/membership/upstream_run.cpp
+++ b/src/membership/upstream_run.cpp
@@ -31,6 +31,54 @@
     return state == msg::upstream_state::draining || state == msg::upstream_state::gone;
 }
 
+/// Announcements by which a replaced run shows that it is still there; a single one may be late.
+constexpr int announcements_to_return = 2;
+
+/// Counts an announcement of the run that was replaced. Whether it takes its place again.
+bool does_return(upstream_run& run, const msg::upstream_record_msg& announcement, instant now,
+                 milliseconds silence) {
+    auto& replaced = run.replaced;
+    const bool is_replaced = replaced && replaced->instance == announcement.instance &&
+                             replaced->started_ms == announcement.started_ms;
+    if (!is_replaced || announcement.sequence <= replaced->sequence) {
+        return false;
+    }
+    if (is_leaving(announcement.state)) {
+        replaced.reset();
+        return false;
+    }
+    replaced->sequence = announcement.sequence;
+    ++replaced->announcements;
+    return replaced->announcements >= announcements_to_return && now - run.updated_at >= silence;
+}
+
+/// Whether the services decide that one run goes before another, whichever started later. A service
+/// that is not known does not count.
+bool has_precedence(const std::string& service, const std::string& other,
+                    const replacement_rules& rules) {
+    return rules.is_configured && !other.empty() && rules.is_configured(service) &&
+           !rules.is_configured(other);
+}
+
+/// What remains known of the runs before the one that is announced.
+std::optional<replaced_run> find_replaced(const upstream_run& run, bool is_same, bool is_return) {
+    if (is_return) {
+        return std::nullopt;
+    }
+    if (is_same) {
+        auto replaced = run.replaced;
+        if (replaced) {
+            replaced->announcements = 0;
+        }
+        return replaced;
+    }
+    if (run.instance.empty() || run.has_left || is_leaving(run.state)) {
+        return std::nullopt;
+    }
+    return replaced_run{
+        .instance = run.instance, .started_ms = run.started_ms, .sequence = run.sequence};
+}
+
 /// The last known record of the run with its final state; nothing when the run was never announced.
 std::optional<msg::upstream_record_msg>
 make_final_record(std::optional<msg::upstream_record_msg>& pending,
@@ -49,11 +97,19 @@
 } // namespace
 
 bool apply_announcement(upstream_run& run, const msg::upstream_record_msg& announcement,
-                        instant now) {
-    if (is_older_run(run, announcement)) {
+                        instant now, const replacement_rules& rules) {
+    const bool is_same = is_same_run(run, announcement);
+    if (!is_same && has_precedence(run.service, announcement.service, rules)) {
         return false;
     }
-    if (is_same_run(run, announcement)) {
+    const bool is_first_configured =
+        !is_same && has_precedence(announcement.service, run.service, rules);
+    const bool is_late = !is_first_configured && is_older_run(run, announcement);
+    const bool is_return = is_late && does_return(run, announcement, now, rules.silence);
+    if (is_late && !is_return) {
+        return false;
+    }
+    if (is_same) {
         // Without an instance id a new run cannot be distinguished from the one that left.
         const bool is_returning =
             !run.instance.empty() && is_leaving(run.state) && !is_leaving(announcement.state);
@@ -63,12 +119,14 @@
         }
     }
     run = {.instance = announcement.instance,
+           .service = announcement.service,
            .started_ms = announcement.started_ms,
            .sequence = announcement.sequence,
            .state = announcement.state,
            .has_left =
                !announcement.instance.empty() && announcement.state == msg::upstream_state::gone,
-           .updated_at = now};
+           .updated_at = now,
+           .replaced = find_replaced(run, is_same, is_return || is_first_configured)};
     return true;
 }
 
@@ -78,6 +136,9 @@
 
 bool record_leave(upstream_run& run, const std::string& instance, instant now) {
     const bool is_first_report = run.instance.empty() && run.state == msg::upstream_state::none;
+    if (run.replaced && run.replaced->instance == instance) {
+        run.replaced.reset();
+    }
     if (run.instance != instance && !is_first_report) {
         return false;
     }
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -90,7 +90,8 @@
 }
 
 /// Whether this node knows the configuration and the other members, so that it can route the calls
-/// that its upstream makes, and whether that upstream has announced its leave to an earlier process.
+/// that its upstream makes, and whether that upstream has announced its leave to an earlier
+/// process.
 bool is_serving(const node_runtime& node, instant now) {
     return node.control.members.has_joined && distribution::is_ready(node.control.distribution) &&
            store::has_read_leave(node.control.leaves, now);
@@ -158,6 +159,20 @@
     return *own_record;
 }
 
+/// Valid while the control lock is held.
+membership::replacement_rules make_replacement_rules(const node_runtime& node) {
+    membership::replacement_rules rules{
+        .silence = milliseconds{node.settings.call->announcement_ttl_ms} / 2};
+    const auto& config = node.control.distribution.config;
+    if (config && !config->sections.empty()) {
+        rules.is_configured = [config](const std::string& service) {
+            const service_id name{service};
+            return name != fleet_section_name() && config->sections.contains(name);
+        };
+    }
+    return rules;
+}
+
 void log_high_traffic(node_runtime& node, instant now) {
     const auto sent = wire::counters(*node.links).bytes_sent;
     for (const auto& high : wire::find_high_traffic(node.traffic, sent, now)) {
@@ -242,22 +257,29 @@
 }
 
 findings announce(node_runtime& node, const admin::announcement& announcement) {
+    const auto& upstream = announcement.upstream;
     std::optional<msg::upstream_record_msg> recovered;
     bool is_accepted = false;
+    findings problems;
     step(node, [&](instant now, control::actions& actions) {
         recovered = recover_leave(node, now, actions);
-        is_accepted = membership::apply_announcement(node.upstream_run, announcement.upstream, now);
+        const auto rules = make_replacement_rules(node);
+        is_accepted = membership::apply_announcement(node.upstream_run, upstream, now, rules);
         if (is_accepted) {
-            set_own_upstream(node, announcement.upstream, now, actions);
+            set_own_upstream(node, upstream, now, actions);
+        } else if (rules.is_configured && !rules.is_configured(upstream.service)) {
+            problems.push_back({.path = "service",
+                                .problem = "no service \"" + upstream.service + "\"",
+                                .remedy = "announce a service that is configured"});
         }
     });
     if (recovered) {
         edge::set_upstream_state(*node.calls, *recovered);
     }
     if (is_accepted) {
-        edge::set_upstream(*node.calls, announcement.upstream, announcement.port, announcement.ip);
+        edge::set_upstream(*node.calls, upstream, announcement.port, announcement.ip);
     }
-    return {};
+    return problems;
 }
 
 void announce_draining(node_runtime& node, const std::string& instance) {
--- a/src/node/node_runtime.h
+++ b/src/node/node_runtime.h
@@ -90,8 +90,9 @@
 /// Submits a write and calls `callback` once with its outcome. Thread safe.
 void write(node_runtime& node, store::write_request request, write_callback callback);
 
-/// Handles an announcement of the upstream beside this node; an outdated one changes nothing.
-/// Thread safe.
+/// Handles an announcement of the upstream beside this node; an outdated one changes nothing, nor
+/// does one of a service that is not configured while an upstream of another one is known, which
+/// returns a finding. Thread safe.
 [[nodiscard]] findings announce(node_runtime& node, const admin::announcement& announcement);
 
 /// Handles an upstream run with this instance id that says in an answer that it leaves: it gets no
--- a/tests/membership/upstream_run_test.cpp
+++ b/tests/membership/upstream_run_test.cpp
@@ -98,6 +98,94 @@
     EXPECT_TRUE(apply_announcement(run, make_announcement("a", 300, 1), now));
 }
 
+msg::upstream_record_msg of_service(msg::upstream_record_msg record, const std::string& service) {
+    record.service = service;
+    return record;
+}
+
+const replacement_rules only_ledger{
+    .is_configured = [](const std::string& service) { return service == "ledger"; }};
+
+/// Guards against an announcement of another writer, for a service that nobody has configured, that
+/// puts the sound upstream out of use for good (CONFIG).
+TEST(upstream_run, of_no_configured_service_replaces_none_that_is) {
+    upstream_run run;
+    const auto sound = of_service(make_announcement("a", 100, 5), "ledger");
+    EXPECT_TRUE(apply_announcement(run, sound, now, only_ledger));
+    const auto odd = of_service(make_announcement("odd", 900, 1), "nobody");
+    EXPECT_FALSE(apply_announcement(run, odd, now, only_ledger));
+    EXPECT_TRUE(apply_announcement(run, of_service(make_announcement("a", 100, 6), "ledger"), now,
+                                   only_ledger));
+    EXPECT_EQ(run.instance, "a");
+}
+
+/// The same where the other writer came first, as before a configuration was known.
+TEST(upstream_run, of_no_configured_service_gives_way) {
+    upstream_run run;
+    const auto odd = of_service(make_announcement("odd", 900, 1), "nobody");
+    EXPECT_TRUE(apply_announcement(run, odd, now));
+    const auto sound = of_service(make_announcement("a", 100, 5), "ledger");
+    EXPECT_FALSE(apply_announcement(run, sound, now));
+    EXPECT_TRUE(apply_announcement(run, sound, now, only_ledger));
+    EXPECT_EQ(run.instance, "a");
+    EXPECT_FALSE(run.replaced);
+}
+
+/// An upstream that was replaced by mistake announces itself on, each 1.5 s, and the other does
+/// not.
+struct contested_run {
+    contested_run() {
+        EXPECT_TRUE(apply_announcement(run, make_announcement("a", 100, 5), now));
+        EXPECT_TRUE(apply_announcement(run, make_announcement("b", 900, 1), now));
+    }
+
+    bool announce_replaced(milliseconds after, std::uint64_t sequence,
+                           msg::upstream_state state = msg::upstream_state::ready) {
+        return apply_announcement(run, make_announcement("a", 100, sequence, state), now + after);
+    }
+
+    upstream_run run;
+};
+
+/// Guards against an upstream that one announcement of another writer, well formed but for its
+/// address, puts out of use for good (CONFIG).
+TEST(replaced_run, returns_when_only_it_announces_itself) {
+    contested_run contested;
+    EXPECT_FALSE(contested.announce_replaced(milliseconds{1500}, 6));
+    EXPECT_TRUE(contested.announce_replaced(milliseconds{3000}, 7));
+    EXPECT_EQ(contested.run.instance, "a");
+    EXPECT_FALSE(apply_announcement(contested.run, make_announcement("a", 100, 7), now));
+}
+
+/// Guards against late announcements of a run that has crashed, and whose address a new one has.
+TEST(replaced_run, does_not_return_while_the_other_announces_itself) {
+    contested_run contested;
+    for (std::uint64_t beat = 1; beat < 20; ++beat) {
+        const auto at = beat * milliseconds{1500};
+        EXPECT_FALSE(contested.announce_replaced(at, 5 + beat));
+        EXPECT_TRUE(
+            apply_announcement(contested.run, make_announcement("b", 900, 1 + beat), now + at));
+    }
+    EXPECT_FALSE(contested.announce_replaced(milliseconds{60'000}, 90));
+}
+
+TEST(replaced_run, does_not_return_once_it_leaves) {
+    contested_run draining;
+    EXPECT_FALSE(draining.announce_replaced(milliseconds{1500}, 6, msg::upstream_state::draining));
+    contested_run gone;
+    EXPECT_FALSE(record_leave(gone.run, "a", now));
+    for (auto* contested : {&draining, &gone}) {
+        for (std::uint64_t beat = 7; beat < 12; ++beat) {
+            EXPECT_FALSE(contested->announce_replaced(beat * milliseconds{1500}, beat));
+        }
+    }
+    upstream_run run;
+    EXPECT_TRUE(apply_announcement(
+        run, make_announcement("a", 100, 5, msg::upstream_state::draining), now));
+    EXPECT_TRUE(apply_announcement(run, make_announcement("b", 900, 1), now));
+    EXPECT_FALSE(run.replaced);
+}
+
 TEST(upstream_run, only_the_present_run_leaves) {
     upstream_run run;
     EXPECT_TRUE(apply_announcement(run, make_announcement("b", 200, 1), now));
--- a/tests/node/node_runtime_test.cpp
+++ b/tests/node/node_runtime_test.cpp
@@ -119,6 +119,31 @@
     EXPECT_FALSE(node.runtime->upstream_run.has_left);
 }
 
+/// Guards against an announcement of another writer that puts the upstream beside the node out of
+/// use for good, and is confirmed to its writer (CONFIG).
+TEST(announcement, of_no_configured_service_is_refused_beside_an_upstream) {
+    started_node node;
+    auto& runtime = *node.runtime;
+    const auto built =
+        build_snapshot(config_version{1},
+                       {make_stored_section({.service = {.name = service_id{"ledger"},
+                                                         .owner = owner_id{"members"}}})},
+                       {});
+    runtime.control.distribution.config = std::get<snapshot_ptr>(built);
+    auto heartbeat = make_heartbeat(run_start_ms);
+    EXPECT_TRUE(announce(runtime, heartbeat).empty());
+    auto odd = make_heartbeat(run_start_ms + 60'000);
+    odd.upstream.instance = "odd";
+    odd.upstream.service = "nobody";
+    const auto problems = announce(runtime, odd);
+    ASSERT_EQ(problems.size(), 1U);
+    EXPECT_EQ(problems.front().path, "service");
+    EXPECT_EQ(runtime.upstream_run.instance, "a");
+    ++heartbeat.upstream.sequence;
+    EXPECT_TRUE(announce(runtime, heartbeat).empty());
+    EXPECT_EQ(runtime.upstream_run.sequence, heartbeat.upstream.sequence);
+}
+
 /// Guards against members that take an upstream that has become cold again for a warm one, and
 /// against a message to them for each heartbeat.
 TEST(cold_upstream, is_told_to_members_once_each_time) {
