node: test that the fleet section's name is no configured service

The rule on services looks a name up among the sections, where the fleet section stands beside those of services.

--- a/tests/node/node_runtime_test.cpp
+++ b/tests/node/node_runtime_test.cpp
@@ -127,18 +127,22 @@
     const auto built =
         build_snapshot(config_version{1},
                        {make_stored_section({.service = {.name = service_id{"ledger"},
-                                                         .owner = owner_id{"members"}}})},
+                                                         .owner = owner_id{"members"}}}),
+                        make_stored_section({.service = {.name = fleet_section_name()},
+                                             .requires_access_key = true})},
                        {});
     runtime.control.distribution.config = std::get<snapshot_ptr>(built);
     auto heartbeat = make_heartbeat(run_start_ms);
     EXPECT_TRUE(announce(runtime, heartbeat).empty());
     auto odd = make_heartbeat(run_start_ms + 60'000);
     odd.upstream.instance = "odd";
-    odd.upstream.service = "nobody";
-    const auto problems = announce(runtime, odd);
-    ASSERT_EQ(problems.size(), 1U);
-    EXPECT_EQ(problems.front().path, "service");
-    EXPECT_EQ(runtime.upstream_run.instance, "a");
+    for (const auto& service : {std::string("nobody"), fleet_section_name().value}) {
+        odd.upstream.service = service;
+        const auto problems = announce(runtime, odd);
+        ASSERT_EQ(problems.size(), 1U) << service;
+        EXPECT_EQ(problems.front().path, "service");
+        EXPECT_EQ(runtime.upstream_run.instance, "a");
+    }
     ++heartbeat.upstream.sequence;
     EXPECT_TRUE(announce(runtime, heartbeat).empty());
     EXPECT_EQ(runtime.upstream_run.sequence, heartbeat.upstream.sequence);
