store: a write's answer counts for what was written only

What callers would see: a run of an upstream leaves while the write for an earlier one is under way, and its leave is confirmed although it is not stored; after a kill of all nodes it would be in use again (DRAIN). Found by reading.

Cause: the answer to a write marked whatever was to be stored by then as stored. Change: a leave, or the next run, that comes during a write makes its answer stale; the key is read again and written. Evidence: leave_keeper.a_run_that_leaves_during_a_write_is_stored_after_it fails without the change, store_test passes with it, 162 tests.

--- a/src/store/leave_keeper.cpp
+++ b/src/store/leave_keeper.cpp
@@ -68,6 +68,7 @@
         keeper.read = send(keeper, kv_range{.key = keeper.key}, now, actions);
     } else if (!keeper.is_stored) {
         keeper.write = send(keeper, make_write(keeper), now, actions);
+        keeper.is_write_current = true;
     }
 }
 
@@ -99,7 +100,7 @@
 void on_written(leave_keeper& keeper, const kv_transaction_done& done) {
     keeper.write = {};
     note_success(keeper.service);
-    if (!done.succeeded) {
+    if (!done.succeeded || !keeper.is_write_current) {
         keeper.revision.reset();
         return;
     }
@@ -120,6 +121,7 @@
     }
     keeper.leave = leaving;
     keeper.is_stored = false;
+    keeper.is_write_current = false;
     keeper.confirm_by = now + confirmation_patience;
     send_due_request(keeper, now, actions);
 }
@@ -130,6 +132,7 @@
     }
     keeper.leave.reset();
     keeper.is_stored = false;
+    keeper.is_write_current = false;
     keeper.confirm_by = now;
     send_due_request(keeper, now, actions);
 }
--- a/src/store/leave_keeper.h
+++ b/src/store/leave_keeper.h
@@ -41,6 +41,8 @@
     std::optional<msg::upstream_record_msg> leave;
     /// Whether the service holds it, or holds none if there is none.
     bool is_stored = true;
+    /// Whether the pending write is of what is to be stored now.
+    bool is_write_current = false;
     /// Until then a confirmation of the leave waits for the service.
     instant confirm_by;
 };
--- a/tests/store/leave_keeper_test.cpp
+++ b/tests/store/leave_keeper_test.cpp
@@ -218,6 +218,23 @@
     EXPECT_EQ(fixture.instance_at_restart(), "b");
 }
 
+/// Guards against the answer to a write of an earlier run that counts for a later one.
+TEST(leave_keeper, a_run_that_leaves_during_a_write_is_stored_after_it) {
+    for (const bool is_next_forgotten : {false, true}) {
+        keeper_fixture fixture;
+        fixture.read_contacts();
+        leave_actions pending;
+        keep_leave(fixture.keeper, make_leave("a"), fixture.now, pending);
+        if (is_next_forgotten) {
+            fixture.forget();
+        } else {
+            fixture.keep("b");
+        }
+        fixture.carry_out(pending);
+        EXPECT_EQ(fixture.instance_at_restart(), is_next_forgotten ? "" : "b");
+    }
+}
+
 TEST(leave_keeper, an_older_copy_of_the_service_gets_the_leave_again) {
     keeper_fixture fixture;
     fixture.read_contacts();
