--- a/review/13/run.py
+++ b/review/13/run.py
@@ -1,4 +1,4 @@
-"""The operator's next version passes 2^26; the configuration moves a route and adds another."""
+"""All nodes are killed while the store is down, after a leave was confirmed."""
 import asyncio
 import random
 import sys
@@ -6,57 +6,80 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "harness-3"))
+sys.path.insert(0, str(FOLDER.parent / "common-3"))
 from mesh import configuration, main, route  # noqa: E402
 
-LIMIT = 1 << 26
+STORE_DOWN_S = 4.5
 PER_S = 20
-WATCHED_S = 15
+SERVES_ON_S = 12
 
 
 def make_request():
-    return {"host": "shop.example", "target": random.choice(["/moved/item", "/added/item"])}
+    return {"host": "parts.example", "target": "/parts/item"}
 
 
 async def scenario(make_mesh, record, has_trouble):
     mesh = make_mesh()
-    before, after = (LIMIT - 3, LIMIT + 4) if has_trouble else (7, 14)
     zones = ["zone-a", "zone-b", "zone-c"]
-    parts = [mesh.add_node(f"parts-{i}", zones[i], "parts") for i in range(2)]
-    views = [mesh.add_node(f"views-{i}", zones[i], "views") for i in range(2)]
-    caller = mesh.add_node("front-0", zones[2], "front")
-    services = ["parts", "views", "front"]
+    parts = [mesh.add_node(f"parts-{i}", zones[i], "parts") for i in range(3)]
+    callers = [mesh.add_node(f"front-{i}", zones[i], "front") for i in range(3)]
     mesh.store.operator_put("op/config", configuration(
-        before, [route("r-moved", "shop.example", "/moved/", "parts")], services))
-    record.note(f"version {before} confirmed")
+        7, [route("r-parts", "parts.example", "/parts/", "parts")], ["parts", "front"]))
     for node in mesh.nodes:
         await node.start()
-    for node in parts + views + [caller]:
+    for node in parts + callers:
         await mesh.add_endpoint(node, "v1")
     await mesh.wait_ready()
-    await asyncio.sleep(3)
-    mesh.add_consumer(caller, make_request, PER_S)
+    await asyncio.sleep(5)
+    for node in callers:
+        mesh.add_consumer(node, make_request, PER_S)
     await asyncio.sleep(4)
-    mesh.store.operator_put("op/config", configuration(
-        after, [route("r-moved", "shop.example", "/moved/", "views"),
-                route("r-added", "shop.example", "/added/", "views")], services))
+    leaving = mesh.endpoints[0]
+    if has_trouble:
+        mesh.store.is_down = True
+        record.note("store down")
+    store_back = time.monotonic() + STORE_DOWN_S
+    await asyncio.sleep(0.3)
+    # Sent before the leave, and late on its way.
+    late_report = leaving.report("ready")
+    leaving.beats.cancel()
+    await asyncio.sleep(0.1)
+    asked = time.monotonic()
+    status = await leaving.tell("DELETE", None)
     confirmed = time.monotonic()
-    record.note(f"version {after} confirmed")
-    await asyncio.sleep(WATCHED_S)
+    record.note(f"{leaving.id} left, answer {status} after {confirmed - asked:.2f} s")
+    if status != 200:
+        return True
+    await asyncio.sleep(0.2)
+    if has_trouble:
+        for node in mesh.nodes:
+            await node.kill()
+        record.note("all nodes killed")
+        await asyncio.sleep(0.5)
+        for node in mesh.nodes:
+            await node.start()
+        record.note("all nodes started")
+        await asyncio.sleep(0.5)
+    else:
+        await asyncio.sleep(1)
+    record.note(f"the late report: answer {await leaving.tell('PUT', late_report)}")
+    await asyncio.sleep(max(0, store_back - time.monotonic()))
+    mesh.store.is_down = False
+    back = time.monotonic()
+    record.note("store up")
+    await asyncio.sleep(max(0, confirmed + SERVES_ON_S - time.monotonic()))
     for consumer in mesh.consumers:
         await consumer.stop()
-    return judge(mesh, record, confirmed)
-
-
-def judge(mesh, record, confirmed):
-    limit = confirmed + mesh.bounds["configApply"] / 1000
-    rows = {row["id"]: row for consumer in mesh.consumers for row in consumer.sent
-            if row["at"] > limit}
-    by_old = [run for run in mesh.runs() if run["id"] in rows and run["service"] == "parts"]
-    refused = [row for row in rows.values()
-               if row["target"].startswith("/added/") and row["status"] == 404]
-    record.note(f"{len(rows)} requests sent later than configApply: {len(by_old)} run by the old "
-                f"service, {len(refused)} refused with 404 though the route is there")
-    return not by_old and not refused
+    return judge(mesh, record, leaving, confirmed, back)
+
+
+def judge(mesh, record, leaving, confirmed, back):
+    in_touch = back + mesh.bounds["stableWindow"] / 1000
+    limit = confirmed + mesh.bounds["drain"] / 1000
+    sent = {row["id"]: row["at"] for consumer in mesh.consumers for row in consumer.sent}
+    late = [run for run in leaving.runs if run["at"] > limit and sent[run["id"]] > in_touch]
+    record.note(f"{len(late)} requests, sent when all machines were in touch again, reached the "
+                f"endpoint later than drain after its leave was confirmed")
+    return not late
 
 main(FOLDER, scenario)
--- a/review/14/run.py
+++ b/review/14/run.py
@@ -1,85 +1,44 @@
-"""All nodes are killed while the store is down, after a leave was confirmed."""
+"""A new version is bad on one route of a service that has 120 routes in use."""
 import asyncio
 import random
 import sys
-import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "harness-3"))
-from mesh import configuration, main, route  # noqa: E402
+sys.path.insert(0, str(FOLDER.parent / "common-3"))
+from mesh import main, route  # noqa: E402
+from rollout import SERVICE, is_exposure_kept, order, start_fleet  # noqa: E402
 
-STORE_DOWN_S = 4.5
-PER_S = 20
-SERVES_ON_S = 12
+ROUTES = 120
+BAD_ROUTE = ROUTES - 1
+BAD_ROUTE_SHARE = 0.2
+FAILING_SHARE = 0.5
+DURATION_S = 16
+PER_S = 100
+CALLER_NODES = 9
+CALLING_NODES = 2
 
 
 def make_request():
-    return {"host": "parts.example", "target": "/parts/item"}
+    number = BAD_ROUTE if random.random() < BAD_ROUTE_SHARE else random.randrange(ROUTES - 1)
+    return {"host": "parts.example", "target": f"/part{number:03d}/item"}
 
 
 async def scenario(make_mesh, record, has_trouble):
     mesh = make_mesh()
-    zones = ["zone-a", "zone-b", "zone-c"]
-    parts = [mesh.add_node(f"parts-{i}", zones[i], "parts") for i in range(3)]
-    callers = [mesh.add_node(f"front-{i}", zones[i], "front") for i in range(3)]
-    mesh.store.operator_put("op/config", configuration(
-        7, [route("r-parts", "parts.example", "/parts/", "parts")], ["parts", "front"]))
-    for node in mesh.nodes:
-        await node.start()
-    for node in parts + callers:
-        await mesh.add_endpoint(node, "v1")
-    await mesh.wait_ready()
-    await asyncio.sleep(5)
-    for node in callers:
+    routes = [route(f"r-{i:03d}", "parts.example", f"/part{i:03d}/", SERVICE)
+              for i in range(ROUTES)]
+    new, callers = await start_fleet(mesh, CALLER_NODES, routes)
+    for node in callers[:CALLING_NODES]:
         mesh.add_consumer(node, make_request, PER_S)
     await asyncio.sleep(4)
-    leaving = mesh.endpoints[0]
-    if has_trouble:
-        mesh.store.is_down = True
-        record.note("store down")
-    store_back = time.monotonic() + STORE_DOWN_S
-    await asyncio.sleep(0.3)
-    # Sent before the leave, and late on its way.
-    late_report = leaving.report("ready")
-    leaving.beats.cancel()
-    await asyncio.sleep(0.1)
-    asked = time.monotonic()
-    status = await leaving.tell("DELETE", None)
-    confirmed = time.monotonic()
-    record.note(f"{leaving.id} left, answer {status} after {confirmed - asked:.2f} s")
-    if status != 200:
-        return True
-    await asyncio.sleep(0.2)
-    if has_trouble:
-        for node in mesh.nodes:
-            await node.kill()
-        record.note("all nodes killed")
-        await asyncio.sleep(0.5)
-        for node in mesh.nodes:
-            await node.start()
-        record.note("all nodes started")
-        await asyncio.sleep(0.5)
-    else:
-        await asyncio.sleep(1)
-    record.note(f"the late report: answer {await leaving.tell('PUT', late_report)}")
-    await asyncio.sleep(max(0, store_back - time.monotonic()))
-    mesh.store.is_down = False
-    back = time.monotonic()
-    record.note("store up")
-    await asyncio.sleep(max(0, confirmed + SERVES_ON_S - time.monotonic()))
-    for consumer in mesh.consumers:
-        await consumer.stop()
-    return judge(mesh, record, leaving, confirmed, back)
-
-
-def judge(mesh, record, leaving, confirmed, back):
-    in_touch = back + mesh.bounds["stableWindow"] / 1000
-    limit = confirmed + mesh.bounds["drain"] / 1000
-    sent = {row["id"]: row["at"] for consumer in mesh.consumers for row in consumer.sent}
-    late = [run for run in leaving.runs if run["at"] > limit and sent[run["id"]] > in_touch]
-    record.note(f"{len(late)} requests, sent when all machines were in touch again, reached the "
-                f"endpoint later than drain after its leave was confirmed")
-    return not late
+    prefix = f"/part{BAD_ROUTE:03d}/"
+
+    def is_bad(target):
+        return has_trouble and target.startswith(prefix) and random.random() < FAILING_SHARE
+    ordered, deadline = await order(mesh, record, new, DURATION_S, is_bad=is_bad)
+    is_kept = is_exposure_kept(mesh, record, ordered, deadline, lambda run: run["status"] == 500)
+    # Without the trouble the version is good, and EXPOSURE does not apply to it.
+    return is_kept or not has_trouble
 
 main(FOLDER, scenario)
--- /dev/null
+++ b/review/15/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/run.py"
