--- a/review/common-3/mesh.py
+++ b/review/common-3/mesh.py
@@ -24,20 +24,25 @@
           "drain": 2000, "grace": 6, "lossSlack": 200, "configApply": 2000, "rollbackSlack": 250,
           "maxStretch": 5000, "retryBudgetRatio": 0.2, "budgetWindow": 10, "budgetSlack": 64,
           "exposeShare": 0.1, "exposeSlack": 50, "rollback": 5000, "recovery": 15}
+TAKEN_PORTS = set()
 REASONS = {200: "OK", 404: "Not Found", 410: "Gone", 412: "Precondition Failed",
            421: "Misdirected Request", 429: "Too Many Requests", 500: "Internal Server Error",
            503: "Service Unavailable"}
 
 
 def free_ports(count):
-    sockets = []
-    for _ in range(count):
-        opened = socket.socket()
-        opened.bind((HOST, 0))
-        sockets.append(opened)
-    ports = [opened.getsockname()[1] for opened in sockets]
-    for opened in sockets:
-        opened.close()
+    """Ports below the range that outgoing connections take theirs from."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(12000, 32000)
+        with socket.socket() as opened:
+            try:
+                opened.bind((HOST, port))
+            except OSError:
+                continue
+        if port not in TAKEN_PORTS:
+            TAKEN_PORTS.add(port)
+            ports.append(port)
     return ports
 
 
