review: Add case 15, a confirmed leave forgotten

Promise: DRAIN, a confirmed leave binds. Disruptions: platform_down for 4.5 s and all processes killed.

--- a/review/15/run.py
+++ b/review/15/run.py
@@ -1,89 +1,85 @@
-"""The operator raises the largest body while callers hold their connections open."""
+"""All nodes are killed while the store is down, after a leave was confirmed."""
 import asyncio
+import random
 import sys
 import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common-3"))
-from mesh import HOST, configuration, main, read_body, read_head, route  # noqa: E402
+from mesh import configuration, main, route  # noqa: E402
 
-CONNECTIONS = 30
-LIMIT_BEFORE = 4_000
-LIMIT_AFTER = 1_000_000
-SMALL = 1_000
-LARGE = 20_000
-# Longer than configApply, shorter than four fifths of idleTimeout (15 s).
-PAUSE_S = 5
+STORE_DOWN_S = 4.5
+PER_S = 20
+SERVES_ON_S = 12
 
 
-class KeptConnection:
-    """A consumer that keeps its connection open between its requests."""
-
-    def __init__(self, node):
-        self.node, self.reader, self.writer = node, None, None
-
-    async def send(self, row):
-        if self.writer is None:
-            self.reader, self.writer = await asyncio.open_connection(HOST, self.node.caller_port)
-        lines = [f"POST {row['target']} HTTP/1.1", "Host: parts.example",
-                 f"X-Request-Id: {row['id']}", "X-Deadline-Ms: 3000",
-                 f"Content-Length: {len(row['send'])}"]
-        row["at"] = time.monotonic()
-        self.writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + row["send"])
-        try:
-            head = await asyncio.wait_for(read_head(self.reader), 4)
-        except (asyncio.TimeoutError, ConnectionError) as error:
-            row["error"] = repr(error)
-            return
-        if head is None:
-            row["error"] = "closed without an answer"
-            return
-        row["status"] = int(head[0].split(" ")[1])
-        row["body"] = ((await read_body(self.reader, head[1])) or b"").decode("latin-1")
-
-
-async def send_all(connections, label, size, record):
-    rows = [{"id": f"{label}{i:015x}", "target": "/parts/item", "send": b"x" * size,
-             "status": None, "node": connection.node.name, "method": "POST"}
-            for i, connection in enumerate(connections)]
-    for connection, row in zip(connections, rows):
-        await connection.send(row)
-        record.add_row(row)
-    record.note(f"{len(rows)} requests of {size} bytes: {sorted({str(row['status']) for row in rows})}")
-    return rows
+def make_request():
+    return {"host": "parts.example", "target": "/parts/item"}
 
 
 async def scenario(make_mesh, record, has_trouble):
     mesh = make_mesh()
     zones = ["zone-a", "zone-b", "zone-c"]
-    parts = [mesh.add_node(f"parts-{i}", zones[i], "parts") for i in range(2)]
-    caller = mesh.add_node("front-0", zones[2], "front")
-
-    def put_config(version, size):
-        config = configuration(version, [route("r-parts", "parts.example", "/parts/", "parts",
-                                               kind="non_idempotent")], ["parts", "front"])
-        config["limits"]["maxBodyBytes"] = size
-        mesh.store.operator_put("op/config", config)
-        record.note(f"version {version} confirmed, maxBodyBytes {size}")
-    put_config(7, LIMIT_BEFORE if has_trouble else LIMIT_AFTER)
+    parts = [mesh.add_node(f"parts-{i}", zones[i], "parts") for i in range(3)]
+    callers = [mesh.add_node(f"front-{i}", zones[i], "front") for i in range(3)]
+    mesh.store.operator_put("op/config", configuration(
+        7, [route("r-parts", "parts.example", "/parts/", "parts")], ["parts", "front"]))
     for node in mesh.nodes:
         await node.start()
-    for node in parts + [caller]:
+    for node in parts + callers:
         await mesh.add_endpoint(node, "v1")
     await mesh.wait_ready()
-    await asyncio.sleep(3)
-    kept = [KeptConnection(caller) for _ in range(CONNECTIONS)]
-    rows = await send_all(kept, "a", SMALL, record)
+    await asyncio.sleep(5)
+    for node in callers:
+        mesh.add_consumer(node, make_request, PER_S)
+    await asyncio.sleep(4)
+    leaving = mesh.endpoints[0]
+    if has_trouble:
+        mesh.store.is_down = True
+        record.note("store down")
+    store_back = time.monotonic() + STORE_DOWN_S
+    await asyncio.sleep(0.3)
+    # Sent before the leave, and late on its way.
+    late_report = leaving.report("ready")
+    leaving.beats.cancel()
+    await asyncio.sleep(0.1)
+    asked = time.monotonic()
+    status = await leaving.tell("DELETE", None)
+    confirmed = time.monotonic()
+    record.note(f"{leaving.id} left, answer {status} after {confirmed - asked:.2f} s")
+    if status != 200:
+        return True
+    await asyncio.sleep(0.2)
     if has_trouble:
-        put_config(9, LIMIT_AFTER)
-    await asyncio.sleep(PAUSE_S)
-    rows += await send_all(kept, "b", LARGE, record)
-    # On connections of their own the same requests show that the configuration is in force here.
-    fresh = [KeptConnection(caller) for _ in range(CONNECTIONS)]
-    rows += await send_all(fresh, "c", LARGE, record)
-    denied = [row for row in rows if row["status"] in (400, 403, 404, 413, 431)]
-    record.note(f"{len(denied)} of {len(rows)} proper requests ended with a 4xx of the node")
-    return len(denied) <= 5 + len(rows) / 500
+        for node in mesh.nodes:
+            await node.kill()
+        record.note("all nodes killed")
+        await asyncio.sleep(0.5)
+        for node in mesh.nodes:
+            await node.start()
+        record.note("all nodes started")
+        await asyncio.sleep(0.5)
+    else:
+        await asyncio.sleep(1)
+    record.note(f"the late report: answer {await leaving.tell('PUT', late_report)}")
+    await asyncio.sleep(max(0, store_back - time.monotonic()))
+    mesh.store.is_down = False
+    back = time.monotonic()
+    record.note("store up")
+    await asyncio.sleep(max(0, confirmed + SERVES_ON_S - time.monotonic()))
+    for consumer in mesh.consumers:
+        await consumer.stop()
+    return judge(mesh, record, leaving, confirmed, back)
+
+
+def judge(mesh, record, leaving, confirmed, back):
+    in_touch = back + mesh.bounds["stableWindow"] / 1000
+    limit = confirmed + mesh.bounds["drain"] / 1000
+    sent = {row["id"]: row["at"] for consumer in mesh.consumers for row in consumer.sent}
+    late = [run for run in leaving.runs if run["at"] > limit and sent[run["id"]] > in_touch]
+    record.note(f"{len(late)} requests, sent when all machines were in touch again, reached the "
+                f"endpoint later than drain after its leave was confirmed")
+    return not late
 
 main(FOLDER, scenario)
