--- a/review/common-3/mesh.py
+++ b/review/common-3/mesh.py
@@ -31,10 +31,12 @@
 
 
 def free_ports(count):
-    """Ports below the range that outgoing connections take theirs from."""
+    """Ports below the range that outgoing connections take theirs from. Cases that run at the same time
+    are given ranges of their own by FIRST_PORT."""
+    first = int(os.environ.get("FIRST_PORT", "12000"))
     ports = []
     while len(ports) < count:
-        port = random.randrange(12000, 32000)
+        port = random.randrange(first, first + 10000)
         with socket.socket() as opened:
             try:
                 opened.bind((HOST, port))
@@ -126,14 +128,13 @@
         self.leases = {}
         self.next_lease = 70000
         self.changed = asyncio.Event()
-        self.servers = []
-        self.writes = []
+        self.ports = []
         self.is_down = False
 
-    async def open_port(self):
-        server = await asyncio.start_server(self.serve, HOST, 0, limit=1 << 22)
-        self.servers.append(server)
-        return server.sockets[0].getsockname()[1]
+    def open_port(self):
+        port = StorePort(self)
+        self.ports.append(port)
+        return port
 
     def expire(self):
         now = time.monotonic()
@@ -175,7 +176,7 @@
         item = self.items.get(key)
         return json.loads(base64.b64decode(item["value"])) if item else None
 
-    async def serve(self, reader, writer):
+    async def serve(self, port, reader, writer):
         try:
             while True:
                 head = await read_head(reader)
@@ -186,10 +187,14 @@
                     break
                 if self.is_down:
                     break
+                await port.wait_until_joined()
                 method, target, _ = head[0].split(" ", 2)
+                if target.startswith("/v1/kv-watch"):
+                    port.watched_at = time.monotonic()
                 status, answer = await self.answer(method, target, body)
                 if self.is_down:
                     break
+                await port.wait_until_joined()
                 data = json.dumps(answer).encode()
                 writer.write(message(status, data, [("Content-Type", "application/json")]))
                 await writer.drain()
@@ -264,11 +269,63 @@
             return 404, {}
         if any(key.startswith(("op/", "servers/")) for key, _, _ in puts):
             return 403, {}
-        for key, value, _ in puts:
-            self.writes.append((time.monotonic(), key, value))
         return 200, {"revision": self.apply(puts, fields.get("remove", []))}
 
 
+class StorePort:
+    """The way of one node to the store. A cut is silent: what is open stands still, and new connections
+    hang, since nothing accepts them and the queue of connections is full."""
+
+    def __init__(self, store):
+        self.store = store
+        self.socket = socket.socket()
+        self.socket.bind((HOST, free_ports(1)[0]))
+        self.socket.listen(0)
+        self.socket.setblocking(False)
+        self.number = self.socket.getsockname()[1]
+        self.joined = asyncio.Event()
+        self.joined.set()
+        self.fillers = []
+        self.watched_at = 0.0
+        self.accepting = asyncio.create_task(self.accept())
+        self.connections = set()
+
+    async def accept(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            accepted, _ = await loop.sock_accept(self.socket)
+            reader, writer = await asyncio.open_connection(sock=accepted, limit=1 << 22)
+            serving = asyncio.create_task(self.store.serve(self, reader, writer))
+            self.connections.add(serving)
+            serving.add_done_callback(self.connections.discard)
+
+    async def wait_until_joined(self):
+        await self.joined.wait()
+
+    def cut(self):
+        self.joined.clear()
+        self.accepting.cancel()
+        for _ in range(4):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((HOST, self.number))
+            self.fillers.append(filler)
+
+    def join(self):
+        for filler in self.fillers:
+            filler.close()
+        self.fillers = []
+        self.joined.set()
+        self.accepting = asyncio.create_task(self.accept())
+
+    def close(self):
+        self.accepting.cancel()
+        for serving in self.connections:
+            serving.cancel()
+        for opened in self.fillers + [self.socket]:
+            opened.close()
+
+
 class Endpoint:
     """An application endpoint beside a node: sends status reports and runs requests."""
 
@@ -387,7 +444,7 @@
 
     async def start(self):
         if self.store_port is None:
-            self.store_port = await self.mesh.store.open_port()
+            self.store_port = self.mesh.store.open_port()
         fields = {"node": self.name, "region": "region-1", "zone": self.zone, "service": self.service,
                   "appAddr": f"{HOST}:{self.app_port}", "ip": HOST,
                   "portRange": [self.link_port, self.metrics_port],
@@ -395,7 +452,7 @@
                              "control": f"{HOST}:{self.control_port}",
                              "ready": f"{HOST}:{self.ready_port}"},
                   "limits": {"linkMbps": 1000.0}, "bounds": self.mesh.bounds,
-                  "provider": {"address": f"{HOST}:{self.store_port}"}}
+                  "provider": {"address": f"{HOST}:{self.store_port.number}"}}
         template = (ROOT / self.mesh.role["template"]).read_text()
         settings = self.mesh.folder / f"{self.name}.toml"
         settings.write_text(render(template, fields))
@@ -538,8 +595,8 @@
             if node.process and node.process.returncode is None:
                 node.process.send_signal(signal.SIGCONT)
             await node.kill()
-        for server in self.store.servers:
-            server.close()
+        for port in self.store.ports:
+            port.close()
         if os.environ.get("KEEP_LOGS") != "1":
             shutil.rmtree(self.folder, ignore_errors=True)
         else:
