review: Add case 15, a change late beside a watcher that is cut off

Promise: CONFIG, a confirmed change is in force within configApply. Disruption: core_cut of the watching machine, 5.5 s, in silence.

--- a/review/15/run.py
+++ b/review/15/run.py
@@ -1,85 +1,91 @@
-"""All nodes are killed while the store is down, after a leave was confirmed."""
+"""The node that watches the store is cut off from it in silence, and the configuration changes."""
 import asyncio
-import random
 import sys
 import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common-3"))
-from mesh import configuration, main, route  # noqa: E402
+from mesh import CannotRun, configuration, main, route  # noqa: E402
 
-STORE_DOWN_S = 4.5
+CUT_S = 5.5
+CHANGES = 3
+PAUSE_S = 6
 PER_S = 20
-SERVES_ON_S = 12
 
 
 def make_request():
-    return {"host": "parts.example", "target": "/parts/item"}
+    return {"host": "shop.example", "target": "/moved/item"}
+
+
+async def find_watcher(mesh):
+    """The node that watches the store, right after it has asked for changes again."""
+    watcher = max(mesh.nodes, key=lambda node: node.store_port.watched_at)
+    last = watcher.store_port.watched_at
+    ends = time.monotonic() + 5
+    while watcher.store_port.watched_at == last:
+        if time.monotonic() > ends:
+            raise CannotRun("no node watches the store")
+        await asyncio.sleep(0.01)
+    return watcher
 
 
 async def scenario(make_mesh, record, has_trouble):
     mesh = make_mesh()
-    zones = ["zone-a", "zone-b", "zone-c"]
-    parts = [mesh.add_node(f"parts-{i}", zones[i], "parts") for i in range(3)]
-    callers = [mesh.add_node(f"front-{i}", zones[i], "front") for i in range(3)]
-    mesh.store.operator_put("op/config", configuration(
-        7, [route("r-parts", "parts.example", "/parts/", "parts")], ["parts", "front"]))
-    for node in mesh.nodes:
+    nodes = [mesh.add_node(name, "zone-a", service) for name, service in
+             (("parts-0", "parts"), ("views-0", "views"), ("front-0", "front"),
+              ("front-1", "front"))]
+    services = ["parts", "views", "front"]
+
+    def put_config(version, service):
+        mesh.store.operator_put("op/config", configuration(
+            version, [route("r-moved", "shop.example", "/moved/", service)], services))
+        record.note(f"version {version} confirmed, /moved/ goes to {service}")
+        return time.monotonic()
+    put_config(7, "parts")
+    for node in nodes:
         await node.start()
-    for node in parts + callers:
+    for node in nodes:
         await mesh.add_endpoint(node, "v1")
     await mesh.wait_ready()
-    await asyncio.sleep(5)
-    for node in callers:
+    # The duty of watching has settled 10 s after the start.
+    await asyncio.sleep(12)
+    for node in nodes:
         mesh.add_consumer(node, make_request, PER_S)
-    await asyncio.sleep(4)
-    leaving = mesh.endpoints[0]
-    if has_trouble:
-        mesh.store.is_down = True
-        record.note("store down")
-    store_back = time.monotonic() + STORE_DOWN_S
-    await asyncio.sleep(0.3)
-    # Sent before the leave, and late on its way.
-    late_report = leaving.report("ready")
-    leaving.beats.cancel()
-    await asyncio.sleep(0.1)
-    asked = time.monotonic()
-    status = await leaving.tell("DELETE", None)
-    confirmed = time.monotonic()
-    record.note(f"{leaving.id} left, answer {status} after {confirmed - asked:.2f} s")
-    if status != 200:
-        return True
-    await asyncio.sleep(0.2)
-    if has_trouble:
-        for node in mesh.nodes:
-            await node.kill()
-        record.note("all nodes killed")
-        await asyncio.sleep(0.5)
-        for node in mesh.nodes:
-            await node.start()
-        record.note("all nodes started")
-        await asyncio.sleep(0.5)
-    else:
-        await asyncio.sleep(1)
-    record.note(f"the late report: answer {await leaving.tell('PUT', late_report)}")
-    await asyncio.sleep(max(0, store_back - time.monotonic()))
-    mesh.store.is_down = False
-    back = time.monotonic()
-    record.note("store up")
-    await asyncio.sleep(max(0, confirmed + SERVES_ON_S - time.monotonic()))
+    changes = []
+    for number in range(CHANGES):
+        old, new = ("parts", "views") if number % 2 == 0 else ("views", "parts")
+        await asyncio.sleep(PAUSE_S)
+        watcher = await find_watcher(mesh)
+        if has_trouble:
+            watcher.store_port.cut()
+            record.note(f"{watcher.name} cut off from the store")
+        await asyncio.sleep(0.05)
+        changes.append((put_config(9 + 2 * number, new), old, watcher.name))
+        await asyncio.sleep(CUT_S)
+        if has_trouble:
+            watcher.store_port.join()
+            record.note(f"{watcher.name} reaches the store again")
     for consumer in mesh.consumers:
         await consumer.stop()
-    return judge(mesh, record, leaving, confirmed, back)
+    return judge(mesh, record, changes)
 
 
-def judge(mesh, record, leaving, confirmed, back):
-    in_touch = back + mesh.bounds["stableWindow"] / 1000
-    limit = confirmed + mesh.bounds["drain"] / 1000
-    sent = {row["id"]: row["at"] for consumer in mesh.consumers for row in consumer.sent}
-    late = [run for run in leaving.runs if run["at"] > limit and sent[run["id"]] > in_touch]
-    record.note(f"{len(late)} requests, sent when all machines were in touch again, reached the "
-                f"endpoint later than drain after its leave was confirmed")
-    return not late
+def judge(mesh, record, changes):
+    bound = mesh.bounds["configApply"] / 1000
+    rows = {row["id"]: row for consumer in mesh.consumers for row in consumer.sent}
+    late = 0
+    for number, (confirmed, old, watcher) in enumerate(changes):
+        # The node that was cut off is not in touch; the others are, all the while.
+        by_old = [rows[run["id"]]["at"] - confirmed for run in mesh.runs()
+                  if run["service"] == old and run["id"] in rows and
+                  rows[run["id"]]["node"] != watcher and
+                  confirmed < rows[run["id"]]["at"] < confirmed + CUT_S]
+        past = [after for after in by_old if after > bound]
+        record.note(f"change {number + 1}: the last request that the old service ran was sent "
+                    f"{max(by_old, default=0):.2f} s after the confirmation, {len(past)} later than "
+                    "configApply")
+        late += len(past)
+    return late == 0
 
 main(FOLDER, scenario)
