store: Confirm a leave only once it is stored

Cause: is_confirmable granted the confirmation 0.7 s after the announcement although the leave was in the memory of processes alone. A confirmation binds all later processes.

Change: an announcement whose leave is not stored within 0.7 s is refused with 503, logged (leave_unconfirmed) and counted; the members act on the leave as before. Related paths: POST /v1/upstream waits in the same way; a DELETE of a run that the process never heard of is written with the time of the leave as its start; a report without a start time is not taken for a later run than one that left.

a_confirmation_waits_for_less_than_a_second demanded the faulty confirmation. Its replacement demands the answer within a second and the later write as before, and a refusal in place of the confirmation.

--- a/src/admin/api.cpp
+++ b/src/admin/api.cpp
@@ -91,7 +91,18 @@
     return ip == context.own_ip || ip.starts_with("127.") || ip == "::1";
 }
 
-api_response handle_announcement(const api_context& context, const api_request& request) {
+api_response make_announcement_response(bool is_confirmed) {
+    if (!is_confirmed) {
+        return make_problem({.status = 503,
+                             .detail = "the leave is not stored yet; announce it again",
+                             .outcome = "unknown"});
+    }
+    return make_json(200, document(document::table{{"outcome", "accepted"}}));
+}
+
+/// Takes an announcement. Returns the response when it is refused.
+std::optional<api_response> take_announcement(const api_context& context,
+                                              const api_request& request) {
     if (!is_local_address(context, request.remote_ip)) {
         return make_problem(
             {.status = 403, .detail = "only the upstream on this node's host may announce itself"});
@@ -109,7 +120,22 @@
         return make_problem(
             {.status = 422, .detail = "the announcement is not valid", .problems = problems});
     }
-    return make_json(200, document(document::table{{"outcome", "accepted"}}));
+    return std::nullopt;
+}
+
+void handle_announcement(const api_context& context, const api_request& request,
+                         reply_function reply) {
+    if (auto refusal = take_announcement(context, request)) {
+        reply(std::move(*refusal));
+        return;
+    }
+    if (!context.node.when_confirmable) {
+        reply(make_announcement_response(true));
+        return;
+    }
+    context.node.when_confirmable([reply = std::move(reply)](bool is_confirmed) {
+        reply(make_announcement_response(is_confirmed));
+    });
 }
 
 /// The page about the node itself that the path names; nothing for other paths.
@@ -288,8 +314,11 @@
         return;
     }
     if (has_path(request, {"v1", "upstream"})) {
-        reply(request.method == "POST" ? handle_announcement(context, request)
-                                       : make_not_allowed("POST"));
+        if (request.method == "POST") {
+            handle_announcement(context, request, std::move(reply));
+        } else {
+            reply(make_not_allowed("POST"));
+        }
         return;
     }
     if (is_quarantine_path(request)) {
--- a/src/admin/backend.h
+++ b/src/admin/backend.h
@@ -46,6 +46,9 @@
     std::function<std::string()> metrics;
     /// Takes the announcement of an upstream or of its new state; returns findings when refused.
     std::function<findings(const announcement&)> announce;
+    /// Calls back, from any thread, once it is decided whether what was announced may be confirmed:
+    /// false when a leave could not be stored in time. Confirmed at once when not set.
+    std::function<void(std::function<void(bool is_confirmed)>)> when_confirmable;
     /// Whether this node's configuration has been compared with other nodes' since start or pause;
     /// until then the API neither shows nor changes resources. Always ready when not set.
     std::function<bool()> is_ready;
--- a/src/membership/announced_leave.cpp
+++ b/src/membership/announced_leave.cpp
@@ -5,14 +5,14 @@
 namespace cyclamenhatch::membership {
 namespace {
 
-/// Whether a run is the one that left, or an earlier run of the same instance.
+/// Whether a run is the one that left, or an earlier run of the same instance. One whose start is
+/// not known is not taken for a later run.
 bool is_run_that_left(const msg::upstream_record_msg& left, const std::string& instance,
                       std::uint64_t started_ms) {
     if (left.instance != instance) {
         return false;
     }
-    const bool has_both_starts = left.started_ms > 0 && started_ms > 0;
-    return left.started_ms == started_ms || (has_both_starts && started_ms < left.started_ms);
+    return left.started_ms == 0 ? started_ms == 0 : started_ms <= left.started_ms;
 }
 
 } // namespace
--- a/src/membership/upstream_run.cpp
+++ b/src/membership/upstream_run.cpp
@@ -168,7 +168,17 @@
     if (!record_leave(run, instance, now)) {
         return std::nullopt;
     }
-    return make_final_record(pending, last_sent, msg::upstream_state::gone);
+    auto record = make_final_record(pending, last_sent, msg::upstream_state::gone);
+    if (!record && !instance.empty()) {
+        // No announcement has told when the run started. Runs that started before now have left.
+        run.started_ms = static_cast<std::uint64_t>(std::max<std::int64_t>(0, to_unix_ms(now)));
+        record = msg::upstream_record_msg{};
+        record->instance = instance;
+        record->started_ms = run.started_ms;
+        record->state = msg::upstream_state::gone;
+        record->leaves = true;
+    }
+    return record;
 }
 
 } // namespace cyclamenhatch::membership
--- a/src/membership/upstream_run.h
+++ b/src/membership/upstream_run.h
@@ -67,8 +67,9 @@
 
 /// Ends the run with this instance id and clears `pending`. Returns the record to send to the gate
 /// and to others, with state gone: a copy of `last_sent`, or, if that is null, of `pending`, the
-/// record held back until the node serves. Returns nothing when another run is present (`pending`
-/// then stays) or when the run was never announced.
+/// record held back until the node serves. The record of a run that was never announced has no
+/// service, and `now` as its start. Returns nothing when another run is present; `pending` then
+/// stays.
 [[nodiscard]] std::optional<msg::upstream_record_msg>
 end_run(upstream_run& run, std::optional<msg::upstream_record_msg>& pending,
         const msg::upstream_record_msg* last_sent, const std::string& instance, instant now);
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -173,6 +173,39 @@
     return rules;
 }
 
+/// An announcement whose wait for the store has ended.
+struct settled_confirmation {
+    std::function<void(bool is_confirmed)> done;
+    bool is_confirmed = false;
+};
+
+/// Removes and returns the announcements that are confirmed now or have waited too long.
+std::vector<settled_confirmation> settle_confirmations(node_runtime& node, instant now,
+                                                       control::actions& actions) {
+    const auto& leaves = node.control.leaves;
+    std::vector<settled_confirmation> settled;
+    std::size_t refused = 0;
+    std::erase_if(node.waiting_confirmations, [&](waiting_confirmation& waiting) {
+        const auto decision = store::check_confirmation(leaves, waiting.announced_at, now);
+        if (decision == store::leave_confirmation::pending) {
+            return false;
+        }
+        const bool is_confirmed = decision == store::leave_confirmation::granted;
+        refused += is_confirmed ? 0 : 1;
+        settled.push_back({std::move(waiting.done), is_confirmed});
+        return true;
+    });
+    if (refused > 0) {
+        node.unconfirmed_leaves += refused;
+        actions.logs.push_back({log_level::warning,
+                                "leave_unconfirmed",
+                                {{"instance", leaves.leave->instance},
+                                 {"announcements", std::to_string(refused)},
+                                 {"reason", "not stored in time"}}});
+    }
+    return settled;
+}
+
 void log_high_traffic(node_runtime& node, instant now) {
     const auto sent = wire::counters(*node.links).bytes_sent;
     for (const auto& high : wire::find_high_traffic(node.traffic, sent, now)) {
@@ -198,20 +231,18 @@
     const shared_state_scope scope;
     control::actions actions;
     std::vector<matched_reply> replies;
-    std::vector<std::function<void()>> confirmations;
+    std::vector<settled_confirmation> confirmations;
     {
         const std::lock_guard<std::mutex> guard(node.control_lock);
         const auto now = current_time();
         event(now, actions);
         refresh_view(node, now);
         replies = match_replies(node, std::exchange(actions.replies, {}));
-        if (store::is_confirmable(node.control.leaves, now)) {
-            confirmations = std::exchange(node.waiting_confirmations, {});
-        }
+        confirmations = settle_confirmations(node, now, actions);
     }
     carry_out(node, std::move(actions), std::move(replies));
-    for (const auto& confirm : confirmations) {
-        confirm();
+    for (const auto& confirmation : confirmations) {
+        confirmation.done(confirmation.is_confirmed);
     }
 }
 
@@ -307,9 +338,9 @@
     }
 }
 
-void when_confirmable(node_runtime& node, std::function<void()> confirm) {
-    step(node, [&](instant /*now*/, control::actions& /*actions*/) {
-        node.waiting_confirmations.push_back(std::move(confirm));
+void when_confirmable(node_runtime& node, std::function<void(bool is_confirmed)> done) {
+    step(node, [&](instant now, control::actions& /*actions*/) {
+        node.waiting_confirmations.push_back({now, std::move(done)});
     });
 }
 
--- a/src/node/node_runtime.h
+++ b/src/node/node_runtime.h
@@ -29,6 +29,12 @@
     std::function<store::store_counters()> counts;
 };
 
+/// An announcement of the upstream that waits until its leave is stored.
+struct waiting_confirmation {
+    instant announced_at;
+    std::function<void(bool is_confirmed)> done;
+};
+
 /// Lock order: control_lock, then samples_lock or view_lock. No lock is held while links, the
 /// store, callers or operators are called. Members without a lock are set before the threads start
 /// and do not change.
@@ -44,8 +50,9 @@
     control::state control;
     /// Callbacks of the writes in progress, by operation id.
     std::multimap<operation_id, write_callback> waiting_writes;
-    /// Confirmations to the upstream that wait until its leave is stored.
-    std::vector<std::function<void()>> waiting_confirmations;
+    std::vector<waiting_confirmation> waiting_confirmations;
+    /// Announcements that were not confirmed, since the leave was not stored in time.
+    std::uint64_t unconfirmed_leaves = 0;
     /// The run of the upstream beside this node that announced itself last.
     membership::upstream_run upstream_run;
     /// Until when the upstream is cold, by its last announcement.
@@ -103,10 +110,12 @@
 /// safe.
 void announce_leave(node_runtime& node, const std::string& instance);
 
-/// Calls `confirm` once what the upstream has announced so far may be confirmed to it: a leave is
-/// stored first, unless that takes too long. It is called by this call or by a later step of the
-/// node, on the thread of that step. Thread safe.
-void when_confirmable(node_runtime& node, std::function<void()> confirm);
+/// Calls `done` with true once what the upstream has announced so far may be confirmed to it: a
+/// leave is stored first. Calls it with false when the leave is not stored within 0.7 s; it then
+/// takes effect, but may be forgotten when all processes end, so the upstream must announce it
+/// again. `done` is called exactly once unless the node stops before, by this call or by a later
+/// step of the node, on the thread of that step. Thread safe.
+void when_confirmable(node_runtime& node, std::function<void(bool is_confirmed)> done);
 
 /// Handles a crash of the upstream beside this node. Thread safe.
 void record_crash(node_runtime& node, const call::upstream_crash& crash);
--- a/src/node/parts.cpp
+++ b/src/node/parts.cpp
@@ -61,6 +61,9 @@
     backend.announce = [node](const admin::announcement& announcement) {
         return announce(*node, announcement);
     };
+    backend.when_confirmable = [node](std::function<void(bool)> done) {
+        when_confirmable(*node, std::move(done));
+    };
     backend.is_ready = [node] {
         const std::lock_guard<std::mutex> guard(node->control_lock);
         return control::is_ready(node->control);
--- a/src/node/run_on_loop.cpp
+++ b/src/node/run_on_loop.cpp
@@ -119,8 +119,9 @@
     serve(self, listen.announcement_address,
           [handlers, node](const net::service_request& request, net::service_reply reply) {
               when_confirmable(*node, [reply = std::move(reply),
-                                       answer = platform::answer_announcement(handlers, request)] {
-                  reply(answer);
+                                       answer = platform::answer_announcement(handlers, request)](
+                                          bool is_confirmed) {
+                  reply(is_confirmed ? answer : platform::make_unconfirmed_answer());
               });
           });
     serve(self, listen.readiness_address, [&self](const net::service_request& request) {
--- a/src/store/leave_keeper.cpp
+++ b/src/store/leave_keeper.cpp
@@ -14,8 +14,9 @@
 constexpr backoff_limits failure_backoff{milliseconds{100}, milliseconds{1000}};
 /// How long the upstream is held back while the service does not tell whether it has left.
 constexpr seconds read_patience{3};
-/// How long a confirmation waits: upstreams expect it within a second.
-constexpr milliseconds confirmation_patience{700};
+/// How long an announcement waits until the leave is stored: the upstream expects an answer within
+/// a second.
+constexpr milliseconds confirmation_timeout{700};
 
 bool is_same_run(const msg::upstream_record_msg& left, const msg::upstream_record_msg& right) {
     return left.instance == right.instance && left.started_ms == right.started_ms;
@@ -122,7 +123,6 @@
     keeper.leave = leaving;
     keeper.is_stored = false;
     keeper.is_write_current = false;
-    keeper.confirm_by = now + confirmation_patience;
     send_due_request(keeper, now, actions);
 }
 
@@ -133,7 +133,6 @@
     keeper.leave.reset();
     keeper.is_stored = false;
     keeper.is_write_current = false;
-    keeper.confirm_by = now;
     send_due_request(keeper, now, actions);
 }
 
@@ -195,8 +194,13 @@
            (keeper.service.failures > 0 && now - keeper.started >= read_patience);
 }
 
-bool is_confirmable(const leave_keeper& keeper, instant now) {
-    return keeper.is_stored || now >= keeper.confirm_by;
+leave_confirmation check_confirmation(const leave_keeper& keeper, instant announced_at,
+                                      instant now) {
+    if (!keeper.leave || keeper.is_stored) {
+        return leave_confirmation::granted;
+    }
+    return now - announced_at < confirmation_timeout ? leave_confirmation::pending
+                                                     : leave_confirmation::refused;
 }
 
 } // namespace cyclamenhatch::store
--- a/src/store/leave_keeper.h
+++ b/src/store/leave_keeper.h
@@ -43,8 +43,6 @@
     bool is_stored = true;
     /// Whether the pending write is of what is to be stored now.
     bool is_write_current = false;
-    /// Until then a confirmation of the leave waits for the service.
-    instant confirm_by;
 };
 
 [[nodiscard]] leave_keeper make_leave_keeper(const std::string& prefix, const std::string& node,
@@ -80,7 +78,17 @@
 /// leave, or the service does not tell in time.
 [[nodiscard]] bool has_read_leave(const leave_keeper& keeper, instant now);
 
-/// Whether a leave may be confirmed to the upstream: it is stored, or that takes too long.
-[[nodiscard]] bool is_confirmable(const leave_keeper& keeper, instant now);
+/// What an announcement of the upstream is answered.
+enum class leave_confirmation {
+    /// The leave is stored, and so outlives all processes; or none was announced.
+    granted,
+    pending,
+    /// The leave was not stored in time. The upstream must announce it again.
+    refused,
+};
+
+/// Decides on an announcement that came at `announced_at` and has not been answered.
+[[nodiscard]] leave_confirmation check_confirmation(const leave_keeper& keeper,
+                                                    instant announced_at, instant now);
 
 } // namespace cyclamenhatch::store
--- a/tests/admin/api_test.cpp
+++ b/tests/admin/api_test.cpp
@@ -385,6 +385,16 @@
     EXPECT_EQ(node.announced[0].upstream.slots, 12U);
 }
 
+/// Guards against a leave that is accepted although it may be forgotten when all nodes end (DRAIN).
+TEST_F(api, accepts_a_leave_once_it_is_stored) {
+    bool is_stored = false;
+    context.node.when_confirmable = [&](const std::function<void(bool)>& done) { done(is_stored); };
+    const auto request = make_request("POST", "/v1/upstream", upstream_json);
+    EXPECT_EQ(ask(request).status, 503);
+    is_stored = true;
+    EXPECT_EQ(ask(request).status, 200);
+}
+
 struct token_row {
     const char* name;
     std::string path;
--- a/tests/membership/announced_leave_test.cpp
+++ b/tests/membership/announced_leave_test.cpp
@@ -190,6 +190,7 @@
                                          next_run_row{"earlier_run", "a", 500, 499, false},
                                          next_run_row{"later_run", "a", 500, 501, true},
                                          next_run_row{"unknown_starts", "a", 0, 0, false},
+                                         next_run_row{"unknown_later_start", "a", 500, 0, false},
                                          next_run_row{"first_known_start", "a", 0, 500, true},
                                          next_run_row{"another_instance", "b", 500, 400, true}),
                          [](const auto& row) { return row.param.name; });
--- a/tests/membership/upstream_run_test.cpp
+++ b/tests/membership/upstream_run_test.cpp
@@ -1,5 +1,7 @@
 #include "membership/upstream_run.h"
 
+#include "membership/announced_leave.h"
+
 #include <gtest/gtest.h>
 
 namespace cyclamenhatch::membership {
@@ -59,6 +61,33 @@
         apply_announcement(run, make_announcement("a", left_ms + 4'000, 1), now + seconds{5}));
 }
 
+/// Guards against a leave of a run that this process has never heard of, which is confirmed and
+/// then forgotten at the next restart, since there is no record of it (DRAIN).
+TEST(upstream_run, one_that_leaves_unheard_is_recorded_with_the_time_of_its_leave) {
+    upstream_run run;
+    std::optional<msg::upstream_record_msg> pending;
+    const auto record = end_run(run, pending, nullptr, "a", now);
+    ASSERT_TRUE(record);
+    EXPECT_TRUE(is_lasting_leave(&*record));
+    EXPECT_EQ(record->state, msg::upstream_state::gone);
+
+    const auto left_ms = static_cast<std::uint64_t>(to_unix_ms(now));
+    upstream_run restarted;
+    ASSERT_TRUE(recover_leave(restarted, &*record, now));
+    for (auto* known : {&run, &restarted}) {
+        const auto later = now + seconds{5};
+        EXPECT_FALSE(apply_announcement(*known, make_announcement("a", left_ms - 1, 7), later));
+        EXPECT_FALSE(apply_announcement(*known, make_announcement("a", 0, 8), later));
+        EXPECT_TRUE(apply_announcement(*known, make_announcement("a", left_ms + 1, 1), later));
+    }
+    for (const std::uint64_t started : {left_ms - 1, std::uint64_t{0}}) {
+        msg::member_record_msg announced;
+        announced.upstream =
+            std::make_unique<msg::upstream_record_msg>(make_announcement("a", started, 7));
+        EXPECT_EQ(keep_leave(announced, &*record), leave_fit::contradicted) << started;
+    }
+}
+
 /// A node that does not serve yet, as after a restart while the store is down, holds the
 /// announcement back. An upstream that leaves meanwhile must not be announced afterwards.
 TEST(upstream_run, one_that_leaves_while_it_is_held_back_is_gone) {
--- a/tests/node/node_runtime_test.cpp
+++ b/tests/node/node_runtime_test.cpp
@@ -184,5 +184,44 @@
     EXPECT_TRUE(node.runtime->control.members.self.upstream->leaves);
 }
 
+/// Guards against a leave that is confirmed to the upstream although only this process knows of it
+/// (DRAIN).
+TEST(leaving_upstream, is_confirmed_once_its_leave_is_stored) {
+    started_node node;
+    auto& runtime = *node.runtime;
+    std::vector<store::kv_request> requests;
+    runtime.store.execute = [&](const store::kv_request& request) {
+        if (store::is_issued_from(store::leave_request_base, request.id)) {
+            requests.push_back(request);
+        }
+    };
+    const auto respond = [&](decltype(store::kv_response::outcome) outcome) {
+        const store::kv_response response{.id = requests.back().id, .outcome = std::move(outcome)};
+        step(runtime, [&](instant now, control::actions& actions) {
+            control::on_store_response(runtime.control, response, now, actions);
+        });
+    };
+    EXPECT_TRUE(announce(runtime, make_heartbeat(run_start_ms)).empty());
+    announce_leave(runtime, "a");
+    std::vector<bool> answers;
+    const auto ask = [&] {
+        when_confirmable(runtime, [&](bool is_confirmed) { answers.push_back(is_confirmed); });
+    };
+    ask();
+    EXPECT_TRUE(answers.empty());
+    runtime.waiting_confirmations.back().announced_at -= seconds{1};
+    tick(runtime);
+    EXPECT_EQ(answers, std::vector<bool>{false});
+    EXPECT_EQ(runtime.unconfirmed_leaves, 1U);
+
+    ask();
+    ASSERT_EQ(requests.size(), 1U);
+    respond(store::kv_entries{.revision = 7, .entries = {}});
+    ASSERT_EQ(requests.size(), 2U);
+    EXPECT_EQ(answers.size(), 1U);
+    respond(store::kv_transaction_done{.revision = 8, .succeeded = true});
+    EXPECT_EQ(answers, (std::vector<bool>{false, true}));
+}
+
 } // namespace
 } // namespace cyclamenhatch::node
--- a/tests/store/leave_keeper_test.cpp
+++ b/tests/store/leave_keeper_test.cpp
@@ -112,6 +112,10 @@
         return kv_transaction_done{.revision = revision, .succeeded = true};
     }
 
+    [[nodiscard]] leave_confirmation confirmation(instant announced_at) const {
+        return check_confirmation(keeper, announced_at, now);
+    }
+
     /// The instance that a process which starts now would take for left; empty if none.
     [[nodiscard]] std::string instance_at_restart() const {
         auto later = *this;
@@ -128,7 +132,7 @@
     fixture.read_contacts();
     EXPECT_EQ(fixture.instance_at_restart(), "");
     fixture.keep("a");
-    EXPECT_TRUE(is_confirmable(fixture.keeper, fixture.now));
+    EXPECT_EQ(fixture.confirmation(fixture.now), leave_confirmation::granted);
     EXPECT_EQ(fixture.instance_at_restart(), "a");
     fixture.keep("b");
     EXPECT_EQ(fixture.instance_at_restart(), "b");
@@ -182,28 +186,63 @@
     fixture.read_contacts();
     fixture.mode = service_mode::is_down;
     fixture.keep("a");
-    EXPECT_FALSE(is_confirmable(fixture.keeper, fixture.now));
+    EXPECT_EQ(fixture.confirmation(fixture.now), leave_confirmation::pending);
     fixture.mode = service_mode::answers;
     fixture.run(milliseconds{300});
-    EXPECT_TRUE(is_confirmable(fixture.keeper, fixture.now));
+    EXPECT_EQ(fixture.confirmation(fixture.now), leave_confirmation::granted);
     EXPECT_EQ(fixture.instance_at_restart(), "a");
 }
 
-/// Guards against an upstream that gets no confirmation within a second while the service is down.
-TEST(leave_keeper, a_confirmation_waits_for_less_than_a_second) {
+/// Guards against an upstream that gets no answer within a second while the service is down, and
+/// against a leave that is confirmed all the same (DRAIN).
+TEST(leave_keeper, a_leave_that_is_not_stored_is_refused_within_a_second) {
     for (const auto mode : {service_mode::is_down, service_mode::loses_answers}) {
         keeper_fixture fixture;
         fixture.read_contacts();
         fixture.mode = mode;
+        const auto first = fixture.now;
         fixture.keep("a");
         fixture.run(milliseconds{900});
-        EXPECT_TRUE(is_confirmable(fixture.keeper, fixture.now));
+        EXPECT_EQ(fixture.confirmation(first), leave_confirmation::refused);
+        fixture.run(seconds{8});
+        const auto repeated = fixture.now;
+        fixture.keep("a");
+        EXPECT_NE(fixture.confirmation(repeated), leave_confirmation::granted);
         fixture.mode = service_mode::answers;
         fixture.run(seconds{3});
+        EXPECT_EQ(fixture.confirmation(fixture.now), leave_confirmation::granted);
         EXPECT_EQ(fixture.instance_at_restart(), "a") << "it is stored later";
     }
 }
 
+/// Guards against a leave that is confirmed while the service is down, and forgotten when all
+/// processes are killed before the service is back (DRAIN).
+TEST(leave_keeper, a_confirmed_leave_outlives_a_kill_at_any_step) {
+    for (const auto mode : {service_mode::is_down, service_mode::loses_answers}) {
+        for (const auto down_for : {milliseconds{400}, milliseconds{4500}, milliseconds{8000}}) {
+            keeper_fixture fixture;
+            fixture.read_contacts();
+            fixture.mode = mode;
+            const auto first = fixture.now;
+            fixture.keep("a");
+            int granted = 0;
+            while (fixture.now < first + down_for + seconds{4}) {
+                if (fixture.now >= first + down_for) {
+                    fixture.mode = service_mode::answers;
+                }
+                // Announced anew every second, as by an upstream that got no confirmation.
+                const auto asked_at = fixture.now - (fixture.now - first) % milliseconds{1000};
+                if (fixture.confirmation(asked_at) == leave_confirmation::granted) {
+                    ++granted;
+                    EXPECT_EQ(fixture.instance_at_restart(), "a") << to_unix_ms(fixture.now);
+                }
+                fixture.run(tick_interval);
+            }
+            EXPECT_GT(granted, 0) << down_for.count();
+        }
+    }
+}
+
 /// Guards against a delayed write of an earlier run that replaces the leave of a later one.
 TEST(leave_keeper, a_delayed_write_replaces_no_later_leave) {
     keeper_fixture fixture;
