control: Probe the path to the store and hand the watch on early

Cause: a waiting watch shows nothing when its path falls silent. The watcher waited 2.1 s for it, then for a second failure, before the next in rank took over; members that stand by reach the watcher and see no fault. In a process's first 10 s a duty from a member that cannot reach the store also had to be shown for 1 s.

Change: the watcher reads a key that is never written, from any state of the store (a tenth of the price), when it has heard nothing for 400 ms; a read without an answer in 400 ms hands the duty on. Those that stand by are told at once, and two take over. At most three members of a data centre hand it on early, so that a slow store does not make it go around. The head reader of own deployments has the same probe.

--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -147,6 +147,7 @@
     }
     self.handled_pauses = self.members.pauses;
     distribution::on_pause(self.distribution, now);
+    store::forget_pending(self.store_path);
     self.last_fallback_read.reset();
     self.next_fallback_read =
         self.operator_reader ? now + random_start_delay(self) : now + fallback_read_interval;
@@ -183,23 +184,30 @@
     apply_writer_actions(self, std::move(writer_output), now, out);
 }
 
-/// Hands the store duties of this node to others for `store_handover_time` when the store is
-/// unreachable from here.
+/// Hands the store duties of this node to others when the store is unreachable from here, for at
+/// least `store_handover_time` and until the path to it is heard again.
 void update_store_duty(state& self, bool is_watcher, instant now, actions& out) {
     const auto& service =
         self.operator_reader ? self.operator_reader->service : self.reader.service;
     const auto failures = service.failures;
     const bool is_away = self.members.self.store_away;
-    if (is_watcher && failures >= handover_failures) {
+    const bool is_silent =
+        self.store_path.is_silent && distribution::may_hand_watch_on_early(self.members);
+    const auto candidates = [&] {
+        return distribution::list_watch_candidates(self.distribution, self.members);
+    };
+    if (is_watcher && (failures >= handover_failures || is_silent)) {
         self.store_handover_until = now + store_handover_time;
-        membership::set_store_unreachable(self.members, true);
-    } else if (is_away && now >= self.store_handover_until) {
-        membership::set_store_unreachable(self.members, false);
+        append(out.sends, membership::set_store_unreachable(self.members, true, candidates()));
+    } else if (is_away && now >= self.store_handover_until && !self.store_path.is_silent) {
+        append(out.sends, membership::set_store_unreachable(self.members, false, {}));
     }
     if (self.members.self.store_away != is_away) {
+        self.store_handovers += is_away ? 0 : 1;
         out.logs.push_back({is_away ? log_level::info : log_level::warning,
                             is_away ? "store_duty_resumed" : "store_duty_handed_on",
-                            {{"failures", std::to_string(failures)}}});
+                            {{"failures", std::to_string(failures)},
+                             {"path_silent", self.store_path.is_silent ? "yes" : "no"}}});
     }
 }
 
@@ -214,13 +222,13 @@
     return now - self.started >= settling_time || now - *since >= settled_duty_time;
 }
 
-/// Whether this node watches the store. One that stands by for a watcher that has failed knows its
-/// data centre and does not wait until the duty has settled.
+/// Whether this node watches the store. One that stands by for a watcher that has failed, or lost
+/// its path to the store, knows its data centre and does not wait until the duty has settled.
 bool is_watching_due(state& self, instant now) {
     const bool is_shown = distribution::is_store_watcher(self.distribution, self.members);
     const bool is_settled = is_duty_settled(self, is_shown, self.watcher_since, now);
-    return is_settled ||
-           (self.watcher_since && membership::has_suspect(self.members, self.members.attended));
+    return is_settled || (self.watcher_since &&
+                          membership::has_unable_at_store(self.members, self.members.attended));
 }
 
 void tick_store(state& self, instant now, actions& out) {
@@ -230,6 +238,7 @@
     } else {
         tick_head(self, is_watcher, now, out);
     }
+    store::on_tick(self.store_path, is_watcher, now, out.requests);
     update_store_duty(self, is_watcher, now, out);
     if (!self.leaves.has_read && is_remembered_by_others(self)) {
         store::note_remembered(self.leaves);
@@ -325,6 +334,7 @@
     self.started = now;
     self.next_fallback_read = now;
     self.leaves = store::make_leave_keeper(prefix, settings.identity->node, now);
+    self.store_path = store::make_path_probe(prefix);
     if (config_format) {
         self.operator_reader = feed::make_operator_reader(*config_format, now);
         self.record_keeper = feed::make_record_keeper(*config_format);
@@ -370,6 +380,12 @@
         .id = received.id,
         .outcome = store::kv_failure{store::kv_failure_kind::unknown, "earlier era"}};
     const auto& response = is_outdated ? dropped : received;
+    if (store::on_response(self.store_path, response, now)) {
+        return;
+    }
+    if (!std::holds_alternative<store::kv_failure>(received.outcome)) {
+        store::note_heard(self.store_path, now);
+    }
     if (self.operator_reader && on_feed_response(self, response, now, out)) {
         return;
     }
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -16,6 +16,7 @@
 #include "store/contacts.h"
 #include "store/head_reader.h"
 #include "store/leave_keeper.h"
+#include "store/path_probe.h"
 
 #include <map>
 #include <optional>
@@ -46,10 +47,12 @@
     store::head_reader reader;
     store::contact_keeper contacts;
     store::leave_keeper leaves;
+    store::path_probe store_path;
     /// Highest era of the store that a response or a held configuration has stated.
     std::uint64_t store_era = 0;
     /// Until this time other nodes hold this node's store duties.
     instant store_handover_until{};
+    std::uint64_t store_handovers = 0;
     /// Since when the member table gives this node the duty of watching the store, and those of the
     /// contacts; unset while it does not.
     std::optional<instant> watcher_since;
--- a/src/distribution/distribution.cpp
+++ b/src/distribution/distribution.cpp
@@ -95,8 +95,24 @@
 }
 
 bool is_store_watcher(const state& self, const membership::table& members) {
-    return membership::has_store_duty(members, watch_duty, self.settings.watchers_per_data_centre,
-                                      data_centre_id{members.self.data_centre});
+    const data_centre_id own{members.self.data_centre};
+    const auto away = membership::count_store_away(members, own);
+    const std::size_t substitutes = away > 0 && away <= watch_standbys ? 1 : 0;
+    return membership::has_store_duty(members, watch_duty,
+                                      self.settings.watchers_per_data_centre + substitutes, own);
+}
+
+bool may_hand_watch_on_early(const membership::table& members) {
+    return membership::count_store_away(members, data_centre_id{members.self.data_centre}) <
+           watch_standbys;
+}
+
+std::vector<node_id> list_watch_candidates(const state& self, const membership::table& members) {
+    auto candidates = membership::duty_holders(
+        members, watch_duty, self.settings.watchers_per_data_centre + watch_standbys,
+        data_centre_id{members.self.data_centre});
+    std::erase(candidates, node_id{members.self.node});
+    return candidates;
 }
 
 std::vector<node_id> list_watchers_ahead(const state& self, const membership::table& members) {
--- a/src/distribution/distribution.h
+++ b/src/distribution/distribution.h
@@ -192,9 +192,19 @@
 /// Whether the held configuration has been compared with others since the start or last pause.
 [[nodiscard]] bool is_ready(const state& self);
 
-/// Whether this node is one of those that watch the head of the store.
+/// Whether this node is one of those that watch the head of the store. While a few members of the
+/// data centre cannot reach the store, one more than usual does, as the same fault may have hit the
+/// next.
 [[nodiscard]] bool is_store_watcher(const state& self, const membership::table& members);
 
+/// Whether this node may hand the watch on at the first sign that the store does not hear it. Not
+/// when several others have: then the store is down or slow, and the duty would go around.
+[[nodiscard]] bool may_hand_watch_on_early(const membership::table& members);
+
+/// The members that watch the store or stand by for that, without this node.
+[[nodiscard]] std::vector<node_id> list_watch_candidates(const state& self,
+                                                         const membership::table& members);
+
 /// The members that this node, standing by to watch the store, would take over from, best first.
 /// Empty for all but a few members of each data centre.
 [[nodiscard]] std::vector<node_id> list_watchers_ahead(const state& self,
--- a/src/membership/duty.cpp
+++ b/src/membership/duty.cpp
@@ -40,6 +40,11 @@
     return holders;
 }
 
+/// Whether a member is suspected to have failed, or states that it cannot reach the store.
+bool is_unable_at_store(const msg::member_record_msg& record) {
+    return record.store_away || record.state == msg::liveness::suspect;
+}
+
 bool is_among(const std::vector<node_id>& holders, const table& state) {
     return std::any_of(holders.begin(), holders.end(),
                        [&](const node_id& holder) { return holder.value == state.self.node; });
@@ -61,12 +66,18 @@
                     const data_centre_id& data_centre) {
     const auto all = live_candidates(state, data_centre);
     auto able = all;
-    std::erase_if(able, [](const auto* record) {
-        return record->store_away || record->state == msg::liveness::suspect;
-    });
+    std::erase_if(able, [](const auto* record) { return is_unable_at_store(*record); });
     return is_among(rank(able.empty() ? all : able, duty, count), state);
 }
 
+std::size_t count_store_away(const table& state, const data_centre_id& data_centre) {
+    const auto others = live_candidates(state, data_centre);
+    return static_cast<std::size_t>(
+        std::count_if(others.begin(), others.end(), [&](const auto* record) {
+            return record->store_away && record->node != state.self.node;
+        }));
+}
+
 std::vector<node_id> list_predecessors(const table& state, std::string_view duty, std::size_t count,
                                        std::size_t standbys, const data_centre_id& data_centre) {
     auto ranked = duty_holders(state, duty, count + standbys, data_centre);
@@ -78,10 +89,10 @@
     return ranked;
 }
 
-bool has_suspect(const table& state, const std::vector<node_id>& members) {
+bool has_unable_at_store(const table& state, const std::vector<node_id>& members) {
     return std::any_of(members.begin(), members.end(), [&](const node_id& node) {
         const auto* record = find_record(state, node);
-        return record != nullptr && record->state == msg::liveness::suspect;
+        return record != nullptr && is_unable_at_store(*record);
     });
 }
 
--- a/src/membership/duty.h
+++ b/src/membership/duty.h
@@ -26,13 +26,17 @@
 [[nodiscard]] bool has_store_duty(const table& state, std::string_view duty, std::size_t count,
                                   const data_centre_id& data_centre);
 
+/// Number of the other live members of a data centre that state that they cannot reach the store.
+[[nodiscard]] std::size_t count_store_away(const table& state, const data_centre_id& data_centre);
+
 /// The live members that rank above this node for a duty, best first, if it is one of the `count`
 /// that would hold it or of the next `standbys`; else nothing.
 [[nodiscard]] std::vector<node_id> list_predecessors(const table& state, std::string_view duty,
                                                      std::size_t count, std::size_t standbys,
                                                      const data_centre_id& data_centre);
 
-/// Whether any of these members is suspected to have failed.
-[[nodiscard]] bool has_suspect(const table& state, const std::vector<node_id>& members);
+/// Whether any of these members is suspected to have failed, or states that it cannot reach the
+/// store.
+[[nodiscard]] bool has_unable_at_store(const table& state, const std::vector<node_id>& members);
 
 } // namespace cyclamenhatch::membership
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -15,10 +15,11 @@
 /// Members that are sent a leave directly; they spread it to the others.
 constexpr std::size_t leave_fan_out = 8;
 
-/// This node's own record, for a few random members at once.
-std::vector<outgoing> push_self(const table& state, random_source& random) {
+/// This node's own record, for these members.
+std::vector<outgoing> push_self(const table& state,
+                                const std::vector<const msg::member_record_msg*>& receivers) {
     std::vector<outgoing> sends;
-    for (const auto* receiver : choose_members(state, leave_fan_out, random)) {
+    for (const auto* receiver : receivers) {
         record_list updates;
         updates.push_back(std::make_unique<msg::member_record_msg>(state.self));
         sends.push_back(make_push(*receiver, std::move(updates)));
@@ -26,6 +27,11 @@
     return sends;
 }
 
+/// This node's own record, for a few random members.
+std::vector<outgoing> push_self(const table& state, random_source& random) {
+    return push_self(state, choose_members(state, leave_fan_out, random));
+}
+
 /// Detects a pause of this process. Its timers ran on meanwhile, so it must not suspect members
 /// that it could not hear.
 void notice_pause(table& state, instant now) {
@@ -139,11 +145,20 @@
     state.attended = std::move(members);
 }
 
-void set_store_unreachable(table& state, bool is_unreachable) {
-    if (state.self.store_away != is_unreachable) {
-        state.self.store_away = is_unreachable;
-        renew_self(state, 0);
+std::vector<outgoing> set_store_unreachable(table& state, bool is_unreachable,
+                                            const std::vector<node_id>& receivers) {
+    if (state.self.store_away == is_unreachable) {
+        return {};
+    }
+    state.self.store_away = is_unreachable;
+    renew_self(state, 0);
+    std::vector<const msg::member_record_msg*> told;
+    for (const auto& receiver : receivers) {
+        if (is_live_member(state, receiver)) {
+            told.push_back(find_record(state, receiver));
+        }
     }
+    return push_self(state, told);
 }
 
 std::vector<outgoing> leave(table& state, instant /*now*/, random_source& random) {
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -144,8 +144,10 @@
 /// that fails is suspected within about `probe_interval_ms` and the time in which a probe fails.
 void set_attended(table& state, std::vector<node_id> members);
 
-/// Announces whether this node reaches the store; a no-op when nothing changes.
-void set_store_unreachable(table& state, bool is_unreachable);
+/// Announces whether this node reaches the store; a no-op when nothing changes. Returns the
+/// messages that tell `receivers` at once; the others learn of it by the usual updates.
+[[nodiscard]] std::vector<outgoing> set_store_unreachable(table& state, bool is_unreachable,
+                                                          const std::vector<node_id>& receivers);
 
 /// Marks this node as left and returns the messages that announce it. Afterwards only answers are
 /// sent.
--- a/src/store/etcd_json.cpp
+++ b/src/store/etcd_json.cpp
@@ -49,6 +49,9 @@
     etcd_call operator()(const kv_range& range) const {
         document::table body;
         add_range(body, range.key, range.is_prefix);
+        if (range.may_be_stale) {
+            body.push_back({"serializable", true});
+        }
         return {"/v3/kv/range", write_json(table(std::move(body)))};
     }
 
--- a/src/store/kv.h
+++ b/src/store/kv.h
@@ -23,6 +23,8 @@
 struct kv_range {
     std::string key;
     bool is_prefix = false;
+    /// Whether an older state may be returned. Such a read costs the service much less.
+    bool may_be_stale = false;
 };
 
 /// Holds when the key was last written at this revision; 0 requires that the key is absent.
@@ -81,6 +83,7 @@
 constexpr std::uint64_t feed_request_base = 4ULL << 56U;
 constexpr std::uint64_t record_request_base = 5ULL << 56U;
 constexpr std::uint64_t leave_request_base = 6ULL << 56U;
+constexpr std::uint64_t probe_request_base = 7ULL << 56U;
 
 /// Whether a request id was issued from this base.
 [[nodiscard]] constexpr bool is_issued_from(std::uint64_t base, std::uint64_t id) {
--- a/tests/control/feed_fleet.cpp
+++ b/tests/control/feed_fleet.cpp
@@ -7,7 +7,7 @@
 
 constexpr milliseconds time_step{5};
 constexpr milliseconds tick_interval{100};
-constexpr double renewal_cost = 0.1;
+constexpr double cheap_request_cost = 0.1;
 constexpr std::uint16_t link_port = 7400;
 
 std::string name_of(std::size_t node) {
@@ -99,9 +99,12 @@
 
 void feed_fleet::carry_out(std::size_t node, actions&& out) {
     for (const auto& request : out.requests) {
-        const bool is_renewal =
-            std::holds_alternative<store::kv_lease_keepalive>(request.operation);
-        store_cost_ += is_renewal ? renewal_cost : 1;
+        const auto* read = std::get_if<store::kv_range>(&request.operation);
+        const bool is_stale = read != nullptr && read->may_be_stale;
+        const bool is_cheap =
+            is_stale || std::holds_alternative<store::kv_lease_keepalive>(request.operation);
+        stale_reads_ += is_stale ? 1 : 0;
+        store_cost_ += is_cheap ? cheap_request_cost : 1;
         fakes::send(store, name_of(node), request, now);
     }
     for (auto& send : out.sends) {
@@ -176,6 +179,14 @@
         }));
 }
 
+void feed_fleet::cut_off(std::size_t node) {
+    fakes::cut_off(store, name_of(node), now);
+}
+
+void feed_fleet::reconnect(std::size_t node) {
+    store.cut_off.erase(name_of(node));
+}
+
 void feed_fleet::write(std::string_view key, const std::string& value) {
     store::kv_transaction transaction;
     transaction.puts.push_back({std::string(key), value, 0});
--- a/tests/control/feed_fleet.h
+++ b/tests/control/feed_fleet.h
@@ -34,6 +34,9 @@
     void run_well(std::size_t node, const request_digest& digest);
     /// Ready nodes whose call path refuses the request.
     [[nodiscard]] std::size_t count_holding(const request_digest& digest) const;
+    /// Cuts a node off from the store, and from nothing else, in silence.
+    void cut_off(std::size_t node);
+    void reconnect(std::size_t node);
     /// Writes a key as the operators do.
     void write(std::string_view key, const std::string& value);
     /// Deletes a key as the operators do.
@@ -43,8 +46,11 @@
     [[nodiscard]] std::string stored(std::string_view key) const;
     /// The path prefix that a node routes by; "none" without a configuration.
     [[nodiscard]] std::string prefix_at(std::size_t node) const;
-    /// Requests to the store so far; the renewal of a lease costs a tenth of another one.
+    /// Requests to the store so far; the renewal of a lease and a read that may be stale cost a
+    /// tenth of another one.
     [[nodiscard]] double store_cost() const { return store_cost_; }
+    /// Those of them that may be stale.
+    [[nodiscard]] std::uint64_t stale_reads() const { return stale_reads_; }
 
     msg::settings_msg settings;
     /// The data centres of the nodes, in turn.
@@ -59,6 +65,7 @@
     void deliver_responses();
 
     double store_cost_ = 0;
+    std::uint64_t stale_reads_ = 0;
 };
 
 } // namespace cyclamenhatch::control::testing
--- a/tests/control/watcher_loss_test.cpp
+++ b/tests/control/watcher_loss_test.cpp
@@ -1,4 +1,4 @@
-#include "control/feed_fleet.h"
+#include "control/settled_fleet.h"
 
 #include <gtest/gtest.h>
 
@@ -12,34 +12,13 @@
 
 using testing::document_key;
 using testing::feed_fleet;
+using testing::in_force_bound;
+using testing::list_watching;
+using testing::start_settled_fleet;
 
-/// A confirmed configuration is in force at all nodes within this time.
-constexpr milliseconds in_force_bound{2000};
 /// From the failure to the change.
 constexpr milliseconds lead{100};
 
-/// A fleet that has settled, with the intervals of a deployment on the platform. `phase`
-/// shifts the failure against the nodes' probes.
-feed_fleet start_settled_fleet(std::size_t count, const std::vector<std::string>& data_centres,
-                               milliseconds phase) {
-    feed_fleet fleet(count);
-    fleet.data_centres = data_centres;
-    auto& membership = *fleet.settings.membership;
-    membership.probe_interval_ms = 500;
-    membership.probe_timeout_ms = 200;
-    membership.suspicion_ms = 1500;
-    fleet.write(document_key, "1 /first/");
-    for (std::size_t node = 0; node < count; ++node) {
-        fleet.start(node);
-    }
-    fleet.run(seconds{7} + phase);
-    return fleet;
-}
-
-bool is_watching(const feed_fleet& fleet, std::size_t node) {
-    return fleet.nodes[node]->operator_reader->wants_watch;
-}
-
 /// Changes the configuration after the failure of these nodes, and returns the names of the others
 /// that still route by the former one when the bound has passed.
 std::string find_late_nodes(feed_fleet& fleet, const std::vector<std::size_t>& failed) {
@@ -58,16 +37,6 @@
     return late;
 }
 
-std::vector<std::size_t> list_watching(const feed_fleet& fleet) {
-    std::vector<std::size_t> watching;
-    for (std::size_t node = 0; node < fleet.nodes.size(); ++node) {
-        if (is_watching(fleet, node)) {
-            watching.push_back(node);
-        }
-    }
-    return watching;
-}
-
 struct watcher_row {
     const char* name;
     std::size_t nodes;
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -117,6 +117,8 @@
                             R"("puts":[{"key":"a","value":"aGk=","lease":3}],"remove":["c"]})");
     const auto read = encode_read({.key = "a b&", .is_prefix = true}, {});
     EXPECT_EQ(read.target, "/v1/kv-range?prefix=a%20b%26");
+    const auto stale = encode_read({.key = "a", .may_be_stale = true}, {});
+    EXPECT_EQ(stale.target, "/v1/kv-range?prefix=a&isStale=1");
 }
 
 constexpr const char* good_document = R"({"version":7,
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -26,6 +27,8 @@
     milliseconds answer_delay{1};
     /// Time after which the sender gets an unknown outcome; the request may take effect later.
     milliseconds timeout{1000};
+    /// Time after which a client notices by itself that a watch is cut off in silence.
+    milliseconds watch_timeout{2100};
 };
 
 struct store_delivery {
@@ -73,6 +76,8 @@
     std::vector<active_watch> watches;
     std::vector<in_flight_request> in_flight;
     std::vector<store_delivery> answers;
+    /// Clients whose path to the service loses everything in both directions, without an error.
+    std::set<std::string> cut_off;
     std::uint64_t reads = 0;
     std::uint64_t writes = 0;
 };
@@ -230,6 +235,14 @@
                kv_failure{kv_failure_kind::not_run, "connection refused"});
         return;
     }
+    if (fake.cut_off.contains(client)) {
+        const bool is_watch = std::holds_alternative<store::kv_watch>(request.operation);
+        answer(fake, now + (is_watch ? fake.faults.watch_timeout : fake.faults.timeout), client,
+               request.id,
+               kv_failure{is_watch ? kv_failure_kind::watch_closed : kv_failure_kind::unknown,
+                          "timeout"});
+        return;
+    }
     const instant limit = now + fake.faults.timeout;
     if (fake.faults.is_silent) {
         answer(fake, limit, client, request.id, kv_failure{kv_failure_kind::unknown, "timeout"});
@@ -273,6 +286,23 @@
     return due;
 }
 
+/// Cuts a client off in silence: its requests and the answers under way are lost, and its watches
+/// report nothing until the client gives them up.
+inline void cut_off(fake_store& fake, const std::string& client, instant now) {
+    fake.cut_off.insert(client);
+    std::erase_if(fake.answers, [&](const auto& delivery) { return delivery.client == client; });
+    for (const auto& watch : fake.watches) {
+        if (watch.client == client) {
+            answer(fake, now + fake.faults.watch_timeout, client, watch.id,
+                   store::kv_failure{store::kv_failure_kind::watch_closed, "timeout"});
+        }
+    }
+    std::erase_if(fake.watches, [&](const auto& watch) { return watch.client == client; });
+    for (auto& request : fake.in_flight) {
+        request.loses_answer = request.loses_answer || request.client == client;
+    }
+}
+
 /// Ends all watches, as a closed connection does.
 inline void close_watches(fake_store& fake, instant now) {
     for (const auto& watch : fake.watches) {
