move: Judge a version by all its routes

Cause: a controller kept the first 64 routes of a report by name and dropped the others with their calls and errors, without a word, and judged what was left.

Change: reports list up to 1,024 routes, those with the most calls on the new version first, and sum up the rest, so that no call or error is left out. What a node keeps over all sources is bounded too. Routes that are in the sum only, and refused sources, are counted and logged; while there are any, the move goes no further and is taken back at its end. The sums over sources are kept as reports come.

--- a/src/move/brief.cpp
+++ b/src/move/brief.cpp
@@ -1,5 +1,6 @@
 #include "move/brief.h"
 
+#include "move/incomplete.h"
 #include "move/plan.h"
 
 #include <algorithm>
@@ -296,7 +297,7 @@
 }
 
 decision decide_brief(control_state& self, const control_facts& facts, instant now) {
-    const auto totals = sum_totals(self.collected);
+    const auto& totals = sum_totals(self.collected);
     const auto recent = subtract(totals, record_totals(self, totals, now));
     auto fault = find_fault(totals);
     if (!fault) {
@@ -307,6 +308,11 @@
             fault->kind == measure::errors ? msg::veto_reason::errors : msg::veto_reason::latency;
         return make_veto(facts, reason, fault->route, describe(*fault), now);
     }
+    if (count_cut(self.collected) > 0) {
+        const auto left =
+            std::chrono::duration_cast<microseconds>((1 - give_up_part) * facts.planned.duration);
+        return decide_incomplete(self, facts, facts.planned.deadline - left, now);
+    }
     const permit granted = facts.record.granted.value_or(permit{});
     if (granted.permille < full_share_permille) {
         return decide_next_stage(self, facts, granted, now);
--- a/src/move/combining.cpp
+++ b/src/move/combining.cpp
@@ -21,7 +21,8 @@
                     .sequence = static_cast<std::uint64_t>(to_unix_ms(now)),
                     .sources = count_sources(self.collected),
                     .begun = from_unix_ms(to_unix_ms(self.collected.begun)),
-                    .routes = sum_totals(self.collected)};
+                    .routes = sum_totals(self.collected),
+                    .cut_routes = count_cut(self.collected)};
     for (auto& [route, totals] : combined.routes) {
         totals.scores = self.scores[route];
     }
--- a/src/move/controller.cpp
+++ b/src/move/controller.cpp
@@ -2,6 +2,7 @@
 
 #include "move/brief.h"
 #include "move/controller_limits.h"
+#include "move/incomplete.h"
 #include "move/plan.h"
 
 #include <algorithm>
@@ -67,7 +68,7 @@
 }
 
 std::string describe(const control_state& self, const worst_finding& worst) {
-    const auto sums = sum_totals(self.collected);
+    const auto& sums = sum_totals(self.collected);
     const auto it = sums.find(worst.route);
     std::string text = std::string(measure_name(worst.kind));
     const route_totals totals = it == sums.end() ? sum_of_routes(sums) : it->second;
@@ -315,6 +316,9 @@
     if (worst.level >= veto_level(self, facts.false_alarm_ppm)) {
         return decide_fault(self, facts, worst, now);
     }
+    if (count_cut(self.collected) > 0) {
+        return decide_incomplete(self, facts, facts.planned.deadline, now);
+    }
     if (facts.planned.start && now < *facts.planned.start) {
         self.waiting_for = "the start";
         return {};
--- a/src/move/move_table.cpp
+++ b/src/move/move_table.cpp
@@ -110,6 +110,22 @@
     return all;
 }
 
+std::uint64_t count_cut_routes(const open_move& open) {
+    std::uint64_t cut = count_cut(open.control.collected);
+    for (const auto& [name, group] : open.groups) {
+        cut += count_cut(group.collected);
+    }
+    return cut;
+}
+
+std::uint64_t count_cut_routes(const state& self) {
+    std::uint64_t cut = 0;
+    for (const auto& [key, open] : self.open) {
+        cut += count_cut_routes(open);
+    }
+    return cut;
+}
+
 bool awaits_records(const state& self) {
     return std::any_of(self.open.begin(), self.open.end(), [](const auto& entry) {
         return entry.second.is_resumed && !entry.second.has_read_record;
--- a/src/move/move_table.h
+++ b/src/move/move_table.h
@@ -59,6 +59,8 @@
     bool has_read_record = false;
     /// Whether this node has sent the exchange that asks others for the permits of a new move.
     bool has_asked = false;
+    /// Whether it has been logged that evidence was cut.
+    bool has_logged_cut = false;
 };
 
 /// A move that has ended according to the configuration in force.
@@ -150,4 +152,10 @@
 
 [[nodiscard]] std::vector<move_status> list_status(const state& self, instant now);
 
+/// Number of routes whose evidence this node lacks as controller or combiner of a move.
+[[nodiscard]] std::uint64_t count_cut_routes(const open_move& open);
+
+/// The same over all open moves.
+[[nodiscard]] std::uint64_t count_cut_routes(const state& self);
+
 } // namespace cyclamenhatch::moves
--- a/src/move/on_tick.cpp
+++ b/src/move/on_tick.cpp
@@ -194,6 +194,19 @@
     }
 }
 
+/// Logs once a move that this node lacks evidence that was sent.
+void log_cut(const attempt_key& key, open_move& open, actions& out) {
+    const auto cut = count_cut_routes(open);
+    if (cut == 0 || open.has_logged_cut) {
+        return;
+    }
+    open.has_logged_cut = true;
+    out.logs.push_back(make_log(key, log_level::warning, "move_evidence_cut",
+                                {{"routes", std::to_string(cut)},
+                                 {"limit", std::to_string(max_report_routes)},
+                                 {"limit_of_all", std::to_string(max_collected_routes)}}));
+}
+
 void spread_records(state& self, const membership::table& members, instant now,
                     random_source& random, actions& out) {
     send_news(self.records, members, now, random, out.sends);
@@ -227,6 +240,7 @@
             judge_locally(self, key, open, now, out);
             report_own(self, members, key, open, now, out);
             report_groups(self, members, key, open, now, out);
+            log_cut(key, open, out);
             control_move(self, key, open, now, out);
         }
         refresh_share(self, key, open, now);
--- a/src/move/reports.cpp
+++ b/src/move/reports.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
+#include <tuple>
+#include <utility>
+#include <vector>
 
 namespace cyclamenhatch::moves {
 
@@ -153,8 +156,79 @@
     return joined;
 }
 
+/// Applies an operation to each count; scores are left unchanged.
+template <class Operation>
+void combine_totals(route_totals& left, const route_totals& right, Operation apply) {
+    left.new_calls = apply(left.new_calls, right.new_calls);
+    left.new_errors = apply(left.new_errors, right.new_errors);
+    left.new_refusals = apply(left.new_refusals, right.new_refusals);
+    left.old_calls = apply(left.old_calls, right.old_calls);
+    left.old_errors = apply(left.old_errors, right.old_errors);
+    left.busy_us = apply(left.busy_us, right.busy_us);
+    for (std::size_t i = 0; i < latency_buckets; ++i) {
+        left.new_latency.at(i) = apply(left.new_latency.at(i), right.new_latency.at(i));
+        left.old_latency.at(i) = apply(left.old_latency.at(i), right.old_latency.at(i));
+    }
+}
+
+void add_to_sums(collection& self, const report& added) {
+    for (const auto& [route, totals] : added.routes) {
+        add_totals(self.sums[route], totals);
+    }
+}
+
+void remove_from_sums(collection& self, const report& removed) {
+    for (const auto& [route, totals] : removed.routes) {
+        combine_totals(self.sums[route], totals,
+                       [](std::uint64_t left, std::uint64_t right) { return left - right; });
+    }
+}
+
+/// Routes that a report of this source may have beside those of the others.
+std::size_t room_for(const collection& self, const std::string& reporter) {
+    std::size_t taken = 0;
+    for (const auto& [name, source] : self.sources) {
+        taken += name == reporter ? 0 : source.latest.routes.size();
+    }
+    return taken < max_collected_routes ? max_collected_routes - taken : 0;
+}
+
 } // namespace
 
+const route_id& rest_of_routes() {
+    static const route_id rest;
+    return rest;
+}
+
+std::uint32_t fold_routes(std::map<route_id, route_totals>& routes, std::size_t most) {
+    const std::size_t listed = routes.size() - routes.count(rest_of_routes());
+    if (listed <= most) {
+        return 0;
+    }
+    std::vector<std::map<route_id, route_totals>::iterator> ranked;
+    ranked.reserve(listed);
+    for (auto it = routes.begin(); it != routes.end(); ++it) {
+        if (it->first != rest_of_routes()) {
+            ranked.push_back(it);
+        }
+    }
+    const auto rank = [](const auto& it) {
+        return std::tuple(it->second.new_calls, it->second.old_calls);
+    };
+    std::stable_sort(ranked.begin(), ranked.end(),
+                     [&](const auto& left, const auto& right) { return rank(left) > rank(right); });
+    route_totals& rest = routes[rest_of_routes()];
+    std::uint32_t cut = 0;
+    for (std::size_t i = most; i < ranked.size(); ++i) {
+        add_totals(rest, ranked[i]->second);
+        cut += ranked[i]->second.new_calls > 0 ? 1 : 0;
+        routes.erase(ranked[i]);
+    }
+    rest.new_latency = {};
+    rest.old_latency = {};
+    return cut;
+}
+
 report make_report(const attempt_key& key, const std::string& source,
                    const entry_evidence& evidence, instant now, bool has_latencies) {
     report created{.key = key,
@@ -180,7 +254,13 @@
 
 msg::move_evidence_msg to_message(const report& sent, const version_id& from_version,
                                   const version_id& to_version) {
+    if (sent.routes.size() - sent.routes.count(rest_of_routes()) > max_report_routes) {
+        report folded = sent;
+        folded.cut_routes += fold_routes(folded.routes, max_report_routes);
+        return to_message(folded, from_version, to_version);
+    }
     msg::move_evidence_msg message;
+    message.cut_routes = sent.cut_routes;
     message.service = sent.key.service.value;
     message.move = sent.key.name.value;
     message.attempt = sent.key.attempt;
@@ -211,10 +291,10 @@
                     .source = message.source,
                     .sequence = message.sequence,
                     .sources = message.sources,
-                    .begun = from_unix_ms(message.window_start_ms)};
+                    .begun = from_unix_ms(message.window_start_ms),
+                    .cut_routes = message.cut_routes};
     for (const auto& route : message.routes) {
-        if (!route || (received.routes.size() >= max_report_routes &&
-                       !received.routes.contains(route_id(route->route)))) {
+        if (!route) {
             continue;
         }
         route_totals& totals = received.routes[route_id(route->route)];
@@ -231,10 +311,13 @@
         totals.new_latency = read_latency(route->latency);
         totals.scores = unflatten(route->scores);
     }
+    received.cut_routes += fold_routes(received.routes, max_report_routes);
     return received;
 }
 
-bool accept(collection& self, const report& received, instant now) {
+bool accept(collection& self, report received, instant now) {
+    const auto room = room_for(self, received.source);
+    received.cut_routes += fold_routes(received.routes, room);
     const auto it = self.sources.find(received.source);
     if (it != self.sources.end()) {
         source_record& record = it->second;
@@ -245,17 +328,30 @@
             // The source restarted, so its sums no longer include what it counted before.
             record.seen.clear();
         }
-        record.latest = received;
+        remove_from_sums(self, record.latest);
+        record.latest = std::move(received);
+        add_to_sums(self, record.latest);
         record.received_at = now;
         return true;
     }
     if (self.sources.size() >= max_sources) {
+        self.has_refused_source = true;
         return false;
     }
-    self.sources.emplace(received.source, source_record{.latest = received, .received_at = now});
+    add_to_sums(self, received);
+    const auto source = received.source;
+    self.sources.emplace(source, source_record{.latest = std::move(received), .received_at = now});
     return true;
 }
 
+std::uint32_t count_cut(const collection& self) {
+    std::uint32_t cut = self.has_refused_source ? 1 : 0;
+    for (const auto& [name, source] : self.sources) {
+        cut += source.latest.cut_routes;
+    }
+    return cut;
+}
+
 std::map<route_id, route_step> take_steps(collection& self) {
     std::map<route_id, std::vector<source_step>> by_route;
     for (auto& [name, source] : self.sources) {
@@ -280,27 +376,12 @@
 }
 
 void add_totals(route_totals& sum, const route_totals& added) {
-    sum.new_calls += added.new_calls;
-    sum.new_errors += added.new_errors;
-    sum.new_refusals += added.new_refusals;
-    sum.old_calls += added.old_calls;
-    sum.old_errors += added.old_errors;
-    sum.busy_us += added.busy_us;
-    for (std::size_t i = 0; i < latency_buckets; ++i) {
-        sum.new_latency.at(i) += added.new_latency.at(i);
-        sum.old_latency.at(i) += added.old_latency.at(i);
-    }
+    combine_totals(sum, added,
+                   [](std::uint64_t left, std::uint64_t right) { return left + right; });
 }
 
-std::map<route_id, route_totals> sum_totals(const collection& self) {
-    std::map<route_id, route_totals> sums;
-    for (const auto& [name, source] : self.sources) {
-        for (const auto& [route, totals] : source.latest.routes) {
-            route_totals& sum = sums[route];
-            add_totals(sum, totals);
-        }
-    }
-    return sums;
+const std::map<route_id, route_totals>& sum_totals(const collection& self) {
+    return self.sums;
 }
 
 std::uint32_t count_sources(const collection& self) {
@@ -312,9 +393,13 @@
 }
 
 void drop_silent_groups(collection& self, instant now) {
-    std::erase_if(self.sources, [now](const auto& entry) {
-        return entry.second.latest.sources > 1 &&
-               entry.second.received_at + silent_group_time < now;
+    std::erase_if(self.sources, [&](const auto& entry) {
+        const bool is_silent =
+            entry.second.latest.sources > 1 && entry.second.received_at + silent_group_time < now;
+        if (is_silent) {
+            remove_from_sums(self, entry.second.latest);
+        }
+        return is_silent;
     });
 }
 
--- a/src/move/reports.h
+++ b/src/move/reports.h
@@ -44,20 +44,34 @@
     /// Number of entries whose evidence the report includes.
     std::uint32_t sources = 1;
     instant begun;
+    /// Includes the sum of the routes that are not listed, under rest_of_routes().
     std::map<route_id, route_totals> routes;
+    /// Routes with calls on the new version that are counted in that sum only.
+    std::uint32_t cut_routes = 0;
 };
 
+/// The name of the sum of the routes that a report does not list. It has calls and errors, but no
+/// latencies and scores, which differ between routes.
+[[nodiscard]] const route_id& rest_of_routes();
+
+/// Keeps at most `most` routes by name, those with the most calls on the new version first, so that
+/// the choice does not depend on errors, and adds the others to the rest. Returns how many of these
+/// have calls on the new version.
+[[nodiscard]] std::uint32_t fold_routes(std::map<route_id, route_totals>& routes, std::size_t most);
+
 [[nodiscard]] report make_report(const attempt_key& key, const std::string& source,
                                  const entry_evidence& evidence, instant now,
                                  bool has_latencies = false);
 
+/// Folds the routes beyond `max_report_routes`.
 [[nodiscard]] msg::move_evidence_msg to_message(const report& sent, const version_id& from_version,
                                                 const version_id& to_version);
 
-/// At most `max_report_routes` routes are read.
+/// Folds the routes beyond `max_report_routes`.
 [[nodiscard]] report from_message(const msg::move_evidence_msg& message,
                                   const version_id& to_version);
-inline constexpr std::size_t max_report_routes = 64;
+/// Bounds a message to about 0.6 MB, below the largest frame of a link.
+inline constexpr std::size_t max_report_routes = 1024;
 
 /// The newest report of one source and how much of its scores has been taken.
 struct source_record {
@@ -75,11 +89,22 @@
 struct collection {
     instant begun;
     std::map<std::string, source_record> sources;
+    /// Totals of each route over the latest reports of all sources, without scores.
+    std::map<route_id, route_totals> sums;
+    /// Reports of further sources were dropped.
+    bool has_refused_source = false;
 };
 inline constexpr std::size_t max_sources = 256;
+/// Routes over all sources. Bounds a collection to about 40 MB.
+inline constexpr std::size_t max_collected_routes = 32'768;
+
+/// Keeps a report unless a newer one of its source is held; folds the routes beyond
+/// `max_collected_routes`. Returns whether it was kept.
+bool accept(collection& self, report received, instant now);
 
-/// Keeps a report unless a newer one of its source is held. Returns whether it was kept.
-bool accept(collection& self, const report& received, instant now);
+/// Number of routes and sources whose own evidence is missing, each counted once a source. A
+/// version must not be called sound while there are any.
+[[nodiscard]] std::uint32_t count_cut(const collection& self);
 
 /// Scores of one route received since the last step.
 struct route_step {
@@ -96,7 +121,7 @@
 [[nodiscard]] std::map<route_id, route_step> take_steps(collection& self);
 
 /// Sums over all sources.
-[[nodiscard]] std::map<route_id, route_totals> sum_totals(const collection& self);
+[[nodiscard]] const std::map<route_id, route_totals>& sum_totals(const collection& self);
 [[nodiscard]] std::uint32_t count_sources(const collection& self);
 
 /// Removes combined sources that stopped reporting: their members report to another node now.
--- a/src/move/spreading.cpp
+++ b/src/move/spreading.cpp
@@ -62,7 +62,8 @@
     std::map<attempt_key, attempt_record> news;
     for (auto& [key, record] : records) {
         const bool is_known = record.granted || !record.vetoes.empty();
-        if (is_known && record.times_sent < rounds) {
+        const bool has_room = news.size() < max_attempts_per_message;
+        if (is_known && has_room && record.times_sent < rounds) {
             ++record.times_sent;
             news.emplace(key, record);
         }
--- a/src/node/state_document.cpp
+++ b/src/node/state_document.cpp
@@ -376,6 +376,7 @@
         add_line(text, "is_ready", control::is_ready(state) ? 1 : 0);
         add_line(text, "live_nodes", membership::live_records(state.members).size());
         add_line(text, "store_is_down", is_store_down(state) ? 1 : 0);
+        add_line(text, "move_cut_routes", moves::count_cut_routes(state.moves));
         add_line(text, "store_handovers_total", state.store_handovers);
         add_line(text, "process_pauses_total", state.members.pauses);
         add_line(text, "unconfirmed_leaves_total", node.unconfirmed_leaves);
--- a/tests/move/fixture.cpp
+++ b/tests/move/fixture.cpp
@@ -65,6 +65,10 @@
     return by_service.empty() ? 0 : by_service.begin()->second.permille;
 }
 
+std::string small_fleet::choose_route() {
+    return routes == 1 ? "r" : "r" + std::to_string(random() % routes);
+}
+
 void small_fleet::record_calls(std::size_t node) {
     std::uniform_int_distribution<std::uint32_t> permille(0, 999);
     std::vector<call::call_sample> samples;
@@ -72,10 +76,11 @@
         const bool is_new = permille(random) < share(node);
         const bool is_on_other_route = i % 10 == 0 && !other_route.empty();
         const auto errors = static_cast<std::uint32_t>(is_new ? new_errors : old_errors);
-        const bool is_error = permille(random) < errors * 10;
+        const bool may_fail = !is_new || !fails_on_other_route_only || is_on_other_route;
+        const bool is_error = may_fail && permille(random) < errors * 10;
         calls_on_new += is_new ? 1 : 0;
         samples.push_back({.service = service_id("s"),
-                           .route = route_id(is_on_other_route ? other_route : "r"),
+                           .route = route_id(is_on_other_route ? other_route : choose_route()),
                            .version = version_id(is_new ? "v2" : "v1"),
                            .kind = is_error ? call::sample_kind::error : call::sample_kind::ok,
                            .latency = microseconds(5000 + permille(random))});
@@ -101,7 +106,9 @@
 void small_fleet::tick() {
     now += milliseconds(100);
     for (std::size_t node = 0; node < nodes.size(); ++node) {
-        record_calls(node);
+        if (only_caller == SIZE_MAX || only_caller == node) {
+            record_calls(node);
+        }
         actions out;
         on_tick(nodes[node], tables[node], now, random, out);
         deliver(node, out);
--- a/tests/move/fixture.h
+++ b/tests/move/fixture.h
@@ -62,6 +62,12 @@
     int old_errors = 0;
     /// Route of one in ten calls of each node, if not empty.
     std::string other_route;
+    /// Routes of the other calls, each as often.
+    std::size_t routes = 1;
+    /// All calls come through this node, if set.
+    std::size_t only_caller = SIZE_MAX;
+    /// The errors of the new version are on `other_route` only.
+    bool fails_on_other_route_only = false;
     /// This node reports that all calls on the new version fail, and raises a veto.
     std::size_t liar = SIZE_MAX;
     /// All messages from and to this node are lost.
@@ -70,6 +76,7 @@
     std::uint64_t calls_on_new = 0;
 
 private:
+    std::string choose_route();
     void record_calls(std::size_t node);
     void deliver(std::size_t sender, const actions& out);
     std::deque<std::pair<std::size_t, incoming>> in_transit;
--- a/tests/move/spreading_test.cpp
+++ b/tests/move/spreading_test.cpp
@@ -101,6 +101,29 @@
     EXPECT_LE(count_messages(restarted, full, message_limit), longest_exchange);
 }
 
+/// Guards against permits and vetoes of many moves that count as sent although the message has no
+/// room for them.
+TEST(spreading, news_of_more_moves_than_a_message_holds_are_all_sent) {
+    const exchanging_node node(1, {2, 3});
+    std::map<attempt_key, attempt_record> records;
+    for (int i = 0; i < 200; ++i) {
+        records[{.service = service_id("s" + std::to_string(i)), .name = move_id("m")}].granted =
+            permit{.stage = 1, .permille = 40, .at = start_time};
+    }
+    random_source random{1};
+    std::set<std::string> sent;
+    for (int round = 0; round < 100; ++round) {
+        std::vector<outgoing> sends;
+        send_news(records, node.members, start_time, random, sends);
+        for (const auto& send : sends) {
+            for (const auto& permit : std::get<msg::move_state_msg>(send.message).permits) {
+                sent.insert(permit->service);
+            }
+        }
+    }
+    EXPECT_EQ(sent.size(), records.size());
+}
+
 std::set<std::size_t> arbitrary_nodes() {
     std::set<std::size_t> nodes;
     for (int i = *rc::gen::inRange(0, 12); i > 0; --i) {
