edge: Apply changed limits to open connections

Cause: the parser of a connection's next request was given its limits when the connection began to wait for it.

Change: changed limits are applied to all connections. One that waits takes them; a head that is being read keeps the wider ones since its first byte, and a body in chunks may grow up to the wider one.

--- a/src/edge/caller_closing.cpp
+++ b/src/edge/caller_closing.cpp
@@ -31,6 +31,10 @@
 
 } // namespace
 
+bool has_begun_head(const caller_session& session) {
+    return session.buffer.size() > 0 || session.next->parser->got_some();
+}
+
 listener_limits limits_of(const caller_session& session) {
     const std::lock_guard guard(session.listener->lock);
     return session.listener->limits;
@@ -77,7 +81,7 @@
         return;
     }
     if (self->next && self->open.empty()) {
-        const bool has_begun = self->buffer.size() > 0 || self->next->parser->got_some();
+        const bool has_begun = has_begun_head(*self);
         if (!has_begun && now - self->active_at > limits.idle_timeout + idle_margin) {
             close_session(self, disconnect_cause::caller_left);
         } else if (has_begun && !self->head_started_at) {
--- a/src/edge/caller_listener.cpp
+++ b/src/edge/caller_listener.cpp
@@ -114,8 +114,14 @@
 }
 
 void set_limits(caller_listener& listener, const listener_limits& limits) {
-    const std::lock_guard guard(listener.lock);
-    listener.limits = limits;
+    {
+        const std::lock_guard guard(listener.lock);
+        if (listener.limits == limits) {
+            return;
+        }
+        listener.limits = limits;
+    }
+    for_each_session(listener, apply_limits);
 }
 
 void begin_drain(caller_listener& listener) {
--- a/src/edge/caller_listener.h
+++ b/src/edge/caller_listener.h
@@ -28,6 +28,8 @@
     std::chrono::milliseconds header_timeout{30'000};
     /// How long a connection may stay open without a request.
     std::chrono::milliseconds idle_timeout{75'000};
+
+    friend bool operator==(const listener_limits&, const listener_limits&) = default;
 };
 
 /// Why the listener refused a request.
@@ -69,7 +71,8 @@
 /// The port that the listener is bound to, for a listener started on port 0.
 [[nodiscard]] std::uint16_t listening_port(const caller_listener& listener);
 
-/// Sets the limits for requests that are read from now on.
+/// Sets the limits for requests that begin from now on, also on connections that wait for one. A
+/// request that has begun is held to the wider ones of the limits since then.
 void set_limits(caller_listener& listener, const listener_limits& limits);
 
 /// Continues to serve, but each answer tells its caller to open another connection.
--- a/src/edge/caller_session.h
+++ b/src/edge/caller_session.h
@@ -62,6 +62,10 @@
     /// When the request's head was read.
     instant read_at{};
     std::optional<http::request_parser<http::buffer_body>> parser;
+    /// What the request may take: the widest limits since its first byte arrived.
+    listener_limits limits;
+    /// Bytes of the request's body in the pieces that were read whole.
+    std::uint64_t received_bytes = 0;
     body_bytes incoming;
     std::function<void(body_piece)> on_piece;
     http::response<http::buffer_body> answer;
@@ -117,9 +121,16 @@
 
 using caller_session_ptr = std::shared_ptr<caller_session>;
 
+/// Whether a byte of the request that is waited for has arrived. Precondition: one is waited for.
+[[nodiscard]] bool has_begun_head(const caller_session& session);
+
 /// The limits for requests that are read from now on.
 [[nodiscard]] listener_limits limits_of(const caller_session& session);
 
+/// Applies changed limits to the requests that are being read or waited for. One whose head has
+/// begun may have been sent under the former limits, so it keeps those that are wider.
+void apply_limits(const caller_session_ptr& self);
+
 /// Starts to read the head of the connection's next request, unless one is being read or the
 /// maximum number of requests is open.
 void read_head(const caller_session_ptr& self);
