--- a/src/edge/caller_closing.cpp
+++ b/src/edge/caller_closing.cpp
@@ -31,15 +31,6 @@
 
 } // namespace
 
-bool has_begun_head(const caller_session& session) {
-    return session.buffer.size() > 0 || session.next->parser->got_some();
-}
-
-listener_limits limits_of(const caller_session& session) {
-    const std::lock_guard guard(session.listener->lock);
-    return session.listener->limits;
-}
-
 void drop_exchanges(const caller_session_ptr& self, disconnect_cause cause) {
     for (const auto& exchange : std::exchange(self->open, {})) {
         exchange->on_piece = nullptr;
--- a/src/edge/caller_session.cpp
+++ b/src/edge/caller_session.cpp
@@ -28,32 +28,6 @@
     session.is_waiting_for_caller = is_waiting_for_caller;
 }
 
-/// Passes the limits of a request whose head is not read to its parser.
-void limit_head(caller_session& session, caller_exchange& exchange) {
-    exchange.parser->header_limit(exchange.limits.max_header_bytes);
-    exchange.parser->body_limit(exchange.limits.max_body_bytes);
-    // A head at its limit and one more read; chunk framing that is longer is refused.
-    session.buffer.max_size(
-        std::max<std::size_t>(exchange.limits.max_header_bytes, session.buffer.size()) +
-        piece_bytes);
-}
-
-/// Widens the limit of a body that is being read. One with a length was judged at the end of its
-/// head.
-void widen_body(caller_exchange& exchange, std::uint64_t max_body_bytes) {
-    if (max_body_bytes <= exchange.limits.max_body_bytes) {
-        return;
-    }
-    exchange.limits.max_body_bytes = max_body_bytes;
-    if (exchange.parser->chunked() && !exchange.parser->is_done()) {
-        // The parser counts down what is left. A piece that is being filled is not yet counted.
-        const auto filled = exchange.incoming.empty()
-                                ? 0
-                                : exchange.incoming.size() - exchange.parser->get().body().size;
-        exchange.parser->body_limit(max_body_bytes - exchange.received_bytes - filled);
-    }
-}
-
 void discard_rest(const caller_session_ptr& self);
 
 void on_discarded(const caller_session_ptr& self, error_code error, std::size_t bytes) {
@@ -349,24 +323,6 @@
     listener->sessions.erase(this);
 }
 
-void apply_limits(const caller_session_ptr& self) {
-    const auto limits = limits_of(*self);
-    for (const auto& exchange : self->open) {
-        widen_body(*exchange, limits.max_body_bytes);
-    }
-    if (!self->next) {
-        return;
-    }
-    auto& kept = self->next->limits;
-    if (has_begun_head(*self)) {
-        kept.max_header_bytes = std::max(kept.max_header_bytes, limits.max_header_bytes);
-        kept.max_body_bytes = std::max(kept.max_body_bytes, limits.max_body_bytes);
-    } else {
-        kept = limits;
-    }
-    limit_head(*self, *self->next);
-}
-
 void read_head(const caller_session_ptr& self) {
     if (!self->socket.is_open() || self->is_closing || self->is_last_answer || self->next ||
         self->open.size() >= max_pipelined) {
--- a/src/edge/caller_session.h
+++ b/src/edge/caller_session.h
@@ -127,6 +127,9 @@
 /// The limits for requests that are read from now on.
 [[nodiscard]] listener_limits limits_of(const caller_session& session);
 
+/// Passes the limits of a request whose head is not read to its parser and to the buffer.
+void limit_head(caller_session& session, caller_exchange& exchange);
+
 /// Applies changed limits to the requests that are being read or waited for. One whose head has
 /// begun may have been sent under the former limits, so it keeps those that are wider.
 void apply_limits(const caller_session_ptr& self);
